Workspace, shared types and crate borders

Cause: the work goes on side by side in many crates, so borders and shared types must stand first. Conclusion: the crates can now be filled independently.

--- /dev/null
+++ b/crates/calls/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about calls: admission, limits, retries, routing, deadlines.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Per-service agreement on slots, drains, plans and configuration.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments, benchmarks, model checking and reports.
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Program entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure detection and membership between nodes.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small specifications of the core protocols, explored exhaustively.
--- /dev/null
+++ b/crates/quillhatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! The quillhatch program: listeners, drivers and the command line.
--- /dev/null
+++ b/crates/types/src/names.rs
@@ -0,0 +1,109 @@
+//! Checked names of the things a configuration speaks of.
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// The longest name accepted, in bytes.
+pub const MAXIMUM_NAME_LENGTH: usize = 64;
+
+/// Why a text is no valid name.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum NameError {
+    /// The name has no characters.
+    #[display("a name must not be empty")]
+    Empty,
+    /// The name is longer than [`MAXIMUM_NAME_LENGTH`].
+    #[display("a name must not be longer than {MAXIMUM_NAME_LENGTH} bytes")]
+    TooLong,
+    /// The name holds a character outside `a-z A-Z 0-9 - _ .`.
+    #[display("the character {character:?} is not allowed in a name; use letters, digits, '-', '_' and '.'")]
+    Character {
+        /// The first character that is not allowed.
+        character: char,
+    },
+}
+
+fn check(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > MAXIMUM_NAME_LENGTH {
+        return Err(NameError::TooLong);
+    }
+    let allowed = |character: char| character.is_ascii_alphanumeric() || matches!(character, '-' | '_' | '.');
+    match text.chars().find(|character| !allowed(*character)) {
+        Some(character) => Err(NameError::Character { character }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$documentation:meta])* $name:ident) => {
+        $(#[$documentation])*
+        #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Checks `text` and makes a name of it.
+            ///
+            /// # Errors
+            ///
+            /// Returns why the text is no valid name.
+            pub fn new(text: &str) -> Result<Self, NameError> {
+                check(text)?;
+                Ok(Self(Arc::from(text)))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::new(&text)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.to_string()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A deployment: one fleet with its own configuration document and key.
+    DeploymentName
+);
+name_type!(
+    /// A site (data centre).
+    SiteName
+);
+name_type!(
+    /// A zone inside a site.
+    ZoneName
+);
+name_type!(
+    /// A service: a set of interchangeable targets.
+    ServiceName
+);
+name_type!(
+    /// A class of calls of one service.
+    ClassName
+);
+name_type!(
+    /// A caller as the edge tells it apart: its address, or the name it authenticated with.
+    CallerName
+);
+name_type!(
+    /// A plan: a hash over all that the plan contains and rests on.
+    PlanId
+);
