Settings, configuration document, and stand-ins

Cause: a node must refuse a wrong settings file or configuration whole, with every finding and its place; tests need a platform, back ends and callers that keep their own record. Change: crates/settings (TOML and JSON readers that collect findings with line, column, path and advice; renderer for export; three example files) and crates/standins (platform, back end, open-loop load generator without coordinated omission, content that callers verify byte by byte).

--- /dev/null
+++ b/crates/settings/src/node_settings/read.rs
@@ -0,0 +1,294 @@
+//! Reads the tree of a settings file into the settings.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use log::LevelFilter;
+use quillhatch_types::{DeploymentName, NodeAddress, ServiceName, SiteName, ZoneName};
+
+use super::checks;
+use super::secret::Secret;
+use super::sections::{
+    BackendSettings, ControlTimings, FleetKey, FleetKeys, Limits, LogFormat, LogSettings, PlatformSettings,
+    StopSettings, MINIMUM_SECRET_LENGTH,
+};
+use super::NodeSettings;
+use crate::document::Node;
+use crate::report::Report;
+use crate::section::{Field, Section};
+
+/// The largest number of fleet keys accepted at a time.
+const MAXIMUM_FLEET_KEYS: usize = 2;
+/// A key with fewer different bytes than this was not drawn at random.
+const MINIMUM_DISTINCT_BYTES: usize = 8;
+/// The shortest operator token, in characters.
+const MINIMUM_TOKEN_LENGTH: usize = 16;
+
+const POLL_INTERVALS: RangeInclusive<Duration> = Duration::from_millis(50)..=Duration::from_secs(60);
+const PLATFORM_TIMEOUTS: RangeInclusive<Duration> = Duration::from_millis(50)..=Duration::from_secs(60);
+const GRACE_TIMES: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_secs(24 * 3600);
+const CONTROL_TIMES: RangeInclusive<Duration> = Duration::from_millis(5)..=Duration::from_secs(60);
+const HEADER_SIZES: RangeInclusive<u64> = 1 << 10..=1 << 20;
+const BODY_SIZES: RangeInclusive<u64> = 1..=1 << 50;
+const RETRY_BUFFER_SIZES: RangeInclusive<u64> = 0..=16 << 20;
+const CONNECTIONS: RangeInclusive<u64> = 1..=1_000_000;
+
+const LEVELS: [(&str, LevelFilter); 6] = [
+    ("off", LevelFilter::Off),
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+    ("trace", LevelFilter::Trace),
+];
+const FORMATS: [(&str, LogFormat); 2] = [("json", LogFormat::Json), ("text", LogFormat::Text)];
+
+/// Reads the settings; `None` if a key without default is missing or wrong, which is reported.
+pub(super) fn read(report: &mut Report<'_>, node: &Node) -> Option<NodeSettings> {
+    let mut root = Section::open(report, &Field::root(node))?;
+    let deployment = root.require(report, "deployment").and_then(|field| field.name(report, DeploymentName::new));
+    let site = root.require(report, "site").and_then(|field| field.name(report, SiteName::new));
+    let zone = root.require(report, "zone").and_then(|field| field.name(report, ZoneName::new));
+    let listeners = read_listeners(report, &mut root);
+    let operator_token = read_operator_token(report, &mut root);
+    let fleet_keys = read_fleet_keys(report, &mut root);
+    let platform = read_platform(report, &mut root);
+    let seed_peers = read_seed_peers(report, &mut root);
+    let backend = root.take("backend").map(|field| read_backend(report, &field));
+    let limits = read_limits(report, &mut root);
+    let stop = read_stop(report, &mut root);
+    let log = read_log(report, &mut root);
+    let control = read_control(report, &mut root);
+    checks::check_addresses(report, &listeners, backend.as_ref());
+    checks::check_operator_token(report, &listeners, operator_token.as_ref(), &fleet_keys);
+    root.finish(report);
+    Some(NodeSettings {
+        deployment: deployment?,
+        site: site?,
+        zone: zone?,
+        callers: listeners.callers?.value,
+        peers: NodeAddress(listeners.peers?.value),
+        operators: listeners.operators?.value,
+        operator_token: operator_token.and_then(|token| token.value),
+        fleet_keys: FleetKeys { send: fleet_keys.send?, accepted: fleet_keys.into_accepted() },
+        platform: platform?,
+        seed_peers,
+        backend: backend.map_or(Some(None), |backend| backend.settings.map(Some))?,
+        limits,
+        stop,
+        log,
+        control,
+    })
+}
+
+fn read_listeners(report: &mut Report<'_>, root: &mut Section<'_>) -> checks::Listeners {
+    let mut section = root.subsection(report, "listeners");
+    let callers = section.require(report, "callers").and_then(|field| checks::Located::address(report, &field));
+    let peers = section.require(report, "peers").and_then(|field| checks::Located::reachable_address(report, &field));
+    let operators = section.require(report, "operators").and_then(|field| checks::Located::address(report, &field));
+    section.finish(report);
+    checks::Listeners { callers, peers, operators }
+}
+
+/// The operator token, if the key is given; without value if it is wrong.
+fn read_operator_token(report: &mut Report<'_>, root: &mut Section<'_>) -> Option<checks::Located<Option<Secret>>> {
+    let mut section = root.subsection(report, "operators");
+    let token = section.take("token").map(|field| {
+        let value = field.text(report).and_then(|text| checked_token(report, &field, text));
+        checks::Located { value, spot: field.spot.clone() }
+    });
+    section.finish(report);
+    token
+}
+
+fn checked_token(report: &mut Report<'_>, field: &Field<'_>, text: &str) -> Option<Secret> {
+    // RFC 6750, section 2.1 allows fewer characters; these are the ones that no header encoding touches.
+    if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+        report.error(&field.spot, "the token has a character that is not printable ASCII", "draw another token");
+        return None;
+    }
+    if text.len() < MINIMUM_TOKEN_LENGTH {
+        let problem = format!("the token is {} characters long", text.len());
+        report.error(&field.spot, problem, format!("use at least {MINIMUM_TOKEN_LENGTH} random characters"));
+        return None;
+    }
+    Some(Secret::new(text.as_bytes().to_vec()))
+}
+
+fn read_fleet_keys(report: &mut Report<'_>, root: &mut Section<'_>) -> checks::LocatedFleetKeys {
+    let mut section = root.subsection(report, "fleet");
+    let keys_field = section.require(report, "keys");
+    let items = keys_field.as_ref().map(|field| field.items(report)).unwrap_or_default();
+    let accepted: Vec<_> = items.iter().filter_map(|item| read_fleet_key(report, item)).collect();
+    let send_field = section.take("send");
+    let send = send_field.as_ref().and_then(|field| field.integer(report, 0..=u64::from(u32::MAX)));
+    let keys = checks::LocatedFleetKeys {
+        send: send.and_then(|send| u32::try_from(send).ok()),
+        send_given: send_field.is_some(),
+        send_spot: section.spot("send"),
+        accepted,
+    };
+    if let Some(field) = keys_field {
+        if items.is_empty() || items.len() > MAXIMUM_FLEET_KEYS {
+            let problem = format!("there are {} keys", items.len());
+            report.error(&field.spot, problem, "give one key, or two while the old one is being replaced");
+        }
+    }
+    section.finish(report);
+    checks::check_fleet_keys(report, keys, items.len())
+}
+
+fn read_fleet_key(report: &mut Report<'_>, item: &Field<'_>) -> Option<checks::Located<FleetKey>> {
+    let mut section = Section::open(report, item)?;
+    let id = section.require(report, "id").and_then(|field| field.integer(report, 0..=u64::from(u32::MAX)));
+    let secret = section.require(report, "secret").and_then(|field| {
+        let text = field.text(report)?;
+        checked_fleet_secret(report, &field, text)
+    });
+    let spot = section.spot("secret");
+    section.finish(report);
+    let id = u32::try_from(id?).ok()?;
+    Some(checks::Located { value: FleetKey { id, secret: secret? }, spot })
+}
+
+fn checked_fleet_secret(report: &mut Report<'_>, field: &Field<'_>, text: &str) -> Option<Secret> {
+    let advice = format!("draw {MINIMUM_SECRET_LENGTH} random bytes and write them as hexadecimal digits");
+    let Some(bytes) = decode_hexadecimal(text) else {
+        report.error(&field.spot, "the secret is not an even number of hexadecimal digits", advice);
+        return None;
+    };
+    if bytes.len() < MINIMUM_SECRET_LENGTH {
+        report.error(&field.spot, format!("the secret is {} bytes long", bytes.len()), advice);
+        return None;
+    }
+    let mut distinct = bytes.clone();
+    distinct.sort_unstable();
+    distinct.dedup();
+    if distinct.len() < MINIMUM_DISTINCT_BYTES {
+        report.error(&field.spot, "the secret repeats a few bytes and is easily guessed", advice);
+        return None;
+    }
+    Some(Secret::new(bytes))
+}
+
+fn decode_hexadecimal(text: &str) -> Option<Vec<u8>> {
+    if text.len() % 2 != 0 {
+        return None;
+    }
+    let digit = |byte: u8| char::from(byte).to_digit(16).and_then(|digit| u8::try_from(digit).ok());
+    text.as_bytes().chunks_exact(2).map(|pair| Some(digit(pair[0])? << 4 | digit(pair[1])?)).collect()
+}
+
+fn read_platform(report: &mut Report<'_>, root: &mut Section<'_>) -> Option<PlatformSettings> {
+    let mut section = root.subsection(report, "platform");
+    let urls_field = section.require(report, "urls");
+    let items = urls_field.as_ref().map(|field| field.items(report)).unwrap_or_default();
+    let urls: Vec<String> = items.iter().filter_map(|item| checks::base_url(report, item)).collect();
+    if let Some(field) = urls_field.filter(|_| items.is_empty()) {
+        report.error(&field.spot, "there is no URL", "give at least one base URL of the platform");
+    }
+    let poll_interval = PlatformSettings::DEFAULT_POLL_INTERVAL;
+    let poll_interval =
+        section.optional(report, "poll_interval", poll_interval, |field, report| field.time(report, POLL_INTERVALS));
+    let timeout = section.optional(report, "timeout", PlatformSettings::DEFAULT_TIMEOUT, |field, report| {
+        field.time(report, PLATFORM_TIMEOUTS)
+    });
+    section.finish(report);
+    Some(PlatformSettings { urls, poll_interval, timeout })
+}
+
+fn read_seed_peers(report: &mut Report<'_>, root: &mut Section<'_>) -> Vec<NodeAddress> {
+    let items = root.list(report, "seed_peers");
+    let mut seeds = Vec::new();
+    for item in items {
+        let Some(address) = item.reachable_address(report).map(NodeAddress) else {
+            continue;
+        };
+        if seeds.contains(&address) {
+            report.warning(&item.spot, format!("{address} is listed twice"), "remove one of the two");
+            continue;
+        }
+        seeds.push(address);
+    }
+    seeds
+}
+
+fn read_backend(report: &mut Report<'_>, field: &Field<'_>) -> checks::LocatedBackend {
+    let Some(mut section) = Section::open(report, field) else {
+        return checks::LocatedBackend { address: None, settings: None };
+    };
+    let address =
+        section.require(report, "address").and_then(|field| checks::Located::reachable_address(report, &field));
+    let service = section.require(report, "service").and_then(|field| field.name(report, ServiceName::new));
+    let health_path =
+        section.optional(report, "health_path", BackendSettings::DEFAULT_HEALTH_PATH.to_string(), |field, report| {
+            checks::endpoint_path(report, field)
+        });
+    let load_path = section.take("load_path").and_then(|field| checks::endpoint_path(report, &field));
+    let poll_interval = BackendSettings::DEFAULT_POLL_INTERVAL;
+    let poll_interval =
+        section.optional(report, "poll_interval", poll_interval, |field, report| field.time(report, POLL_INTERVALS));
+    section.finish(report);
+    let settings = address.as_ref().zip(service).map(|(address, service)| BackendSettings {
+        address: address.value,
+        service,
+        health_path,
+        load_path,
+        poll_interval,
+    });
+    checks::LocatedBackend { address, settings }
+}
+
+fn read_limits(report: &mut Report<'_>, root: &mut Section<'_>) -> Limits {
+    let default = Limits::default();
+    let mut section = root.subsection(report, "limits");
+    let limits = Limits {
+        header_bytes: section
+            .optional(report, "header_size", default.header_bytes, |field, report| field.size(report, HEADER_SIZES)),
+        body_bytes: section.take("body_size").and_then(|field| field.size(report, BODY_SIZES)),
+        retry_buffer_bytes: section.optional(report, "retry_buffer", default.retry_buffer_bytes, |field, report| {
+            field.size(report, RETRY_BUFFER_SIZES)
+        }),
+        connections: section
+            .optional(report, "connections", default.connections, |field, report| field.integer(report, CONNECTIONS)),
+    };
+    section.finish(report);
+    limits
+}
+
+fn read_stop(report: &mut Report<'_>, root: &mut Section<'_>) -> StopSettings {
+    let mut section = root.subsection(report, "stop");
+    let default = StopSettings::default().grace;
+    let grace = section.optional(report, "grace", default, |field, report| field.time(report, GRACE_TIMES));
+    section.finish(report);
+    StopSettings { grace }
+}
+
+fn read_log(report: &mut Report<'_>, root: &mut Section<'_>) -> LogSettings {
+    let default = LogSettings::default();
+    let mut section = root.subsection(report, "log");
+    let level = section.optional(report, "level", default.level, |field, report| field.choice(report, &LEVELS));
+    let format = section.optional(report, "format", default.format, |field, report| field.choice(report, &FORMATS));
+    section.finish(report);
+    LogSettings { level, format }
+}
+
+fn read_control(report: &mut Report<'_>, root: &mut Section<'_>) -> ControlTimings {
+    let default = ControlTimings::default();
+    let mut section = root.subsection(report, "control");
+    let mut time = |key: &'static str, default: Duration| {
+        section.optional(report, key, default, |field, report| field.time(report, CONTROL_TIMES))
+    };
+    let timings = ControlTimings {
+        probe_interval: time("probe_interval", default.probe_interval),
+        acknowledge_timeout: time("acknowledge_timeout", default.acknowledge_timeout),
+        suspicion_timeout: time("suspicion_timeout", default.suspicion_timeout),
+        heartbeat_interval: time("heartbeat_interval", default.heartbeat_interval),
+        lease: time("lease", default.lease),
+        election_timeout_minimum: time("election_timeout_minimum", default.election_timeout_minimum),
+        election_timeout_maximum: time("election_timeout_maximum", default.election_timeout_maximum),
+    };
+    checks::check_timings(report, &section, &timings);
+    section.finish(report);
+    timings
+}
--- /dev/null
+++ b/crates/settings/tests/settings/main.rs
@@ -0,0 +1,8 @@
+//! The tests of the crate's public interface.
+
+mod configuration;
+mod documentation;
+mod node_settings;
+mod properties;
+mod support;
+mod units;
--- /dev/null
+++ b/crates/settings/tests/settings/node_settings.rs
@@ -0,0 +1,190 @@
+//! The settings file: what is accepted, and that every mistake is reported at its place.
+
+use std::time::Duration;
+
+use crate::support::{line_of, paths, replaced, NODE, PRAIRIE};
+use quillhatch_settings::node_settings::{ControlTimings, Limits, LogSettings, StopSettings};
+use quillhatch_settings::presentation::{render_text, FindingsDocument};
+use quillhatch_settings::{parse_configuration, parse_node_settings, NodeSettings, Overrides};
+use quillhatch_types::{Findings, ServiceName, Severity};
+use test_case::test_case;
+
+fn parse(text: &str) -> Result<(NodeSettings, Findings), Findings> {
+    parse_node_settings("node.toml", text, &Overrides::default())
+}
+
+#[test]
+fn the_example_has_no_finding_and_the_defaults_it_states() {
+    let (settings, findings) = parse(NODE).unwrap();
+    assert_eq!(findings, Findings::default());
+    assert_eq!(settings.limits, Limits::default());
+    assert_eq!(settings.stop, StopSettings::default());
+    assert_eq!(settings.log, LogSettings::default());
+    assert_eq!(settings.control, ControlTimings::default());
+    assert_eq!(settings.fleet_keys.sending().map(|key| key.id), Some(1));
+
+    let is_default = |line: &str| line.starts_with("# ") && line.contains(" = ");
+    let stated = |line: &str| if is_default(line) { line[2..].to_string() } else { line.to_string() };
+    let with_defaults: String = NODE.lines().map(|line| stated(line) + "\n").collect();
+    assert_ne!(with_defaults, NODE);
+    assert_eq!(parse(&with_defaults).unwrap().0, settings);
+}
+
+#[test]
+fn the_example_node_is_a_target_of_the_example_configuration() {
+    let (settings, _) = parse(NODE).unwrap();
+    let (configuration, _) = parse_configuration("prairie.json", PRAIRIE).unwrap();
+    let service = &configuration.services[&ServiceName::new("giving").unwrap()];
+    let target = service.targets.iter().find(|target| target.node == settings.peers).unwrap();
+    assert_eq!((&target.site, &target.zone), (&settings.site, &settings.zone));
+    assert_eq!(settings.backend.unwrap().service, service.name);
+}
+
+#[test]
+fn a_file_with_three_mistakes_names_all_three_with_lines() {
+    let text = replaced(NODE, "callers = \"127.0.0.1:8103\"", "calers = \"127.0.0.1:8103\"");
+    let text = replaced(&text, "# grace = \"2 min\"", "grace = 30");
+    let text = replaced(&text, "# lease = \"500 ms\"", "lease = \"3 s\"");
+    let findings = parse(&text).unwrap_err();
+    // The misspelt key is missing under its right name too.
+    let expected = ["listeners.callers", "listeners.calers", "stop.grace", "control.election_timeout_minimum"];
+    let mut found = paths(&findings);
+    found.sort_unstable();
+    let mut sorted = expected;
+    sorted.sort_unstable();
+    assert_eq!(found, sorted);
+
+    let shown = render_text(&findings);
+    let typo = line_of(&text, "calers");
+    let grace = line_of(&text, "grace = 30");
+    assert!(shown.contains(&format!(
+        "node.toml:{typo}:1: listeners.calers: error: the key \"calers\" is not known; did you mean \"callers\"?\n"
+    )));
+    assert!(shown.contains(&format!(
+        "node.toml:{grace}:9: stop.grace: error: expected a time with a unit, found a number; write a number and its \
+         unit between quotes, such as \"250 ms\" or \"2 s\"\n"
+    )));
+    assert!(shown.contains("election_timeout_minimum is 600ms and must be longer than lease, which is 3s"));
+    assert_eq!(FindingsDocument::from(findings).errors, 4);
+}
+
+#[test_case("zone = \"hall-a\"", "", "zone", "missing"; "a missing key")]
+#[test_case("site = \"old\"", "site = \"o ld\"", "site", "not allowed"; "a character that no name has")]
+#[test_case("127.0.0.1:9103", "127.0.0.1:8103", "listeners.operators", "already taken by listeners.callers"; "an address twice")]
+#[test_case("127.0.0.1:9103", "0.0.0.0:8103", "listeners.operators", "already taken"; "a wildcard over an address")]
+#[test_case("127.0.0.1:6103", "127.0.0.1:8103", "backend.address", "already taken by listeners.callers"; "a back end that is the node itself")]
+#[test_case("127.0.0.1:8103", "127.0.0.1:0", "listeners.callers", "port must not be zero"; "port zero")]
+#[test_case("peers = \"127.0.0.1", "peers = \"0.0.0.0", "listeners.peers", "no address at which"; "an identity that nobody reaches")]
+#[test_case("token = \"example-token-draw-your-own\"", "token = \"short\"", "operators.token", "5 characters"; "a short token")]
+#[test_case("secret = \"", "secret = \"0g", "fleet.keys[0].secret", "hexadecimal"; "a secret that is not hexadecimal")]
+#[test_case("send = 1", "send = 2", "fleet.send", "no key with the number 2"; "a sending key that there is not")]
+#[test_case("# grace = \"2 min\"", "grace = \"0 s\"", "stop.grace", "out of range"; "a zero time")]
+#[test_case("# header_size = \"32 KiB\"", "header_size = \"32\"", "limits.header_size", "no unit"; "a size without unit")]
+#[test_case("# header_size = \"32 KiB\"", "header_size = \"2 GiB\"", "limits.header_size", "from 1 KiB to 1 MiB"; "a size out of range")]
+#[test_case("# level = \"info\"", "level = \"inof\"", "log.level", "did you mean \"info\""; "a misspelt level")]
+#[test_case("# format = \"json\"", "file = \"node.log\"", "log.file", "not known"; "a log file")]
+#[test_case("http://127.0.0.1:8090", "https://127.0.0.1:8090", "platform.urls[0]", "not http"; "a scheme that is not served")]
+#[test_case("load_path = \"/load\"", "load_path = \"load\"", "backend.load_path", "no path"; "a path without slash")]
+#[test_case("# acknowledge_timeout = \"150 ms\"", "acknowledge_timeout = \"600 ms\"", "control.probe_interval", "longer than acknowledge_timeout"; "probes that overlap")]
+#[test_case("# heartbeat_interval = \"100 ms\"", "heartbeat_interval = \"300 ms\"", "control.lease", "2 times heartbeat_interval"; "a lease of one heartbeat")]
+fn one_mistake_is_one_finding(old: &str, new: &str, path: &str, part: &str) {
+    let findings = parse(&replaced(NODE, old, new)).unwrap_err();
+    assert_eq!(paths(&findings), [path], "{findings}");
+    assert!(render_text(&findings).contains(part), "{findings}");
+}
+
+#[test]
+fn an_operator_listener_beyond_loopback_needs_a_token() {
+    let without = replaced(NODE, "token = \"example-token-draw-your-own\"", "");
+    assert!(parse(&without).is_ok());
+    let open = replaced(&without, "127.0.0.1:9103", "192.0.2.1:9103");
+    assert_eq!(paths(&parse(&open).unwrap_err()), ["operators.token"]);
+    assert!(parse(&replaced(NODE, "127.0.0.1:9103", "192.0.2.1:9103")).is_ok());
+}
+
+/// Adds keys after the first one of the example; `SECRET` stands for its secret.
+fn with_more_keys(keys: &str) -> String {
+    let line = NODE.lines().find(|line| line.starts_with("secret = ")).unwrap();
+    let secret = line.split('"').nth(1).unwrap();
+    replaced(NODE, line, &format!("{line}\n{}", keys.replace("SECRET", secret)))
+}
+
+const OTHER_SECRET: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+
+#[test]
+fn two_fleet_keys_are_accepted_and_reuse_is_not() {
+    let key = |id: u32, secret: &str| format!("[[fleet.keys]]\nid = {id}\nsecret = \"{secret}\"\n");
+    let (settings, _) = parse(&with_more_keys(&key(2, OTHER_SECRET))).unwrap();
+    assert_eq!(settings.fleet_keys.accepted.len(), 2);
+    assert_eq!(settings.fleet_keys.sending().map(|key| key.id), Some(1));
+
+    let reused = parse(&with_more_keys(&key(2, "SECRET"))).unwrap_err();
+    assert_eq!(paths(&reused), ["fleet.keys[1].secret"]);
+    let same_number = parse(&with_more_keys(&key(1, OTHER_SECRET))).unwrap_err();
+    assert!(render_text(&same_number).contains("key number 1 is given twice"));
+    let short = parse(&with_more_keys(&key(2, "0011223344556677"))).unwrap_err();
+    assert!(render_text(&short).contains("8 bytes long"));
+    let guessable = parse(&with_more_keys(&key(2, &"ab".repeat(32)))).unwrap_err();
+    assert!(render_text(&guessable).contains("easily guessed"));
+    let third = with_more_keys(&(key(2, OTHER_SECRET) + &key(3, &OTHER_SECRET.replace("1f", "ff"))));
+    assert!(render_text(&parse(&third).unwrap_err()).contains("there are 3 keys"));
+}
+
+#[test]
+fn no_finding_and_no_debug_text_shows_a_secret() {
+    let line = NODE.lines().find(|line| line.starts_with("secret = ")).unwrap();
+    let secret = line.split('"').nth(1).unwrap();
+    let token = "example-token-draw-your-own";
+    let (settings, _) = parse(NODE).unwrap();
+    let shared = replaced(NODE, token, secret);
+    let reused = parse(&shared).unwrap_err();
+    assert_eq!(paths(&reused), ["operators.token"]);
+    let damaged = parse(&replaced(NODE, secret, &format!("{secret}x"))).unwrap_err();
+    for shown in [format!("{settings:?}"), reused.to_string(), damaged.to_string()] {
+        assert!(!shown.contains(secret) && !shown.contains(token), "{shown}");
+    }
+}
+
+#[test]
+fn flags_take_the_place_of_the_file_and_are_checked_alike() {
+    let overrides = Overrides {
+        zone: Some("hall-c".to_string()),
+        callers: Some("127.0.0.1:8199".to_string()),
+        backend: Some("127.0.0.1:6199".to_string()),
+        ..Overrides::default()
+    };
+    let without_zone = replaced(NODE, "zone = \"hall-a\"", "");
+    let (settings, _) = parse_node_settings("node.toml", &without_zone, &overrides).unwrap();
+    assert_eq!(settings.zone.as_str(), "hall-c");
+    assert_eq!(settings.callers.port(), 8199);
+    assert_eq!(settings.backend.unwrap().address.port(), 6199);
+
+    let wrong = Overrides { site: Some("o/ld".to_string()), ..Overrides::default() };
+    let findings = parse_node_settings("node.toml", NODE, &wrong).unwrap_err();
+    assert!(render_text(&findings).starts_with("--site: site: error: \"o/ld\" is not accepted"), "{findings}");
+}
+
+#[test]
+fn a_node_without_back_end_is_an_edge() {
+    let (start, rest) = NODE.split_once("[backend]").unwrap();
+    let (_, end) = rest.split_once("[limits]").unwrap();
+    let (settings, _) = parse(&format!("{start}[limits]{end}")).unwrap();
+    assert_eq!(settings.backend, None);
+}
+
+#[test]
+fn what_is_no_toml_is_reported_where_it_breaks() {
+    let findings = parse("deployment = \"prairie\"\nsite = \n").unwrap_err();
+    assert_eq!((findings.0.len(), findings.0[0].place.line), (1, 2));
+    let twice = parse("site = \"old\"\nzone = \"a\"\nsite = \"new\"\n").unwrap_err();
+    assert_eq!((twice.0.len(), twice.0[0].place.line), (1, 3));
+}
+
+#[test]
+fn a_seed_listed_twice_is_only_a_warning() {
+    let text = replaced(NODE, "\"127.0.0.1:7104\"", "\"127.0.0.1:7100\"");
+    let (settings, findings) = parse(&text).unwrap();
+    assert_eq!(settings.seed_peers.len(), 2);
+    assert_eq!(findings.0[0].severity, Severity::Warning);
+    assert_eq!(settings.platform.timeout, Duration::from_secs(2));
+}
--- /dev/null
+++ b/crates/settings/tests/settings/units.rs
@@ -0,0 +1,35 @@
+//! Times and sizes: a number without a unit is refused, and units mean what SETTINGS says.
+
+use std::time::Duration;
+
+use quillhatch_settings::units::{parse_size, parse_time, UnitError};
+use test_case::test_case;
+
+#[test_case("250 ms", 250; "milliseconds")]
+#[test_case("1m 30s", 90_000; "minutes and seconds")]
+#[test_case("1 h", 3_600_000; "an hour")]
+fn times_with_units_are_read(text: &str, milliseconds: u64) {
+    assert_eq!(parse_time(text), Ok(Duration::from_millis(milliseconds)));
+}
+
+#[test_case("512 B", 512; "bytes")]
+#[test_case("64 KiB", 65_536; "kibibytes")]
+#[test_case("10 MB", 10_000_000; "megabytes")]
+fn sizes_with_units_are_read(text: &str, bytes: u64) {
+    assert_eq!(parse_size(text), Ok(bytes));
+}
+
+#[test_case("0")]
+#[test_case("250")]
+#[test_case(" ")]
+fn numbers_without_unit_are_refused(text: &str) {
+    assert_eq!(parse_time(text), Err(UnitError::NoUnit { text: text.to_string() }));
+    assert_eq!(parse_size(text), Err(UnitError::NoUnit { text: text.to_string() }));
+}
+
+#[test_case("-5 KiB"; "negative")]
+#[test_case("5 parsecs"; "another unit")]
+#[test_case("99999999999 PiB"; "beyond what is read exactly")]
+fn what_is_no_size_is_refused(text: &str) {
+    assert_eq!(parse_size(text), Err(UnitError::Size { text: text.to_string() }));
+}
--- a/crates/types/src/call.rs
+++ b/crates/types/src/call.rs
@@ -125,7 +125,7 @@
 }
 
 /// One field of an answer's header.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct HeaderField {
     /// The field's name in lower case.
     pub name: String,
@@ -134,7 +134,7 @@
 }
 
 /// An answer that was recorded with its claim, to be given again to a repeat of the request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RecordedAnswer {
     /// The status code.
     pub status: u16,
--- a/crates/types/src/configuration.rs
+++ b/crates/types/src/configuration.rs
@@ -10,7 +10,7 @@
 use crate::names::{ClassName, DeploymentName, ServiceName, SiteName, ZoneName};
 
 /// Whether the deployment is started for the first time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Formation {
     /// No call was ever served: a group of which every configured target has no memory starts with no lost claims.
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -63,6 +63,9 @@
     /// The key was used before for another request.
     #[display("key-conflict")]
     KeyConflict,
+    /// The key's request ran before, and its answer was not kept for replay.
+    #[display("answer-not-kept")]
+    AnswerNotKept,
     /// The store of claims is full.
     #[display("claim-store-full")]
     ClaimStoreFull,
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -16,7 +16,7 @@
 }
 
 /// One gate of a service, with its back end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GateEntry {
     /// The node of the gate.
     pub node: NodeId,
@@ -29,7 +29,7 @@
 }
 
 /// Who runs the non-repeatable calls of a slot, as one site's group knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
 pub enum SlotState {
     /// A gate of this site owns the slot.
@@ -52,7 +52,7 @@
 }
 
 /// The state of one slot and the epoch at which it was set.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SlotAssignment {
     /// The slot.
     pub slot: SlotId,
@@ -63,7 +63,7 @@
 }
 
 /// The routing table of one service at one site.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServiceTable {
     /// The service.
     pub service: ServiceName,
