--- /dev/null
+++ b/crates/calls/src/gate/admission.rs
@@ -0,0 +1,161 @@
+//! Controls the admission level: the rank from which calls are refused before they are sent.
+//!
+//! In short periods the controller compares arrivals by rank with the calls that got a slot. After a period with refusals
+//! at the gate it lowers the level to the rank up to which the arrivals would have fitted. After a calm period it raises
+//! the level by a step that doubles from period to period, so that the level is open again about a second after an
+//! overload, whatever its history. (Source of the idea: "Overload Control for Scaling WeChat Microservices", SoCC 2018.)
+
+use std::time::Duration;
+
+use quillhatch_types::admission::{BANDS, RANKS_PER_BAND};
+use quillhatch_types::{AdmissionLevel, AdmissionRank, Timestamp};
+
+use super::attempt::PROTECTED_RANKS;
+
+/// The length of one period of the controller.
+pub(super) const PERIOD: Duration = Duration::from_millis(100);
+const BUCKET_RANKS: u16 = 64;
+const BUCKETS: usize = (BANDS * RANKS_PER_BAND / BUCKET_RANKS) as usize;
+/// What remains of earlier periods' counts in each new period.
+const RETENTION: f64 = 0.8;
+const SMALLEST_CUT: u16 = 16;
+const LARGEST_CUT: u16 = RANKS_PER_BAND;
+const FIRST_STEP: u16 = 32;
+const LARGEST_STEP: u16 = RANKS_PER_BAND;
+/// The growth of the step from one calm period to the next.
+const FACTOR: u16 = 2;
+/// The same while slots are free and nothing waits: the overload is over.
+const IDLE_FACTOR: u16 = 4;
+/// Calm periods that are made up for at once after a gate was not stepped for long.
+const LARGEST_BACKLOG: u64 = 64;
+/// The time after a refusal during which the gate counts as overloaded.
+const OVERLOAD_MEMORY: Duration = Duration::from_millis(500);
+
+/// What the controller is told of its gate at the end of a period.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GateState {
+    /// Whether work that is not protected waits or runs.
+    pub(super) unprotected_present: bool,
+    /// Whether slots are free and nothing waits.
+    pub(super) idle: bool,
+}
+
+/// The controller of one gate's level.
+#[derive(Clone, Debug)]
+pub(super) struct AdmissionController {
+    level: u16,
+    arrivals: [f64; BUCKETS],
+    served: f64,
+    period_start: Timestamp,
+    pressed: bool,
+    unprotected_served: bool,
+    step: u16,
+    last_pressure: Option<Timestamp>,
+}
+
+impl AdmissionController {
+    pub(super) fn new() -> Self {
+        AdmissionController {
+            level: AdmissionLevel::OPEN.0,
+            arrivals: [0.0; BUCKETS],
+            served: 0.0,
+            period_start: Timestamp::ZERO,
+            pressed: false,
+            unprotected_served: false,
+            step: FIRST_STEP,
+            last_pressure: None,
+        }
+    }
+
+    pub(super) fn level(&self) -> AdmissionLevel {
+        AdmissionLevel(self.level)
+    }
+
+    /// Whether protected calls are refused by level too; nothing less important may then start.
+    pub(super) fn only_protected(&self) -> bool {
+        self.level < PROTECTED_RANKS
+    }
+
+    /// Whether the gate refused calls a moment ago or still asks edges to refuse some.
+    pub(super) fn overloaded(&self, now: Timestamp) -> bool {
+        let recent = self.last_pressure.is_some_and(|at| now.since(at) < OVERLOAD_MEMORY);
+        recent || self.level < AdmissionLevel::OPEN.0
+    }
+
+    pub(super) fn arrived(&mut self, rank: AdmissionRank) {
+        let bucket = usize::from(rank.0 / BUCKET_RANKS).min(BUCKETS - 1);
+        self.arrivals[bucket] += 1.0;
+    }
+
+    /// A call got a slot.
+    pub(super) fn served(&mut self, protected: bool) {
+        self.served += 1.0;
+        self.unprotected_served |= !protected;
+    }
+
+    /// The gate refused a call for want of capacity, or the queue stands.
+    pub(super) fn pressure(&mut self, now: Timestamp) {
+        self.pressed = true;
+        self.last_pressure = Some(now);
+    }
+
+    /// When the next period ends, while that matters.
+    pub(super) fn next_wake(&self) -> Option<Timestamp> {
+        let waits = self.pressed || self.level < AdmissionLevel::OPEN.0;
+        waits.then(|| self.period_start + PERIOD)
+    }
+
+    /// Ends the periods that have passed.
+    pub(super) fn advance(&mut self, now: Timestamp, state: GateState) {
+        let periods = now.since(self.period_start).as_micros() as u64 / PERIOD.as_micros() as u64;
+        if periods == 0 {
+            return;
+        }
+        if self.pressed {
+            self.lower(state.unprotected_present || self.unprotected_served);
+            self.step = FIRST_STEP;
+        } else {
+            self.raise(if state.idle { IDLE_FACTOR } else { FACTOR });
+        }
+        for _ in 1..periods.min(LARGEST_BACKLOG) {
+            self.raise(FACTOR);
+        }
+        let retention = RETENTION.powi(periods.min(LARGEST_BACKLOG) as i32);
+        self.arrivals.iter_mut().for_each(|count| *count *= retention);
+        self.served *= retention;
+        self.pressed = false;
+        self.unprotected_served = false;
+        self.period_start = now;
+    }
+
+    fn raise(&mut self, factor: u16) {
+        self.level = self.level.saturating_add(self.step).min(AdmissionLevel::OPEN.0);
+        self.step = (self.step * factor).min(LARGEST_STEP);
+        if self.level == AdmissionLevel::OPEN.0 {
+            self.step = FIRST_STEP;
+        }
+    }
+
+    fn lower(&mut self, unprotected_present: bool) {
+        // Edges must not refuse protected calls while this gate serves less important ones.
+        let floor = if unprotected_present { PROTECTED_RANKS } else { 0 };
+        let largest = self.level.saturating_sub(LARGEST_CUT);
+        let smallest = self.level.saturating_sub(SMALLEST_CUT);
+        let target = self.fitting_rank().clamp(largest, smallest);
+        self.level = target.max(floor.min(self.level));
+    }
+
+    /// The rank up to which the arrivals are as many as the calls served.
+    fn fitting_rank(&self) -> u16 {
+        let target = self.served;
+        let mut sum = 0.0;
+        for (bucket, count) in self.arrivals.iter().enumerate() {
+            if sum + count > target {
+                let part = f64::from(BUCKET_RANKS) * (target - sum) / count;
+                return bucket as u16 * BUCKET_RANKS + part as u16;
+            }
+            sum += count;
+        }
+        AdmissionLevel::OPEN.0
+    }
+}
--- /dev/null
+++ b/crates/calls/src/gate/arrival.rs
@@ -0,0 +1,288 @@
+//! The first phase of an attempt: arrival, waiting, and refusal while waiting.
+
+use std::time::Duration;
+
+use quillhatch_types::{AttemptId, CallContext, Refusal, RefusalReason, Timestamp};
+
+use super::attempt::{is_protected, Attempt, Lane, Phase};
+use super::io::GateOutput;
+use super::machine::Gate;
+use super::queue::{Ticket, Waiting};
+use super::tokens::TokenPurse;
+
+/// A longer remaining time is taken as this; it keeps a forged value from holding memory.
+const LONGEST_REMAINING: Duration = Duration::from_secs(3600);
+
+impl Gate {
+    pub(super) fn arrive(&mut self, now: Timestamp, context: Box<CallContext>, outputs: &mut Vec<GateOutput>) {
+        let attempt = context.attempt_id();
+        if self.attempts.contains_key(&attempt) || self.recent.contains(attempt) {
+            return;
+        }
+        let lane = self.lane_of(&context);
+        if let Some(refusal) = self.refusal_on_arrival(now, &context) {
+            self.refuse_arrival(now, &context, refusal, outputs);
+            return;
+        }
+        if lane == Lane::Short {
+            self.admission.arrived(context.rank);
+        }
+        if is_protected(context.rank) {
+            self.protected_seen = Some(now);
+        }
+        let starts_at_once =
+            self.would_start_next(lane, &context) && self.has_room(now, lane, is_protected(context.rank));
+        if !starts_at_once {
+            if let Some(refusal) = self.make_room_to_wait(now, lane, &context, outputs) {
+                self.refuse_arrival(now, &context, refusal, outputs);
+                return;
+            }
+        }
+        self.enqueue(now, lane, context);
+    }
+
+    /// Whether nothing that waits comes before a newcomer: a reserved slot may be free while less important work waits.
+    fn would_start_next(&self, lane: Lane, context: &CallContext) -> bool {
+        let Some((_, head)) = self.queue(lane).peek(false) else { return true };
+        let by_rank = self.settings.mechanisms.priority_queue;
+        by_rank && is_protected(context.rank) && !is_protected(head.rank)
+    }
+
+    fn lane_of(&self, context: &CallContext) -> Lane {
+        let class = self.target.as_ref().and_then(|target| target.class(&context.class));
+        let large = class.is_some_and(|class| class.large_answers);
+        if large && self.settings.mechanisms.large_answer_limit {
+            Lane::Large
+        } else {
+            Lane::Short
+        }
+    }
+
+    /// Refusals that do not depend on load.
+    fn refusal_on_arrival(&self, now: Timestamp, context: &CallContext) -> Option<Refusal> {
+        if let Some(closed) = self.closed {
+            return Some(Refusal::not_run(closed.reason));
+        }
+        if self.target.is_none() {
+            return Some(Refusal::not_run(RefusalReason::NotReady));
+        }
+        if context.service != self.settings.service {
+            return Some(Refusal::not_run(RefusalReason::NoRoute));
+        }
+        let too_short = self.settings.mechanisms.deadline_check && context.remaining < self.needed_time(now, context);
+        too_short.then(|| Refusal::not_run(RefusalReason::DeadlineTooShort))
+    }
+
+    /// The time below which a call of the class cannot finish.
+    pub(super) fn needed_time(&self, now: Timestamp, context: &CallContext) -> Duration {
+        let Some(target) = &self.target else { return Duration::ZERO };
+        let deadline = target.deadline(&context.class);
+        let typical = target.class(&context.class).map(|class| class.service_time.estimate(now, deadline));
+        target.minimum_time.max(typical.unwrap_or_default())
+    }
+
+    /// Decides whether a newcomer that finds no free slot may wait; evicts less important work if the queue is full.
+    fn make_room_to_wait(
+        &mut self,
+        now: Timestamp,
+        lane: Lane,
+        context: &CallContext,
+        outputs: &mut Vec<GateOutput>,
+    ) -> Option<Refusal> {
+        if lane == Lane::Short {
+            self.limit.blocked();
+        }
+        let gives_way = self.less_important(lane, context);
+        let protected_work_first = is_protected(context.rank) && gives_way.is_some();
+        let above_level = lane == Lane::Short && !self.level().admits(context.rank);
+        let too_late = self.expected_wait(now, lane, context) > self.longest_useful_wait(now, context);
+        if !protected_work_first && (above_level || too_late) {
+            // A refusal that the level itself caused must not count as pressure: the level would hold itself down.
+            if !above_level {
+                self.note_pressure(now, lane);
+            }
+            return Some(self.overload_refusal(RefusalReason::Overloaded));
+        }
+        if self.queue(lane).len() < self.queue_bound(now, lane) {
+            return None;
+        }
+        self.note_pressure(now, lane);
+        let Some((ticket, waiting)) = gives_way else {
+            return Some(self.overload_refusal(RefusalReason::Overloaded));
+        };
+        self.evict(now, lane, ticket, waiting.attempt, outputs);
+        None
+    }
+
+    /// The waiting attempt that would give way to `context`.
+    fn less_important(&self, lane: Lane, context: &CallContext) -> Option<(Ticket, Waiting)> {
+        self.queue(lane).least_important().filter(|(_, waiting)| waiting.rank > context.rank)
+    }
+
+    /// The number of attempts that may wait: no more than get a slot within the queue timeout.
+    ///
+    /// Otherwise the least important would wait in vain, overtaken until their time is over.
+    fn queue_bound(&mut self, now: Timestamp, lane: Lane) -> usize {
+        if lane == Lane::Large {
+            return self.settings.maximum_waiting_large;
+        }
+        let bound = self.settings.maximum_waiting;
+        if !self.settings.mechanisms.early_refusal || self.hold_seconds <= 0.0 {
+            return bound;
+        }
+        let served = self.queue_timeout().as_secs_f64() * self.slot_rate(now);
+        bound.min((served as usize).max(1))
+    }
+
+    /// The rate at which slots become free, by Little's law, per second.
+    fn slot_rate(&mut self, now: Timestamp) -> f64 {
+        f64::from(self.concurrency_limit(now).max(1)) / self.hold_seconds
+    }
+
+    /// The expected wait: those ahead, over the rate at which slots become free.
+    fn expected_wait(&mut self, now: Timestamp, lane: Lane, context: &CallContext) -> Duration {
+        if lane == Lane::Large || !self.settings.mechanisms.early_refusal || self.hold_seconds <= 0.0 {
+            return Duration::ZERO;
+        }
+        let ahead = self.short_queue.ahead_of(context.rank, self.overloaded(now)) as f64;
+        Duration::from_secs_f64(ahead / self.slot_rate(now))
+    }
+
+    fn longest_useful_wait(&self, now: Timestamp, context: &CallContext) -> Duration {
+        let spare = context.remaining.saturating_sub(self.needed_time(now, context));
+        spare.min(self.queue_timeout())
+    }
+
+    fn queue_timeout(&self) -> Duration {
+        if !self.settings.mechanisms.queue_timeout {
+            return LONGEST_REMAINING;
+        }
+        self.target.as_ref().map_or(Duration::ZERO, |target| target.queue_timeout)
+    }
+
+    pub(super) fn note_pressure(&mut self, now: Timestamp, lane: Lane) {
+        // Downloads have slots of their own: their queue says nothing about the slots of short calls.
+        if lane == Lane::Short {
+            self.admission.pressure(now);
+        }
+    }
+
+    fn enqueue(&mut self, now: Timestamp, lane: Lane, context: Box<CallContext>) {
+        let attempt = context.attempt_id();
+        let deadline = now + context.remaining.min(LONGEST_REMAINING);
+        let queue_expires = now + self.queue_timeout();
+        let expires = queue_expires.min(self.latest_start(now, deadline, &context));
+        let waiting = Waiting { attempt, rank: context.rank, since: now, expires };
+        let ticket = self.queue_mut(lane).push(waiting);
+        let entry = Attempt {
+            lane,
+            deadline,
+            phase: Phase::Waiting { ticket, queue_expires },
+            tokens: TokenPurse::new(context.tokens),
+            slot_since: now,
+            counted_bytes: 0,
+            context,
+        };
+        self.attempts.insert(attempt, entry);
+    }
+
+    pub(super) fn latest_start(&self, now: Timestamp, deadline: Timestamp, context: &CallContext) -> Timestamp {
+        if self.settings.mechanisms.deadline_check {
+            deadline - self.needed_time(now, context)
+        } else {
+            deadline
+        }
+    }
+
+    /// Refuses waiting attempts whose time is over.
+    pub(super) fn expire_waiting(&mut self, now: Timestamp, lane: Lane, outputs: &mut Vec<GateOutput>) {
+        self.end_drain_grace(now, lane, outputs);
+        while let Some((at, ticket)) = self.queue(lane).first_expiry() {
+            if at > now {
+                break;
+            }
+            if !self.stays_in_place_of_another(now, lane, ticket, outputs) {
+                self.refuse_expired(now, lane, ticket, outputs);
+            }
+        }
+    }
+
+    /// A draining back end gets no new work after the grace, not even work that waited.
+    fn end_drain_grace(&mut self, now: Timestamp, lane: Lane, outputs: &mut Vec<GateOutput>) {
+        if !self.drain_is_over(now) {
+            return;
+        }
+        while let Some((_, waiting)) = self.queue(lane).peek(false) {
+            self.end_refused(now, waiting.attempt, Refusal::not_run(RefusalReason::Draining), outputs);
+        }
+    }
+
+    pub(super) fn drain_is_over(&self, now: Timestamp) -> bool {
+        let drained = self.closed.filter(|closed| closed.reason == RefusalReason::Draining);
+        drained.is_some_and(|closed| now >= closed.since + self.settings.drain_grace)
+    }
+
+    /// A protected attempt at the end of its queue time stays while less important work waits, which is refused for it.
+    fn stays_in_place_of_another(
+        &mut self,
+        now: Timestamp,
+        lane: Lane,
+        ticket: Ticket,
+        outputs: &mut Vec<GateOutput>,
+    ) -> bool {
+        let Some(waiting) = self.queue(lane).get(ticket) else { return false };
+        let Some(entry) = self.attempts.get(&waiting.attempt) else { return false };
+        let latest = self.latest_start(now, entry.deadline, &entry.context);
+        let less_important = self.less_important(lane, &entry.context);
+        let Some((other, victim)) = less_important.filter(|_| entry.is_protected() && latest > now) else {
+            return false;
+        };
+        self.note_pressure(now, lane);
+        self.evict(now, lane, other, victim.attempt, outputs);
+        self.wait_on(now, lane, ticket, latest);
+        true
+    }
+
+    fn wait_on(&mut self, now: Timestamp, lane: Lane, ticket: Ticket, latest: Timestamp) {
+        let queue_expires = now + self.queue_timeout();
+        let Some(waiting) = self.queue_mut(lane).remove(ticket) else { return };
+        let ticket = self.queue_mut(lane).push(Waiting { expires: queue_expires.min(latest), ..waiting });
+        if let Some(entry) = self.attempts.get_mut(&waiting.attempt) {
+            entry.phase = Phase::Waiting { ticket, queue_expires };
+        }
+    }
+
+    fn refuse_expired(&mut self, now: Timestamp, lane: Lane, ticket: Ticket, outputs: &mut Vec<GateOutput>) {
+        let Some(waiting) = self.queue_mut(lane).remove(ticket) else { return };
+        let Some(entry) = self.attempts.get(&waiting.attempt) else { return };
+        let queue_time_over = matches!(entry.phase, Phase::Waiting { queue_expires, .. } if queue_expires <= now);
+        let too_late = self.latest_start(now, entry.deadline, &entry.context) <= now;
+        let refusal = if queue_time_over && !too_late {
+            self.overload_refusal(RefusalReason::QueueTimeout)
+        } else {
+            Refusal::not_run(RefusalReason::DeadlineTooShort)
+        };
+        self.note_pressure(now, lane);
+        self.end_refused(now, waiting.attempt, refusal, outputs);
+    }
+
+    fn evict(&mut self, now: Timestamp, lane: Lane, ticket: Ticket, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        self.queue_mut(lane).remove(ticket);
+        let refusal = self.overload_refusal(RefusalReason::Overloaded);
+        self.end_refused(now, attempt, refusal, outputs);
+    }
+
+    fn refuse_arrival(
+        &mut self,
+        now: Timestamp,
+        context: &CallContext,
+        refusal: Refusal,
+        outputs: &mut Vec<GateOutput>,
+    ) {
+        let attempt = context.attempt_id();
+        self.recent.insert(attempt);
+        // Nothing ran below this attempt, so it gives all its tokens back.
+        let feedback = self.feedback_with(now, context.tokens);
+        outputs.push(GateOutput::Refuse { attempt, refusal, feedback });
+    }
+}
--- /dev/null
+++ b/crates/calls/src/gate/limit/baseline.rs
@@ -0,0 +1,145 @@
+//! The latency of each class without queueing at the back end.
+//!
+//! Each class has its own baseline, so that a change in the mix of classes does not look like congestion.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quillhatch_types::ClassName;
+
+/// The weight of a period clearly below the baseline: a slow phase is over.
+const DOWNWARD_GAIN: f64 = 0.3;
+/// The weight of a period a little below the baseline, which may be chance.
+const SLIGHT_DOWNWARD_GAIN: f64 = 0.05;
+/// The share of the baseline below which a period is clearly below it.
+const CLEARLY_BELOW: f64 = 0.7;
+/// The weight of a period above the baseline while the back end is far from its limit.
+const UPWARD_GAIN: f64 = 0.1;
+/// The weight of a period slightly above the baseline under about the configured limit. It evens out the chance downward
+/// steps; more would let queueing creep into the baseline.
+const SLIGHT_UPWARD_GAIN: f64 = 0.02;
+/// Measurements of a class that move its baseline; fewer would pull it down by chance.
+const SAMPLES_TO_MOVE: u32 = 20;
+/// Classes measured; further ones share the mean inflation of the others. The configuration lists far fewer.
+const LARGEST_CLASSES: usize = 64;
+/// Latencies below this are taken as this; a shorter one is below what the gate can measure.
+const SMALLEST_LATENCY: f64 = 20e-6;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ClassBaseline {
+    seconds: Option<f64>,
+    count: u32,
+    sum: f64,
+    sum_of_squares: f64,
+    banked: Bank,
+}
+
+/// Measurements of several periods, until they are enough to move the baseline.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bank {
+    count: u32,
+    sum: f64,
+    load: Load,
+}
+
+/// The baselines and the measurements of the current period.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Baselines {
+    classes: BTreeMap<ClassName, ClassBaseline>,
+}
+
+/// What the latencies of a period may do to the baselines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Load {
+    /// The back end was far from its limit.
+    #[default]
+    Low,
+    /// The back end was in use, under about the configured limit, and latencies were hardly inflated.
+    Slight,
+    /// Latencies may be queueing.
+    High,
+}
+
+/// Measured latency over baseline; one means no queueing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Inflation {
+    pub(super) ratio: f64,
+    /// The standard error of the ratio.
+    pub(super) error: f64,
+}
+
+impl Baselines {
+    pub(super) fn record(&mut self, class: &ClassName, latency: Duration) {
+        let latency = latency.as_secs_f64().max(SMALLEST_LATENCY);
+        if let Some(entry) = self.classes.get_mut(class) {
+            entry.count += 1;
+            entry.sum += latency;
+            entry.sum_of_squares += latency * latency;
+        } else if self.classes.len() < LARGEST_CLASSES {
+            let sum_of_squares = latency * latency;
+            let entry = ClassBaseline { count: 1, sum: latency, sum_of_squares, ..ClassBaseline::default() };
+            self.classes.insert(class.clone(), entry);
+        }
+    }
+
+    /// The inflation over all classes that have a baseline; one if none has.
+    pub(super) fn inflation(&self) -> Inflation {
+        let mut measured = 0.0;
+        let mut expected = 0.0;
+        let mut variance = 0.0;
+        for (class, seconds) in self.classes.values().filter_map(|class| Some((class, class.seconds?))) {
+            measured += class.sum;
+            expected += f64::from(class.count) * seconds;
+            variance += class.sum_of_squares - class.sum * class.sum / f64::from(class.count.max(1));
+        }
+        if expected <= 0.0 {
+            return Inflation { ratio: 1.0, error: 0.0 };
+        }
+        Inflation { ratio: measured / expected, error: variance.max(0.0).sqrt() / expected }
+    }
+
+    /// Takes the period's means into the baselines and begins a new period.
+    ///
+    /// `inflation` places a class that is seen for the first time.
+    pub(super) fn end_period(&mut self, load: Load, inflation: f64) {
+        for class in self.classes.values_mut().filter(|class| class.count > 0) {
+            class.end_period(load, inflation);
+        }
+    }
+
+    /// Multiplies all baselines: the latency has changed for a reason other than concurrency.
+    pub(super) fn scale(&mut self, factor: f64) {
+        for class in self.classes.values_mut() {
+            class.seconds = class.seconds.map(|seconds| (seconds * factor).max(SMALLEST_LATENCY));
+            class.banked = Bank::default();
+        }
+    }
+}
+
+impl ClassBaseline {
+    fn end_period(&mut self, load: Load, inflation: f64) {
+        self.banked.count += self.count;
+        self.banked.sum += self.sum;
+        self.banked.load = self.banked.load.max(load);
+        self.count = 0;
+        self.sum = 0.0;
+        self.sum_of_squares = 0.0;
+        let mean = self.banked.sum / f64::from(self.banked.count);
+        match self.seconds {
+            None => self.seconds = Some(mean / inflation.max(1.0)),
+            Some(_) if self.banked.count < SAMPLES_TO_MOVE => return,
+            Some(old) => self.seconds = Some(old + gain(mean / old, self.banked.load) * (mean - old)),
+        }
+        self.banked = Bank::default();
+    }
+}
+
+fn gain(ratio: f64, load: Load) -> f64 {
+    match load {
+        _ if ratio < CLEARLY_BELOW => DOWNWARD_GAIN,
+        _ if ratio < 1.0 => SLIGHT_DOWNWARD_GAIN,
+        Load::Low => UPWARD_GAIN,
+        Load::Slight => SLIGHT_UPWARD_GAIN,
+        Load::High => 0.0,
+    }
+}
--- /dev/null
+++ b/crates/calls/src/gate/machine.rs
@@ -0,0 +1,342 @@
+//! The state of a gate and its step function.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use quillhatch_types::{
+    AdmissionLevel, AttemptId, CallId, Configuration, Epoch, Feedback, ParentContext, Refusal, RefusalReason, Revision,
+    Timestamp,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::admission::{AdmissionController, GateState};
+use super::attempt::{Attempt, Lane, Phase};
+use super::classes::Target;
+use super::cold_start::ColdStart;
+use super::hint::HintWeight;
+use super::io::{GateInput, GateOutput};
+use super::large_answers::LargeAnswerLimit;
+use super::limit::{AdaptiveLimit, ConcurrencyLimit, FixedLimit, LimitBounds};
+use super::queue::{QueueOrder, WaitingQueue};
+use super::recent::RecentAttempts;
+use super::settings::GateSettings;
+
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(50);
+const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// How much longer than the queue timeout callers are told to stay away when the level is shut.
+const RETRY_AFTER_SPREAD: f64 = 4.0;
+/// The weight of the newest sample in the mean time for which a slot is held.
+const HOLD_GAIN: f64 = 0.1;
+/// How long after its arrival a protected call keeps the reserve up.
+const RESERVE_MEMORY: Duration = Duration::from_secs(5);
+/// The smallest limit of which a part is kept for protected calls.
+const SMALLEST_LIMIT_WITH_RESERVE: u32 = 4;
+
+/// Why and since when a gate takes no new attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Closed {
+    pub(super) reason: RefusalReason,
+    pub(super) since: Timestamp,
+    pub(super) idle_told: bool,
+}
+
+/// Slots held by attempts that claim or run.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SlotCount {
+    pub(super) all: u32,
+    pub(super) unprotected: u32,
+}
+
+/// The decisions in front of one back end; see [the module](super) for the phases of an attempt.
+#[derive(Debug)]
+pub struct Gate {
+    pub(super) settings: GateSettings,
+    pub(super) random: Pcg64,
+    pub(super) target: Option<Target>,
+    pub(super) limit: Box<dyn ConcurrencyLimit>,
+    pub(super) cold_start: ColdStart,
+    pub(super) hint: HintWeight,
+    pub(super) admission: AdmissionController,
+    pub(super) large: LargeAnswerLimit,
+    pub(super) short_queue: WaitingQueue,
+    pub(super) large_queue: WaitingQueue,
+    pub(super) slots: SlotCount,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    /// Timeouts of claims and deadlines of running attempts; the queues keep their own.
+    pub(super) timers: BTreeSet<(Timestamp, AttemptId)>,
+    pub(super) recent: RecentAttempts,
+    pub(super) closed: Option<Closed>,
+    pub(super) hold_seconds: f64,
+    pub(super) protected_seen: Option<Timestamp>,
+    epoch: Epoch,
+    revision: Revision,
+}
+
+impl Gate {
+    /// A gate that refuses everything as not ready until it gets a configuration that lists its target.
+    ///
+    /// `seed` seeds the only use of randomness, the jitter of the advice on when to come back.
+    pub fn new(settings: GateSettings, seed: u64) -> Self {
+        let order = if settings.mechanisms.priority_queue { QueueOrder::Rank } else { QueueOrder::Arrival };
+        let bounds = LimitBounds { first_guess: 1, maximum: 1 };
+        let cold_start = if settings.mechanisms.cold_start { settings.cold_start } else { Duration::ZERO };
+        Gate {
+            random: Pcg64::seed_from_u64(seed),
+            target: None,
+            limit: new_limit(&settings, bounds),
+            cold_start: ColdStart::new(cold_start),
+            hint: HintWeight::default(),
+            admission: AdmissionController::new(),
+            large: LargeAnswerLimit::new(settings.large_answer_bytes),
+            short_queue: WaitingQueue::new(order),
+            large_queue: WaitingQueue::new(order),
+            slots: SlotCount::default(),
+            attempts: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            recent: RecentAttempts::default(),
+            closed: None,
+            hold_seconds: 0.0,
+            protected_seen: None,
+            epoch: Epoch::default(),
+            revision: Revision::default(),
+            settings,
+        }
+    }
+
+    /// Takes in one input at `now` and appends what is to be done to `outputs`.
+    pub fn step(&mut self, now: Timestamp, input: GateInput, outputs: &mut Vec<GateOutput>) {
+        self.expire(now, outputs);
+        match input {
+            GateInput::Arrived(context) => self.arrive(now, context, outputs),
+            GateInput::ClaimResolved { attempt, resolution } => self.claim_resolved(now, attempt, resolution, outputs),
+            GateInput::AnswerStarted { attempt, status, length } => self.answer_started(now, attempt, status, length),
+            GateInput::AnswerEnded { attempt, end } => self.answer_ended(now, attempt, end, outputs),
+            GateInput::Cancelled { attempt } => self.cancelled(now, attempt, outputs),
+            GateInput::Hint(hint) => self.hint.record(now, hint),
+            GateInput::Configuration(configuration) => self.configure(&configuration),
+            GateInput::Close { reason } => self.close(now, reason),
+            GateInput::Open => self.closed = None,
+            GateInput::Tick => {}
+        }
+        self.start_waiting(now, outputs);
+        self.advance_admission(now);
+        self.tell_idle(outputs);
+    }
+
+    /// When the gate wants to be stepped with a [`GateInput::Tick`] at the latest.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        let queues = [self.short_queue.first_expiry(), self.large_queue.first_expiry()];
+        let queues = queues.into_iter().flatten().map(|(at, _)| at);
+        let timer = self.timers.first().map(|(at, _)| *at);
+        queues.chain(timer).chain(self.admission.next_wake()).chain(self.drain_end()).min()
+    }
+
+    /// The end of the grace in which waiting attempts may still start, while any waits.
+    fn drain_end(&self) -> Option<Timestamp> {
+        let closed = self.closed.filter(|closed| closed.reason == RefusalReason::Draining)?;
+        let waits = !self.short_queue.is_empty() || !self.large_queue.is_empty();
+        waits.then_some(closed.since + self.settings.drain_grace)
+    }
+
+    /// What the edge is told with an answer; with an attempt, its retry tokens leave the gate.
+    ///
+    /// Call this once per answer, when its head goes out: tokens that child calls give back later are lost.
+    pub fn feedback(&mut self, now: Timestamp, attempt: Option<AttemptId>) -> Feedback {
+        let tokens = attempt.and_then(|attempt| self.attempts.get_mut(&attempt)).map(|entry| entry.tokens.report());
+        self.advance_admission(now);
+        self.feedback_with(now, tokens.unwrap_or(0))
+    }
+
+    /// The epoch of the service as this node knows it, for the feedback.
+    pub fn set_epoch(&mut self, epoch: Epoch) {
+        self.epoch = epoch;
+    }
+
+    /// The configuration revision in force at this node, for the feedback.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Lends retry tokens of a running call to a child call, with what the child inherits.
+    ///
+    /// Returns `None` if the call is not at the back end: the child then has no parent known here and gets no budget.
+    pub fn lend_tokens(&mut self, now: Timestamp, parent: CallId, wanted: u16) -> Option<ParentContext> {
+        let range = attempts_of(parent);
+        let running = |entry: &&mut Attempt| matches!(entry.phase, Phase::Running { .. });
+        let entry = self.attempts.range_mut(range).rev().map(|(_, entry)| entry).find(running)?;
+        Some(ParentContext {
+            call: parent,
+            root: entry.context.root,
+            depth: entry.context.depth,
+            priority: entry.context.priority,
+            retry: entry.is_retry(),
+            tokens: entry.tokens.lend(wanted),
+            remaining: now.until(entry.deadline),
+        })
+    }
+
+    /// Gives back tokens that a child call did not use; those that were not lent here, or come too late, are lost.
+    pub fn return_tokens(&mut self, parent: CallId, tokens: u16) {
+        let mut left = tokens;
+        for (_, entry) in self.attempts.range_mut(attempts_of(parent)).rev() {
+            left = entry.tokens.take_back(left);
+        }
+    }
+
+    /// The concurrency limit of short calls in force at `now`, with cold start and hints.
+    pub fn concurrency_limit(&mut self, now: Timestamp) -> u32 {
+        let Some(target) = &self.target else { return 0 };
+        let connections = target.connections;
+        if !self.settings.mechanisms.concurrency_limit {
+            return connections;
+        }
+        let mut limit = f64::from(self.limit.limit());
+        if let Some(cap) = self.cold_start.cap(now, target.slots) {
+            limit = limit.min(cap);
+        }
+        if self.settings.mechanisms.load_hint {
+            limit *= self.hint.factor(now, self.limit.congested());
+        }
+        (limit as u32).clamp(1, connections)
+    }
+
+    fn configure(&mut self, configuration: &Configuration) {
+        let Some(target) = Target::read(configuration, &self.settings, self.target.as_ref()) else { return };
+        let streams = target.slots * u32::from(self.settings.large_answer_share_percent.min(100)) / 100;
+        self.large.set_streams(streams);
+        let apart = self.settings.mechanisms.large_answer_limit && target.has_large_answers();
+        let short = if apart { target.slots.saturating_sub(streams) } else { target.slots };
+        let bounds = LimitBounds { first_guess: short.max(1), maximum: target.connections };
+        if self.target.is_none() {
+            self.limit = new_limit(&self.settings, bounds);
+        } else {
+            self.limit.set_bounds(bounds);
+        }
+        self.target = Some(target);
+    }
+
+    fn close(&mut self, now: Timestamp, reason: RefusalReason) {
+        if !self.settings.mechanisms.drain {
+            return;
+        }
+        match &mut self.closed {
+            // The grace of a drain counts from its own beginning, not from that of an earlier close for another reason.
+            Some(closed) if closed.reason == reason => {}
+            Some(closed) => *closed = Closed { reason, since: now, ..*closed },
+            None => self.closed = Some(Closed { reason, since: now, idle_told: false }),
+        }
+    }
+
+    fn tell_idle(&mut self, outputs: &mut Vec<GateOutput>) {
+        if let Some(closed) = self.closed.as_mut().filter(|closed| !closed.idle_told) {
+            if self.attempts.is_empty() {
+                closed.idle_told = true;
+                outputs.push(GateOutput::Idle);
+            }
+        }
+    }
+
+    pub(super) fn queue(&self, lane: Lane) -> &WaitingQueue {
+        match lane {
+            Lane::Short => &self.short_queue,
+            Lane::Large => &self.large_queue,
+        }
+    }
+
+    pub(super) fn queue_mut(&mut self, lane: Lane) -> &mut WaitingQueue {
+        match lane {
+            Lane::Short => &mut self.short_queue,
+            Lane::Large => &mut self.large_queue,
+        }
+    }
+
+    pub(super) fn overloaded(&self, now: Timestamp) -> bool {
+        self.admission.overloaded(now)
+    }
+
+    fn advance_admission(&mut self, now: Timestamp) {
+        if !self.settings.mechanisms.admission_level {
+            return;
+        }
+        if let Some(target) = &self.target {
+            if self.short_queue.longest_wait(now) > target.queue_timeout / 2 {
+                self.admission.pressure(now);
+            }
+        }
+        let waits =
+            self.short_queue.least_important().is_some_and(|(_, entry)| !super::attempt::is_protected(entry.rank));
+        let idle = self.short_queue.is_empty() && self.slots.all < self.concurrency_limit(now);
+        self.admission.advance(now, GateState { unprotected_present: waits || self.slots.unprotected > 0, idle });
+    }
+
+    pub(super) fn level(&self) -> AdmissionLevel {
+        if self.settings.mechanisms.admission_level {
+            self.admission.level()
+        } else {
+            AdmissionLevel::OPEN
+        }
+    }
+
+    pub(super) fn feedback_with(&mut self, now: Timestamp, tokens_left: u16) -> Feedback {
+        let waiting = self.short_queue.len() + self.large_queue.len();
+        Feedback {
+            level: self.level(),
+            running: self.slots.all + self.large.streams(),
+            waiting: waiting as u32,
+            limit: self.concurrency_limit(now) + self.large_slots(),
+            tokens_left,
+            epoch: self.epoch,
+            revision: self.revision,
+        }
+    }
+
+    fn large_slots(&self) -> u32 {
+        let apart = self.settings.mechanisms.large_answer_limit;
+        let large = apart && self.target.as_ref().is_some_and(Target::has_large_answers);
+        if large {
+            self.large.maximum_streams()
+        } else {
+            0
+        }
+    }
+
+    /// Slots of short calls that less important work may not take.
+    pub(super) fn reserve(&self, now: Timestamp, limit: u32) -> u32 {
+        let recent = self.protected_seen.is_some_and(|at| now.since(at) < RESERVE_MEMORY);
+        if !self.settings.mechanisms.protected_reserve || !recent || limit < SMALLEST_LIMIT_WITH_RESERVE {
+            return 0;
+        }
+        (limit * u32::from(self.settings.protected_reserve_percent.min(50)) / 100).max(1)
+    }
+
+    pub(super) fn record_hold(&mut self, held: Duration) {
+        let sample = held.as_secs_f64();
+        if self.hold_seconds == 0.0 {
+            self.hold_seconds = sample;
+        }
+        self.hold_seconds += HOLD_GAIN * (sample - self.hold_seconds);
+    }
+
+    /// The refusal of a call for want of capacity, with advice that grows as the level falls.
+    pub(super) fn overload_refusal(&mut self, reason: RefusalReason) -> Refusal {
+        let timeout = self.target.as_ref().map(|target| target.queue_timeout).unwrap_or_default();
+        let shut = 1.0 - f64::from(self.level().0) / f64::from(AdmissionLevel::OPEN.0);
+        // The jitter keeps callers that were refused together from coming back together.
+        let jitter = self.random.gen_range(0.5..1.5);
+        let advice = timeout.mul_f64((1.0 + RETRY_AFTER_SPREAD * shut) * jitter);
+        Refusal::not_run(reason).with_retry_after(advice.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER))
+    }
+}
+
+fn attempts_of(call: CallId) -> std::ops::RangeInclusive<AttemptId> {
+    AttemptId { call, attempt: 0 }..=AttemptId { call, attempt: u8::MAX }
+}
+
+fn new_limit(settings: &GateSettings, bounds: LimitBounds) -> Box<dyn ConcurrencyLimit> {
+    if settings.mechanisms.adaptive_limit {
+        Box::new(AdaptiveLimit::new(bounds))
+    } else {
+        Box::new(FixedLimit::new(bounds))
+    }
+}
--- /dev/null
+++ b/crates/calls/src/gate/recent.rs
@@ -0,0 +1,33 @@
+//! Remembers the attempts that ended last, so that a late duplicate of their arrival is not taken for a new attempt.
+
+use std::collections::{HashSet, VecDeque};
+
+use quillhatch_types::AttemptId;
+
+/// Attempts remembered; at 5,000 calls/s this is the last 0.8 s, longer than a duplicate survives in a network buffer.
+const REMEMBERED: usize = 4096;
+
+/// The attempts that ended last; the oldest is forgotten first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RecentAttempts {
+    order: VecDeque<AttemptId>,
+    members: HashSet<AttemptId>,
+}
+
+impl RecentAttempts {
+    pub(super) fn insert(&mut self, attempt: AttemptId) {
+        if !self.members.insert(attempt) {
+            return;
+        }
+        self.order.push_back(attempt);
+        if self.order.len() > REMEMBERED {
+            if let Some(oldest) = self.order.pop_front() {
+                self.members.remove(&oldest);
+            }
+        }
+    }
+
+    pub(super) fn contains(&self, attempt: AttemptId) -> bool {
+        self.members.contains(&attempt)
+    }
+}
--- /dev/null
+++ b/crates/calls/src/gate/running.rs
@@ -0,0 +1,376 @@
+//! The later phases of an attempt: getting a slot, claiming, running, ending.
+
+use quillhatch_types::{AttemptId, RecordedAnswer, Refusal, RefusalReason, Timestamp};
+
+use super::attempt::{is_protected, Attempt, Lane, Phase};
+use super::io::{AnswerEnd, ClaimResolution, GateOutput};
+use super::machine::Gate;
+
+/// Answers from this status on are errors of the back end; their times say nothing about served calls.
+const FIRST_SERVER_ERROR: u16 = 500;
+
+impl Gate {
+    /// Whether a slot is free for an attempt.
+    pub(super) fn has_room(&mut self, now: Timestamp, lane: Lane, protected: bool) -> bool {
+        let connections = self.target.as_ref().map_or(0, |target| target.connections);
+        if self.slots.all + self.large.streams() >= connections {
+            return false;
+        }
+        match lane {
+            Lane::Large => self.large.has_room(),
+            Lane::Short => self.has_short_room(now, protected),
+        }
+    }
+
+    fn has_short_room(&mut self, now: Timestamp, protected: bool) -> bool {
+        let limit = self.concurrency_limit(now);
+        if self.slots.all >= limit {
+            return false;
+        }
+        if protected {
+            return true;
+        }
+        // Edges refuse protected calls at such a level, so nothing less important may take their place.
+        if self.settings.mechanisms.admission_level && self.admission.only_protected() {
+            return false;
+        }
+        self.slots.unprotected < limit - self.reserve(now, limit)
+    }
+
+    /// Gives free slots to waiting attempts.
+    pub(super) fn start_waiting(&mut self, now: Timestamp, outputs: &mut Vec<GateOutput>) {
+        for lane in [Lane::Short, Lane::Large] {
+            while let Some((ticket, waiting)) = self.queue(lane).peek(self.overloaded(now)) {
+                if !self.has_room(now, lane, is_protected(waiting.rank)) {
+                    break;
+                }
+                self.queue_mut(lane).remove(ticket);
+                self.take_slot(now, waiting.attempt, outputs);
+            }
+        }
+    }
+
+    fn take_slot(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        if self.has_too_little_time(now, entry) {
+            self.end_refused(now, attempt, Refusal::not_run(RefusalReason::DeadlineTooShort), outputs);
+            return;
+        }
+        let (lane, protected) = (entry.lane, entry.is_protected());
+        let claim = entry.has_claim(self.settings.mechanisms.claims);
+        self.count_slot(now, attempt, lane, protected);
+        if claim {
+            self.request_claim(now, attempt, outputs);
+        } else {
+            self.dispatch(now, attempt, outputs);
+        }
+    }
+
+    fn has_too_little_time(&self, now: Timestamp, entry: &Attempt) -> bool {
+        let left = now.until(entry.deadline);
+        self.settings.mechanisms.deadline_check && left < self.needed_time(now, &entry.context)
+    }
+
+    fn count_slot(&mut self, now: Timestamp, attempt: AttemptId, lane: Lane, protected: bool) {
+        let counted_bytes = match lane {
+            Lane::Large => self.large.begin(),
+            Lane::Short => {
+                self.slots.all += 1;
+                self.slots.unprotected += u32::from(!protected);
+                self.admission.served(protected);
+                0
+            }
+        };
+        if let Some(entry) = self.attempts.get_mut(&attempt) {
+            entry.counted_bytes = counted_bytes;
+            entry.slot_since = now;
+        }
+    }
+
+    fn request_claim(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        let latest = self.latest_start(now, entry.deadline, &entry.context);
+        let gives_up = latest.min(now + self.settings.claim_timeout);
+        self.timers.insert((gives_up, attempt));
+        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
+        entry.phase = Phase::Claiming { gives_up };
+        outputs.push(GateOutput::RequestClaim(entry.context.clone()));
+    }
+
+    /// Takes in the decision on a claim; one that comes too late, or for an attempt that does not claim, changes nothing.
+    pub(super) fn claim_resolved(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        resolution: ClaimResolution,
+        outputs: &mut Vec<GateOutput>,
+    ) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        let Phase::Claiming { gives_up } = entry.phase else { return };
+        match resolution {
+            ClaimResolution::Granted => {
+                self.timers.remove(&(gives_up, attempt));
+                self.run_claimed(now, attempt, outputs);
+            }
+            ClaimResolution::Replay(answer) => {
+                let Some(mut entry) = self.remove(now, attempt) else { return };
+                let feedback = self.feedback_with(now, entry.tokens.report());
+                outputs.push(GateOutput::Replay { attempt, answer, feedback });
+            }
+            ClaimResolution::Refused(refusal) => self.end_refused(now, attempt, refusal, outputs),
+        }
+    }
+
+    /// The last check before the back end sees a call that may not be repeated: its process may have been paused.
+    fn run_claimed(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        let reason = if self.has_too_little_time(now, entry) {
+            Some(RefusalReason::DeadlineTooShort)
+        } else if self.drain_is_over(now) {
+            Some(RefusalReason::Draining)
+        } else {
+            None
+        };
+        match reason {
+            Some(reason) => self.release(now, attempt, Refusal::not_run(reason), outputs),
+            None => self.dispatch(now, attempt, outputs),
+        }
+    }
+
+    fn dispatch(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
+        let timer = running_timer(entry, self.settings.run_on);
+        entry.phase = Phase::Running { since: now, answer_started: false, cancel_sent: false, timer };
+        let remaining = now.until(entry.deadline);
+        let lane = entry.lane;
+        self.timers.insert((timer, attempt));
+        self.cold_start.dispatched(now);
+        if lane == Lane::Short {
+            self.limit.running_changed(now, self.slots.all);
+        }
+        outputs.push(GateOutput::Dispatch { attempt, remaining });
+    }
+
+    pub(super) fn answer_started(&mut self, now: Timestamp, attempt: AttemptId, status: u16, length: Option<u64>) {
+        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
+        let Phase::Running { since, answer_started, .. } = &mut entry.phase else { return };
+        if std::mem::replace(answer_started, true) {
+            return;
+        }
+        let latency = now.since(*since);
+        if let (Lane::Large, Some(length)) = (entry.lane, length) {
+            entry.counted_bytes = self.large.length_known(entry.counted_bytes, length);
+        }
+        self.cold_start.answered();
+        // Slow readers stretch the body of an answer, so the head's time is what shows the back end's load.
+        if status < FIRST_SERVER_ERROR {
+            self.measure(now, attempt, latency);
+        }
+    }
+
+    fn measure(&mut self, now: Timestamp, attempt: AttemptId, latency: std::time::Duration) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        let Some(class) = self.target.as_mut().and_then(|target| target.class_mut(&entry.context.class)) else {
+            return;
+        };
+        class.service_time.record(now, latency);
+        if entry.lane == Lane::Short {
+            self.limit.measured(now, &entry.context.class, latency);
+        }
+    }
+
+    /// Takes in the end of the back end's part; a second end, or one of an attempt that does not run, changes nothing.
+    pub(super) fn answer_ended(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        end: AnswerEnd,
+        outputs: &mut Vec<GateOutput>,
+    ) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        let Phase::Running { since, answer_started, .. } = entry.phase else { return };
+        let lane = entry.lane;
+        if !answer_started {
+            self.measure_end(now, attempt, &end, now.since(since));
+        }
+        match end {
+            AnswerEnd::Whole { record, .. } => self.finish(now, attempt, record, None, outputs),
+            AnswerEnd::RefusedBeforeRunning { .. } => {
+                self.refused_by_back_end(now, lane);
+                let refusal = self.overload_refusal(RefusalReason::Overloaded);
+                self.release(now, attempt, refusal, outputs);
+            }
+            AnswerEnd::ConnectFailed if !answer_started => {
+                self.cold_start.unreachable();
+                self.release(now, attempt, Refusal::not_run(RefusalReason::ConnectFailed), outputs);
+            }
+            // A head that arrived proves that the back end was reached, whatever is claimed later.
+            AnswerEnd::ConnectFailed | AnswerEnd::Broken => {
+                let refusal = Refusal::unknown(RefusalReason::ConnectionLost);
+                self.finish(now, attempt, None, Some(refusal), outputs);
+            }
+            AnswerEnd::Cancelled => {
+                let refusal = Refusal::unknown(RefusalReason::Cancelled);
+                self.finish(now, attempt, None, Some(refusal), outputs);
+            }
+        }
+    }
+
+    fn refused_by_back_end(&mut self, now: Timestamp, lane: Lane) {
+        if lane == Lane::Short {
+            self.limit.refused_by_back_end(now);
+            self.admission.pressure(now);
+        }
+    }
+
+    /// Measures an attempt that ended without a head: a broken or cancelled one took at least this long.
+    fn measure_end(&mut self, now: Timestamp, attempt: AttemptId, end: &AnswerEnd, latency: std::time::Duration) {
+        match end {
+            AnswerEnd::Whole { status, .. } if *status < FIRST_SERVER_ERROR => self.measure(now, attempt, latency),
+            AnswerEnd::Broken | AnswerEnd::Cancelled => {
+                let Some(entry) = self.attempts.get(&attempt) else { return };
+                // Only at the deadline is the back end to blame; an earlier end says nothing about its latency.
+                if entry.lane == Lane::Short && now >= entry.deadline {
+                    self.limit.measured(now, &entry.context.class, latency);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends an attempt that ran, or may have run; `refusal` goes out if no answer did.
+    fn finish(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        record: Option<RecordedAnswer>,
+        refusal: Option<Refusal>,
+        outputs: &mut Vec<GateOutput>,
+    ) {
+        let Some(mut entry) = self.remove(now, attempt) else { return };
+        if entry.has_claim(self.settings.mechanisms.claims) {
+            outputs.push(GateOutput::ClaimFinished { attempt, record });
+        }
+        let answered = matches!(entry.phase, Phase::Running { answer_started: true, .. });
+        if let Some(refusal) = refusal.filter(|_| !answered) {
+            let feedback = self.feedback_with(now, entry.tokens.report());
+            outputs.push(GateOutput::Refuse { attempt, refusal, feedback });
+        }
+    }
+
+    /// Ends an attempt that the back end provably did not run, and voids its claim.
+    fn release(&mut self, now: Timestamp, attempt: AttemptId, refusal: Refusal, outputs: &mut Vec<GateOutput>) {
+        let Some(mut entry) = self.remove(now, attempt) else { return };
+        if entry.has_claim(self.settings.mechanisms.claims) {
+            outputs.push(GateOutput::ClaimReleased { attempt });
+        }
+        let answered = matches!(entry.phase, Phase::Running { answer_started: true, .. });
+        if !answered {
+            let feedback = self.feedback_with(now, entry.tokens.report());
+            outputs.push(GateOutput::Refuse { attempt, refusal, feedback });
+        }
+    }
+
+    /// Ends an attempt that has no claim to void: it waited, or its claim was refused.
+    pub(super) fn end_refused(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptId,
+        refusal: Refusal,
+        outputs: &mut Vec<GateOutput>,
+    ) {
+        let Some(mut entry) = self.remove(now, attempt) else { return };
+        let feedback = self.feedback_with(now, entry.tokens.report());
+        outputs.push(GateOutput::Refuse { attempt, refusal, feedback });
+    }
+
+    pub(super) fn cancelled(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        let refusal = Refusal::not_run(RefusalReason::Cancelled);
+        match entry.phase {
+            Phase::Waiting { .. } => self.end_refused(now, attempt, refusal, outputs),
+            Phase::Claiming { .. } => self.release(now, attempt, refusal, outputs),
+            // Half a run of a call that may not be repeated helps nobody: it goes on, so that a repeat gets its answer.
+            Phase::Running { .. } if entry.has_claim(self.settings.mechanisms.claims) => {}
+            Phase::Running { .. } => self.stop_run(attempt, outputs),
+        }
+    }
+
+    fn stop_run(&mut self, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get_mut(&attempt) else { return };
+        let Phase::Running { cancel_sent, .. } = &mut entry.phase else { return };
+        if !std::mem::replace(cancel_sent, true) {
+            outputs.push(GateOutput::CancelDispatched { attempt });
+        }
+    }
+
+    /// Ends what has run out of time.
+    pub(super) fn expire(&mut self, now: Timestamp, outputs: &mut Vec<GateOutput>) {
+        self.expire_waiting(now, Lane::Short, outputs);
+        self.expire_waiting(now, Lane::Large, outputs);
+        while let Some((at, attempt)) = self.timers.first().copied().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, attempt));
+            self.expire_timer(now, attempt, outputs);
+        }
+    }
+
+    fn expire_timer(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+        let Some(entry) = self.attempts.get(&attempt) else { return };
+        match entry.phase {
+            Phase::Waiting { .. } => {}
+            Phase::Claiming { .. } => {
+                let undecided_for = now.since(entry.slot_since);
+                let reason = if undecided_for < self.settings.claim_timeout {
+                    RefusalReason::DeadlineTooShort
+                } else {
+                    RefusalReason::ClaimNotRecorded
+                };
+                self.release(now, attempt, Refusal::not_run(reason), outputs);
+            }
+            // A started download goes on past the deadline of its head: only its reader may give it up.
+            Phase::Running { answer_started: true, .. } if entry.lane == Lane::Large => {}
+            Phase::Running { .. } => self.stop_run(attempt, outputs),
+        }
+    }
+
+    /// Takes an attempt out of every table and frees its slot.
+    fn remove(&mut self, now: Timestamp, attempt: AttemptId) -> Option<Attempt> {
+        let entry = self.attempts.remove(&attempt)?;
+        self.recent.insert(attempt);
+        match entry.phase {
+            Phase::Waiting { ticket, .. } => {
+                self.queue_mut(entry.lane).remove(ticket);
+            }
+            Phase::Claiming { gives_up } => {
+                self.timers.remove(&(gives_up, attempt));
+                self.free_slot(now, &entry);
+            }
+            Phase::Running { timer, .. } => {
+                self.timers.remove(&(timer, attempt));
+                self.free_slot(now, &entry);
+            }
+        }
+        Some(entry)
+    }
+
+    fn free_slot(&mut self, now: Timestamp, entry: &Attempt) {
+        match entry.lane {
+            Lane::Large => self.large.end(entry.counted_bytes),
+            Lane::Short => {
+                self.slots.all -= 1;
+                self.slots.unprotected -= u32::from(!entry.is_protected());
+                self.record_hold(now.since(entry.slot_since));
+                self.limit.running_changed(now, self.slots.all);
+            }
+        }
+    }
+}
+
+/// When a running attempt's time is over.
+fn running_timer(entry: &Attempt, run_on: std::time::Duration) -> Timestamp {
+    if entry.context.repeatable {
+        entry.deadline
+    } else {
+        entry.deadline + run_on
+    }
+}
