Edge: retry budget that moves with calls, balancing, ejection, resume

Cause: attempts must be bounded over the whole call tree, and each go where it can run. Change: the edge's state machine: tokens that move with calls, ratio limit, jittered backoff, two-choice balancing by zone, ejection with a cap, admission levels, caller limits, deadlines, resume of broken downloads; the wire form of context and feedback.

--- /dev/null
+++ b/crates/calls/src/edge/arrival.rs
@@ -0,0 +1,94 @@
+//! Checks a call that arrives and starts it.
+
+use quillhatch_types::call::MAXIMUM_DEPTH;
+use quillhatch_types::{ClassConfiguration, Refusal, RefusalReason, Timestamp};
+
+use super::budget::RetryBudget;
+use super::call::Call;
+use super::caller::{EarlierUse, KeyHash};
+use super::deadline::Deadline;
+use super::io::{CallArrival, EdgeOutput};
+use super::state::Edge;
+
+impl Edge {
+    /// Refuses a call that cannot run, or sends its first attempt.
+    pub(super) fn arrived(&mut self, now: Timestamp, arrival: CallArrival, outputs: &mut Vec<EdgeOutput>) {
+        if self.calls.contains_key(&arrival.call) {
+            self.statistics.stale_inputs += 1;
+            return;
+        }
+        self.statistics.arrived += 1;
+        if arrival.outgoing && arrival.parent.is_none() {
+            self.statistics.without_context += 1;
+        }
+        let key = self.note_key(now, &arrival);
+        let repeated = key.is_some_and(|(_, earlier)| earlier.repeated);
+        match self.check(now, &arrival, repeated) {
+            Ok(class) => {
+                let mut call = self.start(now, arrival, &class);
+                call.key = key;
+                call.ranks_as_retry |= repeated;
+                self.dispatch(now, Box::new(call), outputs);
+            }
+            Err(refusal) => self.refuse_arrival(&arrival, key, refusal, outputs),
+        }
+    }
+
+    /// Remembers the key of a root call. Child calls are bounded by the budget of their tree.
+    fn note_key(&mut self, now: Timestamp, arrival: &CallArrival) -> Option<(KeyHash, EarlierUse)> {
+        if arrival.parent.is_some() {
+            return None;
+        }
+        let key = arrival.key.as_ref()?;
+        let hash = KeyHash::new(&arrival.caller, &arrival.service, key);
+        let earlier = self.callers.note_key(hash, now);
+        if earlier.repeated {
+            self.statistics.repeated_keys += 1;
+        }
+        Some((hash, earlier))
+    }
+
+    fn check(&mut self, now: Timestamp, arrival: &CallArrival, repeated: bool) -> Result<ClassConfiguration, Refusal> {
+        let retry_after = self.settings.level.retry_after;
+        // Calls of a call in progress go on, since a planned stop cuts nothing in flight.
+        if self.stopping && arrival.parent.is_none() && !arrival.outgoing {
+            return Err(Refusal::not_run(RefusalReason::Stopping).with_retry_after(retry_after));
+        }
+        if arrival.parent.as_ref().is_some_and(|parent| parent.depth >= MAXIMUM_DEPTH) {
+            return Err(Refusal::not_run(RefusalReason::TooDeep));
+        }
+        let service = self.services.get(&arrival.service);
+        let class = service.and_then(|service| service.class(&arrival.class)).cloned();
+        let class = class.ok_or(Refusal::not_run(RefusalReason::NoRoute))?;
+        // Without a digest the claim could not tell a repeat from another request under the same key.
+        if !class.repeatable && arrival.key.is_some() && arrival.digest.is_none() {
+            return Err(Refusal::not_run(RefusalReason::BadRequest));
+        }
+        if self.calls.len() >= self.settings.maximum_calls {
+            return Err(Refusal::not_run(RefusalReason::Overloaded).with_retry_after(retry_after));
+        }
+        if self.settings.mechanisms.caller_limit && arrival.parent.is_none() {
+            let admitted = self.callers.admit(&arrival.caller, repeated, now);
+            admitted.map_err(|wait| Refusal::not_run(RefusalReason::CallerRate).with_retry_after(wait))?;
+        }
+        Ok(class)
+    }
+
+    fn start(&self, now: Timestamp, arrival: CallArrival, class: &ClassConfiguration) -> Call {
+        let parent = arrival.parent.as_ref();
+        let minimum_time = self
+            .services
+            .get(&arrival.service)
+            .map_or(std::time::Duration::ZERO, |service| service.configuration().minimum_time);
+        let limits = [arrival.remaining, Some(class.deadline), parent.map(|parent| parent.remaining)];
+        let deadline = Deadline::new(now, limits, minimum_time);
+        let tokens = match parent {
+            Some(parent) => parent.tokens,
+            None if arrival.outgoing => 0,
+            None => class.retry_budget,
+        };
+        let bounded = self.settings.mechanisms.retry_budget;
+        let budget = RetryBudget::new(tokens, self.settings.retry.kept_tokens_percent, bounded);
+        Call::new(arrival, class, deadline, budget)
+    }
+}
--- a/crates/calls/src/edge/io.rs
+++ b/crates/calls/src/edge/io.rs
@@ -33,6 +33,8 @@
     pub parent: Option<ParentContext>,
     /// Whether the request's body can be sent again: it was empty or is held in memory.
     pub replayable_body: bool,
+    /// Whether the node's own back end makes the call. Without a `parent` it then gets no retry budget.
+    pub outgoing: bool,
 }
 
 /// A validator under which parts of an answer from different targets belong together (a strong `ETag`).
--- /dev/null
+++ b/crates/calls/src/edge/level.rs
@@ -0,0 +1,58 @@
+//! The admission level that a gate reported, as the edge believes it.
+//!
+//! A level without news opens again by itself, so that no state left over from an overload holds calls back after it.
+
+use std::time::Duration;
+
+use quillhatch_types::{AdmissionLevel, AdmissionRank, Timestamp};
+
+/// Settings of the admission levels kept per target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LevelSettings {
+    /// The time without news in which a level returns to [`AdmissionLevel::OPEN`].
+    pub decay: Duration,
+    /// The share of calls that are sent in spite of a closed level, so that news keeps coming; from 0 to 1.
+    pub probe_share: f64,
+    /// When refused callers may come back; callers are told between one and two times this span.
+    pub retry_after: Duration,
+}
+
+impl Default for LevelSettings {
+    fn default() -> Self {
+        LevelSettings { decay: Duration::from_secs(2), probe_share: 0.01, retry_after: Duration::from_secs(1) }
+    }
+}
+
+/// The last level of one target and when it was heard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct TargetLevel {
+    level: AdmissionLevel,
+    heard_at: Timestamp,
+}
+
+impl TargetLevel {
+    /// An answer carried `level`.
+    pub(crate) fn hear(&mut self, level: AdmissionLevel, now: Timestamp) {
+        self.level = AdmissionLevel(level.0.min(AdmissionLevel::OPEN.0));
+        self.heard_at = now;
+    }
+
+    /// The level now: it rises evenly from the reported level to open.
+    pub(crate) fn effective(&self, now: Timestamp, decay: Duration) -> AdmissionLevel {
+        let closed = u128::from(AdmissionLevel::OPEN.0 - self.level.0);
+        if closed == 0 {
+            return AdmissionLevel::OPEN;
+        }
+        let age = now.since(self.heard_at);
+        if age >= decay {
+            return AdmissionLevel::OPEN;
+        }
+        let risen = closed * age.as_micros() / decay.as_micros().max(1);
+        AdmissionLevel(self.level.0 + risen as u16)
+    }
+
+    /// Whether a call of `rank` may be sent.
+    pub(crate) fn admits(&self, rank: AdmissionRank, now: Timestamp, decay: Duration) -> bool {
+        self.effective(now, decay).admits(rank)
+    }
+}
--- /dev/null
+++ b/crates/calls/src/edge/resume.rs
@@ -0,0 +1,57 @@
+//! Continues a broken download from another target, so that the caller's stream goes on whole.
+//!
+//! This is safe only if the call may run again and a strong validator shows that both targets serve the same bytes. A
+//! resumed attempt is an attempt like others: it costs a token, counts against the ratio and has a deadline.
+
+use std::time::Duration;
+
+use quillhatch_types::Timestamp;
+
+use super::balance::Choice;
+use super::call::Call;
+use super::deadline::Deadline;
+use super::io::{BodyState, EdgeOutput, StrongValidator};
+use super::state::Edge;
+
+impl Edge {
+    /// Asks another target for the rest of the broken answer, or breaks the caller's stream off.
+    pub(super) fn resume(&mut self, now: Timestamp, mut call: Box<Call>, outputs: &mut Vec<EdgeOutput>) {
+        let Some((offset, validator)) = call.broken.as_ref().and_then(rest) else {
+            return self.break_off(call, outputs);
+        };
+        let safe = call.repeatable && call.arrival.replayable_body;
+        let wanted = self.settings.mechanisms.resume && safe && call.resumes < self.settings.retry.maximum_resumes;
+        if !wanted || !self.charge_retry(&mut call) {
+            return self.break_off(call, outputs);
+        }
+        // The rank stays that of the first try: refusing the rest would waste what was already sent.
+        let rank = self.rank(&call);
+        let Choice::Target { index, probe } = self.choose_target(now, &call, rank, outputs) else {
+            return self.break_off(call, outputs);
+        };
+        // The call's own deadline was for the head of the answer; the caller is still reading, so the rest gets a new one.
+        call.deadline = Deadline::new(now, [Some(call.class_deadline), None, None], Duration::ZERO);
+        call.resumes += 1;
+        self.statistics.resumes += 1;
+        self.statistics.probes += u64::from(probe);
+        if let Some((target, context)) = self.launch(now, &mut call, index, rank) {
+            outputs.push(EdgeOutput::Resume { target, context: Box::new(context), offset, validator });
+        }
+        self.keep(now, call);
+    }
+
+    /// Ends the caller's stream visibly broken.
+    pub(super) fn break_off(&mut self, mut call: Box<Call>, outputs: &mut Vec<EdgeOutput>) {
+        self.refund_retry(&mut call);
+        self.statistics.broken_off += 1;
+        outputs.push(EdgeOutput::BreakOff { call: call.id() });
+        self.end(&call, outputs);
+    }
+}
+
+/// Where the missing rest begins and its validator, if it can be asked for.
+fn rest(broken: &BodyState) -> Option<(u64, StrongValidator)> {
+    let length = broken.length?;
+    let validator = broken.validator.clone()?;
+    (broken.received < length).then_some((broken.received, validator))
+}
--- /dev/null
+++ b/crates/calls/src/edge/service.rs
@@ -0,0 +1,227 @@
+//! What the edge knows of one service: its configuration, routes, targets and ratio limits.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_types::hash::{slot_of_key, slot_of_root};
+use quillhatch_types::{
+    CallId, ClassConfiguration, ClassName, Epoch, GateStatus, Incarnation, NodeAddress, NodeId, RequestKey, RootId,
+    ServiceConfiguration, ServiceTable, SiteName, SlotId, Timestamp,
+};
+use rand_pcg::Pcg64;
+
+use super::balance::{Choice, Choosing};
+use super::ejection::EjectionSettings;
+use super::ratio::RatioLimit;
+use super::routes::{site_by_share, Routes, SlotOwner, SlotRoute};
+use super::target::Target;
+
+/// One service as the edge sees it.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    configuration: ServiceConfiguration,
+    routes: Routes,
+    targets: Vec<Target>,
+    by_address: HashMap<NodeAddress, usize>,
+    sites: BTreeMap<SiteName, Vec<usize>>,
+    ratios: BTreeMap<ClassName, RatioLimit>,
+    fetched_at: BTreeMap<SiteName, Timestamp>,
+    /// Calls that wait for the owner of their slot.
+    pub(crate) waiting: BTreeSet<CallId>,
+}
+
+impl ServiceState {
+    pub(crate) fn new(configuration: ServiceConfiguration, ratio_burst: u32) -> Self {
+        let mut service = ServiceState {
+            configuration,
+            routes: Routes::default(),
+            targets: Vec::new(),
+            by_address: HashMap::new(),
+            sites: BTreeMap::new(),
+            ratios: BTreeMap::new(),
+            fetched_at: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+        };
+        service.rebuild_ratios(ratio_burst);
+        service
+    }
+
+    /// Puts a newer configuration in force; what was learnt stays.
+    pub(crate) fn reconfigure(&mut self, configuration: ServiceConfiguration, ratio_burst: u32) {
+        self.configuration = configuration;
+        self.rebuild_ratios(ratio_burst);
+    }
+
+    fn rebuild_ratios(&mut self, burst: u32) {
+        let mut old = std::mem::take(&mut self.ratios);
+        for class in &self.configuration.classes {
+            let limit = old.remove(&class.name).unwrap_or_else(|| RatioLimit::new(burst));
+            self.ratios.insert(class.name.clone(), limit);
+        }
+    }
+
+    pub(crate) fn configuration(&self) -> &ServiceConfiguration {
+        &self.configuration
+    }
+
+    pub(crate) fn class(&self, name: &ClassName) -> Option<&ClassConfiguration> {
+        self.configuration.class(name)
+    }
+
+    pub(crate) fn ratio(&mut self, class: &ClassName) -> Option<&mut RatioLimit> {
+        self.ratios.get_mut(class)
+    }
+
+    pub(crate) fn targets(&self) -> &[Target] {
+        &self.targets
+    }
+
+    pub(crate) fn target(&mut self, address: NodeAddress) -> Option<&mut Target> {
+        let index = *self.by_address.get(&address)?;
+        self.targets.get_mut(index)
+    }
+
+    pub(crate) fn target_at(&mut self, index: usize) -> Option<&mut Target> {
+        self.targets.get_mut(index)
+    }
+
+    /// Takes a table in; returns whether it is news.
+    pub(crate) fn accept(&mut self, table: Arc<ServiceTable>) -> bool {
+        self.routes.accept(table)
+    }
+
+    /// Works out routes and targets anew after a change of tables or configuration.
+    pub(crate) fn rebuild(&mut self, sites: &[SiteName], suspected: &BTreeSet<NodeAddress>) {
+        self.routes.retain_sites(|site| sites.contains(site));
+        self.routes.rebuild(&self.configuration);
+        let old = std::mem::take(&mut self.targets);
+        let old_index = std::mem::take(&mut self.by_address);
+        self.sites.clear();
+        for site in sites {
+            for mut target in self.site_targets(site) {
+                let address = target.node.address;
+                if self.by_address.contains_key(&address) {
+                    continue;
+                }
+                if let Some(known) = old_index.get(&address) {
+                    target.inherit(&old[*known]);
+                }
+                target.suspected = suspected.contains(&address);
+                self.by_address.insert(address, self.targets.len());
+                self.sites.entry(site.clone()).or_default().push(self.targets.len());
+                self.targets.push(target);
+            }
+        }
+    }
+
+    /// The gates in the site's table, or the configured targets while there is no table.
+    fn site_targets(&self, site: &SiteName) -> Vec<Target> {
+        if let Some(table) = self.routes.table(site) {
+            let gates = table.gates.iter();
+            return gates
+                .map(|gate| Target::new(gate.node, site.clone(), gate.zone.clone(), gate.status, gate.connections))
+                .collect();
+        }
+        let configured = self.configuration.targets_at(site);
+        configured
+            .map(|target| {
+                let node = NodeId { address: target.node, incarnation: Incarnation(0) };
+                Target::new(node, site.clone(), target.zone.clone(), GateStatus::Serving, target.connections)
+            })
+            .collect()
+    }
+
+    /// The site that serves a root's repeatable calls, and whether its table is missing.
+    pub(crate) fn site_of_root(&self, root: RootId) -> Option<(SiteName, bool)> {
+        let slot = slot_of_root(root, self.configuration.slot_count);
+        let site = match self.routes.slot(slot) {
+            Some(route) => route.site.clone(),
+            None => site_by_share(&self.configuration, slot)?,
+        };
+        let missing = self.routes.table(&site).is_none();
+        Some((site, missing))
+    }
+
+    /// The slot of a key and its route; the epoch is zero while no table has the slot.
+    pub(crate) fn route_of_key(&self, key: &RequestKey) -> Option<SlotRoute> {
+        let slot: SlotId = slot_of_key(key, self.configuration.slot_count);
+        if let Some(route) = self.routes.slot(slot) {
+            return Some(route.clone());
+        }
+        let site = site_by_share(&self.configuration, slot)?;
+        Some(SlotRoute { site, owner: SlotOwner::Unknown, epoch: Epoch(0) })
+    }
+
+    /// The place of the owner in the list of targets, if it is the run of the node that the table names.
+    pub(crate) fn owner_index(&self, owner: NodeId) -> Option<usize> {
+        let index = *self.by_address.get(&owner.address)?;
+        (self.targets[index].node == owner).then_some(index)
+    }
+
+    /// Chooses a target at `site`; while that site cannot be reached at all, at another one, `own_site` first.
+    pub(crate) fn choose(
+        &self,
+        choosing: &Choosing<'_>,
+        site: &SiteName,
+        own_site: &SiteName,
+        random: &mut Pcg64,
+    ) -> Choice {
+        for last_resort in [false, true] {
+            for members in self.members_in_order(site, own_site) {
+                let choice = choosing.choose(&self.targets, members, last_resort, random);
+                if choice != Choice::Nothing {
+                    return choice;
+                }
+            }
+        }
+        Choice::Nothing
+    }
+
+    fn members_in_order<'a>(
+        &'a self,
+        site: &'a SiteName,
+        own_site: &'a SiteName,
+    ) -> impl Iterator<Item = &'a Vec<usize>> + 'a {
+        let first = self.sites.get(site);
+        let second = self.sites.get(own_site).filter(|_| own_site != site);
+        let others = self.sites.iter().filter(move |(name, _)| *name != site && *name != own_site);
+        first.into_iter().chain(second).chain(others.map(|(_, members)| members))
+    }
+
+    /// Ejects the target unless too large a share of its site is ejected; returns whether it was.
+    pub(crate) fn eject(&mut self, address: NodeAddress, now: Timestamp, settings: &EjectionSettings) -> bool {
+        let Some(index) = self.by_address.get(&address).copied() else {
+            return false;
+        };
+        let Some(members) = self.sites.get(&self.targets[index].site) else {
+            return false;
+        };
+        let is_ejected = |member: &&usize| self.targets[**member].outlier.is_ejected(now);
+        let ejected = members.iter().filter(is_ejected).count();
+        if self.targets[index].outlier.is_ejected(now) || !settings.allows(ejected, members.len()) {
+            return false;
+        }
+        self.targets[index].outlier.eject(now, settings);
+        true
+    }
+
+    /// Whether the table of `site` may be asked for now; notes that it is.
+    pub(crate) fn may_fetch(&mut self, site: &SiteName, now: Timestamp, interval: Duration) -> bool {
+        let recent = self.fetched_at.get(site).is_some_and(|at| now.since(*at) < interval);
+        if !recent {
+            self.fetched_at.insert(site.clone(), now);
+        }
+        !recent
+    }
+
+    /// The epoch of the table of `site` that is known, zero if none is.
+    pub(crate) fn epoch(&self, site: &SiteName) -> Epoch {
+        self.routes.table(site).map_or(Epoch(0), |table| table.epoch)
+    }
+
+    /// The sites with configured targets.
+    pub(crate) fn configured_sites(&self) -> BTreeSet<SiteName> {
+        self.configuration.targets.iter().map(|target| target.site.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/calls/src/edge/state.rs
@@ -0,0 +1,267 @@
+//! The edge's state and the inputs that change what it knows of the fleet.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use quillhatch_types::{
+    AdmissionLevel, AdmissionRank, CallId, Configuration, NodeAddress, NodeId, Revision, ServiceName, ServiceTable,
+    SiteName, Timestamp,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use quillhatch_types::hash::rank_position;
+
+use super::call::{Call, Phase};
+use super::caller::CallerLimits;
+use super::io::{EdgeInput, EdgeOutput};
+use super::service::ServiceState;
+use super::settings::EdgeSettings;
+use super::statistics::EdgeStatistics;
+
+/// What the edge knows of one target, for metrics and status.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetView {
+    /// The service.
+    pub service: ServiceName,
+    /// The node of the target; incarnation zero if only the configuration names it.
+    pub node: NodeId,
+    /// Attempts in flight from this edge, relayed bodies included.
+    pub in_flight: u32,
+    /// The admission level, as the edge believes it now.
+    pub level: AdmissionLevel,
+    /// Whether the target is ejected.
+    pub ejected: bool,
+    /// Whether membership suspects it.
+    pub suspected: bool,
+}
+
+/// The decisions of one node's edge.
+#[derive(Debug)]
+pub struct Edge {
+    pub(super) settings: EdgeSettings,
+    pub(super) services: BTreeMap<ServiceName, ServiceState>,
+    pub(super) calls: HashMap<CallId, Box<Call>>,
+    pub(super) callers: CallerLimits,
+    pub(super) random: Pcg64,
+    pub(super) statistics: EdgeStatistics,
+    pub(super) stopping: bool,
+    timers: BTreeSet<(Timestamp, CallId)>,
+    suspected: BTreeSet<NodeAddress>,
+    sites: Vec<SiteName>,
+    revision: Option<Revision>,
+}
+
+impl Edge {
+    /// An edge without a configuration: it refuses every call until it has one. All its random choices follow from `seed`.
+    pub fn new(settings: EdgeSettings, seed: u64) -> Self {
+        Edge {
+            callers: CallerLimits::new(settings.caller),
+            settings,
+            services: BTreeMap::new(),
+            calls: HashMap::new(),
+            random: Pcg64::seed_from_u64(seed),
+            statistics: EdgeStatistics::default(),
+            stopping: false,
+            timers: BTreeSet::new(),
+            suspected: BTreeSet::new(),
+            sites: Vec::new(),
+            revision: None,
+        }
+    }
+
+    /// Takes in what happened at `now` and appends what to do to `outputs`. `now` must not go backwards.
+    pub fn step(&mut self, now: Timestamp, input: EdgeInput, outputs: &mut Vec<EdgeOutput>) {
+        match input {
+            EdgeInput::Arrived(arrival) => self.arrived(now, arrival, outputs),
+            EdgeInput::CallerGone { call } => self.caller_gone(call, outputs),
+            EdgeInput::AttemptAnswered { attempt, result, feedback } => {
+                self.attempt_answered(now, attempt, &result, feedback, outputs);
+            }
+            EdgeInput::BodyEnded { attempt, broken } => self.body_ended(now, attempt, broken, outputs),
+            EdgeInput::Table(table) => self.accept_table(now, table, outputs),
+            EdgeInput::Configuration(configuration) => self.accept_configuration(&configuration),
+            EdgeInput::Suspicion { node, suspected } => self.suspect(node, suspected),
+            EdgeInput::Stop => self.stopping = true,
+            EdgeInput::Tick => {}
+        }
+        self.fire_timers(now, outputs);
+    }
+
+    /// When the edge wants to be stepped at the latest.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    /// What the edge did so far.
+    pub fn statistics(&self) -> &EdgeStatistics {
+        &self.statistics
+    }
+
+    /// Calls in progress, relayed ones included.
+    pub fn calls_in_progress(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Callers and keys that are remembered for the limits per caller.
+    pub fn remembered_callers_and_keys(&self) -> (usize, usize) {
+        self.callers.remembered()
+    }
+
+    /// The revision of the configuration in force.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// All targets, by service.
+    pub fn targets(&self, now: Timestamp) -> Vec<TargetView> {
+        let decay = self.settings.level.decay;
+        let of_service = |(name, service): (&ServiceName, &ServiceState)| -> Vec<TargetView> {
+            let targets = service.targets().iter();
+            targets
+                .map(|target| TargetView {
+                    service: name.clone(),
+                    node: target.node,
+                    in_flight: target.in_flight,
+                    level: target.level.effective(now, decay),
+                    ejected: target.outlier.is_ejected(now),
+                    suspected: target.suspected,
+                })
+                .collect()
+        };
+        self.services.iter().flat_map(of_service).collect()
+    }
+
+    /// Changes the salt of admission ranks.
+    ///
+    /// All nodes must use the same salt at about the same time, so that they refuse the same roots; a driver derives it from
+    /// what all nodes share, such as the hour of the wall clock. A slow change spreads refusals over all callers in time.
+    pub fn set_rank_salt(&mut self, salt: u64) {
+        self.settings.rank_salt = salt;
+    }
+
+    /// The place of the call's next attempt in the order of refusal.
+    pub(super) fn rank(&mut self, call: &Call) -> AdmissionRank {
+        let position = if self.settings.mechanisms.consistent_ranks {
+            rank_position(call.arrival.root, self.settings.rank_salt)
+        } else {
+            self.random.gen()
+        };
+        AdmissionRank::new(call.priority, call.ranks_as_retry, position)
+    }
+
+    /// Takes a call out of the state; it is kept again or dropped by the caller of this function.
+    pub(super) fn take(&mut self, id: CallId) -> Option<Box<Call>> {
+        let mut call = self.calls.remove(&id)?;
+        if let Some(at) = call.timer.take() {
+            self.timers.remove(&(at, id));
+        }
+        if let Phase::WaitingOwner { .. } = call.phase {
+            if let Some(service) = self.services.get_mut(&call.arrival.service) {
+                service.waiting.remove(&id);
+            }
+        }
+        Some(call)
+    }
+
+    /// Keeps a call in progress and sets its timer.
+    pub(super) fn keep(&mut self, now: Timestamp, mut call: Box<Call>) {
+        let id = call.id();
+        let wake = match call.phase {
+            Phase::Idle | Phase::InFlight(_) => Some(call.deadline.at()),
+            Phase::Backoff { until } => Some(until.min(call.deadline.at())),
+            Phase::WaitingOwner { until, .. } => {
+                let fetch_again = now + self.settings.owner.fetch_interval.max(MINIMUM_WAIT);
+                Some(until.min(fetch_again).min(call.deadline.at()))
+            }
+            Phase::Relaying(_) => None,
+        };
+        if let Some(at) = wake {
+            self.timers.insert((at, id));
+        }
+        if let Phase::WaitingOwner { .. } = call.phase {
+            if let Some(service) = self.services.get_mut(&call.arrival.service) {
+                service.waiting.insert(id);
+            }
+        }
+        call.timer = wake;
+        self.calls.insert(id, call);
+    }
+
+    fn fire_timers(&mut self, now: Timestamp, outputs: &mut Vec<EdgeOutput>) {
+        while let Some((at, id)) = self.timers.first().copied() {
+            if at > now {
+                return;
+            }
+            self.timers.remove(&(at, id));
+            let Some(call) = self.take(id) else {
+                continue;
+            };
+            if now >= call.deadline.at() {
+                self.expire(now, call, outputs);
+            } else {
+                self.dispatch(now, call, outputs);
+            }
+        }
+    }
+
+    fn accept_table(&mut self, now: Timestamp, table: Arc<ServiceTable>, outputs: &mut Vec<EdgeOutput>) {
+        // Tables of services or sites that are not configured would be memory without a bound.
+        if !self.sites.contains(&table.site) {
+            return;
+        }
+        let Some(service) = self.services.get_mut(&table.service) else {
+            return;
+        };
+        if !service.accept(table) {
+            return;
+        }
+        service.rebuild(&self.sites, &self.suspected);
+        for id in std::mem::take(&mut service.waiting) {
+            if let Some(call) = self.take(id) {
+                self.dispatch(now, call, outputs);
+            }
+        }
+    }
+
+    fn accept_configuration(&mut self, configuration: &Configuration) {
+        if self.revision.is_some_and(|known| configuration.revision <= known) {
+            return;
+        }
+        self.revision = Some(configuration.revision);
+        self.sites = configuration.sites.iter().map(|site| site.name.clone()).collect();
+        self.services.retain(|name, _| configuration.services.contains_key(name));
+        let burst = self.settings.retry.ratio_burst;
+        for (name, new) in &configuration.services {
+            match self.services.get_mut(name) {
+                Some(service) => service.reconfigure(new.clone(), burst),
+                None => {
+                    self.services.insert(name.clone(), ServiceState::new(new.clone(), burst));
+                }
+            }
+        }
+        self.rebuild_all();
+    }
+
+    fn rebuild_all(&mut self) {
+        for service in self.services.values_mut() {
+            service.rebuild(&self.sites, &self.suspected);
+        }
+    }
+
+    fn suspect(&mut self, node: NodeAddress, suspected: bool) {
+        if suspected {
+            self.suspected.insert(node);
+        } else {
+            self.suspected.remove(&node);
+        }
+        for service in self.services.values_mut() {
+            if let Some(target) = service.target(node) {
+                target.suspected = suspected;
+            }
+        }
+    }
+}
+
+/// Keeps a fetch interval of zero from waking the edge without end.
+const MINIMUM_WAIT: std::time::Duration = std::time::Duration::from_millis(1);
--- a/crates/calls/src/lib.rs
+++ b/crates/calls/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod edge;
 pub mod gate;
+pub mod wire;
