--- /dev/null
+++ b/crates/control/src/host/voters.rs
@@ -0,0 +1,82 @@
+//! The leader's care for the group's voters: one change at a time, towards the configured electorate.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use quillhatch_group::{GroupInput, VoterSet};
+use quillhatch_types::{NodeAddress, NodeId, Timestamp};
+
+use crate::host::{HostStep, ServiceHost};
+use crate::state::Command;
+
+/// How long a request to join is remembered.
+const JOIN_AGE: Duration = Duration::from_secs(2);
+
+/// How long the next change of voters waits for the owners to settle on the last one.
+const SETTLE_PATIENCE: Duration = Duration::from_secs(5);
+
+/// The least time between two tries to change the voters.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct VoterDuty {
+    agreed: Option<VoterSet>,
+    joining: BTreeMap<NodeAddress, (NodeId, Timestamp)>,
+    change: Option<u64>,
+    last_change: Timestamp,
+}
+
+impl VoterDuty {
+    pub fn on_changed(&mut self, voters: VoterSet) {
+        self.agreed = Some(voters);
+    }
+
+    pub fn on_join_requested(&mut self, now: Timestamp, node: NodeId) {
+        self.joining.insert(node.address, (node, now));
+    }
+
+    pub fn on_proposed(&mut self, ticket: u64) {
+        if self.change == Some(ticket) {
+            self.change = None;
+        }
+    }
+}
+
+impl ServiceHost {
+    /// Tells the agreed state of the voters that the group has agreed on.
+    pub(crate) fn voter_command(&self) -> Option<Command> {
+        let agreed: &BTreeSet<NodeId> = &self.voters.agreed.as_ref()?.voters;
+        (*agreed != self.state.voters).then(|| Command::SetVoters(agreed.iter().copied().collect()))
+    }
+
+    pub(crate) fn change_voters_if_due(&mut self, step: &mut HostStep<'_>) {
+        let (now, last) = (step.now, self.voters.last_change);
+        self.voters.joining.retain(|_, (_, at)| now.since(*at) < JOIN_AGE);
+        // While owners still settle on the last change, a takeover needs the voters before it.
+        let settled = self.state.previous_voters.is_empty() || now.since(last) > SETTLE_PATIENCE;
+        let agreed = self.voter_command().is_none();
+        if !self.state.is_founded() || !settled || !agreed || now.since(last) < CHANGE_INTERVAL {
+            return;
+        }
+        let Some((add, remove)) = self.wanted_change() else {
+            return;
+        };
+        self.tickets += 1;
+        self.voters.change = Some(self.tickets);
+        self.voters.last_change = now;
+        self.step_group(step, GroupInput::ChangeVoters { ticket: self.tickets, add, remove });
+    }
+
+    fn wanted_change(&self) -> Option<(Option<NodeId>, Option<NodeId>)> {
+        let wanted = &self.electorate;
+        let present = self.group.voters();
+        let newcomers = wanted.iter().filter_map(|address| self.voters.joining.get(address));
+        let mut missing = newcomers.filter(|(node, _)| !present.voters.contains(node));
+        if let Some((node, _)) = missing.next() {
+            return Some((Some(*node), None));
+        }
+        let complete = wanted.iter().all(|address| present.at(*address).is_some());
+        let mut surplus = present.voters.iter().filter(|voter| !wanted.contains(&voter.address));
+        surplus.next().filter(|_| complete).map(|voter| (None, Some(*voter)))
+    }
+}
