Group: agreement of a few nodes that keep no disk

Cause: ownership, drains and plans need one answer per service and site although every machine may lose its memory. Conclusion: a restarted node is a new participant and cannot contradict a forgotten vote.

--- /dev/null
+++ b/crates/group/src/change.rs
@@ -0,0 +1,98 @@
+//! Changes of voters: one at a time, agreed by the old voters and by the new.
+
+use std::collections::BTreeSet;
+
+use quillhatch_types::{NodeAddress, NodeId, Timestamp};
+
+use crate::group::Group;
+use crate::io::{GroupOutput, ProposalRefusal, ProposalResult};
+use crate::log::Payload;
+use crate::member::Member;
+use crate::settings::MAXIMUM_VOTERS;
+use crate::voters::VoterSet;
+
+/// A node may be taken in for so many inquiry intervals after it last proved to be alive.
+const JOINER_FRESHNESS_INTERVALS: u32 = 8;
+
+impl Group {
+    pub(crate) fn on_change_voters(
+        &mut self,
+        now: Timestamp,
+        ticket: u64,
+        add: Option<NodeId>,
+        remove: Option<NodeId>,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        let result = match self.changed_voters(now, add, remove) {
+            Ok(voters) => self.append_voters(now, voters, outputs),
+            Err(refusal) => ProposalResult::Refused(refusal),
+        };
+        outputs.push(GroupOutput::Proposed { ticket, result });
+    }
+
+    fn append_voters(&mut self, now: Timestamp, voters: VoterSet, outputs: &mut Vec<GroupOutput>) -> ProposalResult {
+        // Later answers are of a round that began after the change, so that they say something about the new voters.
+        self.survey.start_round(now + self.settings.formation_retry);
+        self.append_and_replicate(now, Payload::Voters(voters), outputs)
+    }
+
+    fn changed_voters(
+        &self,
+        now: Timestamp,
+        add: Option<NodeId>,
+        remove: Option<NodeId>,
+    ) -> Result<VoterSet, ProposalRefusal> {
+        let member = self.check_leading()?;
+        if member.change_pending() && self.settings.mechanisms.one_at_a_time {
+            return Err(ProposalRefusal::ChangePending);
+        }
+        let current = member.latest_voters();
+        let mut next = current.clone();
+        if let Some(node) = remove {
+            next.voters.remove(&node);
+        }
+        if let Some(node) = add {
+            self.check_joiner(now, member, node)?;
+            // The run that asks to be taken in proves that earlier runs at its address are dead.
+            next.voters.retain(|voter| voter.address != node.address);
+            next.voters.insert(node);
+        }
+        if next == current {
+            return Err(ProposalRefusal::NothingToChange);
+        }
+        if next.voters.is_empty() || next.voters.len() > MAXIMUM_VOTERS || !next.can_decide() {
+            return Err(ProposalRefusal::CannotDecide);
+        }
+        Ok(next)
+    }
+
+    /// A node that does not run must not be taken in: a group of one would then wait for it for ever.
+    fn check_joiner(&self, now: Timestamp, member: &Member, node: NodeId) -> Result<(), ProposalRefusal> {
+        if member.is_voter(&node) {
+            return Ok(());
+        }
+        let freshness = self.settings.formation_retry * JOINER_FRESHNESS_INTERVALS;
+        let seen = member.leadership().and_then(|leadership| leadership.joiners.get(&node));
+        match seen {
+            Some(seen) if now.since(*seen) <= freshness => Ok(()),
+            _ => Err(ProposalRefusal::NotAsking),
+        }
+    }
+
+    /// Brings the electorate one address closer to the configured one, so that majorities of both always meet.
+    pub(crate) fn walk_electorate(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some(requirements) = &self.requirements else {
+            return;
+        };
+        let wanted: BTreeSet<NodeAddress> = requirements.electorate.iter().copied().collect();
+        let Ok(member) = self.check_leading() else {
+            return;
+        };
+        if member.change_pending() {
+            return;
+        }
+        if let Some(next) = member.latest_voters().toward_electorate(&wanted) {
+            self.append_voters(now, next, outputs);
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/election.rs
@@ -0,0 +1,279 @@
+//! Elections: pre-vote, votes, and handing leadership on.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use quillhatch_types::{NodeId, Timestamp};
+
+use crate::group::Group;
+use crate::io::GroupOutput;
+use crate::log::{Entry, Payload};
+use crate::member::{Leadership, Member, Position, Progress, Transfer};
+use crate::message::{GroupMessage, VoteReply, VoteRequest};
+
+impl Group {
+    pub(crate) fn campaign_if_due(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some(member) = &self.member else {
+            return;
+        };
+        let allowed = member.is_voter(&self.node) && !self.stopping;
+        if !allowed || now < member.election_deadline {
+            return;
+        }
+        if self.settings.mechanisms.pre_vote {
+            self.ask_beforehand(now, outputs);
+        } else {
+            self.campaign(now, false, outputs);
+        }
+    }
+
+    fn ask_beforehand(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        self.rearm_election(now);
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        member.leader = None;
+        member.position = Position::PreCandidate { granted: BTreeSet::from([self.node]) };
+        let term = member.term + 1;
+        self.request_votes(term, true, false, outputs);
+        self.count_votes(now, outputs);
+    }
+
+    fn campaign(&mut self, now: Timestamp, transfer: bool, outputs: &mut Vec<GroupOutput>) {
+        self.rearm_election(now);
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        member.term += 1;
+        member.vote = Some(self.node);
+        member.leader = None;
+        member.position = Position::Candidate { granted: BTreeSet::from([self.node]) };
+        let term = member.term;
+        self.request_votes(term, false, transfer, outputs);
+        self.count_votes(now, outputs);
+    }
+
+    fn request_votes(&self, term: u64, pre_vote: bool, transfer: bool, outputs: &mut Vec<GroupOutput>) {
+        let Some(member) = &self.member else {
+            return;
+        };
+        let Some(sets) = self.active_sets(member) else {
+            return;
+        };
+        let request = VoteRequest {
+            identity: member.record.identity,
+            term,
+            last_index: member.log.last_index(),
+            last_term: member.log.last_term(),
+            pre_vote,
+            transfer,
+        };
+        for voter in sets.members() {
+            if voter != self.node {
+                self.send(voter, GroupMessage::VoteRequest(request), outputs);
+            }
+        }
+    }
+
+    pub(crate) fn on_vote_request(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        request: VoteRequest,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        let granted = self.consider_vote(now, from, request);
+        let Some(member) = &self.member else {
+            return;
+        };
+        let term = if granted { request.term } else { member.term };
+        let reply = VoteReply { identity: request.identity, term, granted, pre_vote: request.pre_vote };
+        self.send(from, GroupMessage::VoteReply(reply), outputs);
+    }
+
+    fn consider_vote(&mut self, now: Timestamp, from: NodeId, request: VoteRequest) -> bool {
+        let mechanisms = self.settings.mechanisms;
+        if self.hears_leader(now) && !request.transfer {
+            return false;
+        }
+        let Some(member) = &self.member else {
+            return false;
+        };
+        let complete = !mechanisms.complete_log_vote
+            || (request.last_term, request.last_index) >= (member.log.last_term(), member.log.last_index());
+        if request.pre_vote {
+            return request.term > member.term && complete;
+        }
+        if request.term > member.term {
+            self.follow_term(now, request.term);
+        }
+        let Some(member) = &mut self.member else {
+            return false;
+        };
+        let unspent = member.vote.is_none() || member.vote == Some(from) || !mechanisms.single_vote;
+        if request.term < member.term || !unspent || !complete {
+            return false;
+        }
+        member.vote = Some(from);
+        self.rearm_election(now);
+        true
+    }
+
+    /// Whether this node is in contact with a leader and therefore helps no other, which the leader's lease rests on.
+    fn hears_leader(&self, now: Timestamp) -> bool {
+        let Some(member) = &self.member else {
+            return false;
+        };
+        let recent = now.since(member.contact) < self.settings.election_timeout_minimum;
+        self.settings.mechanisms.check_quorum && recent && member.leader.is_some()
+    }
+
+    /// Goes to a higher term as a follower without a vote.
+    pub(crate) fn follow_term(&mut self, now: Timestamp, term: u64) {
+        if self.member.as_ref().is_some_and(Member::is_leader) {
+            self.rearm_election(now);
+        }
+        if let Some(member) = &mut self.member {
+            member.term = term;
+            member.vote = None;
+            member.leader = None;
+            member.position = Position::Follower;
+        }
+    }
+
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        reply: VoteReply,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        if !reply.granted {
+            if reply.term > member.term {
+                self.follow_term(now, reply.term);
+            }
+            return;
+        }
+        let expected = if reply.pre_vote { member.term + 1 } else { member.term };
+        if reply.term != expected {
+            return;
+        }
+        match &mut member.position {
+            Position::PreCandidate { granted } if reply.pre_vote => granted.insert(from),
+            Position::Candidate { granted } if !reply.pre_vote => granted.insert(from),
+            _ => return,
+        };
+        self.count_votes(now, outputs);
+    }
+
+    fn count_votes(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some(member) = &self.member else {
+            return;
+        };
+        let Some(sets) = self.active_sets(member) else {
+            return;
+        };
+        match &member.position {
+            Position::PreCandidate { granted } if sets.is_quorum(|voter| granted.contains(voter)) => {
+                self.campaign(now, false, outputs);
+            }
+            Position::Candidate { granted } if sets.is_quorum(|voter| granted.contains(voter)) => {
+                self.lead(now, outputs);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes up leadership of the current term.
+    pub(crate) fn lead(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        self.survey.start_round(now + self.settings.formation_retry);
+        let node = self.node;
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        let opening = member.log.append(Entry { term: member.term, payload: Payload::Opening });
+        member.leader = Some(node);
+        member.contact = now;
+        member.position = Position::Leader(Leadership {
+            progress: BTreeMap::new(),
+            heartbeat_due: now + self.settings.heartbeat,
+            lease_until: None,
+            opening,
+            transfer: None,
+            joiners: BTreeMap::new(),
+        });
+        // In a group that has agreed on nothing yet the others most likely have an empty log.
+        let next_index = if member.commit == 0 { 1 } else { opening };
+        self.align_progress(next_index);
+        self.replicate_to_all(now, outputs);
+    }
+
+    /// Keeps one progress record per other node that must get the log.
+    pub(crate) fn align_progress(&mut self, next_index: u64) {
+        let node = self.node;
+        let Some(member) = &self.member else {
+            return;
+        };
+        let Some(sets) = self.active_sets(member) else {
+            return;
+        };
+        let mut members = sets.members();
+        members.remove(&node);
+        let Some(leadership) = self.member.as_mut().and_then(Member::leadership_mut) else {
+            return;
+        };
+        leadership.progress.retain(|peer, _| members.contains(peer));
+        for peer in members {
+            leadership.progress.entry(peer).or_insert_with(|| Progress::starting_at(next_index));
+        }
+    }
+
+    pub(crate) fn on_stop(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        self.stopping = true;
+        self.attempt = None;
+        self.continue_transfer(now, outputs);
+    }
+
+    /// While stopping, hands leadership to the voter that is furthest; asks another if that one does not take it.
+    pub(crate) fn continue_transfer(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        if !self.stopping {
+            return;
+        }
+        let patience = self.settings.election_timeout_minimum;
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        let (identity, term, last_index) = (member.record.identity, member.term, member.log.last_index());
+        let voters = member.latest_voters().voters;
+        let Some(leadership) = member.leadership_mut() else {
+            return;
+        };
+        if leadership.transfer.is_some_and(|transfer| now.since(transfer.since) < patience) {
+            return;
+        }
+        let tried = leadership.transfer.map(|transfer| transfer.to);
+        let candidates = leadership.progress.iter().filter(|(peer, progress)| {
+            voters.contains(peer) && progress.match_index == last_index && Some(**peer) != tried
+        });
+        let best = candidates.max_by_key(|(_, progress)| progress.answered).map(|(peer, _)| *peer);
+        let Some(to) = best.or(tried) else {
+            return;
+        };
+        // Voters may elect the receiver at once, whatever lease they granted, so the lease ends here.
+        leadership.lease_until = None;
+        leadership.transfer = Some(Transfer { to, since: now });
+        self.send(to, GroupMessage::ElectNow { identity, term }, outputs);
+    }
+
+    pub(crate) fn on_elect_now(&mut self, now: Timestamp, from: NodeId, term: u64, outputs: &mut Vec<GroupOutput>) {
+        let Some(member) = &self.member else {
+            return;
+        };
+        let current = member.term == term && member.leader == Some(from);
+        if current && member.is_voter(&self.node) && !self.stopping {
+            self.campaign(now, true, outputs);
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/follower.rs
@@ -0,0 +1,195 @@
+//! The follower's side of replication, and handing agreed entries to the host.
+
+use quillhatch_types::{NodeId, Timestamp};
+
+use crate::group::Group;
+use crate::io::GroupOutput;
+use crate::log::Payload;
+use crate::member::{Member, Position};
+use crate::message::{Append, AppendReply, GroupMessage};
+
+impl Group {
+    pub(crate) fn on_append(&mut self, now: Timestamp, from: NodeId, append: Append, outputs: &mut Vec<GroupOutput>) {
+        let accepted = self.accept_leader(now, from, append.term, outputs);
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        let taken = match accepted {
+            true => take_entries(member, &append),
+            // The answer's higher term tells the sender that it leads no more; in the same term there is no other leader.
+            false if append.term < member.term => Taken::Misfit { retry_at: 0 },
+            false => Taken::Contradiction,
+        };
+        let (success, index) = match taken {
+            Taken::Fitted { up_to } => (true, up_to),
+            Taken::Misfit { retry_at } => (false, retry_at),
+            // The sender would only send the same again.
+            Taken::Contradiction => return,
+        };
+        let reply =
+            AppendReply { identity: member.record.identity, term: member.term, sent: append.sent, success, index };
+        self.send(from, GroupMessage::AppendReply(reply), outputs);
+    }
+
+    /// Follows `from` as the leader of `term`, unless the term is over.
+    pub(crate) fn accept_leader(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        term: u64,
+        outputs: &mut Vec<GroupOutput>,
+    ) -> bool {
+        let Some(member) = &self.member else {
+            return false;
+        };
+        if term < member.term || (term == member.term && member.is_leader()) {
+            return false;
+        }
+        if term > member.term {
+            self.follow_term(now, term);
+        }
+        self.rearm_election(now);
+        let lease = self.settings.lease;
+        let Some(member) = &mut self.member else {
+            return false;
+        };
+        member.position = Position::Follower;
+        member.leader = Some(from);
+        // A node that was told of the leader never votes for another in the same term, also if it never voted.
+        member.vote = Some(from);
+        member.contact = now;
+        outputs.push(GroupOutput::LeaseGranted { until: now + lease });
+        true
+    }
+
+    /// Hands out what is agreed and not handed out yet, and leaves if the agreed voters exclude this node.
+    pub(crate) fn hand_out(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        while member.handed_out < member.commit {
+            let index = member.handed_out + 1;
+            let Some(entry) = member.log.get(index) else {
+                break;
+            };
+            member.handed_out = index;
+            match &entry.payload {
+                Payload::Opening => {}
+                Payload::Voters(set) => outputs.push(GroupOutput::VotersChanged { voters: set.clone() }),
+                Payload::Command(command) => {
+                    let command = command.clone();
+                    outputs.push(GroupOutput::Committed { index, term: entry.term, command });
+                }
+            }
+        }
+        self.ask_for_snapshot(outputs);
+        self.leave_if_removed(now, outputs);
+    }
+
+    /// Leaves when the agreed voters no longer name this node; a newcomer whose log does not name it yet stays.
+    fn leave_if_removed(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let node = self.node;
+        let Some(member) = &mut self.member else {
+            return;
+        };
+        if member.change_pending() {
+            return;
+        }
+        let named = member.is_voter(&node);
+        let removed = member.was_voter && !named;
+        member.was_voter |= named;
+        if !removed {
+            return;
+        }
+        if member.is_leader() {
+            self.replicate_to_all(now, outputs);
+        }
+        self.retire(now, outputs);
+    }
+
+    /// Leaves but remembers: this run may be taken in again, and must then know what it voted for and answered.
+    pub(crate) fn retire(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some(mut member) = self.member.take() else {
+            return;
+        };
+        member.position = Position::Follower;
+        member.leader = None;
+        member.was_voter = false;
+        self.retired = Some(member);
+        self.after_leaving(now, outputs);
+    }
+
+    /// Forgets the group's state for good, and with it the right to ever answer that group again.
+    pub(crate) fn leave_for_good(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        if let Some(retired) = self.retired.take() {
+            self.abandon_group(retired.record.identity);
+        }
+        if let Some(member) = self.member.take() {
+            self.abandon_group(member.record.identity);
+            self.after_leaving(now, outputs);
+        }
+    }
+
+    fn after_leaving(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        self.waiting_since = now;
+        self.eligible_since = None;
+        self.survey.start_round(now);
+        outputs.push(GroupOutput::Removed);
+    }
+
+    /// Takes the memory of an earlier membership up again; the host gets all of its state anew.
+    pub(crate) fn resume(&mut self, now: Timestamp, mut member: Member, outputs: &mut Vec<GroupOutput>) {
+        let record = member.record;
+        let index = member.log.base_index();
+        member.handed_out = index;
+        member.contact = now;
+        outputs.push(GroupOutput::Formed {
+            generation: record.identity.generation,
+            claims_lost: record.claims_lost,
+            epoch: record.epoch,
+        });
+        if index > 0 {
+            outputs.push(GroupOutput::InstallSnapshot { index, bytes: member.log.snapshot().to_vec() });
+        }
+        self.member = Some(member);
+        self.rearm_election(now);
+    }
+}
+
+/// What became of the entries of an append.
+enum Taken {
+    /// Both logs agree up to there.
+    Fitted { up_to: u64 },
+    /// The entry before the first one is another; the leader should try after this index.
+    Misfit { retry_at: u64 },
+    /// An agreed entry would have to be replaced, which no leader can rightly ask.
+    Contradiction,
+}
+
+/// Takes the entries if they fit.
+fn take_entries(member: &mut Member, append: &Append) -> Taken {
+    let base = member.log.base_index();
+    let last = member.log.last_index();
+    let known = append.previous_index < base || member.log.term_at(append.previous_index) == Some(append.previous_term);
+    if !known && append.previous_index <= member.commit {
+        return Taken::Contradiction;
+    }
+    if !known {
+        let earlier = append.previous_index.saturating_sub(1);
+        return Taken::Misfit { retry_at: earlier.min(last) };
+    }
+    let mut index = append.previous_index;
+    for entry in &append.entries {
+        index += 1;
+        if index <= base || member.log.term_at(index) == Some(entry.term) {
+            continue;
+        }
+        if index <= member.commit {
+            return Taken::Contradiction;
+        }
+        member.log.truncate_from(index);
+        member.log.append(entry.clone());
+    }
+    member.commit = member.commit.max(append.commit_index.min(index)).min(member.log.last_index());
+    Taken::Fitted { up_to: index }
+}
--- /dev/null
+++ b/crates/group/src/forming.rs
@@ -0,0 +1,399 @@
+//! Forming a group when nobody has one, and the fence between an older group and a newer.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+use quillhatch_types::{Generation, NodeAddress, NodeId, Timestamp};
+
+use crate::group::Group;
+use crate::io::{FormRequirements, GroupOutput};
+use crate::log::{Entry, Payload};
+use crate::member::Member;
+use crate::message::{Answer, FormReply, FormRequest, FormationRecord, GroupIdentity, GroupMessage};
+use crate::voters::VoterSet;
+
+/// Generations are raised by a random step up to this when memory may have been lost.
+///
+/// Two formings that do not know of each other then hardly ever get the same generation. If they do, the founder still
+/// tells the groups apart.
+const GENERATION_STRIDE: u64 = 1 << 16;
+
+/// How many given-up groups are remembered by name.
+const MAXIMUM_ABANDONED_GROUPS: usize = 16;
+
+/// A forming that this node tries.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Attempt {
+    pub request: FormRequest,
+    pub granted: BTreeSet<NodeId>,
+    pub resend_at: Timestamp,
+    pub ends_at: Timestamp,
+}
+
+/// The newest group that this node consented to or joined.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Promise {
+    pub record: FormationRecord,
+    pub at: Timestamp,
+    /// Until then the node helps no other founder, so that a forming can come to its end.
+    pub engaged_until: Timestamp,
+    pub joined: bool,
+}
+
+/// A node that answered that it would take part in a forming.
+struct Ready {
+    node: NodeId,
+    blank: bool,
+    state: (Generation, u64),
+}
+
+impl Group {
+    pub(crate) fn on_form(&mut self, now: Timestamp, requirements: FormRequirements, outputs: &mut Vec<GroupOutput>) {
+        self.remembered_generation = self.remembered_generation.max(requirements.minimum_generation);
+        self.remembered_epoch = self.remembered_epoch.max(requirements.minimum_epoch);
+        let first = self.requirements.is_none();
+        if self.requirements.as_ref() == Some(&requirements) {
+            return;
+        }
+        self.requirements = Some(requirements);
+        if first && self.member.is_none() {
+            self.waiting_since = now;
+            self.ask_peers(now, outputs);
+            // A node alone in the electorate has nobody to wait for.
+            self.form_if_complete(now, outputs);
+        }
+    }
+
+    /// Whether this node would consent to a forming now.
+    ///
+    /// A node that has just started waits as long as a promise to a leader that it may have forgotten could last.
+    pub(crate) fn is_free(&self, now: Timestamp) -> bool {
+        let started = self.started.unwrap_or(now);
+        let settled = now.since(started) >= self.settings.election_timeout_minimum;
+        if !settled || self.stopping {
+            return false;
+        }
+        let Some(member) = &self.member else {
+            return true;
+        };
+        let silence = now.since(member.contact);
+        let unled = !member.is_leader() && silence >= self.settings.election_timeout_minimum;
+        unled && (self.proven_dead(member) || silence >= self.settings.abandon_after)
+    }
+
+    fn ready_nodes(&self, now: Timestamp, electorate: &BTreeSet<NodeAddress>) -> Vec<Ready> {
+        let own = self.answer(now, 0, self.node);
+        let own = std::iter::once((self.node, &own));
+        let others = self.survey.answers.values().map(|(node, answer)| (*node, answer));
+        let answers = own.chain(others).filter(|(node, answer)| answer.free && electorate.contains(&node.address));
+        let mut ready: Vec<Ready> = answers.map(|(node, answer)| ready_from(node, answer)).collect();
+        // Whoever kept most of an older group's state founds, so that its host can propose what it still knows.
+        ready.sort_by_key(|ready| (Reverse(ready.state), ready.node));
+        ready
+    }
+
+    fn group_exists(&self) -> bool {
+        self.survey.answers.values().any(|(_, answer)| answer.view.is_some() && !answer.free)
+    }
+
+    fn may_found(&self, now: Timestamp, electorate: &BTreeSet<NodeAddress>) -> bool {
+        let involved = self.attempt.is_some() || self.is_engaged(now, self.node) || now < self.found_after;
+        electorate.contains(&self.node.address) && self.is_free(now) && !involved && !self.group_exists()
+    }
+
+    /// Whether a recent consent to another founder is still open.
+    pub(crate) fn is_engaged(&self, now: Timestamp, founder: NodeId) -> bool {
+        self.promise.as_ref().is_some_and(|promise| {
+            let open = !promise.joined && now < promise.engaged_until;
+            open && promise.record.identity.founder != founder
+        })
+    }
+
+    /// Forms at once when all of the electorate have answered that they are free.
+    pub(crate) fn form_if_complete(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some((electorate, ready)) = self.electorate_and_ready(now) else {
+            return;
+        };
+        if ready.len() == electorate.len() && ready.first().is_some_and(|first| first.node == self.node) {
+            self.start_attempt(now, electorate, ready, outputs);
+        }
+    }
+
+    /// At the end of a round: forms with a majority once the rest has been waited for.
+    pub(crate) fn end_round(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let Some((electorate, ready)) = self.electorate_and_ready(now) else {
+            self.eligible_since = None;
+            return;
+        };
+        let waited = now.since(self.waiting_since) >= self.settings.formation_wait;
+        if !waited || ready.len() * 2 <= electorate.len() {
+            self.eligible_since = None;
+            return;
+        }
+        let eligible_since = *self.eligible_since.get_or_insert(now);
+        let rank = ready.iter().position(|ready| ready.node == self.node).unwrap_or(ready.len());
+        // The first in order founds; the next ones only if nothing came of it.
+        let turn = eligible_since + self.settings.formation_wait * u32::try_from(rank).unwrap_or(u32::MAX);
+        if now >= turn {
+            self.start_attempt(now, electorate, ready, outputs);
+        }
+    }
+
+    fn electorate_and_ready(&self, now: Timestamp) -> Option<(BTreeSet<NodeAddress>, Vec<Ready>)> {
+        let requirements = self.requirements.as_ref()?;
+        let electorate: BTreeSet<NodeAddress> = requirements.electorate.iter().copied().collect();
+        if !self.may_found(now, &electorate) {
+            return None;
+        }
+        let ready = self.ready_nodes(now, &electorate);
+        Some((electorate, ready))
+    }
+
+    fn start_attempt(
+        &mut self,
+        now: Timestamp,
+        electorate: BTreeSet<NodeAddress>,
+        ready: Vec<Ready>,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        let complete = ready.len() == electorate.len();
+        let proven_new = complete && ready.iter().all(|ready| ready.blank);
+        let claims_lost = !proven_new && self.settings.mechanisms.loss_statement;
+        let step = if proven_new { 1 } else { self.random.stride(GENERATION_STRIDE) };
+        let generation = Generation(self.remembered_generation.0 + step);
+        let identity = GroupIdentity { generation, founder: self.node };
+        let record = FormationRecord { identity, claims_lost, epoch: self.remembered_epoch };
+        let voters = ready.iter().map(|ready| ready.node).collect();
+        let request = FormRequest { record, voters: VoterSet { voters, electorate } };
+        self.leave_for_good(now, outputs);
+        self.consent(now, record);
+        self.attempt = Some(Attempt {
+            request,
+            granted: BTreeSet::from([self.node]),
+            resend_at: now,
+            ends_at: now + self.settings.formation_wait,
+        });
+        self.resend_attempt(now, outputs);
+        self.found_if_granted(now, outputs);
+    }
+
+    fn consent(&mut self, now: Timestamp, record: FormationRecord) {
+        self.remembered_generation = self.remembered_generation.max(record.identity.generation);
+        let engaged_until = now + self.settings.formation_wait;
+        self.promise = Some(Promise { record, at: now, engaged_until, joined: false });
+    }
+
+    pub(crate) fn resend_attempt(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let retry = self.settings.formation_retry;
+        let Some(attempt) = &mut self.attempt else {
+            return;
+        };
+        if now < attempt.resend_at {
+            return;
+        }
+        if now > attempt.ends_at {
+            self.end_attempt(now);
+            return;
+        }
+        attempt.resend_at = now + retry;
+        let request = attempt.request.clone();
+        for voter in request.voters.voters.difference(&attempt.granted) {
+            outputs.push(GroupOutput::Send { to: *voter, message: GroupMessage::FormRequest(request.clone()) });
+        }
+    }
+
+    /// Gives an attempt up: this node may help another founder now, and tries again only after a while.
+    ///
+    /// Without the pause two founders could refuse each other for ever.
+    fn end_attempt(&mut self, now: Timestamp) {
+        let settings = &self.settings;
+        let pause = self.random.span(settings.formation_retry, settings.formation_wait);
+        self.attempt = None;
+        self.eligible_since = None;
+        self.found_after = now + pause;
+        if let Some(promise) = &mut self.promise {
+            promise.engaged_until = now;
+        }
+    }
+
+    pub(crate) fn on_form_request(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        request: FormRequest,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        let identity = request.record.identity;
+        let granted = self.consider_forming(now, from, &request);
+        if granted && !self.has_consented(identity) {
+            self.leave_for_good(now, outputs);
+            self.attempt = None;
+            self.consent(now, request.record);
+        }
+        let reply = FormReply { identity, granted, generation: self.remembered_generation };
+        self.send(from, GroupMessage::FormReply(reply), outputs);
+    }
+
+    fn has_consented(&self, identity: GroupIdentity) -> bool {
+        self.promise.as_ref().is_some_and(|promise| promise.record.identity == identity)
+    }
+
+    fn consider_forming(&self, now: Timestamp, from: NodeId, request: &FormRequest) -> bool {
+        let identity = request.record.identity;
+        if identity.founder != from || !request.voters.voters.contains(&self.node) {
+            return false;
+        }
+        if self.has_consented(identity) {
+            return !self.abandoned_groups.contains(&identity);
+        }
+        // Two nodes with different configurations must not form a group that only one of them would have formed.
+        let same_electorate = self.requirements.as_ref().is_none_or(|requirements| {
+            let own: BTreeSet<NodeAddress> = requirements.electorate.iter().copied().collect();
+            own == request.voters.electorate
+        });
+        let above = identity.generation > self.remembered_generation;
+        same_electorate && above && self.is_free(now) && !self.is_engaged(now, from)
+    }
+
+    pub(crate) fn on_form_reply(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        reply: FormReply,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        self.remembered_generation = self.remembered_generation.max(reply.generation);
+        let Some(attempt) = &mut self.attempt else {
+            return;
+        };
+        if reply.identity != attempt.request.record.identity {
+            return;
+        }
+        if !reply.granted {
+            self.end_attempt(now);
+            return;
+        }
+        attempt.granted.insert(from);
+        self.found_if_granted(now, outputs);
+    }
+
+    /// With the consent of every first voter, leads the new group's first term.
+    fn found_if_granted(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        let complete = self.attempt.as_ref().is_some_and(|attempt| {
+            let voters = &attempt.request.voters;
+            voters.voters.is_subset(&attempt.granted)
+        });
+        if !complete {
+            return;
+        }
+        let Some(attempt) = self.attempt.take() else {
+            return;
+        };
+        self.join(now, attempt.request.record, outputs);
+        if let Some(member) = &mut self.member {
+            member.vote = Some(self.node);
+            member.log.append(Entry { term: member.term, payload: Payload::Voters(attempt.request.voters) });
+        }
+        self.lead(now, outputs);
+    }
+
+    /// Becomes a member with an empty log. The founder leads the first term, so everybody else's vote in it is spent.
+    pub(crate) fn join(&mut self, now: Timestamp, record: FormationRecord, outputs: &mut Vec<GroupOutput>) {
+        let identity = record.identity;
+        if let Some(retired) = self.retired.take_if(|retired| retired.record.identity == identity) {
+            self.resume(now, retired, outputs);
+            return;
+        }
+        self.leave_for_good(now, outputs);
+        let mut member = Member::follower(record, now, now);
+        member.term = FIRST_TERM;
+        member.vote = Some(identity.founder);
+        self.member = Some(member);
+        self.rearm_election(now);
+        self.attempt = None;
+        self.eligible_since = None;
+        self.remembered_generation = self.remembered_generation.max(identity.generation);
+        self.remembered_epoch = self.remembered_epoch.max(record.epoch);
+        self.promise = Some(Promise { record, at: now, engaged_until: now, joined: true });
+        let (claims_lost, epoch) = (record.claims_lost, record.epoch);
+        outputs.push(GroupOutput::Formed { generation: identity.generation, claims_lost, epoch });
+    }
+
+    /// Decides whether a message within a group concerns this node, joining the sender's group if it may.
+    pub(crate) fn enter_group_of(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: &GroupMessage,
+        outputs: &mut Vec<GroupOutput>,
+    ) -> bool {
+        let Some(identity) = message.identity() else {
+            return false;
+        };
+        if self.identity() == Some(identity) {
+            return true;
+        }
+        let offered = message.leader_record().or_else(|| self.record_for_vote(identity, message));
+        if let Some(record) = offered.filter(|_| self.may_join(now, identity)) {
+            self.join(now, record, outputs);
+            return true;
+        }
+        let request = matches!(message, GroupMessage::Append(_) | GroupMessage::VoteRequest(_));
+        if self.member.is_some() && request {
+            let answer = self.answer(now, 0, from);
+            self.send(from, GroupMessage::Answer(answer), outputs);
+        }
+        false
+    }
+
+    /// A first voter that consented may vote before the founder's first message has reached it.
+    fn record_for_vote(&self, identity: GroupIdentity, message: &GroupMessage) -> Option<FormationRecord> {
+        if !matches!(message, GroupMessage::VoteRequest(_)) || self.member.is_some() {
+            return None;
+        }
+        if !self.settings.mechanisms.incarnation_identity {
+            return Some(FormationRecord { identity, claims_lost: false, epoch: self.remembered_epoch });
+        }
+        let promise = self.promise.as_ref()?;
+        (promise.record.identity == identity && !promise.joined).then_some(promise.record)
+    }
+
+    /// The fence: having consented to a group, a node answers no older one, unless it gives the newer up for good.
+    fn may_join(&mut self, now: Timestamp, identity: GroupIdentity) -> bool {
+        if !self.settings.mechanisms.forming_fence {
+            return true;
+        }
+        if self.abandoned_groups.contains(&identity) {
+            return false;
+        }
+        let Some(promise) = &self.promise else {
+            return true;
+        };
+        let promised = promise.record.identity;
+        if identity == promised || identity.generation > promised.generation {
+            return true;
+        }
+        let unused = !promise.joined && now.since(promise.at) >= self.settings.abandon_after;
+        let dead = self.member.as_ref().is_some_and(|member| self.proven_dead(member));
+        if unused || dead {
+            self.abandon_group(promised);
+            return true;
+        }
+        false
+    }
+
+    pub(crate) fn abandon_group(&mut self, identity: GroupIdentity) {
+        self.abandoned_groups.insert(identity);
+        if self.abandoned_groups.len() > MAXIMUM_ABANDONED_GROUPS {
+            self.abandoned_groups.pop_first();
+        }
+    }
+}
+
+/// The term that a group starts in.
+const FIRST_TERM: u64 = 1;
+
+fn ready_from(node: NodeId, answer: &Answer) -> Ready {
+    let state = answer.view.as_ref().map(|view| (view.identity.generation, view.commit_index));
+    Ready { node, blank: answer.blank, state: state.unwrap_or_default() }
+}
--- /dev/null
+++ b/crates/group/src/group.rs
@@ -0,0 +1,343 @@
+//! The group's state machine: entry point, accessors and what all parts of it share.
+
+use std::collections::BTreeSet;
+
+use quillhatch_types::{Epoch, Generation, Incarnation, NodeId, Timestamp};
+
+use crate::forming::{Attempt, Promise};
+use crate::io::{FormRequirements, GroupInput, GroupOutput, Role};
+use crate::log::Entry;
+use crate::member::{Member, Position};
+use crate::message::{GroupIdentity, GroupMessage, GroupView};
+use crate::random::Random;
+use crate::settings::{GroupMechanisms, GroupSettings};
+use crate::survey::Survey;
+use crate::voters::{ActiveSets, VoterSet};
+
+/// One node's part in the agreement of a small group.
+///
+/// It keeps everything in memory. A restarted node starts as an outsider under a new incarnation, and is taken in anew.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Group {
+    pub(crate) node: NodeId,
+    pub(crate) settings: GroupSettings,
+    pub(crate) random: Random,
+    pub(crate) last_step: Timestamp,
+    pub(crate) started: Option<Timestamp>,
+    pub(crate) stopping: bool,
+    pub(crate) member: Option<Member>,
+    /// What a node keeps of a group that removed it.
+    pub(crate) retired: Option<Member>,
+    pub(crate) requirements: Option<FormRequirements>,
+    /// Since when this node waits for a group or for the rest of the electorate.
+    pub(crate) waiting_since: Timestamp,
+    /// Since when a majority of the electorate was found free.
+    pub(crate) eligible_since: Option<Timestamp>,
+    /// Not before then does this node try to form a group again.
+    pub(crate) found_after: Timestamp,
+    pub(crate) survey: Survey,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) promise: Option<Promise>,
+    /// Groups that this node has given up and will never answer again.
+    pub(crate) abandoned_groups: BTreeSet<GroupIdentity>,
+    /// A group seen elsewhere.
+    pub(crate) known: Option<GroupView>,
+    pub(crate) remembered_generation: Generation,
+    pub(crate) remembered_epoch: Epoch,
+}
+
+/// Role, term and leader, compared before and after a step.
+type Standing = (Role, u64, Option<NodeId>);
+
+impl Group {
+    /// A node without memory. `seed` drives the random spread of its timeouts.
+    pub fn new(node: NodeId, settings: GroupSettings, seed: u64) -> Self {
+        let node = canonical(node, &settings.mechanisms);
+        Self {
+            node,
+            settings,
+            random: Random::from_seed(seed),
+            last_step: Timestamp::ZERO,
+            started: None,
+            stopping: false,
+            member: None,
+            retired: None,
+            requirements: None,
+            waiting_since: Timestamp::ZERO,
+            eligible_since: None,
+            found_after: Timestamp::ZERO,
+            survey: Survey::default(),
+            attempt: None,
+            promise: None,
+            abandoned_groups: BTreeSet::new(),
+            known: None,
+            remembered_generation: Generation::default(),
+            remembered_epoch: Epoch::default(),
+        }
+    }
+
+    /// Takes one input and appends what must be done to `outputs`.
+    pub fn step(&mut self, now: Timestamp, input: GroupInput, outputs: &mut Vec<GroupOutput>) {
+        let now = now.max(self.last_step);
+        if self.started.is_none() {
+            self.started = Some(now);
+            self.waiting_since = now;
+        }
+        let before = self.standing();
+        self.fence_late_wake(now);
+        self.dispatch(now, input, outputs);
+        self.advance_commit();
+        self.hand_out(now, outputs);
+        self.last_step = now;
+        let after = self.standing();
+        if before != after {
+            let (role, term, leader) = after;
+            outputs.push(GroupOutput::RoleChanged { role, term, leader });
+        }
+    }
+
+    fn dispatch(&mut self, now: Timestamp, input: GroupInput, outputs: &mut Vec<GroupOutput>) {
+        match input {
+            GroupInput::Tick => self.on_tick(now, outputs),
+            GroupInput::Message { from, message } => {
+                let from = canonical(from, &self.settings.mechanisms);
+                self.on_message(now, from, message, outputs);
+            }
+            GroupInput::Propose { ticket, command } => self.on_propose(now, ticket, command, outputs),
+            GroupInput::ChangeVoters { ticket, add, remove } => {
+                self.on_change_voters(now, ticket, add, remove, outputs);
+            }
+            GroupInput::Snapshot { index, bytes } => self.on_host_snapshot(index, bytes),
+            GroupInput::Form(requirements) => self.on_form(now, requirements, outputs),
+            GroupInput::Stop => self.on_stop(now, outputs),
+        }
+    }
+
+    fn on_tick(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
+        if self.member.as_ref().is_some_and(Member::is_leader) {
+            self.lead_on_tick(now, outputs);
+            return;
+        }
+        self.campaign_if_due(now, outputs);
+        self.resend_attempt(now, outputs);
+        self.survey_if_due(now, outputs);
+    }
+
+    fn on_message(&mut self, now: Timestamp, from: NodeId, message: GroupMessage, outputs: &mut Vec<GroupOutput>) {
+        match message {
+            GroupMessage::Inquiry { round } => self.on_inquiry(now, from, round, outputs),
+            GroupMessage::Answer(answer) => self.on_answer(now, from, answer, outputs),
+            GroupMessage::FormRequest(request) => self.on_form_request(now, from, request, outputs),
+            GroupMessage::FormReply(reply) => self.on_form_reply(now, from, reply, outputs),
+            other => self.on_member_message(now, from, other, outputs),
+        }
+    }
+
+    fn on_member_message(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: GroupMessage,
+        outputs: &mut Vec<GroupOutput>,
+    ) {
+        if !self.enter_group_of(now, from, &message, outputs) {
+            return;
+        }
+        match message {
+            GroupMessage::VoteRequest(request) => self.on_vote_request(now, from, request, outputs),
+            GroupMessage::VoteReply(reply) => self.on_vote_reply(now, from, reply, outputs),
+            GroupMessage::Append(append) => self.on_append(now, from, append, outputs),
+            GroupMessage::AppendReply(reply) => self.on_append_reply(now, from, reply, outputs),
+            GroupMessage::SnapshotChunk(chunk) => self.on_snapshot_chunk(now, from, chunk, outputs),
+            GroupMessage::SnapshotReply(reply) => self.on_snapshot_reply(now, from, reply, outputs),
+            GroupMessage::ElectNow { term, .. } => self.on_elect_now(now, from, term, outputs),
+            GroupMessage::Inquiry { .. }
+            | GroupMessage::Answer(_)
+            | GroupMessage::FormRequest(_)
+            | GroupMessage::FormReply(_) => {}
+        }
+    }
+
+    /// Refuses to act on a view that ended while the process was paused.
+    ///
+    /// A leader that no majority answered within the shortest election timeout may have been replaced. A follower that wakes
+    /// long after its deadline has the leader's heartbeats still waiting in its sockets, so it waits once more.
+    fn fence_late_wake(&mut self, now: Timestamp) {
+        let patience = self.settings.election_timeout_minimum;
+        let mechanisms = self.settings.mechanisms;
+        let Some(member) = &self.member else {
+            return;
+        };
+        if member.is_leader() {
+            let contact = self.quorum_contact(now);
+            if mechanisms.check_quorum && now.since(contact) > patience {
+                self.step_down(now);
+            } else if let Some(member) = &mut self.member {
+                member.contact = contact.max(member.contact);
+            }
+            return;
+        }
+        if now > member.election_deadline + patience {
+            self.rearm_election(now);
+        }
+    }
+
+    /// When the driver should step with [`GroupInput::Tick`], if at any time.
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        let Some(member) = &self.member else {
+            return self.requirements.as_ref().map(|_| self.next_outsider_wake());
+        };
+        if let Some(leadership) = member.leadership() {
+            return Some(leadership.heartbeat_due);
+        }
+        let survey = self.survey_due(member);
+        let campaigns = member.is_voter(&self.node) && !self.stopping;
+        if campaigns {
+            return Some(survey.min(member.election_deadline));
+        }
+        Some(survey)
+    }
+
+    fn next_outsider_wake(&self) -> Timestamp {
+        let survey = self.survey.next;
+        self.attempt.as_ref().map_or(survey, |attempt| attempt.resend_at.min(survey))
+    }
+
+    fn standing(&self) -> Standing {
+        (self.role(), self.term(), self.leader())
+    }
+
+    /// This run of the node.
+    pub fn node(&self) -> NodeId {
+        self.node
+    }
+
+    /// Whether the node was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// The part that the node plays.
+    pub fn role(&self) -> Role {
+        match self.member.as_ref().map(|member| &member.position) {
+            None => Role::Outsider,
+            Some(Position::Follower) => Role::Follower,
+            Some(Position::PreCandidate { .. } | Position::Candidate { .. }) => Role::Candidate,
+            Some(Position::Leader(_)) => Role::Leader,
+        }
+    }
+
+    /// The term, zero for an outsider.
+    pub fn term(&self) -> u64 {
+        self.member.as_ref().map_or(0, |member| member.term)
+    }
+
+    /// The leader, if known.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.member.as_ref().and_then(|member| member.leader)
+    }
+
+    /// A leader to turn to, also while this node is an outsider.
+    pub fn leader_hint(&self) -> Option<NodeId> {
+        self.leader().or_else(|| self.known.as_ref().and_then(|view| view.leader))
+    }
+
+    /// Up to where this node knows the log to be agreed.
+    pub fn commit_index(&self) -> u64 {
+        self.member.as_ref().map_or(0, |member| member.commit)
+    }
+
+    /// The latest voters in the node's log, agreed or not.
+    pub fn voters(&self) -> VoterSet {
+        self.member.as_ref().map(Member::latest_voters).unwrap_or_default()
+    }
+
+    /// The group's generation, zero for an outsider.
+    pub fn generation(&self) -> Generation {
+        self.identity().map(|identity| identity.generation).unwrap_or_default()
+    }
+
+    /// The group, unless the node is an outsider.
+    pub fn identity(&self) -> Option<GroupIdentity> {
+        self.member.as_ref().map(|member| member.record.identity)
+    }
+
+    /// Whether the group was formed without proof that nothing agreed earlier was lost.
+    pub fn claims_lost(&self) -> bool {
+        self.member.as_ref().is_some_and(|member| member.record.claims_lost)
+    }
+
+    /// The highest generation that this node has heard of.
+    pub fn remembered_generation(&self) -> Generation {
+        self.remembered_generation
+    }
+
+    /// Whether a member's group can never decide again, because too many of its voters lost their memory.
+    pub fn is_lost(&self) -> bool {
+        self.member.as_ref().is_some_and(|member| self.proven_dead(member))
+    }
+
+    /// Up to when this node as a leader may act alone.
+    pub fn lease_until(&self) -> Option<Timestamp> {
+        self.member.as_ref().and_then(Member::leadership).and_then(|leadership| leadership.lease_until)
+    }
+
+    /// The index up to which the agreed state may be read as current, if this node leads under a lease.
+    pub fn readable_index(&self, now: Timestamp) -> Option<u64> {
+        let member = self.member.as_ref()?;
+        let leadership = member.leadership()?;
+        let leased = leadership.lease_until.is_some_and(|until| now < until);
+        let opened = member.commit >= leadership.opening;
+        (leased && opened).then_some(member.commit)
+    }
+
+    /// The entry at `index`, if this node knows it to be agreed and still has it.
+    pub fn agreed_entry(&self, index: u64) -> Option<&Entry> {
+        let member = self.member.as_ref()?;
+        member.log.get(index).filter(|_| index <= member.commit)
+    }
+
+    /// Index of the last entry in the log, agreed or not.
+    pub fn last_index(&self) -> u64 {
+        self.member.as_ref().map_or(0, |member| member.log.last_index())
+    }
+
+    /// Entries in the log, for metrics.
+    pub fn log_length(&self) -> usize {
+        self.member.as_ref().map_or(0, |member| member.log.len())
+    }
+
+    /// The sets whose agreement counts for `member` now.
+    pub(crate) fn active_sets<'a>(&self, member: &'a Member) -> Option<ActiveSets<'a>> {
+        let mechanisms = self.settings.mechanisms;
+        member.active_sets(mechanisms.one_at_a_time, mechanisms.electorate_quorum)
+    }
+
+    pub(crate) fn send(&self, to: NodeId, message: GroupMessage, outputs: &mut Vec<GroupOutput>) {
+        outputs.push(GroupOutput::Send { to, message });
+    }
+
+    pub(crate) fn rearm_election(&mut self, now: Timestamp) {
+        let settings = &self.settings;
+        let span = self.random.span(settings.election_timeout_minimum, settings.election_timeout_maximum);
+        if let Some(member) = &mut self.member {
+            member.election_deadline = now + span;
+        }
+    }
+
+    pub(crate) fn step_down(&mut self, now: Timestamp) {
+        if let Some(member) = &mut self.member {
+            member.position = Position::Follower;
+            member.leader = None;
+        }
+        self.rearm_election(now);
+    }
+}
+
+/// Drops the incarnation when a test takes identity by incarnation out.
+fn canonical(node: NodeId, mechanisms: &GroupMechanisms) -> NodeId {
+    if mechanisms.incarnation_identity {
+        return node;
+    }
+    NodeId { address: node.address, incarnation: Incarnation(0) }
+}
