Claims: a non-repeatable key runs at most once

Cause: a pledge or a handover must not run twice across edges, gates, restarts, pauses, partitions and moves. Change: owner and voter of claims, majority recording before dispatch, collection by a new owner, voter changes with overlap, export and import of slots, retention and memory bounds, replay of small answers.

--- a/crates/claims/src/lib.rs
+++ b/crates/claims/src/lib.rs
@@ -1,1 +1,30 @@
-//! At-most-once execution by claims recorded on a majority of a service's voters.
+//! At most one run of a call that may not be repeated, by claims recorded on a majority of a service's voters.
+//!
+//! Use [`ClaimOwner`] at the gates, which own the slots of a service, and [`ClaimVoter`] at the voters that the
+//! service's table names. Both are sans-I/O. The reasoning is in `docs/design/at-most-once.md`.
+
+pub mod claim;
+mod codec;
+#[cfg(test)]
+mod codec_tests;
+pub mod error;
+mod expiry;
+pub mod mechanisms;
+pub mod message;
+pub mod owner;
+mod quorum;
+pub mod settings;
+mod store;
+pub mod voter;
+mod voters_change;
+
+pub use claim::{ClaimEntry, ClaimOrigin, ClaimStatus, HeldClaim};
+pub use codec::{decode_claims, encode_claims};
+pub use error::ClaimMessageError;
+pub use mechanisms::{ClaimMechanisms, UnknownMechanism};
+pub use message::{pages_of, ClaimBody, ClaimMessage, ClaimRole, RecordId, RecordKind, Verdict};
+pub use owner::io::{ClaimDecision, OwnerInput, OwnerOutput};
+pub use owner::ClaimOwner;
+pub use settings::{OwnerSettings, VoterSettings};
+pub use voter::ClaimVoter;
+pub use voters_change::previous_voters_may_go;
--- /dev/null
+++ b/crates/claims/src/quorum.rs
@@ -0,0 +1,70 @@
+//! Which sets of voters are enough.
+
+use std::collections::BTreeSet;
+
+use quillhatch_types::{NodeId, ServiceTable};
+
+use crate::mechanisms::ClaimMechanisms;
+
+/// The voters of a service and, while they change, the ones before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Roster {
+    current: Vec<NodeId>,
+    previous: Vec<NodeId>,
+}
+
+impl Roster {
+    /// The voters of a table.
+    pub fn of_table(table: &ServiceTable) -> Self {
+        Roster { current: table.voters.clone(), previous: table.previous_voters.clone() }
+    }
+
+    /// The present voters.
+    pub fn current(&self) -> &[NodeId] {
+        &self.current
+    }
+
+    /// Whether the voters are changing.
+    pub fn is_changing(&self) -> bool {
+        !self.previous.is_empty()
+    }
+
+    /// All voters, present and previous, in ascending order.
+    pub fn members(&self) -> BTreeSet<NodeId> {
+        self.current.iter().chain(&self.previous).copied().collect()
+    }
+
+    /// The member that a reply from `from` counts for.
+    ///
+    /// Another run at a voter's address has lost the voter's memory and its promises, so it must not count.
+    pub fn member(&self, from: NodeId, mechanisms: ClaimMechanisms) -> Option<NodeId> {
+        let matches = |member: &&NodeId| {
+            if mechanisms.incarnation_check {
+                **member == from
+            } else {
+                member.address == from.address
+            }
+        };
+        self.current.iter().chain(&self.previous).find(matches).copied()
+    }
+
+    /// Whether `voters` are a majority of the present and, while they change, of the previous voters.
+    pub fn is_quorum(&self, voters: &BTreeSet<NodeId>, mechanisms: ClaimMechanisms) -> bool {
+        let previous_needed = self.is_changing() && mechanisms.voter_overlap;
+        self.is_current_quorum(voters, mechanisms) && (!previous_needed || enough(&self.previous, voters, mechanisms))
+    }
+
+    /// Whether `voters` are a majority of the present voters.
+    pub fn is_current_quorum(&self, voters: &BTreeSet<NodeId>, mechanisms: ClaimMechanisms) -> bool {
+        enough(&self.current, voters, mechanisms)
+    }
+}
+
+fn enough(set: &[NodeId], voters: &BTreeSet<NodeId>, mechanisms: ClaimMechanisms) -> bool {
+    let count = set.iter().filter(|voter| voters.contains(voter)).count();
+    if mechanisms.majority {
+        count * 2 > set.len()
+    } else {
+        count > 0
+    }
+}
