Node: all parts behind one step function; two endless loops mended

Cause: program and simulation must run the same code, and stopping the only gate of a group froze a real node. Change: the node composes edge, gate, claims, control and membership and routes between them; mechanisms switch off by name. (2) A member that had left kept a timer in its past, so its driver stepped it without end; it now has no timer. Conclusion: both faults were in combinations that no crate's own tests had.

--- a/crates/control/src/host/agreement.rs
+++ b/crates/control/src/host/agreement.rs
@@ -111,6 +111,7 @@
                 pending.place = Some((index, term));
             }
             ProposalResult::Refused(refusal) => {
+                self.proposals_refused += 1;
                 let askers = self.pending.take().map(|pending| pending.askers).unwrap_or_default();
                 let advice = "ask again in a moment";
                 for asker in askers {
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -40,6 +40,9 @@
 use requests::Desk;
 use voters::VoterDuty;
 
+/// The most commands that a leader proposes in one step; further ones wait for the next.
+const MAXIMUM_COMMANDS_PER_STEP: usize = 256;
+
 /// Who waits for the reply to an operator's request, and under which number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Asker {
@@ -64,6 +67,8 @@
     tickets: u64,
     pending: Option<Pending>,
     rejected: Option<(Command, Timestamp)>,
+    /// How often the group itself refused a proposal.
+    proposals_refused: u64,
     leading_since: Option<Timestamp>,
     lost_since: Option<Timestamp>,
     applied_at: BTreeMap<u64, Timestamp>,
@@ -90,6 +95,7 @@
             tickets: 0,
             pending: None,
             rejected: None,
+            proposals_refused: 0,
             leading_since: None,
             lost_since: None,
             applied_at: BTreeMap::new(),
@@ -250,18 +256,29 @@
         }
         self.gates.adopt(step.now, &self.settings.timing, &self.state);
         self.send_due_messages(step);
-        while self.pending.is_none() && self.leads(step.now) {
-            let Some(command) = self.next_command(step) else {
-                break;
-            };
-            if self.was_just_rejected(step.now, &command) {
+        // A group of one agrees at once, so a duty that is never content must not keep the node in this loop.
+        for _ in 0..MAXIMUM_COMMANDS_PER_STEP {
+            if !self.propose_next(step) {
                 break;
             }
-            self.propose(step, command, Vec::new());
         }
         self.change_voters_if_due(step);
     }
 
+    /// Proposes the next command; says whether another one may be proposed in the same step.
+    fn propose_next(&mut self, step: &mut HostStep<'_>) -> bool {
+        if self.pending.is_some() || !self.leads(step.now) {
+            return false;
+        }
+        let Some(command) = self.next_command(step).filter(|command| !self.was_just_rejected(step.now, command)) else {
+            return false;
+        };
+        let refusals = self.proposals_refused;
+        self.propose(step, command, Vec::new());
+        // A group that hands its leadership on refuses proposals; asking again in the same step would never end.
+        self.proposals_refused == refusals
+    }
+
     fn send_due_messages(&mut self, step: &mut HostStep<'_>) {
         self.ask_other_sites_if_unfounded(step);
         self.send_exports(step);
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -105,11 +105,17 @@
             MembershipInput::Leave => self.leave(outputs),
             MembershipInput::Tick => {}
         }
-        self.run_timers(now, outputs);
+        if self.own.status != MemberStatus::Left {
+            self.run_timers(now, outputs);
+        }
     }
 
     /// When the next timer runs out.
     pub fn next_wake(&self) -> Option<Timestamp> {
+        // A node that left does nothing more; a timer in its past would keep the driver stepping it for ever.
+        if self.own.status == MemberStatus::Left {
+            return None;
+        }
         let expiry = self.table.ageing().map(|member| member.since + self.age_limit(&member.record)).min();
         let timers = [Some(self.next_probe), self.probes.next_deadline(), expiry];
         timers.into_iter().flatten().min()
--- a/crates/membership/src/membership/schedule.rs
+++ b/crates/membership/src/membership/schedule.rs
@@ -46,7 +46,7 @@
     pub(super) fn run_timers(&mut self, now: Timestamp, outputs: &mut Vec<MembershipOutput>) {
         self.end_probe_stages(now, outputs);
         self.age_members(now, outputs);
-        if self.own.status == MemberStatus::Left || now < self.next_probe {
+        if now < self.next_probe {
             return;
         }
         self.next_probe = now + self.settings.probe_interval;
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -155,6 +155,7 @@
     let mut network = settled(MembershipMechanisms::default());
     let since = network.now;
     network.step(address(3), MembershipInput::Leave);
+    assert_eq!(network.nodes[&address(3)].next_wake(), None, "a node that left is not stepped for ever");
     network.stop(address(3));
     network.run(SECOND * 8);
     assert_eq!(network.reports_of(MemberStatus::Left, since).count(), 23);
--- /dev/null
+++ b/crates/node/src/options.rs
@@ -0,0 +1,77 @@
+//! What a node must be told at its start.
+
+use quillhatch_control::{ControlSettings, ControlTiming};
+use quillhatch_group::GroupSettings;
+use quillhatch_membership::{MemberInfo, MembershipSettings, ZoneId};
+use quillhatch_types::{DeploymentName, NodeAddress, NodeId, ServiceName, SiteName, ZoneName};
+
+use crate::mechanisms::NodeMechanisms;
+
+/// What a node must be told at its start.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// This run of the node.
+    pub node: NodeId,
+    /// Its site.
+    pub site: SiteName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// The deployment.
+    pub deployment: DeploymentName,
+    /// The service of the back end beside it; a node without one is an edge only.
+    pub service: Option<ServiceName>,
+    /// Addresses at which members may be found before the platform's list was read.
+    pub seeds: Vec<NodeAddress>,
+    /// Times and bounds of failure detection.
+    pub membership: MembershipSettings,
+    /// Times and bounds of the control part.
+    pub control: ControlTiming,
+    /// Times and bounds of the groups.
+    pub group: GroupSettings,
+    /// The mechanisms in force.
+    pub mechanisms: NodeMechanisms,
+}
+
+impl NodeOptions {
+    /// Options with the default times, bounds and mechanisms.
+    pub fn new(
+        node: NodeId,
+        site: SiteName,
+        zone: ZoneName,
+        deployment: DeploymentName,
+        service: Option<ServiceName>,
+    ) -> Self {
+        NodeOptions {
+            node,
+            site,
+            zone,
+            deployment,
+            service,
+            seeds: Vec::new(),
+            membership: MembershipSettings::default(),
+            control: ControlTiming::default(),
+            group: GroupSettings::default(),
+            mechanisms: NodeMechanisms::default(),
+        }
+    }
+
+    pub(crate) fn member_info(&self) -> MemberInfo {
+        MemberInfo {
+            node: self.node,
+            zone: ZoneId { site: self.site.clone(), zone: self.zone.clone() },
+            service: self.service.clone(),
+        }
+    }
+
+    pub(crate) fn control_settings(&self) -> ControlSettings {
+        ControlSettings {
+            node: self.node,
+            site: self.site.clone(),
+            zone: self.zone.clone(),
+            deployment: self.deployment.clone(),
+            timing: self.control.clone(),
+            group: self.group.clone(),
+            mechanisms: self.mechanisms.control,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/route.rs
@@ -0,0 +1,5 @@
+//! Where the outputs of each part go.
+
+mod calls;
+mod control;
+mod messages;
--- /dev/null
+++ b/crates/node/src/route/messages.rs
@@ -0,0 +1,103 @@
+//! Messages from other nodes, and messages of claims between the parts of this one.
+
+use quillhatch_claims::{ClaimMessage, ClaimRole, ClaimVoter, OwnerInput, VoterSettings};
+use quillhatch_control::io::GroupFrame;
+use quillhatch_control::message::ControlMessage;
+use quillhatch_control::ControlInput;
+use quillhatch_membership::{MembershipInput, MembershipMessage};
+use quillhatch_messages::{Kind, Payload};
+use quillhatch_types::{NodeId, ServiceName, Timestamp};
+
+use crate::inbox::Inbox;
+use crate::io::{NodeEvent, NodeOutput};
+use crate::node::Node;
+
+impl Node {
+    pub(crate) fn accept_payload(
+        &mut self,
+        from: NodeId,
+        payload: Payload,
+        inbox: &mut Inbox,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        if self.try_accept_payload(from, &payload, inbox).is_none() {
+            self.undecodable += 1;
+            outputs.push(NodeOutput::Event(NodeEvent::Undecodable { kind: payload.kind, sender: from }));
+        }
+    }
+
+    fn try_accept_payload(&mut self, from: NodeId, payload: &Payload, inbox: &mut Inbox) -> Option<()> {
+        match payload.kind {
+            Kind::Membership => {
+                let message = MembershipMessage::decode(&payload.bytes).ok()?;
+                // A node speaks for itself only: what it says of its own run must match the authenticated frame.
+                (message.sender.info.node == from).then_some(())?;
+                inbox.push(MembershipInput::Message(Box::new(message)));
+            }
+            Kind::Control => {
+                let message = Box::new(ControlMessage::decode(&payload.bytes).ok()?);
+                inbox.push(ControlInput::Message { from, message });
+            }
+            Kind::Group => {
+                let frame = Box::new(GroupFrame::decode(&payload.bytes).ok()?);
+                inbox.push(ControlInput::Group { from, frame });
+            }
+            Kind::Claims => {
+                let message = ClaimMessage::decode(&payload.bytes).ok()?;
+                self.accept_claim(from, message, inbox);
+            }
+        }
+        Some(())
+    }
+
+    fn accept_claim(&mut self, from: NodeId, message: ClaimMessage, inbox: &mut Inbox) {
+        match message.role() {
+            ClaimRole::Voter => inbox.push(crate::inbox::PartInput::Voter { from, message }),
+            ClaimRole::Owner => {
+                if self.gate.as_ref().is_some_and(|part| part.service == message.service) {
+                    inbox.push(OwnerInput::Message { from, message });
+                }
+            }
+        }
+    }
+
+    pub(crate) fn send_claim(
+        &mut self,
+        to: NodeId,
+        message: ClaimMessage,
+        inbox: &mut Inbox,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        if to == self.options.node {
+            self.accept_claim(to, message, inbox);
+            return;
+        }
+        let payload = Payload { kind: Kind::Claims, service: Some(message.service.clone()), bytes: message.encode() };
+        outputs.push(NodeOutput::Send { to: to.address, incarnation: Some(to.incarnation), payload });
+    }
+
+    pub(crate) fn step_voter(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        message: ClaimMessage,
+        inbox: &mut Inbox,
+        outputs: &mut Vec<NodeOutput>,
+    ) {
+        let mut replies = Vec::new();
+        self.voter(&message.service.clone()).handle(now, from, message, &mut replies);
+        for (to, reply) in replies {
+            self.send_claim(to, reply, inbox, outputs);
+        }
+    }
+
+    /// The voter of a service; owners address it by the run that the group agreed on, so it may begin empty.
+    fn voter(&mut self, service: &ServiceName) -> &mut ClaimVoter {
+        let configured = self.configuration.as_ref().and_then(|configuration| configuration.services.get(service));
+        let settings = configured.map(VoterSettings::from_configuration).unwrap_or_default();
+        let mechanisms = self.options.mechanisms.claims;
+        self.voters
+            .entry(service.clone())
+            .or_insert_with(|| ClaimVoter::with_mechanisms(service.clone(), settings, mechanisms))
+    }
+}
