The quillhatch program: listeners, drivers, command line

Cause: callers, back ends, peers, the platform and operators are met over HTTP, by the same decision code as in simulation. Change: caller and peer listeners, operator listener, reqwest clients, driver with one lock, platform reader behind a trait, health polls, problem documents, streaming both ways, resume of broken downloads, metrics, logs, planned stop, command line. Operators are served by rocket.

--- /dev/null
+++ b/crates/quillhatch/src/call_header.rs
@@ -0,0 +1,142 @@
+//! The authenticated header by which an edge hands an attempt's context to a gate.
+//!
+//! The value is `1.<key number>.<incarnation>.<context>.<tag>`, the last two in base64url. The tag covers the receiver's
+//! address and run, the method and the target of the request, so that the header of one request is of no use for another
+//! one or at another gate.
+
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use base64::Engine;
+use derive_more::{Display, Error};
+use hyper::header::HeaderValue;
+use quillhatch_calls::wire;
+use quillhatch_messages::{FleetKeys, KeyId};
+use quillhatch_types::{CallContext, Feedback, Incarnation, NodeId};
+
+#[cfg(test)]
+mod tests;
+
+/// The version of the header's layout.
+const VERSION: &str = "1";
+
+/// The longest header value accepted, in bytes.
+const MAXIMUM_LENGTH: usize = 4 * 1024;
+
+/// Why a gate does not accept the header of an attempt.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum CallHeaderError {
+    /// The header is absent.
+    #[display("the header is absent")]
+    Absent,
+    /// The header is too long or not laid out as it should be.
+    #[display("the header is malformed")]
+    Malformed,
+    /// The tag was made with a key that this node does not accept.
+    #[display("the fleet key is not accepted")]
+    UnknownKey,
+    /// The tag does not match: a stranger's request, or one for another gate.
+    #[display("the authentication tag does not match")]
+    WrongTag,
+    /// The header is for another run of this node.
+    #[display("the header is for another run of this node")]
+    WrongRun,
+}
+
+/// What besides the context the tag covers.
+#[derive(Clone, Copy, Debug)]
+pub struct SignedRequest<'a> {
+    /// The gate's node; incarnation zero reaches any run at the address.
+    pub receiver: NodeId,
+    /// The method of the request.
+    pub method: &'a str,
+    /// The path and query of the request.
+    pub path: &'a str,
+}
+
+impl SignedRequest<'_> {
+    fn bytes(&self, context: &[u8]) -> Vec<u8> {
+        let head = format!(
+            "quillhatch-call/{VERSION}\n{}\n{}\n{}\n{}\n",
+            self.receiver.address, self.receiver.incarnation, self.method, self.path
+        );
+        [head.as_bytes(), context].concat()
+    }
+}
+
+/// The header value for an attempt with `context`.
+pub fn seal(keys: &FleetKeys, request: SignedRequest<'_>, context: &CallContext) -> Option<HeaderValue> {
+    let context = wire::encode_context(context);
+    let tag = keys.sign(&request.bytes(&context));
+    let text = format!(
+        "{VERSION}.{}.{}.{}.{}",
+        keys.sending(),
+        request.receiver.incarnation,
+        URL_SAFE_NO_PAD.encode(context),
+        URL_SAFE_NO_PAD.encode(tag)
+    );
+    HeaderValue::from_str(&text).ok()
+}
+
+/// Checks the header value of an attempt that reached `request.receiver` and returns its context.
+///
+/// # Errors
+///
+/// Returns why the header is not accepted.
+pub fn open(
+    keys: &FleetKeys,
+    request: SignedRequest<'_>,
+    value: Option<&HeaderValue>,
+) -> Result<CallContext, CallHeaderError> {
+    let value = value.ok_or(CallHeaderError::Absent)?;
+    if value.len() > MAXIMUM_LENGTH {
+        return Err(CallHeaderError::Malformed);
+    }
+    let parts = Parts::parse(value).ok_or(CallHeaderError::Malformed)?;
+    let addressed = NodeId { incarnation: parts.incarnation, ..request.receiver };
+    let signed = SignedRequest { receiver: addressed, ..request }.bytes(&parts.context);
+    match keys.verify(parts.key, &signed, &parts.tag) {
+        None => return Err(CallHeaderError::UnknownKey),
+        Some(false) => return Err(CallHeaderError::WrongTag),
+        Some(true) => {}
+    }
+    let any_run = parts.incarnation == Incarnation(0);
+    if !any_run && parts.incarnation != request.receiver.incarnation {
+        return Err(CallHeaderError::WrongRun);
+    }
+    wire::decode_context(&parts.context).map_err(|_| CallHeaderError::Malformed)
+}
+
+struct Parts {
+    key: KeyId,
+    incarnation: Incarnation,
+    context: Vec<u8>,
+    tag: Vec<u8>,
+}
+
+impl Parts {
+    fn parse(value: &HeaderValue) -> Option<Self> {
+        let mut words = value.to_str().ok()?.split('.');
+        let mut next = || words.next();
+        if next()? != VERSION {
+            return None;
+        }
+        let key = KeyId(next()?.parse().ok()?);
+        let incarnation = Incarnation(u64::from_str_radix(next()?, 16).ok()?);
+        let context = URL_SAFE_NO_PAD.decode(next()?).ok()?;
+        let tag = URL_SAFE_NO_PAD.decode(next()?).ok()?;
+        next().is_none().then_some(Parts { key, incarnation, context, tag })
+    }
+}
+
+/// The value of the header by which a gate gives `feedback`.
+pub fn seal_feedback(feedback: &Feedback) -> Option<HeaderValue> {
+    HeaderValue::from_str(&URL_SAFE_NO_PAD.encode(wire::encode_feedback(feedback))).ok()
+}
+
+/// The feedback in a header value; `None` if it is none.
+pub fn open_feedback(value: &HeaderValue) -> Option<Feedback> {
+    if value.len() > MAXIMUM_LENGTH {
+        return None;
+    }
+    let bytes = URL_SAFE_NO_PAD.decode(value.as_bytes()).ok()?;
+    wire::decode_feedback(&bytes).ok()
+}
--- /dev/null
+++ b/crates/quillhatch/src/command_line/node.rs
@@ -0,0 +1,121 @@
+//! `quillhatch node`: runs a node until it is told to stop.
+
+use getopts::Matches;
+use quillhatch_settings::presentation::render_text;
+use quillhatch_settings::{parse_node_settings, NodeSettings, Overrides};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+
+use super::options::{no_free_arguments, required, Command};
+use super::{Exit, Streams, UsageError};
+use crate::logging;
+use crate::running::{start, RunningNode};
+
+fn command() -> Command {
+    Command::new(
+        "node --settings FILE [OPTIONS]",
+        "Runs a node until SIGTERM or SIGINT, then stops it without cutting calls.",
+    )
+    .value("settings", "the settings file (TOML)", "FILE")
+    .value("site", "the node's site, in place of the file's", "NAME")
+    .value("zone", "the node's zone, in place of the file's", "NAME")
+    .value("callers", "where callers connect, in place of the file's", "IP:PORT")
+    .value("peers", "where other nodes connect, in place of the file's", "IP:PORT")
+    .value("operators", "where operators connect, in place of the file's", "IP:PORT")
+    .value("backend", "where the back end listens, in place of the file's", "IP:PORT")
+}
+
+/// Runs the command.
+pub fn run(arguments: &[String], streams: &mut Streams<'_>) -> Result<Exit, UsageError> {
+    let Some(matches) = command().parse(arguments, streams)? else {
+        return Ok(Exit::Done);
+    };
+    no_free_arguments(&matches)?;
+    let path = required(&matches, "settings")?;
+    let Some(settings) = read_settings(&path, &overrides(&matches), streams) else {
+        return Ok(Exit::Failed);
+    };
+    if let Err(error) = logging::set_up(&settings.log) {
+        streams.complain(format!("cannot set up logging: {error}"));
+        return Ok(Exit::Failed);
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            streams.complain(format!("cannot start the runtime: {error}"));
+            return Ok(Exit::Failed);
+        }
+    };
+    match runtime.block_on(serve(settings)) {
+        Ok(exit) => Ok(exit),
+        Err(error) => {
+            streams.complain(error);
+            Ok(Exit::Failed)
+        }
+    }
+}
+
+fn overrides(matches: &Matches) -> Overrides {
+    Overrides {
+        site: matches.opt_str("site"),
+        zone: matches.opt_str("zone"),
+        callers: matches.opt_str("callers"),
+        peers: matches.opt_str("peers"),
+        operators: matches.opt_str("operators"),
+        backend: matches.opt_str("backend"),
+    }
+}
+
+/// Reads and checks the settings; tells every finding.
+fn read_settings(path: &str, overrides: &Overrides, streams: &mut Streams<'_>) -> Option<NodeSettings> {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            streams.complain(format!("cannot read {path}: {error}"));
+            return None;
+        }
+    };
+    let (settings, findings) = match parse_node_settings(path, &text, overrides) {
+        Ok((settings, warnings)) => (Some(settings), warnings),
+        Err(findings) => (None, findings),
+    };
+    if !findings.is_empty() {
+        streams.complain(render_text(&findings).trim_end());
+    }
+    settings
+}
+
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn new() -> std::io::Result<Self> {
+        Ok(StopSignals { terminate: signal(SignalKind::terminate())?, interrupt: signal(SignalKind::interrupt())? })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+async fn serve(settings: NodeSettings) -> Result<Exit, Box<dyn std::error::Error>> {
+    let mut signals = StopSignals::new()?;
+    let node = start(settings).await?;
+    signals.next().await;
+    Ok(stop(node, &mut signals).await)
+}
+
+/// Stops the node; a second signal means that nobody wants to wait for the calls in flight.
+async fn stop(node: RunningNode, signals: &mut StopSignals) -> Exit {
+    tokio::select! {
+        report = node.stop() => if report.cut.is_empty() { Exit::Done } else { Exit::Failed },
+        () = signals.next() => {
+            log::error!("stopped at once by a second signal; calls in flight are cut");
+            Exit::Failed
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhatch/src/command_line/tests.rs
@@ -0,0 +1,82 @@
+//! Tests of the command line.
+
+use quillhatch_control::operator::{Intent, OperatorRequest};
+use test_case::test_case;
+
+use super::*;
+
+struct Ran {
+    exit: Exit,
+    output: String,
+    errors: String,
+}
+
+fn run_line(line: &[&str]) -> Ran {
+    let arguments: Vec<String> = line.iter().map(ToString::to_string).collect();
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let exit = run(&arguments, &mut Streams { output: &mut output, errors: &mut errors });
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    Ran { exit, output: text(output), errors: text(errors) }
+}
+
+fn parse(line: &[&str]) -> Result<OperatorRequest, UsageError> {
+    let arguments: Vec<String> = line[1..].iter().map(ToString::to_string).collect();
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let parsed = parse_request(line[0], &arguments, &mut Streams { output: &mut output, errors: &mut errors })?;
+    Ok(parsed.expect("no help").request)
+}
+
+#[test_case(&[]; "nothing")]
+#[test_case(&["fly"]; "unknown command")]
+#[test_case(&["node"]; "node without settings")]
+#[test_case(&["node", "--settings", "x", "more"]; "node with an argument")]
+#[test_case(&["check"]; "check of nothing")]
+#[test_case(&["check", "--settings", "a", "--config", "b"]; "check of both")]
+#[test_case(&["plan", "--node", "127.0.0.1:1"]; "plan without a kind")]
+#[test_case(&["plan", "teleport", "--node", "127.0.0.1:1"]; "unknown plan")]
+#[test_case(&["plan", "move", "--service", "a", "--from", "b", "--to", "c", "--percent", "101"]; "share above the whole")]
+#[test_case(&["plan", "retire", "--target", "here"]; "target without an address")]
+#[test_case(&["confirm", "--node", "127.0.0.1:1"]; "confirm without a plan")]
+#[test_case(&["confirm", "a b", "--node", "127.0.0.1:1"]; "plan with a space")]
+#[test_case(&["status", "more", "--node", "127.0.0.1:1"]; "status with an argument")]
+#[test_case(&["plans"]; "no node")]
+#[test_case(&["plans", "--node", "somewhere"]; "node without an address")]
+#[test_case(&["plans", "--colour"]; "unknown option")]
+fn wrong_usage_exits_with_2(line: &[&str]) {
+    let ran = run_line(line);
+    assert_eq!((ran.exit.code(), ran.output.as_str()), (2, ""));
+    assert!(ran.errors.contains("--help"), "{}", ran.errors);
+}
+
+#[test]
+fn every_command_has_its_help() {
+    for command in ["node", "check", "plan", "confirm", "cancel", "plans", "status", "explain", "accept-loss"] {
+        let ran = run_line(&[command, "--help"]);
+        assert_eq!(ran.exit, Exit::Done);
+        assert!(ran.output.contains(&format!("Usage: quillhatch {command}")), "{}", ran.output);
+    }
+    assert!(run_line(&["--version"]).output.starts_with("quillhatch "));
+}
+
+#[test]
+fn a_node_that_is_not_there_is_a_failure() {
+    // Port 1 of the loopback address: nothing listens there.
+    let ran = run_line(&["status", "--node", "127.0.0.1:1"]);
+    assert_eq!(ran.exit, Exit::Failed);
+    assert!(ran.errors.contains("cannot connect"), "{}", ran.errors);
+}
+
+#[test]
+fn intents_are_read_from_options() {
+    let line = ["plan", "move", "--service", "giving", "--from", "old", "--to", "new", "--percent", "25"];
+    let Ok(OperatorRequest::Plan { intent: Intent::MoveShare { from, to, percent, .. } }) = parse(&line) else {
+        panic!("no move: {:?}", parse(&line));
+    };
+    assert_eq!((from.as_str(), to.as_str(), percent), ("old", "new", 25));
+    let line = ["plan", "retries", "--service", "giving", "--class", "pledge", "--budget", "0", "--ratio", "10"];
+    assert!(matches!(
+        parse(&line),
+        Ok(OperatorRequest::Plan { intent: Intent::ChangeRetries { budget: 0, ratio: 10, .. } })
+    ));
+    assert_eq!(parse(&["status", "--export"]), Ok(OperatorRequest::Status { export: true }));
+}
--- /dev/null
+++ b/crates/quillhatch/src/edge/call.rs
@@ -0,0 +1,218 @@
+//! Runs one call: hands it to the decision code, sends its attempts and gives the caller the answer that was decided.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use futures::future::{AbortHandle, Abortable};
+use futures::stream::{FuturesUnordered, StreamExt};
+use hyper::http::request::Parts;
+use quillhatch_calls::edge::io::{Answer as Decision, CallArrival, EdgeInput};
+use quillhatch_types::{AttemptId, CallContext, CallId, NodeId, ParentContext, Refusal, RequestKey, RootId};
+use tokio::sync::mpsc;
+
+use super::attempt::{AttemptOutcome, Outgoing};
+use super::relay;
+use super::request::{body_too_large, ContextHeader, RequestDescription};
+use super::request_body::RequestBody;
+use super::Edge;
+use crate::driver::{CallCommand, Driver, RangeRequest};
+use crate::http::problem::Rejection;
+use crate::http::Answer;
+
+/// Tells the decision code that the caller has gone, unless the call ended before.
+pub struct CallGuard {
+    driver: Arc<Driver>,
+    call: CallId,
+    ended: bool,
+}
+
+impl CallGuard {
+    /// The call.
+    pub fn call(&self) -> CallId {
+        self.call
+    }
+
+    /// The call has ended: its answer was given whole, refused, or broken off. Returns whether that is news.
+    pub fn end(&mut self) -> bool {
+        !std::mem::replace(&mut self.ended, true)
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.driver.edge(EdgeInput::CallerGone { call: self.call });
+        }
+        self.driver.close_call(self.call);
+    }
+}
+
+/// Runs the call and returns the head of its answer, with a body that streams the rest.
+///
+/// # Errors
+///
+/// Returns the refusal that the caller gets.
+pub async fn run(
+    edge: Arc<Edge>,
+    request: RequestDescription,
+    head: Parts,
+    body: RequestBody,
+) -> Result<Answer, Rejection> {
+    let arrival = arrival(&edge, &request, head.method.as_str(), &body);
+    let driver = Arc::clone(&edge.driver);
+    let call = arrival.call;
+    let commands = driver.open_call(call, request.service.clone());
+    let guard = CallGuard { driver: Arc::clone(&driver), call, ended: false };
+    let outgoing = Arc::new(Outgoing::new(edge, head, request.path, body));
+    driver.edge(EdgeInput::Arrived(arrival));
+    let task = CallTask { driver, outgoing, commands, guard, in_flight: InFlight::default(), held: BTreeMap::new() };
+    task.run().await
+}
+
+fn arrival(edge: &Edge, request: &RequestDescription, method: &str, body: &RequestBody) -> CallArrival {
+    let call = CallId(rand::random());
+    let parent = parent(edge, request);
+    let digest = request.key.as_ref().and_then(|_| body.digest(method, request.path.as_str()));
+    CallArrival {
+        call,
+        root: parent.as_ref().map_or_else(|| RootId(rand::random()), |parent| parent.root),
+        caller: request.caller.clone(),
+        service: request.service.clone(),
+        class: request.class.clone(),
+        key: request.key.clone(),
+        drawn_key: drawn_key(),
+        digest,
+        remaining: request.remaining,
+        outgoing: request.context != ContextHeader::Absent,
+        parent,
+        replayable_body: body.replayable(),
+    }
+}
+
+/// What the call inherits. A context that is unknown or malformed is no error; the call just gets no retry budget.
+fn parent(edge: &Edge, request: &RequestDescription) -> Option<ParentContext> {
+    let lent = match request.context {
+        ContextHeader::Absent => return None,
+        ContextHeader::Parent(call) => edge.driver.lend_tokens(call, request.retry_budget),
+        ContextHeader::Malformed => None,
+    };
+    if lent.is_none() {
+        edge.counters.unknown_contexts.inc();
+    }
+    lent
+}
+
+fn drawn_key() -> RequestKey {
+    let text = format!("{:032x}", rand::random::<u128>());
+    // Hexadecimal digits are always a valid key.
+    RequestKey::new(&text).unwrap_or_else(|_| unreachable!("{text} is a valid key"))
+}
+
+type FinishedAttempt = (AttemptId, Option<AttemptOutcome>);
+
+#[derive(Default)]
+struct InFlight {
+    attempts: FuturesUnordered<futures::future::BoxFuture<'static, FinishedAttempt>>,
+    handles: BTreeMap<AttemptId, AbortHandle>,
+}
+
+impl InFlight {
+    fn launch(
+        &mut self,
+        outgoing: Arc<Outgoing>,
+        target: NodeId,
+        context: Box<CallContext>,
+        range: Option<RangeRequest>,
+    ) {
+        let attempt = context.attempt_id();
+        let (handle, registration) = AbortHandle::new_pair();
+        let sending = async move { outgoing.send(target, &context, range.as_ref()).await };
+        let sending = Abortable::new(sending, registration);
+        self.handles.insert(attempt, handle);
+        self.attempts.push(Box::pin(async move { (attempt, sending.await.ok()) }));
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        if let Some(handle) = self.handles.remove(&attempt) {
+            handle.abort();
+        }
+    }
+
+    /// The next attempt that came out; waits for ever if there is none.
+    async fn next(&mut self) -> FinishedAttempt {
+        match self.attempts.next().await {
+            Some(finished) => finished,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+struct CallTask {
+    driver: Arc<Driver>,
+    outgoing: Arc<Outgoing>,
+    commands: mpsc::UnboundedReceiver<CallCommand>,
+    guard: CallGuard,
+    in_flight: InFlight,
+    /// Answers whose relay is not decided yet.
+    held: BTreeMap<AttemptId, reqwest::Response>,
+}
+
+impl CallTask {
+    async fn run(mut self) -> Result<Answer, Rejection> {
+        loop {
+            tokio::select! {
+                command = self.commands.recv() => match command {
+                    Some(CallCommand::Send { target, context, range }) => {
+                        self.in_flight.launch(Arc::clone(&self.outgoing), target, context, range);
+                    }
+                    Some(CallCommand::Cancel(attempt)) => {
+                        self.in_flight.cancel(attempt);
+                        self.held.remove(&attempt);
+                    }
+                    Some(CallCommand::Finish(decision)) => return self.finish(decision),
+                    Some(CallCommand::BreakOff) | None => return Err(self.refuse(lost())),
+                },
+                (attempt, outcome) = self.in_flight.next() => self.attempt_ended(attempt, outcome),
+            }
+        }
+    }
+
+    fn attempt_ended(&mut self, attempt: AttemptId, outcome: Option<AttemptOutcome>) {
+        self.in_flight.handles.remove(&attempt);
+        let Some(outcome) = outcome else {
+            return;
+        };
+        let (result, feedback) = outcome.result();
+        if let AttemptOutcome::Answered { response, .. } = outcome {
+            self.held.insert(attempt, response);
+        }
+        self.driver.edge(EdgeInput::AttemptAnswered { attempt, result, feedback });
+    }
+
+    fn finish(mut self, decision: Decision) -> Result<Answer, Rejection> {
+        match decision {
+            Decision::Refuse(refusal) => Err(self.refuse(refusal)),
+            Decision::Relay(attempt) => match self.held.remove(&attempt) {
+                Some(response) => {
+                    let CallTask { driver, outgoing, commands, guard, .. } = self;
+                    Ok(relay::answer(relay::Relayed { driver, outgoing, commands, guard, attempt, response }))
+                }
+                None => Err(self.refuse(lost())),
+            },
+        }
+    }
+
+    fn refuse(&mut self, refusal: Refusal) -> Rejection {
+        self.guard.end();
+        if self.outgoing.body.size.exceeded() {
+            let limit = self.outgoing.edge().limits.body_bytes.unwrap_or_default();
+            return Rejection { refusal, ..body_too_large(limit) };
+        }
+        Rejection::from(refusal)
+    }
+}
+
+/// For decisions that contradict themselves: whether the call ran is not known then.
+fn lost() -> Refusal {
+    Refusal::unknown(quillhatch_types::RefusalReason::ConnectionLost)
+}
--- /dev/null
+++ b/crates/quillhatch/src/http/headers.rs
@@ -0,0 +1,119 @@
+//! Which header fields pass from hop to hop, and the fields that only nodes may set.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
+use hyper::{Method, StatusCode};
+use quillhatch_types::HeaderField;
+
+/// The prefix of the fields that nodes set for each other and for back ends.
+pub const INTERNAL_PREFIX: &str = "quillhatch-";
+
+/// The authenticated context of an attempt, from an edge to a gate.
+pub const CALL: HeaderName = HeaderName::from_static("quillhatch-call");
+/// The opaque context that a back end copies to the calls it makes.
+pub const CONTEXT: HeaderName = HeaderName::from_static("quillhatch-context");
+/// The time left for a call, in milliseconds; callers may set it.
+pub const DEADLINE: HeaderName = HeaderName::from_static("quillhatch-deadline-ms");
+/// What a gate tells an edge with an answer.
+pub const FEEDBACK: HeaderName = HeaderName::from_static("quillhatch-feedback");
+/// A gate's own refusal, for the edge.
+pub const REFUSAL: HeaderName = HeaderName::from_static("quillhatch-refusal");
+/// What is known of whether a call ran, for callers.
+pub const OUTCOME: HeaderName = HeaderName::from_static("outcome");
+/// The key under which a request runs at most once.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// The fields that describe one connection only (RFC 9110, section 7.6.1), `Expect`, which is answered at each hop, and
+/// the older names of them that clients still send.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes the fields that describe one connection only, also those that `Connection` lists.
+///
+/// `Host` and `Content-Length` stay even if they are listed: dropping them would change what the message is.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .filter(|name| *name != HOST && *name != CONTENT_LENGTH)
+        .collect();
+    for name in listed {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+/// Removes the fields that only nodes may set.
+pub fn remove_internal(headers: &mut HeaderMap) {
+    let internal: Vec<HeaderName> =
+        headers.keys().filter(|name| name.as_str().starts_with(INTERNAL_PREFIX)).cloned().collect();
+    for name in internal {
+        headers.remove(name);
+    }
+}
+
+/// The size of a header as RFC 9113, section 6.5.2 counts it: 32 bytes for each field besides its name and value.
+pub fn header_size(headers: &HeaderMap) -> u64 {
+    const FIELD_OVERHEAD: usize = 32;
+    headers.iter().map(|(name, value)| (name.as_str().len() + value.len() + FIELD_OVERHEAD) as u64).sum()
+}
+
+/// The length of a body as its header gives it.
+pub fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// The length of an answer's body, if it is known; zero for answers that have none, whatever their `Content-Length` says
+/// (RFC 9112, section 6.3).
+pub fn expected_length(method: &Method, status: StatusCode, headers: &HeaderMap) -> Option<u64> {
+    let without_body =
+        *method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    if without_body {
+        return Some(0);
+    }
+    content_length(headers)
+}
+
+/// A span as whole milliseconds in a field's value.
+pub fn milliseconds(span: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// The fields of an answer that are worth repeating with it, as text.
+pub fn recordable(headers: &HeaderMap) -> Vec<HeaderField> {
+    headers
+        .iter()
+        .filter(|(name, _)| *name != CONTENT_LENGTH)
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            Some(HeaderField { name: name.as_str().to_owned(), value })
+        })
+        .collect()
+}
+
+/// Appends recorded fields; those that are no valid fields any more are left out.
+pub fn append_recorded(headers: &mut HeaderMap, fields: &[HeaderField]) {
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_str(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhatch/src/http/problem/tests.rs
@@ -0,0 +1,34 @@
+//! Tests of problem documents.
+
+use quillhatch_types::{Outcome, Refusal, RefusalReason};
+use test_case::test_case;
+
+use super::*;
+
+#[test_case(Refusal::not_run(RefusalReason::Overloaded), 503)]
+#[test_case(Refusal::not_run(RefusalReason::Stopping), 503)]
+#[test_case(Refusal::unknown(RefusalReason::Overloaded), 502; "a call that may have run never gets 503")]
+#[test_case(Refusal::unknown(RefusalReason::ConnectionLost), 502)]
+#[test_case(Refusal::unknown(RefusalReason::DeadlinePassed), 504)]
+#[test_case(Refusal::unknown(RefusalReason::KeyInProgress), 409)]
+#[test_case(Refusal::not_run(RefusalReason::KeyConflict), 422)]
+#[test_case(Refusal::not_run(RefusalReason::CallerRate), 429)]
+#[test_case(Refusal::not_run(RefusalReason::NoRoute), 404)]
+fn statuses(refusal: Refusal, status: u16) {
+    assert_eq!(status_of(&refusal).as_u16(), status);
+}
+
+#[test]
+fn a_refusal_survives_the_way_from_gate_to_edge() {
+    let refusal = Refusal::not_run(RefusalReason::SlotMoving).with_retry_after(Duration::from_millis(1_500));
+    let mut headers = HeaderMap::new();
+    write_refusal(&mut headers, &refusal);
+    assert_eq!(read_refusal(&headers), Some(refusal));
+}
+
+#[test]
+fn an_unknown_reason_proves_nothing() {
+    let mut headers = HeaderMap::new();
+    headers.insert(REFUSAL, HeaderValue::from_static("not-run reason-of-a-later-release 0"));
+    assert_eq!(read_refusal(&headers).map(|refusal| refusal.outcome), Some(Outcome::Unknown));
+}
--- a/crates/quillhatch/src/main.rs
+++ b/crates/quillhatch/src/main.rs
@@ -1,3 +1,12 @@
 //! Program entry point.
 
-fn main() {}
+use std::process::ExitCode;
+
+use quillhatch::command_line::{run, Streams};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let (mut output, mut errors) = (std::io::stdout(), std::io::stderr());
+    let exit = run(&arguments, &mut Streams { output: &mut output, errors: &mut errors });
+    ExitCode::from(exit.code())
+}
--- /dev/null
+++ b/crates/quillhatch/src/running/setup.rs
@@ -0,0 +1,167 @@
+//! Puts the parts of a node together.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use quillhatch_messages::{FleetKey, FleetKeys, FrameOpener, FrameSealer, KeyId, KeySetError};
+use quillhatch_settings::node_settings::{BackendSettings, FleetKeys as KeySettings};
+use quillhatch_settings::NodeSettings;
+use quillhatch_types::{Incarnation, NodeAddress, NodeId};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::{Addresses, DecisionFactory, RunningNode, StartError};
+use crate::backend_health::{self, HealthEndpoints};
+use crate::clients;
+use crate::driver::Driver;
+use crate::edge::{Edge, RequestLimits};
+use crate::gate::backend::Backend;
+use crate::gate::Gate;
+use crate::http::server::{serve, ServerLimits};
+use crate::metrics::Counters;
+use crate::operators::{BearerToken, Operators};
+use crate::peers::{FrameReceiver, PeerSender, SenderSettings};
+use crate::platform::{HttpPlatform, PlatformReader};
+
+/// Room that the server leaves for a head beyond the limit, so that the node itself answers 431 with a problem document.
+const HEAD_ROOM_BYTES: u64 = 16 * 1024;
+
+/// The largest number of connections of other nodes at a time.
+const PEER_CONNECTIONS: usize = 16 * 1024;
+
+/// The largest head of a peer's request, in bytes: a caller's and the context.
+const PEER_HEAD_BYTES: u64 = 8 * 1024;
+
+struct Bound {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+async fn bind(who: &'static str, address: SocketAddr) -> Result<Bound, StartError> {
+    let failed = |source| StartError::Listen { who, address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    Ok(Bound { listener, address })
+}
+
+pub(super) async fn start(settings: NodeSettings, factory: impl DecisionFactory) -> Result<RunningNode, StartError> {
+    let callers = bind("callers", settings.callers).await?;
+    let peers = bind("peers", settings.peers.0).await?;
+    let node = NodeId { address: NodeAddress(peers.address), incarnation: draw_incarnation() };
+    let keys = Arc::new(fleet_keys(&settings.fleet_keys)?);
+    let counters = Arc::new(Counters::default());
+    let versions = Arc::new(Mutex::default());
+
+    let sealer = FrameSealer::new(node, settings.deployment.clone(), (*keys).clone());
+    let (client, rules) = (clients::transparent()?, SenderSettings::default());
+    let sender = PeerSender::new(sealer, Arc::clone(&versions), client, rules, Arc::clone(&counters));
+    let sender = Arc::new(sender);
+    let driver = Driver::new(factory.build(node, &settings)?, Box::new(Arc::clone(&sender)));
+
+    let opener = FrameOpener::new(node, settings.deployment.clone(), (*keys).clone());
+    let frames = FrameReceiver::new(opener, versions, Arc::clone(&driver), Arc::clone(&counters));
+    let backend = settings.backend.as_ref().map(backend).transpose()?;
+    let gate = Gate {
+        node,
+        driver: Arc::clone(&driver),
+        backend,
+        keys: Arc::clone(&keys),
+        frames,
+        counters: Arc::clone(&counters),
+    };
+    let edge = Edge {
+        driver: Arc::clone(&driver),
+        client: clients::transparent()?,
+        keys,
+        limits: request_limits(&settings),
+        counters: Arc::clone(&counters),
+    };
+
+    let token = settings.operator_token.as_ref().map(|token| BearerToken::new(token.expose().to_vec()));
+    let operators = Operators::start(settings.operators, token, Arc::clone(&driver), &counters).await?;
+    let background = background(&settings, &driver, &counters)?;
+    let addresses = Addresses { callers: callers.address, peers: peers.address, operators: operators.address };
+    let stop_listeners = watch::Sender::new(false);
+    let mut servers = JoinSet::new();
+    let limits = caller_limits(&settings);
+    servers.spawn(serve(callers.listener, Arc::new(edge), limits, stop_listeners.subscribe()));
+    servers.spawn(serve(peers.listener, Arc::new(gate), peer_limits(&settings), stop_listeners.subscribe()));
+    log_start(&node, &addresses);
+    let grace = settings.stop.grace;
+    Ok(RunningNode { addresses, node, driver, counters, sender, operators, stop_listeners, servers, background, grace })
+}
+
+/// Zero means "any run" on the wire and is never drawn.
+fn draw_incarnation() -> Incarnation {
+    Incarnation(rand::random::<u64>().max(1))
+}
+
+fn fleet_keys(settings: &KeySettings) -> Result<FleetKeys, KeySetError> {
+    let key = |key: &quillhatch_settings::node_settings::FleetKey| FleetKey {
+        id: KeyId(key.id),
+        secret: key.secret.expose().to_vec(),
+    };
+    FleetKeys::new(settings.accepted.iter().map(key).collect(), KeyId(settings.send))
+}
+
+fn backend(settings: &BackendSettings) -> reqwest::Result<Backend> {
+    let client = clients::transparent()?;
+    Ok(Backend { address: settings.address, service: settings.service.clone(), client })
+}
+
+fn request_limits(settings: &NodeSettings) -> RequestLimits {
+    RequestLimits {
+        header_bytes: settings.limits.header_bytes,
+        body_bytes: settings.limits.body_bytes,
+        retry_buffer_bytes: settings.limits.retry_buffer_bytes,
+    }
+}
+
+fn caller_limits(settings: &NodeSettings) -> ServerLimits {
+    let head_bytes = to_usize(settings.limits.header_bytes + HEAD_ROOM_BYTES);
+    ServerLimits { head_bytes, connections: to_usize(settings.limits.connections) }
+}
+
+fn peer_limits(settings: &NodeSettings) -> ServerLimits {
+    let head_bytes = to_usize(settings.limits.header_bytes + HEAD_ROOM_BYTES + PEER_HEAD_BYTES);
+    ServerLimits { head_bytes, connections: PEER_CONNECTIONS }
+}
+
+fn to_usize(number: u64) -> usize {
+    // A semaphore takes no more permits than this.
+    usize::try_from(number).unwrap_or(usize::MAX).min(tokio::sync::Semaphore::MAX_PERMITS)
+}
+
+fn background(
+    settings: &NodeSettings,
+    driver: &Arc<Driver>,
+    counters: &Arc<Counters>,
+) -> Result<JoinSet<()>, StartError> {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(Arc::clone(driver).run_timer());
+    let platform = &settings.platform;
+    let reader = HttpPlatform::new(clients::transparent()?, platform.urls.clone(), platform.timeout);
+    let reader = PlatformReader::new(reader, platform.poll_interval, Arc::clone(driver), Arc::clone(counters));
+    tasks.spawn(reader.run());
+    if let Some(backend) = &settings.backend {
+        let client = clients::transparent()?;
+        let endpoints = health_endpoints(backend, backend.poll_interval);
+        tasks.spawn(backend_health::run(client, endpoints, Arc::clone(driver), Arc::clone(counters)));
+    }
+    Ok(tasks)
+}
+
+fn health_endpoints(backend: &BackendSettings, interval: Duration) -> HealthEndpoints {
+    let url = |path: &str| format!("http://{}{path}", backend.address);
+    HealthEndpoints { health: url(&backend.health_path), load: backend.load_path.as_deref().map(url), interval }
+}
+
+fn log_start(node: &NodeId, addresses: &Addresses) {
+    let node = node.to_string();
+    let (callers, peers) = (addresses.callers.to_string(), addresses.peers.to_string());
+    let operators = addresses.operators.to_string();
+    let (node, callers, peers, operators) = (node.as_str(), callers.as_str(), peers.as_str(), operators.as_str());
+    log::info!(node, callers, peers, operators; "the node listens");
+}
--- /dev/null
+++ b/crates/quillhatch/tests/node.rs
@@ -0,0 +1,92 @@
+//! Whole nodes: the operators' listener, messages between nodes, and the planned stop.
+
+mod support;
+
+use std::time::Duration;
+
+use quillhatch::decisions::NodeInput;
+use quillhatch_calls::gate::io::GateInput;
+use quillhatch_control::operator::OperatorRequest;
+use quillhatch_messages::{Kind, Payload};
+use support::backend::{start_raw, start_rocket};
+use support::node::{settings, start, TOKEN};
+use support::{client, BOUND};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_need_the_token() {
+    let (node, log) = start(settings(None), Vec::new()).await;
+    let url = |path: &str| format!("http://{}{path}", node.addresses.operators);
+    for open in ["/health", "/ready"] {
+        assert_eq!(client().get(url(open)).send().await.expect("answer").status(), 200);
+    }
+    for token in ["", "another-operators-token"] {
+        let metrics = client().get(url("/metrics")).bearer_auth(token).send().await.expect("answer");
+        assert_eq!(metrics.status(), 401);
+        let request = client().post(url("/operator")).bearer_auth(token).json(&OperatorRequest::Plans);
+        assert_eq!(request.send().await.expect("answer").status(), 401);
+    }
+    assert!(!log.inputs().iter().any(|input| matches!(input, NodeInput::Operator { .. })));
+    let metrics = client().get(url("/metrics")).bearer_auth(TOKEN).send().await.expect("answer");
+    let page = metrics.text().await.expect("page");
+    assert!(page.contains("quillhatch_rejected_frames_total 0") && page.ends_with("# EOF\n"), "{page}");
+    let malformed = client().post(url("/operator")).bearer_auth(TOKEN).header("content-type", "application/json");
+    assert_eq!(malformed.body("{\"request\":\"dance\"}").send().await.expect("answer").status(), 400);
+    node.kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn messages_reach_their_node_and_forged_ones_do_not() {
+    let (sender, _) = start(settings(None), Vec::new()).await;
+    let (receiver, log) = start(settings(None), Vec::new()).await;
+    let payload = Payload { kind: Kind::Membership, service: None, bytes: vec![1, 2, 3] };
+    sender.driver().send(receiver.node.address, Some(receiver.node.incarnation), payload.clone());
+    let arrived = |input: &NodeInput| matches!(input, NodeInput::Message { from, payload: got, .. } if *from == sender.node && *got == payload);
+    log.wait_for("the message", arrived).await;
+    let url = format!("http://{}/frames", receiver.addresses.peers);
+    let forged = [&40_u32.to_be_bytes()[..], &[7; 40]].concat();
+    assert_eq!(client().post(url).body(forged).send().await.expect("answer").status(), 204);
+    assert_eq!(receiver.counters().rejected_frames.get(), 1);
+    sender.kill().await;
+    receiver.kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_lets_a_running_answer_finish() {
+    let (gate, gate_log) = start(settings(Some(start_rocket().await)), Vec::new()).await;
+    let (edge, edge_log) = start(settings(None), vec![gate.node]).await;
+    let url = format!("http://{}/giving/download", edge.addresses.callers);
+    let answer = client().get(url).send().await.expect("head");
+    let (edge, gate) = (tokio::spawn(edge.stop()), tokio::spawn(gate.stop()));
+    for log in [&edge_log, &gate_log] {
+        log.wait_for("the stop", |input| matches!(input, NodeInput::Stop { .. })).await;
+    }
+    assert_eq!(answer.bytes().await.expect("the whole body").len(), support::backend::DOWNLOAD_BYTES);
+    for node in [edge, gate] {
+        let report = tokio::time::timeout(BOUND, node).await.expect("the node stops").expect("no panic");
+        assert!(report.cut.is_empty(), "{report:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_outlasts_the_grace_is_cut_and_named() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+    let (backend, _) = start_raw(head.as_bytes().to_vec(), true).await;
+    let (gate, log) = start(settings(Some(backend)), Vec::new()).await;
+    let (edge, _) = start(settings(None), vec![gate.node]).await;
+    let mut caller = TcpStream::connect(edge.addresses.callers).await.expect("connect");
+    caller.write_all(b"GET /giving/file HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("write");
+    log.wait_for("the answer", |input| matches!(input, NodeInput::Gate(GateInput::AnswerStarted { .. }))).await;
+    let mut received = Vec::new();
+    while !received.ends_with(b"part\r\n") {
+        assert!(caller.read_buf(&mut received).await.expect("read") > 0);
+    }
+    let report = tokio::time::timeout(BOUND, edge.stop_within(Duration::from_millis(1))).await.expect("the node stops");
+    assert_eq!(report.cut.len(), 1, "{report:?}");
+    assert!(report.cut[0].to_string().contains("giving"), "{report:?}");
+    let reading = async { while caller.read_buf(&mut received).await.unwrap_or(0) > 0 {} };
+    tokio::time::timeout(BOUND, reading).await.expect("the caller's connection closes");
+    assert!(!received.ends_with(b"0\r\n\r\n"), "a cut body ended as if it were whole");
+    gate.kill().await;
+}
--- /dev/null
+++ b/crates/quillhatch/tests/streaming.rs
@@ -0,0 +1,132 @@
+//! Calls through an edge and a gate over real HTTP: what callers and back ends see.
+
+mod support;
+
+use quillhatch::decisions::NodeInput;
+use quillhatch_calls::edge::io::EdgeInput;
+use quillhatch_calls::gate::io::{AnswerEnd, GateInput};
+use support::backend::{hex_digest, pattern, start_raw, start_rocket, DOWNLOAD_BYTES};
+use support::{client, start_edge, start_gate, BOUND};
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_download_arrives_whole() {
+    let gate = start_gate(start_rocket().await).await;
+    let edge = start_edge(vec![gate.node]).await;
+    let answer = client().get(edge.url("/download")).send().await.expect("answer");
+    assert_eq!(answer.status(), 200);
+    let body = answer.bytes().await.expect("body");
+    assert_eq!(hex_digest(&body), hex_digest(&pattern(0, DOWNLOAD_BYTES)));
+    let ended = |input: &NodeInput| matches!(input, NodeInput::Edge(EdgeInput::BodyEnded { broken: None, .. }));
+    edge.log.wait_for("whole body at the edge", ended).await;
+    gate.log.wait_for("whole body at the gate", |input| matches!(end_of(input), Some(AnswerEnd::Whole { .. }))).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_upload_arrives_whole() {
+    let gate = start_gate(start_rocket().await).await;
+    let edge = start_edge(vec![gate.node]).await;
+    let body = pattern(0, DOWNLOAD_BYTES);
+    let expected = format!("{} {}", body.len(), hex_digest(&body));
+    let chunks: Vec<std::io::Result<Vec<u8>>> = body.chunks(10_000).map(|chunk| Ok(chunk.to_vec())).collect();
+    let streamed = reqwest::Body::wrap_stream(futures::stream::iter(chunks));
+    let answer = client().post(edge.url("/upload")).body(streamed).send().await.expect("answer");
+    assert_eq!(answer.text().await.expect("text"), expected);
+}
+
+/// Sends a request as raw bytes and reads until the connection closes.
+async fn exchange(address: std::net::SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    stream.write_all(request.as_bytes()).await.expect("write");
+    let mut answer = Vec::new();
+    // A reset connection is one way of breaking off; what came before it counts.
+    let reading = async { while stream.read_buf(&mut answer).await.unwrap_or(0) > 0 {} };
+    tokio::time::timeout(BOUND, reading).await.expect("the connection closes");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test_case("transfer-encoding: chunked\r\n\r\n4\r\npart\r\n"; "chunked without its terminator")]
+#[test_case("content-length: 9\r\n\r\npart"; "shorter than announced")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_answer_is_visibly_broken(rest: &str) {
+    let (backend, _) = start_raw(format!("HTTP/1.1 200 OK\r\n{rest}").into_bytes(), false).await;
+    let gate = start_gate(backend).await;
+    let edge = start_edge(vec![gate.node]).await;
+    let request = "GET /giving/file HTTP/1.1\r\nhost: a\r\n\r\n";
+    let answer = exchange(edge.address, request).await;
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    assert!(!answer.contains("0\r\n\r\n"), "a broken body ended as if it were whole: {answer}");
+    let body = answer.split_once("\r\n\r\n").expect("head").1;
+    assert!(body.len() < "4\r\npart\r\n0\r\n\r\n".len() && !answer.contains("content-length: 4"), "{answer}");
+    edge.log
+        .wait_for("a broken body", |input| {
+            matches!(input, NodeInput::Edge(EdgeInput::BodyEnded { broken: Some(_), .. }))
+        })
+        .await;
+    gate.log.wait_for("a broken answer", |input| end_of(input) == Some(&AnswerEnd::Broken)).await;
+}
+
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "GET", 200)]
+#[test_case("HTTP/1.1 204 No Content\r\n\r\n", "GET", 204)]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n", "HEAD", 200)]
+#[test_case("HTTP/1.1 304 Not Modified\r\ncontent-length: 500\r\n\r\n", "GET", 304)]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_without_a_body_are_whole(answer: &str, method: &str, status: u16) {
+    let (backend, _) = start_raw(answer.as_bytes().to_vec(), true).await;
+    let gate = start_gate(backend).await;
+    let edge = start_edge(vec![gate.node]).await;
+    let method = method.parse().expect("method");
+    let response = client().request(method, edge.url("/x")).send().await.expect("answer");
+    assert_eq!(response.status(), status);
+    gate.log.wait_for("whole", |input| matches!(end_of(input), Some(AnswerEnd::Whole { bytes: 0, .. }))).await;
+    let gone = |input: &NodeInput| matches!(input, NodeInput::Edge(EdgeInput::CallerGone { .. }));
+    assert!(!edge.log.inputs().iter().any(gone));
+}
+
+#[test_case(""; "before the head of the answer")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n"; "in the middle of the body")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_leaves_stops_the_back_end(answer: &str) {
+    let (backend, seen) = start_raw(answer.as_bytes().to_vec(), true).await;
+    let gate = start_gate(backend).await;
+    let edge = start_edge(vec![gate.node]).await;
+    let mut caller = TcpStream::connect(edge.address).await.expect("connect");
+    caller.write_all(b"GET /giving/file HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("write");
+    if answer.is_empty() {
+        gate.log.wait_for("arrival", |input| matches!(input, NodeInput::Gate(GateInput::Arrived(_)))).await;
+    } else {
+        let mut byte = [0];
+        caller.read_exact(&mut byte).await.expect("the answer begins");
+    }
+    drop(caller);
+    tokio::time::timeout(BOUND, seen.left.notified()).await.expect("the back end's connection closes");
+    edge.log.wait_for("caller gone", |input| matches!(input, NodeInput::Edge(EdgeInput::CallerGone { .. }))).await;
+    gate.log.wait_for("cancelled", |input| end_of(input) == Some(&AnswerEnd::Cancelled)).await;
+}
+
+#[test_case("\"v1\"", true; "the same strong validator")]
+#[test_case("\"v2\"", false; "another validator")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_download_goes_on_only_under_the_same_validator(validator: &str, whole: bool) {
+    let first = "HTTP/1.1 200 OK\r\naccept-ranges: bytes\r\netag: \"v1\"\r\ncontent-length: 8\r\n\r\nabcd";
+    let rest = format!(
+        "HTTP/1.1 206 Partial Content\r\netag: {validator}\r\ncontent-range: bytes 4-7/8\r\ncontent-length: 4\r\n\r\nefgh"
+    );
+    let (first, _) = start_raw(first.as_bytes().to_vec(), false).await;
+    let (second, seen) = start_raw(rest.into_bytes(), false).await;
+    let (gate, other) = (start_gate(first).await, start_gate(second).await);
+    let edge = start_edge(vec![gate.node, other.node]).await;
+    let body = client().get(edge.url("/file")).send().await.expect("head").bytes().await;
+    assert_eq!(body.ok().as_deref(), whole.then_some(b"abcdefgh".as_slice()));
+    let request = seen.requests.lock().expect("requests").concat();
+    assert!(request.contains("range: bytes=4-") && request.contains("if-range: \"v1\""), "{request}");
+}
+
+fn end_of(input: &NodeInput) -> Option<&AnswerEnd> {
+    match input {
+        NodeInput::Gate(GateInput::AnswerEnded { end, .. }) => Some(end),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/quillhatch/tests/support/node.rs
@@ -0,0 +1,37 @@
+//! A whole node with a double in the place of the decision code.
+
+use std::net::SocketAddr;
+
+use quillhatch::decisions::Decisions;
+use quillhatch::running::{start_with, RunningNode, StartError};
+use quillhatch_settings::{parse_node_settings, NodeSettings, Overrides};
+use quillhatch_types::{NodeAddress, NodeId};
+
+use super::double::{Double, Log};
+
+pub const TOKEN: &str = "an-operators-token";
+
+pub fn settings(backend: Option<SocketAddr>) -> NodeSettings {
+    let backend = backend
+        .map_or_else(String::new, |address| format!("[backend]\naddress = \"{address}\"\nservice = \"giving\"\n"));
+    let text = format!(
+        "deployment = \"test\"\nsite = \"old\"\nzone = \"one\"\n\
+         [listeners]\ncallers = \"127.0.0.1:1\"\npeers = \"127.0.0.1:2\"\noperators = \"127.0.0.1:3\"\n\
+         [operators]\ntoken = \"{TOKEN}\"\n\
+         [fleet]\nkeys = [{{ id = 1, secret = \"{}\" }}]\n\
+         [platform]\nurls = [\"http://127.0.0.1:4\"]\n\
+         [stop]\ngrace = \"20 s\"\n{backend}",
+        (0..32).map(|byte| format!("{:02x}", byte * 37 % 251)).collect::<String>()
+    );
+    let parsed = parse_node_settings("test", &text, &Overrides::default());
+    let (mut settings, _) = parsed.unwrap_or_else(|findings| panic!("{findings}"));
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
+    (settings.callers, settings.peers, settings.operators) = (any, NodeAddress(any), any);
+    settings
+}
+
+pub async fn start(settings: NodeSettings, targets: Vec<NodeId>) -> (RunningNode, Log) {
+    let (double, log) = Double::new(targets);
+    let build = move |_: NodeId, _: &NodeSettings| -> Result<Box<dyn Decisions>, StartError> { Ok(Box::new(double)) };
+    (start_with(settings, build).await.expect("the node starts"), log)
+}
