--- a/crates/claims/src/owner/table.rs
+++ b/crates/claims/src/owner/table.rs
@@ -49,7 +49,8 @@
         let importer = self.slots.get(&slot).is_some_and(|held| {
             matches!(held.phase, Phase::Importing { .. } | Phase::Imported) && held.epoch == assignment.epoch
         });
-        if held_epoch == Some(assignment.epoch) && !(owned && importer) {
+        let handed_over = matches!(assignment.state, SlotState::Elsewhere { .. }) && !importer;
+        if held_epoch == Some(assignment.epoch) && !(owned && importer) && !handed_over {
             return;
         }
         let reason = match assignment.state {
--- a/crates/claims/src/owner/tests.rs
+++ b/crates/claims/src/owner/tests.rs
@@ -347,10 +347,13 @@
     assert_eq!(claims.len(), 1);
     let east = SiteName::new("east").expect("valid");
     cluster.table(21, table(1, SlotState::Elsewhere { site: east }, &[4], &[]));
+    cluster.table(21, table(3, SlotState::Vacant, &[4], &[]));
     let import = OwnerInput::ImportSlot { slot: SLOT, epoch: Epoch(3), claims: claims.clone() };
     let imported = cluster.step(21, import);
     assert_eq!(imported, vec![OwnerOutput::SlotImported { slot: SLOT, epoch: Epoch(3) }]);
-    cluster.table(21, table(3, SlotState::Owned { owner: node(21) }, &[4], &[]));
+    let mut owned = table(4, SlotState::Owned { owner: node(21) }, &[4], &[]);
+    owned.slots[0].epoch = Epoch(3);
+    cluster.table(21, owned);
     let expected = refused(Refusal::unknown(RefusalReason::KeyInProgress));
     assert_eq!(decision(&cluster.step(21, claim(3, "a")), 3), expected);
     cluster.down.clear();
@@ -359,6 +362,11 @@
         decision(&cluster.step(11, claim(4, "c")), 4),
         refused(Refusal::not_run(RefusalReason::SlotMoving).with_retry_after(Duration::from_millis(100)))
     );
+    let west = SiteName::new("west").expect("valid");
+    let mut gone = table(3, SlotState::Elsewhere { site: west }, &[1, 2, 3], &[]);
+    gone.slots[0].epoch = Epoch(2);
+    cluster.table(12, gone);
+    assert_eq!(cluster.owners[&node(12)].held_claims(), 0);
 }
 
 #[test]
