--- a/crates/standins/src/backend/behaviour.rs
+++ b/crates/standins/src/backend/behaviour.rs
@@ -25,6 +25,8 @@
 pub struct BackendFaults {
     /// The service time is multiplied by this.
     pub slowdown: f64,
+    /// Every call runs longer by this many milliseconds.
+    pub delay_milliseconds: u64,
     /// Every call is answered 503 before it runs.
     pub shedding: bool,
     /// Calls stop in the middle of their answer after this many bytes.
@@ -39,6 +41,7 @@
     fn default() -> Self {
         BackendFaults {
             slowdown: 1.0,
+            delay_milliseconds: 0,
             shedding: false,
             break_after_bytes: None,
             always_healthy: true,
@@ -104,7 +107,11 @@
     pub async fn run(&self, arrival: &Arrival) -> Option<RunAnswer> {
         let _slot = self.wait_for_slot(arrival.deadline).await?;
         self.runs.start(&arrival.identity, &arrival.path);
-        tokio::time::sleep(self.service_time()).await;
+        let service_time = self.service_time();
+        // Even an empty sleep lasts until the next tick of the timer.
+        if !service_time.is_zero() {
+            tokio::time::sleep(service_time).await;
+        }
         let children = self.call_children(arrival).await;
         self.runs.finish(&arrival.identity);
         Some(RunAnswer { identity: arrival.identity.clone(), backend: self.options.name.clone(), children })
@@ -125,7 +132,9 @@
     fn service_time(&self) -> Duration {
         let waiting = self.waiting.load(Ordering::Relaxed) as f64;
         let contention = (1.0 + waiting / self.options.slots as f64 / 4.0).min(CONTENTION_LIMIT);
-        self.options.service_time.mul_f64(self.faults().slowdown * contention)
+        let faults = self.faults();
+        let delay = Duration::from_millis(faults.delay_milliseconds);
+        self.options.service_time.mul_f64(faults.slowdown * contention) + delay
     }
 
     async fn call_children(&self, arrival: &Arrival) -> Vec<String> {
--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -1,8 +1,8 @@
 //! The stand-in for a back end: serves small answers and large files, calls other services, and misbehaves on demand.
 //!
-//! Paths below its service's prefix: `GET /<service>/files/<seed>/<bytes>` streams a generated file with a strong entity tag and
-//! ranges; every other path runs for the service time and answers a [`RunAnswer`]. `GET /health`, `GET /load`,
-//! `GET /record` and `PUT /faults` are outside the prefix.
+//! `GET /health`, `GET /load`, `GET /record` and `PUT /faults` are its own. A path that ends in `/files/<seed>/<bytes>` streams
+//! a generated file with a strong entity tag and ranges; every other path runs for the service time and answers a
+//! [`RunAnswer`]. Nodes take the service's prefix off a path, so that it plays no part here.
 
 mod behaviour;
 mod record;
@@ -20,7 +20,7 @@
 /// A call that a back end makes for each of its own.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ChildCall {
-    /// The path of the back end's own call that makes it, by prefix.
+    /// The path of the back end's own call that makes it, by prefix, as the back end sees it.
     pub below: String,
     /// The method.
     pub method: String,
--- a/crates/standins/src/backend/routes.rs
+++ b/crates/standins/src/backend/routes.rs
@@ -92,15 +92,14 @@
     }
 }
 
-/// The file of a path `/<service>/files/<seed>/<bytes>`.
+/// The file of a path that ends in `/files/<seed>/<bytes>`.
 pub(crate) fn requested_file(path: &str) -> Option<GeneratedFile> {
-    let mut segments = path.trim_start_matches('/').split('/');
-    let _service = segments.next()?;
+    let mut segments = path.rsplit('/');
+    let length = segments.next()?.parse().ok()?;
+    let seed = segments.next()?.parse().ok()?;
     if segments.next()? != "files" {
         return None;
     }
-    let seed = segments.next()?.parse().ok()?;
-    let length = segments.next()?.parse().ok()?;
     Some(GeneratedFile { seed, length })
 }
 
@@ -165,9 +164,8 @@
 }
 
 pub(super) fn routes(behaviour: Arc<Behaviour>) -> Vec<Route> {
-    let path = format!("/{}/<path..>", behaviour.options.service);
     let methods = [Method::Get, Method::Post, Method::Put, Method::Delete, Method::Patch];
-    let calls = methods.map(|method| Route::new(method, &path, Calls { behaviour: behaviour.clone() }));
+    let calls = methods.map(|method| Route::new(method, "/<path..>", Calls { behaviour: behaviour.clone() }));
     let mut all = routes![health, load, record, put_faults];
     all.extend(calls);
     all
--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -14,6 +14,7 @@
 
 const IDENTITY_HEADER: &str = "x-request-identity";
 const OUTCOME_HEADER: &str = "outcome";
+const NOT_RUN: &str = "not-run";
 
 /// Makes one call and reports how it ended.
 pub async fn call(
@@ -26,17 +27,19 @@
     let share = &options.shares[planned.share];
     let identity = format!("{:x}-{}", options.seed, planned.number);
     let mut attempts = 0;
+    let mut told_not_run = true;
     let end = loop {
         let target = options.targets[(planned.number + attempts) as usize % options.targets.len()];
         let request = request(&client, target, share, &planned, &identity).timeout(options.timeout);
         let end = check(request.send().await, share, &planned, &identity).await;
         attempts += 1;
+        told_not_run &= matches!(&end, CallEnd::Refused { outcome: Some(outcome), .. } if outcome == NOT_RUN);
         let again = matches!(end, CallEnd::Refused { .. } | CallEnd::TimedOut);
         if !again || attempts > u64::from(options.retries) {
             break end;
         }
     };
-    let report = CallReport { identity, share: planned.share, end, attempts, latency: begin.elapsed() };
+    let report = CallReport { identity, share: planned.share, end, attempts, told_not_run, latency: begin.elapsed() };
     // The collector ends only after all callers did.
     let _ = reports.send(report);
 }
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -14,7 +14,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use tokio::sync::mpsc;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::task::JoinSet;
+
+use summary::CallReport;
 
 /// Runs a load to its end.
 ///
@@ -26,14 +30,28 @@
     let options = Arc::new(options);
     let (sender, receiver) = mpsc::unbounded_channel();
     let summary = tokio::spawn(summary::collect(receiver));
+    let runtime = Handle::current();
+    // The runtime's timer is a millisecond coarse, which would show in every latency; a thread's sleep is finer.
+    let starter = tokio::task::spawn_blocking(move || start_calls(&client, &options, &sender, &runtime));
+    let mut calls = starter.await.unwrap_or_default();
+    while calls.join_next().await.is_some() {}
+    Ok(summary.await.unwrap_or_default())
+}
+
+/// Starts every call at its time.
+fn start_calls(
+    client: &reqwest::Client,
+    options: &Arc<LoadOptions>,
+    reports: &UnboundedSender<CallReport>,
+    runtime: &Handle,
+) -> JoinSet<()> {
+    let plan = arrivals::plan(options);
     let start = Instant::now();
-    let mut calls = tokio::task::JoinSet::new();
-    for planned in arrivals::plan(&options) {
+    let mut calls = JoinSet::new();
+    for planned in plan {
         let begin = start + planned.after;
-        tokio::time::sleep_until(begin.into()).await;
-        calls.spawn(caller::call(client.clone(), options.clone(), planned, begin, sender.clone()));
+        std::thread::sleep(begin.saturating_duration_since(Instant::now()));
+        calls.spawn_on(caller::call(client.clone(), options.clone(), planned, begin, reports.clone()), runtime);
     }
-    while calls.join_next().await.is_some() {}
-    drop(sender);
-    Ok(summary.await.unwrap_or_default())
+    calls
 }
--- a/crates/standins/src/load/summary.rs
+++ b/crates/standins/src/load/summary.rs
@@ -46,6 +46,8 @@
     pub end: CallEnd,
     /// Attempts by the caller itself.
     pub attempts: u64,
+    /// Whether the caller was told of every attempt that it did not run.
+    pub told_not_run: bool,
     /// From the planned start to the end.
     pub latency: Duration,
 }
@@ -55,6 +57,8 @@
 pub struct LatencySummary {
     /// Half of the calls took at most this.
     pub p50: f64,
+    /// 90 of 100.
+    pub p90: f64,
     /// 99 of 100.
     pub p99: f64,
     /// 999 of 1,000.
@@ -84,7 +88,7 @@
     pub attempts: u64,
     /// Latency of whole answers.
     pub latency: LatencySummary,
-    /// The identities of calls that were told "not-run" at last.
+    /// The identities of calls whose caller was told of every attempt that it did not run.
     #[serde(skip)]
     pub told_not_run: Vec<String>,
     /// The identities of calls with a whole answer, by traffic share.
@@ -110,6 +114,7 @@
         let milliseconds = |quantile: f64| latencies.value_at_quantile(quantile) as f64 / 1_000.0;
         summary.latency = LatencySummary {
             p50: milliseconds(0.5),
+            p90: milliseconds(0.9),
             p99: milliseconds(0.99),
             p999: milliseconds(0.999),
             maximum: latencies.max() as f64 / 1_000.0,
@@ -122,6 +127,9 @@
     fn add(&mut self, report: CallReport) {
         self.offered += 1;
         self.attempts += report.attempts;
+        if report.told_not_run {
+            self.told_not_run.push(report.identity.clone());
+        }
         match report.end {
             CallEnd::Whole => {
                 self.whole += 1;
@@ -129,9 +137,6 @@
             }
             CallEnd::Refused { status, outcome } => {
                 let outcome = outcome.unwrap_or_else(|| "none".to_owned());
-                if outcome == "not-run" && report.attempts == 1 {
-                    self.told_not_run.push(report.identity);
-                }
                 *self.refused.entry(format!("{status} {outcome}")).or_default() += 1;
             }
             CallEnd::TimedOut => self.timed_out += 1,
