--- a/crates/lab/src/demo/audit.rs
+++ b/crates/lab/src/demo/audit.rs
@@ -37,6 +37,17 @@
     pub false_not_run: u64,
     /// Requests whose caller got a whole answer although no back end ran them.
     pub lost: u64,
+    /// Loads within capacity of which less than half was served: a product that refuses everything loses nothing.
+    pub unserved_loads: u64,
+}
+
+/// What is expected of a load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadKind {
+    /// It can be served.
+    WithinCapacity,
+    /// A part of it must be refused.
+    Overload,
 }
 
 /// The runs of one request that may run only once, at all back ends together.
@@ -52,7 +63,9 @@
 
 impl Ledger {
     /// Adds what the callers of one load saw.
-    pub fn add(&mut self, summary: LoadSummary) {
+    pub fn add(&mut self, kind: LoadKind, summary: LoadSummary) {
+        let is_unserved = kind == LoadKind::WithinCapacity && summary.whole * 2 < summary.offered;
+        self.audit.unserved_loads += u64::from(is_unserved);
         self.audit.requests += summary.offered;
         self.audit.whole += summary.whole;
         for (what, count) in summary.refused {
@@ -98,7 +111,8 @@
     ///
     /// No machine fails in the demo, so that an answer that broke off is the fault of the planned changes.
     pub fn verdict(&self) -> Verdict {
-        let wrong = [self.broken, self.partial, self.foreign, self.doubled, self.false_not_run, self.lost];
+        let wrong =
+            [self.broken, self.partial, self.foreign, self.doubled, self.false_not_run, self.lost, self.unserved_loads];
         Verdict::of(wrong.iter().all(|count| *count == 0))
     }
 
@@ -118,6 +132,7 @@
         row("doubled: ran more than once (must be 0)", self.doubled);
         row("told not-run, but ran (must be 0)", self.false_not_run);
         row("lost: answered, but never ran (must be 0)", self.lost);
+        row("loads of which less than half was served (must be 0)", self.unserved_loads);
         table.to_text()
     }
 }
--- a/crates/lab/src/demo/audit/tests.rs
+++ b/crates/lab/src/demo/audit/tests.rs
@@ -4,7 +4,7 @@
 use quillhatch_standins::load::LoadSummary;
 use test_case::test_case;
 
-use super::{Audit, Ledger};
+use super::{Audit, Ledger, LoadKind};
 use crate::command_line::Verdict;
 use crate::demo::deployment::PLEDGES;
 
@@ -26,12 +26,12 @@
 }
 
 fn told_not_run() -> LoadSummary {
-    LoadSummary { offered: 1, told_not_run: vec![REQUEST.to_owned()], ..LoadSummary::default() }
+    LoadSummary { offered: 2, whole: 1, told_not_run: vec![REQUEST.to_owned()], ..LoadSummary::default() }
 }
 
 fn judge(summary: LoadSummary, records: &[BTreeMap<String, RunRecord>]) -> Audit {
     let mut ledger = Ledger::default();
-    ledger.add(summary);
+    ledger.add(LoadKind::WithinCapacity, summary);
     ledger.judge(records)
 }
 
@@ -48,6 +48,7 @@
 #[test_case(LoadSummary { broken: 1, ..answered() }, records(1, 1), |audit| audit.broken; "a broken answer")]
 #[test_case(LoadSummary { partial: 1, ..answered() }, records(1, 1), |audit| audit.partial; "a partial answer")]
 #[test_case(LoadSummary { foreign: 1, ..answered() }, records(1, 1), |audit| audit.foreign; "a foreign answer")]
+#[test_case(LoadSummary { offered: 3, ..answered() }, records(1, 1), |audit| audit.unserved_loads; "a load that is refused")]
 fn each_planted_violation_is_counted_and_fails_the_demo(
     summary: LoadSummary,
     records: Vec<BTreeMap<String, RunRecord>>,
--- a/crates/lab/src/demo/mod.rs
+++ b/crates/lab/src/demo/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::fleet::operators::{Operator, OperatorError};
 use crate::fleet::{Fleet, FleetError, FleetMachine};
-use audit::{Audit, Ledger};
+use audit::{Audit, Ledger, LoadKind};
 use deployment::{calls, downloads, overload, NEW_SITE, OLD_SITE};
 
 pub use narrator::Narrator;
@@ -89,7 +89,7 @@
     let edges = fleet.edges(OLD_SITE);
     let summary = quillhatch_standins::load::run(calls(edges, Duration::from_secs(3), FIRST_SEED)).await?;
     narrator.tell(format!("ordinary calls: {}", describe(&summary)));
-    ledger.add(summary);
+    ledger.add(LoadKind::WithinCapacity, summary);
     Ok(())
 }
 
@@ -100,11 +100,11 @@
     narrator.tell(format!("overload: {}", describe(&summary)));
     let pledges = summary.whole_identities.iter().filter(|(share, _)| *share == deployment::PLEDGES).count();
     narrator.tell(format!("overload: {pledges} pledges were served meanwhile"));
-    ledger.add(summary);
+    ledger.add(LoadKind::Overload, summary);
     narrator.busy("the overload is over");
     let summary = quillhatch_standins::load::run(calls(edges, Duration::from_secs(2), FIRST_SEED + 2)).await?;
     narrator.tell(format!("afterwards: {}", describe(&summary)));
-    ledger.add(summary);
+    ledger.add(LoadKind::WithinCapacity, summary);
     Ok(())
 }
 
@@ -122,7 +122,7 @@
     let (summary, moved) = tokio::join!(quillhatch_standins::load::run(load), carry_out(&operator, intent, narrator));
     let summary = summary?;
     narrator.tell(format!("during the move: {}", describe(&summary)));
-    ledger.add(summary);
+    ledger.add(LoadKind::WithinCapacity, summary);
     moved?;
     let after = runs_at(fleet, "giving", NEW_SITE);
     narrator.tell(format!("the new site has run {} calls of giving since the plan was made", after - before));
@@ -161,7 +161,7 @@
     let (summary, ()) = tokio::join!(load, stop);
     let summary = summary?;
     narrator.tell(format!("during the stop: {}", describe(&summary)));
-    ledger.add(summary);
+    ledger.add(LoadKind::WithinCapacity, summary);
     Ok(())
 }
 
