Control: of two opposite moves confirmed at once, one goes on

Ruled out: lost confirmations, both had passed the check, and the tie-break by id, which both sides computed alike. Conclusion: nothing was ever lost or doubled by it, but an operator would have found both plans undone.

--- a/crates/control/src/host/moves.rs
+++ b/crates/control/src/host/moves.rs
@@ -8,6 +8,7 @@
 use crate::host::{nth_member, HostStep, ServiceHost};
 use crate::io::Recipient;
 use crate::message::{GroupBody, Readiness};
+use crate::operator::PlanState;
 use crate::state::{Command, SlotRecord};
 
 /// Unanswered messages after which another member of the site's group is tried.
@@ -118,7 +119,8 @@
             serving: u32::try_from(fresh.len()).unwrap_or(u32::MAX),
             protected_refusals: self.gates.protected_refusals(step.now, timing.readiness_age * 2),
             plan: active.map(|record| record.plan.id.clone()),
-            started: active.is_some_and(|record| record.begun),
+            // A plan that gives way is undone in a moment: the other one waits for that instead of giving way too.
+            started: active.is_some_and(|record| record.begun && record.state == PlanState::Running),
             loads: fresh.iter().filter_map(|node| Some((node.address, self.gates.load(*node)?))).collect(),
         };
         self.answer(step, from, GroupBody::ProbeAnswer(readiness));
--- a/crates/control/src/message/mod.rs
+++ b/crates/control/src/message/mod.rs
@@ -119,7 +119,7 @@
     pub protected_refusals: u32,
     /// A plan of the same service that is active there.
     pub plan: Option<PlanId>,
-    /// Whether that plan has begun its first step.
+    /// Whether that plan has begun its first step and still goes on.
     pub started: bool,
     /// What its gates measured.
     pub loads: Vec<(NodeAddress, LoadReport)>,
--- a/crates/control/tests/moves.rs
+++ b/crates/control/tests/moves.rs
@@ -225,9 +225,15 @@
     assert_eq!(network.doubled_keys(), 0);
 }
 
-#[test]
-fn of_two_opposite_moves_confirmed_at_the_same_moment_one_goes_on() {
-    let mut network = Network::settled(7, ControlMechanisms::default());
+// With seed 7 alone, a plan that gave way made the other give way too in 11 of 24 other seeds, and none was done.
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+#[test_case(7; "seed 7")]
+#[test_case(11; "seed 11")]
+#[test_case(22; "seed 22")]
+fn of_two_opposite_moves_confirmed_at_the_same_moment_one_goes_on(seed: u64) {
+    let mut network = Network::settled(seed, ControlMechanisms::default());
     let first = confirmed(&mut network, intent(50));
     assert!(run_until_state(&mut network, &first, |state| *state == PlanState::Done));
     network.run(Duration::from_secs(2));
