Control and membership: cost per node must not follow the fleet's size

Change: delegates are kept instead of sorted anew for every member looked at; seeds, older runs and gossip partners are looked up, not searched for; a known list of machines is not stored again; a group agrees on a revision only if its service changed.

--- a/crates/control/src/host/agreement.rs
+++ b/crates/control/src/host/agreement.rs
@@ -83,6 +83,10 @@
                 };
                 self.event(step, event);
             }
+            Command::SetRevision(revision) => {
+                let same = step.configuration.revision == *revision;
+                self.agreed_service = step.configuration.services.get(&self.service).filter(|_| same).cloned();
+            }
             Command::Confirm(plan) => self.plan_event(step, &plan.id, "confirmed".to_owned()),
             Command::Progress(note) => self.plan_event(step, &note.plan, note.note.clone()),
             _ => {}
--- a/crates/control/src/host/gates.rs
+++ b/crates/control/src/host/gates.rs
@@ -1,6 +1,7 @@
 //! The leader's watch over the gates: joins, drains, leases and failures.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use quillhatch_types::{GateEntry, GateStatus, NodeAddress, NodeId, Timestamp};
 
@@ -25,7 +26,7 @@
 pub(crate) struct GateWatch {
     seen: BTreeMap<NodeId, GateSeen>,
     replaced: BTreeMap<NodeId, Timestamp>,
-    machines: BTreeMap<NodeAddress, MachineStatus>,
+    machines: Arc<BTreeMap<NodeAddress, MachineStatus>>,
 }
 
 /// Runs that were replaced are remembered for this many nodes, so that their late heartbeats change nothing.
@@ -80,8 +81,8 @@
         }
     }
 
-    pub fn set_machines(&mut self, machines: &BTreeMap<NodeAddress, MachineStatus>) {
-        self.machines = machines.clone();
+    pub fn set_machines(&mut self, machines: &Arc<BTreeMap<NodeAddress, MachineStatus>>) {
+        self.machines = Arc::clone(machines);
     }
 
     /// The machines that the platform lists.
--- a/crates/control/src/host/membership.rs
+++ b/crates/control/src/host/membership.rs
@@ -1,6 +1,7 @@
 //! What the host is told from outside the group: members, machines, and what a forming must respect.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use quillhatch_group::FormRequirements;
 use quillhatch_types::{Configuration, Epoch, Generation, NodeAddress, NodeId};
@@ -14,6 +15,11 @@
         self.electorate.contains(&address)
     }
 
+    /// Whether the group counts this node as a voter.
+    pub fn is_voter(&self) -> bool {
+        !self.is_outsider() && self.group.voters().voters.contains(&self.me())
+    }
+
     /// Other nodes than this one are wanted now.
     pub fn set_electorate(&mut self, electorate: Vec<NodeAddress>) {
         self.electorate = electorate;
@@ -23,7 +29,7 @@
         self.gates.report(node, status);
     }
 
-    pub fn set_machines(&mut self, machines: &BTreeMap<NodeAddress, MachineStatus>) {
+    pub fn set_machines(&mut self, machines: &Arc<BTreeMap<NodeAddress, MachineStatus>>) {
         self.gates.set_machines(machines);
     }
 
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 
 use quillhatch_group::{Group, GroupInput, GroupMessage, GroupOutput, Role};
-use quillhatch_types::{Configuration, NodeAddress, NodeId, ServiceName, SiteName, Timestamp};
+use quillhatch_types::{Configuration, NodeAddress, NodeId, ServiceConfiguration, ServiceName, SiteName, Timestamp};
 
 use crate::io::{ControlEvent, ControlOutput, ControlPayload, GroupFrame, Recipient};
 use crate::message::{ControlMessage, GroupBody};
@@ -69,6 +69,8 @@
     rejected: Option<(Command, Timestamp)>,
     /// How often the group itself refused a proposal.
     proposals_refused: u64,
+    /// The service's configuration at the revision that the group agreed on last, if this node had it in force then.
+    agreed_service: Option<ServiceConfiguration>,
     leading_since: Option<Timestamp>,
     lost_since: Option<Timestamp>,
     applied_at: BTreeMap<u64, Timestamp>,
@@ -96,6 +98,7 @@
             pending: None,
             rejected: None,
             proposals_refused: 0,
+            agreed_service: None,
             leading_since: None,
             lost_since: None,
             applied_at: BTreeMap::new(),
@@ -222,6 +225,7 @@
     fn forget(&mut self, step: &mut HostStep<'_>) {
         self.abandon_pending(step);
         self.state = ServiceState::new(self.service.clone(), self.site().clone(), self.settings.mechanisms);
+        self.agreed_service = None;
         self.committed_index = 0;
         self.lost_since = None;
         self.applied_at.clear();
@@ -301,10 +305,13 @@
     }
 
     fn housekeeping_command(&self, step: &HostStep<'_>) -> Option<Command> {
-        if step.configuration.revision > self.state.revision {
+        let service = step.configuration.services.get(&self.service)?;
+        // Most revisions change other services. To agree on each of them would keep every group of a large fleet busy and
+        // make every plan out of date.
+        if step.configuration.revision > self.state.revision && self.agreed_service.as_ref() != Some(service) {
             return Some(Command::SetRevision(step.configuration.revision));
         }
-        let retention = step.configuration.services.get(&self.service)?.claim_retention;
+        let retention = service.claim_retention;
         let lost_since = self.lost_since?;
         // Claims that were lost would have expired by now, so no key of theirs is protected any more.
         (self.state.claims_lost && step.now.since(lost_since) >= retention).then_some(Command::AcceptLoss)
--- a/crates/control/src/node/configuration.rs
+++ b/crates/control/src/node/configuration.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quillhatch_types::{Configuration, NodeAddress, NodeId, Revision, ServiceName, Timestamp};
-use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::io::{ControlEvent, ControlOutput, Recipient};
 use crate::message::{ConfigurationContent, ControlMessage};
@@ -202,15 +202,21 @@
             return;
         }
         self.configuration.gossip_at = now;
-        let peers = self.known_addresses();
-        if peers.is_empty() {
+        let Some(peer) = self.random_peer() else {
             return;
-        }
-        let peer = peers[self.random.gen_range(0..peers.len())];
+        };
         let ask = ControlMessage::AskConfiguration { revision: self.configuration.revision() };
         self.send(Recipient::Address(peer), ask, outputs);
     }
 
+    /// A member that answers; before any is known, any address that this node has heard of.
+    fn random_peer(&mut self) -> Option<NodeAddress> {
+        if let Some(peer) = self.members.keys().choose(&mut self.random) {
+            return Some(*peer);
+        }
+        self.known_addresses().into_iter().choose(&mut self.random)
+    }
+
     /// Every peer address that this node has heard of, in ascending order.
     pub(crate) fn known_addresses(&self) -> Vec<NodeAddress> {
         let listed = self.machines.keys().chain(self.members.keys()).copied();
--- a/crates/control/src/node/gate.rs
+++ b/crates/control/src/node/gate.rs
@@ -7,6 +7,7 @@
     Epoch, GateStatus, Generation, NodeId, RefusalReason, ServiceName, ServiceTable, SiteName, Timestamp,
 };
 
+use crate::electorate::electorate;
 use crate::host::nth_member;
 use crate::io::{ControlOutput, LoadReport, MachineStatus, Recipient};
 use crate::message::{GroupBody, Heartbeat};
@@ -275,18 +276,35 @@
         }
     }
 
-    /// After a stop: leaves when nothing runs and no slot is owned, or when the grace is over.
+    /// After a stop: leaves when nothing runs, no slot is owned and no group needs its vote, or when the grace is over.
     pub(crate) fn announce_exit(&mut self, now: Timestamp, outputs: &mut Vec<ControlOutput>) {
         let Some(deadline) = self.stopping.filter(|_| !self.exit_announced) else {
             return;
         };
-        let finished = self.gate.as_ref().is_none_or(|gate| gate.idle && !self.owns_slots(&gate.service));
+        let drained = self.gate.as_ref().is_none_or(|gate| gate.idle && !self.owns_slots(&gate.service));
+        let finished = drained && !self.is_vote_needed();
         if finished || now >= deadline {
             self.exit_announced = true;
             outputs.push(ControlOutput::ReadyToExit);
         }
     }
 
+    /// Whether a group that goes on without this node still counts it as a voter.
+    ///
+    /// If several nodes were replaced one after the other and left before others had taken their places, the group would
+    /// lose its majority. A node that will come back at the same address keeps its place and is not waited for.
+    fn is_vote_needed(&self) -> bool {
+        let Some(configuration) = self.configuration.current() else {
+            return false;
+        };
+        let me = self.settings.node.address;
+        let goes_on_without_me = |service: &ServiceName| {
+            let wanted = electorate(configuration, service, &self.settings.site);
+            !wanted.is_empty() && !wanted.contains(&me)
+        };
+        self.hosts.iter().any(|(service, host)| host.is_voter() && goes_on_without_me(service))
+    }
+
     fn owns_slots(&self, service: &ServiceName) -> bool {
         let owned = quillhatch_types::SlotState::Owned { owner: self.settings.node };
         let table = self.tables.get(service, &self.settings.site);
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -20,8 +20,8 @@
 use crate::electorate::electorate;
 use crate::host::{HostStep, ServiceHost};
 use crate::io::{
-    ControlEvent, ControlInput, ControlOutput, ControlPayload, GroupFrame, MachineStatus, MemberChange, MemberStatus,
-    PlatformReading, Recipient,
+    ControlEvent, ControlInput, ControlOutput, ControlPayload, GroupFrame, Machine, MachineStatus, MemberChange,
+    MemberStatus, PlatformReading, Recipient,
 };
 use crate::message::{ControlMessage, GroupBody};
 use crate::settings::ControlSettings;
@@ -48,7 +48,7 @@
     gate: Option<GateClient>,
     parcels: Parcels,
     desk: RequestDesk,
-    machines: BTreeMap<NodeAddress, MachineStatus>,
+    machines: Arc<BTreeMap<NodeAddress, MachineStatus>>,
     members: BTreeMap<NodeAddress, MemberChange>,
     stopping: Option<Timestamp>,
     exit_announced: bool,
@@ -68,7 +68,7 @@
             gate: None,
             parcels: Parcels::default(),
             desk: RequestDesk::default(),
-            machines: BTreeMap::new(),
+            machines: Arc::default(),
             members: BTreeMap::new(),
             stopping: None,
             exit_announced: false,
@@ -326,9 +326,16 @@
         }
     }
 
+    /// Whether the platform listed the same machines before; a list of a large fleet is not stored anew at every reading.
+    fn is_list_known(&self, listed: &[Machine]) -> bool {
+        let known = |machine: &Machine| self.machines.get(&machine.address) == Some(&machine.status);
+        listed.len() == self.machines.len() && listed.iter().all(known)
+    }
+
     fn on_platform(&mut self, now: Timestamp, reading: PlatformReading, outputs: &mut Vec<ControlOutput>) {
-        if !reading.machines.is_empty() {
-            self.machines = reading.machines.iter().map(|machine| (machine.address, machine.status)).collect();
+        if !reading.machines.is_empty() && !self.is_list_known(&reading.machines) {
+            let machines = reading.machines.iter().map(|machine| (machine.address, machine.status));
+            self.machines = Arc::new(machines.collect());
             for host in self.hosts.values_mut() {
                 host.set_machines(&self.machines);
             }
--- a/crates/control/tests/failures.rs
+++ b/crates/control/tests/failures.rs
@@ -2,13 +2,14 @@
 
 mod network;
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use network::fixtures::{address, addresses, service, site};
+use network::fixtures::{address, addresses, configuration, service, site};
 use network::Network;
 use quillhatch_control::io::{MemberChange, MemberStatus};
 use quillhatch_control::{ControlInput, ControlMechanisms};
-use quillhatch_types::{NodeAddress, SlotState};
+use quillhatch_types::{Configuration, NodeAddress, SlotState};
 use test_case::test_case;
 
 /// Whether every slot of the site is open at a running node.
@@ -76,6 +77,33 @@
     assert!(all_slots_open(&network, "old"), "the slots were handed on first");
 }
 
+#[test]
+fn a_node_that_is_replaced_for_good_stays_until_its_group_has_let_it_go() {
+    let mut network = Network::settled(33, ControlMechanisms::default());
+    let leader = network.leader("old");
+    let gone = addresses("old").into_iter().take(3).find(|gate| *gate != leader).expect("a follower");
+    // Other nodes take part in the group late, as they do when messages are lost.
+    let others = addresses("old").into_iter().filter(|address| *address != leader);
+    network.cut([leader], others.filter(|address| *address != gone).collect::<Vec<_>>());
+    network.platform = Arc::new(without_target(gone));
+    network.read_platform(gone);
+    network.read_platform(leader);
+    network.feed(gone, ControlInput::Stop { grace: Duration::from_secs(30) });
+    network.run(Duration::from_secs(2));
+    assert_eq!(network.nodes[&gone].exit_at, None, "the group has no majority without its vote");
+    network.cuts.clear();
+    assert!(network.run_until(Duration::from_secs(20), |network| network.nodes[&gone].exit_at.is_some()));
+    assert!(network.table("old").voters.iter().all(|voter| voter.address != gone));
+}
+
+/// The second configuration, in which a target is no more.
+fn without_target(gone: NodeAddress) -> Configuration {
+    let mut configuration = configuration(2);
+    let service = configuration.services.get_mut(&service()).expect("the service");
+    service.targets.retain(|target| target.node != gone);
+    configuration
+}
+
 /// A gate cut off from its leader is reported failed at once, while its lease still runs.
 fn failure_reported_early(mechanisms: ControlMechanisms) -> u32 {
     let mut network = Network::settled(32, mechanisms);
--- a/crates/control/tests/plans.rs
+++ b/crates/control/tests/plans.rs
@@ -2,13 +2,14 @@
 
 mod network;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use network::fixtures::{address, addresses, class, configuration, service, site};
 use network::Network;
 use quillhatch_control::operator::{Intent, OperatorReply, OperatorRequest, Plan, PlanState};
 use quillhatch_control::{ControlInput, ControlMechanisms};
-use quillhatch_types::{GateStatus, PlanId, RefusalReason, Revision, ServiceName, SiteName};
+use quillhatch_types::{Configuration, GateStatus, PlanId, RefusalReason, Revision, ServiceName, SiteName};
 use test_case::test_case;
 
 const OPERATOR: u8 = 14;
@@ -131,6 +132,34 @@
     assert!(matches!(confirm_after_a_gate_left(mechanisms), OperatorReply::Confirmed { .. }));
 }
 
+/// The fixtures' configuration with another service, whose deadline follows the revision.
+fn with_another_service(revision: u64) -> Configuration {
+    let mut changed = configuration(revision);
+    let mut other = changed.services[&service()].clone();
+    other.name = ServiceName::new("other").expect("a name");
+    other.targets.clear();
+    other.classes[0].deadline = Duration::from_secs(revision);
+    changed.services.insert(other.name.clone(), other);
+    changed
+}
+
+#[test_case(with_another_service(3), true; "another service")]
+#[test_case(configuration(3), false; "the service of the plan")]
+fn a_plan_outlives_changes_of_other_services_only(mut changed: Configuration, outlives: bool) {
+    let mut network = Network::new(16, with_another_service(2), default());
+    assert!(network.run_until(Duration::from_secs(15), Network::is_settled));
+    network.run(Duration::from_secs(2));
+    let id = plan(&mut network, retire(12)).id;
+    if !outlives {
+        let changed_service = changed.services.get_mut(&service()).expect("the service of the plan");
+        changed_service.queue_timeout = Duration::from_millis(200);
+    }
+    network.platform = Arc::new(changed);
+    network.run(Duration::from_secs(3));
+    let reply = confirm(&mut network, &id);
+    assert_eq!(matches!(reply, OperatorReply::Confirmed { .. }), outlives, "{reply}");
+}
+
 #[test]
 fn a_second_plan_of_the_same_service_is_refused_at_either_site() {
     let mut network = Network::settled(14, default());
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -66,6 +66,8 @@
     probes: Probes,
     /// The members that this node itself accused; it decides on their failure.
     accused: BTreeSet<NodeId>,
+    /// The delegates of this node's own zone; kept, since every view of another zone rests on them.
+    own_delegates: Vec<NodeId>,
     probe_order: Vec<NodeId>,
     foreign_zone_order: Vec<ZoneId>,
     seeds: Vec<NodeAddress>,
@@ -77,7 +79,9 @@
 impl Membership {
     /// The membership of the node `own`.
     pub fn new(own: MemberInfo, settings: MembershipSettings, seed: u64) -> Self {
+        let own_delegates = vec![own.node];
         Membership {
+            own_delegates,
             own: MemberRecord { info: own, refutation: 0, status: MemberStatus::Alive },
             settings,
             generator: Pcg64::seed_from_u64(seed),
@@ -133,27 +137,33 @@
 
     /// The members that can be reached, without this node.
     pub fn reachable(&self) -> impl Iterator<Item = &MemberInfo> {
-        self.table
-            .iter()
-            .filter(|member| member.record.status.is_present() && self.is_zone_reachable(&member.record.info.zone))
-            .map(|member| &member.record.info)
+        let zones = self.table.zones().filter(|zone| self.is_zone_reachable(zone));
+        zones.flat_map(|zone| self.table.present_in_zone(zone))
     }
 
-    /// The delegates of a zone: its first present members in the order of their runs' numbers.
+    /// The delegates of this node's zone: its first present members in the order of their runs' numbers.
     ///
     /// The order is random between nodes and the same for all that know the same members.
-    fn delegates(&self, zone: &ZoneId) -> Vec<NodeId> {
-        let mut nodes: Vec<NodeId> = self.table.present_in_zone(zone).map(|info| info.node).collect();
-        if *zone == self.own.info.zone {
-            nodes.push(self.own.info.node);
-        }
+    fn find_delegates(&self) -> Vec<NodeId> {
+        let others = self.table.present_in_zone(&self.own.info.zone).map(|info| info.node);
+        let mut nodes: Vec<NodeId> = others.chain([self.own.info.node]).collect();
         nodes.sort_by_key(|node| (node.incarnation, node.address));
         nodes.truncate(self.settings.delegates_per_zone);
         nodes
     }
 
+    /// Stores a record, or forgets a member, and keeps the delegates in step.
+    fn set_member(&mut self, now: Timestamp, record: MemberRecord) {
+        let was_present = self.table.get(&record.info.node).is_some_and(|known| known.record.status.is_present());
+        let changes_delegates = record.info.zone == self.own.info.zone && was_present != record.status.is_present();
+        self.table.set(record, now);
+        if changes_delegates {
+            self.own_delegates = self.find_delegates();
+        }
+    }
+
     fn is_zone_reachable(&self, zone: &ZoneId) -> bool {
-        *zone == self.own.info.zone || self.zones.is_reachable(zone, &self.delegates(&self.own.info.zone))
+        *zone == self.own.info.zone || self.zones.is_reachable(zone, &self.own_delegates)
     }
 
     fn set_seeds(&mut self, seeds: Vec<NodeAddress>) {
@@ -165,7 +175,7 @@
 
     fn leave(&mut self, outputs: &mut Vec<MembershipOutput>) {
         self.own.status = MemberStatus::Left;
-        let delegates = self.delegates(&self.own.info.zone);
+        let delegates = self.own_delegates.clone();
         let neighbours: Vec<NodeAddress> = self
             .table
             .present_in_zone(&self.own.info.zone)
@@ -203,7 +213,7 @@
         if record.status != MemberStatus::Suspected {
             self.accused.remove(&node);
         }
-        self.table.set(record.clone(), now);
+        self.set_member(now, record.clone());
         self.member_rumors.push(node, record.clone());
         let before = known.as_ref().map(|known| known.status);
         if before != Some(record.status) && self.is_zone_reachable(&record.info.zone) {
@@ -225,7 +235,7 @@
     fn learn_zone(&mut self, record: ZoneRecord, outputs: &mut Vec<MembershipOutput>) {
         let zone = record.zone.clone();
         let own_zone = self.own.info.zone.clone();
-        let from_own_zone = self.delegates(&own_zone).contains(&record.observer);
+        let from_own_zone = self.own_delegates.contains(&record.observer);
         if zone == own_zone || !from_own_zone {
             return;
         }
--- a/crates/membership/src/membership/receive.rs
+++ b/crates/membership/src/membership/receive.rs
@@ -1,6 +1,6 @@
 //! What a node does with a message.
 
-use quillhatch_types::{NodeAddress, NodeId, Timestamp};
+use quillhatch_types::{NodeAddress, Timestamp};
 
 use super::{Membership, MembershipOutput};
 use crate::member::{MemberInfo, MemberRecord, MemberStatus, ZoneId};
@@ -52,11 +52,10 @@
     }
 
     fn fail_older_runs(&mut self, now: Timestamp, current: &MemberInfo, outputs: &mut Vec<MembershipOutput>) {
-        let same_address = |node: &NodeId| node.address == current.node.address && *node != current.node;
         let older: Vec<MemberRecord> = self
             .table
-            .in_zone(&current.zone)
-            .filter(|member| same_address(&member.record.info.node) && member.record.status.is_present())
+            .at_address(current.node.address)
+            .filter(|member| member.record.info.node != current.node && member.record.status.is_present())
             .map(|member| member.record.clone())
             .collect();
         for record in older {
--- a/crates/membership/src/membership/schedule.rs
+++ b/crates/membership/src/membership/schedule.rs
@@ -17,6 +17,9 @@
 /// Seeds contacted per probe interval while no member is known, or to find members beyond a healed partition.
 const SEEDS_PER_INTERVAL: usize = 2;
 
+/// Seeds looked at per probe interval, to find those at which nobody is known.
+const SEEDS_EXAMINED_PER_INTERVAL: usize = 16;
+
 /// Zones of other sites that a delegate probes per interval; those of its own site are all probed.
 const FOREIGN_ZONES_PER_INTERVAL: usize = 2;
 
@@ -139,16 +142,23 @@
         }
     }
 
+    /// Asks a few seeds at which no reachable member is known; only a few are looked at, however long the list is.
     fn contact_seeds(&mut self, outputs: &mut Vec<MembershipOutput>) {
-        let known: Vec<NodeAddress> = self.reachable().map(|info| info.node.address).collect();
+        let candidates: Vec<NodeAddress> =
+            self.seeds.choose_multiple(&mut self.generator, SEEDS_EXAMINED_PER_INTERVAL).copied().collect();
         let unknown: Vec<NodeAddress> =
-            self.seeds.iter().copied().filter(|seed| known.binary_search(seed).is_err()).collect();
-        let chosen = unknown.choose_multiple(&mut self.generator, SEEDS_PER_INTERVAL).copied().collect::<Vec<_>>();
-        for seed in chosen {
+            candidates.into_iter().filter(|seed| !self.is_reachable(*seed)).take(SEEDS_PER_INTERVAL).collect();
+        for seed in unknown {
             self.request_sync(seed, outputs);
         }
     }
 
+    fn is_reachable(&self, address: NodeAddress) -> bool {
+        self.table
+            .at_address(address)
+            .any(|member| member.record.status.is_present() && self.is_zone_reachable(&member.record.info.zone))
+    }
+
     fn probe_own_zone(&mut self, now: Timestamp, outputs: &mut Vec<MembershipOutput>) {
         while let Some(node) = self.next_in_order() {
             let member = self.table.get(&node).filter(|member| member.record.status.is_present());
@@ -173,7 +183,7 @@
 
     fn probe_other_zones(&mut self, now: Timestamp, outputs: &mut Vec<MembershipOutput>) {
         let own = self.own.info.clone();
-        if !self.delegates(&own.zone).contains(&own.node) {
+        if !self.own_delegates.contains(&own.node) {
             return;
         }
         let others: Vec<ZoneId> = self.table.zones().filter(|zone| **zone != own.zone).cloned().collect();
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quillhatch_types::{NodeId, Timestamp};
+use quillhatch_types::{Incarnation, NodeAddress, NodeId, Timestamp};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::member::{MemberInfo, MemberRecord, MemberStatus, ZoneId};
@@ -57,6 +57,13 @@
         self.zones.get(zone).into_iter().flatten().filter_map(|node| self.members.get(node))
     }
 
+    /// The members that are or were at an address, by run.
+    pub fn at_address(&self, address: NodeAddress) -> impl Iterator<Item = &Member> {
+        let first = NodeId { address, incarnation: Incarnation(0) };
+        let last = NodeId { address, incarnation: Incarnation(u64::MAX) };
+        self.members.range(first..=last).map(|(_, member)| member)
+    }
+
     /// The members of a zone that take part.
     pub fn present_in_zone<'a>(&'a self, zone: &ZoneId) -> impl Iterator<Item = &'a MemberInfo> + 'a {
         self.in_zone(zone).filter(|member| member.record.status.is_present()).map(|member| &member.record.info)
