Gate: no refusals at normal load, less important work of either lane goes first

Cause: (a) the cold-start ramp rose with time only, at every gate, and a service with downloads gave short calls half its slots, so gates refused at 55% load; (b) a protected call was evicted while a less important download waited in the other lane. Change: each answer raises the ramp; one limit covers short and large answers, and no large one begins while a more important short one waits; the least important of both lanes is refused first. Tried and reverted: large answers only beyond a 1 s mean of short calls; a floor of half the slots; a level rising by equal steps. Conclusion: the order of refusal holds now; wasted work needs the gate to know of refused child calls.

--- a/crates/calls/src/gate/arrival.rs
+++ b/crates/calls/src/gate/arrival.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quillhatch_types::{AttemptId, CallContext, Refusal, RefusalReason, Timestamp};
+use quillhatch_types::{AdmissionRank, AttemptId, CallContext, Refusal, RefusalReason, Timestamp};
 
 use super::attempt::{is_protected, Attempt, Lane, Phase};
 use super::io::GateOutput;
@@ -10,6 +10,15 @@
 use super::queue::{Ticket, Waiting};
 use super::tokens::TokenPurse;
 
+/// A waiting attempt that gives way to a more important one.
+#[derive(Clone, Copy, Debug)]
+struct Victim {
+    lane: Lane,
+    ticket: Ticket,
+    attempt: AttemptId,
+    rank: AdmissionRank,
+}
+
 /// A longer remaining time is taken as this; it keeps a forged value from holding memory.
 const LONGEST_REMAINING: Duration = Duration::from_secs(3600);
 
@@ -43,6 +52,10 @@
 
     /// Whether nothing that waits comes before a newcomer: a reserved slot may be free while less important work waits.
     fn would_start_next(&self, lane: Lane, context: &CallContext) -> bool {
+        let short = self.short_queue.peek(false);
+        if lane == Lane::Large && short.is_some_and(|(_, head)| head.rank < context.rank) {
+            return false;
+        }
         let Some((_, head)) = self.queue(lane).peek(false) else { return true };
         let by_rank = self.settings.mechanisms.priority_queue;
         by_rank && is_protected(context.rank) && !is_protected(head.rank)
@@ -107,26 +120,36 @@
             return None;
         }
         self.note_pressure(now, lane);
-        let Some((ticket, waiting)) = gives_way else {
+        let Some(victim) = gives_way else {
             return Some(self.overload_refusal(RefusalReason::Overloaded));
         };
-        self.evict(now, lane, ticket, waiting.attempt, outputs);
+        self.evict(now, victim, outputs);
         None
     }
 
-    /// The waiting attempt that would give way to `context`.
-    fn less_important(&self, lane: Lane, context: &CallContext) -> Option<(Ticket, Waiting)> {
-        self.queue(lane).least_important().filter(|(_, waiting)| waiting.rank > context.rank)
+    /// The waiting attempt that would give way to `context`: no protected one while a less important one waits in any lane.
+    fn less_important(&self, lane: Lane, context: &CallContext) -> Option<Victim> {
+        let of_lane = |lane: Lane| {
+            let least = self.queue(lane).least_important().filter(|(_, waiting)| waiting.rank > context.rank);
+            least.map(|(ticket, waiting)| Victim { lane, ticket, attempt: waiting.attempt, rank: waiting.rank })
+        };
+        let own = of_lane(lane);
+        if !is_protected(context.rank) || own.is_some_and(|victim| !is_protected(victim.rank)) {
+            return own;
+        }
+        of_lane(lane.other()).filter(|victim| !is_protected(victim.rank)).or(own)
     }
 
     /// The number of attempts that may wait: no more than get a slot within the queue timeout.
     ///
     /// Otherwise the least important would wait in vain, overtaken until their time is over.
     fn queue_bound(&mut self, now: Timestamp, lane: Lane) -> usize {
+        let bound = self.settings.maximum_waiting;
         if lane == Lane::Large {
-            return self.settings.maximum_waiting_large;
+            // Protected short calls may have taken the places of waiting large answers, beyond their own bound.
+            let beyond = self.short_queue.len().saturating_sub(bound);
+            return self.settings.maximum_waiting_large.saturating_sub(beyond);
         }
-        let bound = self.settings.maximum_waiting;
         if !self.settings.mechanisms.early_refusal || self.hold_seconds <= 0.0 {
             return bound;
         }
@@ -136,7 +159,7 @@
 
     /// The rate at which slots become free, by Little's law, per second.
     fn slot_rate(&mut self, now: Timestamp) -> f64 {
-        f64::from(self.concurrency_limit(now).max(1)) / self.hold_seconds
+        f64::from(self.short_limit(now).max(1)) / self.hold_seconds
     }
 
     /// The expected wait: those ahead, over the rate at which slots become free.
@@ -234,11 +257,11 @@
         let Some(entry) = self.attempts.get(&waiting.attempt) else { return false };
         let latest = self.latest_start(now, entry.deadline, &entry.context);
         let less_important = self.less_important(lane, &entry.context);
-        let Some((other, victim)) = less_important.filter(|_| entry.is_protected() && latest > now) else {
+        let Some(victim) = less_important.filter(|_| entry.is_protected() && latest > now) else {
             return false;
         };
         self.note_pressure(now, lane);
-        self.evict(now, lane, other, victim.attempt, outputs);
+        self.evict(now, victim, outputs);
         self.wait_on(now, lane, ticket, latest);
         true
     }
@@ -266,10 +289,10 @@
         self.end_refused(now, waiting.attempt, refusal, outputs);
     }
 
-    fn evict(&mut self, now: Timestamp, lane: Lane, ticket: Ticket, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
-        self.queue_mut(lane).remove(ticket);
+    fn evict(&mut self, now: Timestamp, victim: Victim, outputs: &mut Vec<GateOutput>) {
+        self.queue_mut(victim.lane).remove(victim.ticket);
         let refusal = self.overload_refusal(RefusalReason::Overloaded);
-        self.end_refused(now, attempt, refusal, outputs);
+        self.end_refused(now, victim.attempt, refusal, outputs);
     }
 
     fn refuse_arrival(
--- a/crates/calls/src/gate/attempt.rs
+++ b/crates/calls/src/gate/attempt.rs
@@ -17,7 +17,7 @@
 }
 
 /// Which limit an attempt falls under.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Lane {
     /// The concurrency limit.
     Short,
@@ -25,6 +25,15 @@
     Large,
 }
 
+impl Lane {
+    pub(super) fn other(self) -> Self {
+        match self {
+            Lane::Short => Lane::Large,
+            Lane::Large => Lane::Short,
+        }
+    }
+}
+
 /// How far an attempt is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
--- a/crates/calls/src/gate/large_answers.rs
+++ b/crates/calls/src/gate/large_answers.rs
@@ -2,7 +2,7 @@
 //!
 //! A download holds a slot of the back end for as long as its reader takes. If it shared the slots of short calls, a few
 //! slow readers would stop the short calls; if it had to make room for them, downloads would break off half way. So large
-//! answers have slots of their own, and a started one is never stopped to make room.
+//! answers may take only a share of the slots, and a started one is never stopped to make room.
 
 /// Bytes assumed for the first answer, before any length was seen.
 const INITIAL_BYTES: u64 = 1024 * 1024;
@@ -33,10 +33,6 @@
         self.streams
     }
 
-    pub(super) fn maximum_streams(&self) -> u32 {
-        self.maximum_streams
-    }
-
     /// Whether another large answer may begin; one may always run, however large.
     pub(super) fn has_room(&self) -> bool {
         if self.streams == 0 {
--- a/crates/calls/src/gate/machine.rs
+++ b/crates/calls/src/gate/machine.rs
@@ -205,9 +205,7 @@
         let Some(target) = Target::read(configuration, &self.settings, self.target.as_ref()) else { return };
         let streams = target.slots * u32::from(self.settings.large_answer_share_percent.min(100)) / 100;
         self.large.set_streams(streams);
-        let apart = self.settings.mechanisms.large_answer_limit && target.has_large_answers();
-        let short = if apart { target.slots.saturating_sub(streams) } else { target.slots };
-        let bounds = LimitBounds { first_guess: short.max(1), maximum: target.connections };
+        let bounds = LimitBounds { first_guess: target.slots, maximum: target.connections };
         if self.target.is_none() {
             self.limit = new_limit(&self.settings, bounds);
         } else {
@@ -264,9 +262,11 @@
                 self.admission.pressure(now);
             }
         }
-        let waits =
-            self.short_queue.least_important().is_some_and(|(_, entry)| !super::attempt::is_protected(entry.rank));
-        let idle = self.short_queue.is_empty() && self.slots.all < self.concurrency_limit(now);
+        let waits = [Lane::Short, Lane::Large].into_iter().any(|lane| {
+            let least = self.queue(lane).least_important();
+            least.is_some_and(|(_, waiting)| !super::attempt::is_protected(waiting.rank))
+        });
+        let idle = self.short_queue.is_empty() && self.slots.all < self.short_limit(now);
         self.admission.advance(now, GateState { unprotected_present: waits || self.slots.unprotected > 0, idle });
     }
 
@@ -284,18 +284,19 @@
             level: self.level(),
             running: self.slots.all + self.large.streams(),
             waiting: waiting as u32,
-            limit: self.concurrency_limit(now) + self.large_slots(),
+            limit: self.concurrency_limit(now),
             tokens_left,
             epoch: self.epoch,
             revision: self.revision,
         }
     }
 
-    fn large_slots(&self) -> u32 {
+    /// The share of the limit that large answers may take, in percent; none if the service has no such class.
+    pub(super) fn large_share_percent(&self) -> u32 {
         let apart = self.settings.mechanisms.large_answer_limit;
         let large = apart && self.target.as_ref().is_some_and(Target::has_large_answers);
         if large {
-            self.large.maximum_streams()
+            u32::from(self.settings.large_answer_share_percent.min(100))
         } else {
             0
         }
--- a/crates/calls/src/gate/mod.rs
+++ b/crates/calls/src/gate/mod.rs
@@ -22,6 +22,7 @@
 mod running;
 mod service_time;
 mod settings;
+mod slots;
 mod tokens;
 
 #[cfg(test)]
--- a/crates/calls/src/gate/queue.rs
+++ b/crates/calls/src/gate/queue.rs
@@ -125,6 +125,12 @@
         Some((ticket, *self.by_rank.get(&ticket)?))
     }
 
+    /// The place of a waiting attempt among those of other queues; the lowest leaves first.
+    pub fn precedence(&self, waiting: &Waiting, overloaded: bool) -> (u16, Timestamp) {
+        let rank = self.key_rank(waiting.rank);
+        (if overloaded { rank } else { band_of(rank) }, waiting.since)
+    }
+
     fn newest_of(&self, rank: u16) -> Option<Ticket> {
         let range = Ticket { rank, sequence: 0 }..=Ticket { rank, sequence: u64::MAX };
         self.by_rank.range(range).next_back().map(|(ticket, _)| *ticket)
--- a/crates/calls/src/gate/running.rs
+++ b/crates/calls/src/gate/running.rs
@@ -2,7 +2,7 @@
 
 use quillhatch_types::{AttemptId, RecordedAnswer, Refusal, RefusalReason, Timestamp};
 
-use super::attempt::{is_protected, Attempt, Lane, Phase};
+use super::attempt::{Attempt, Lane, Phase};
 use super::io::{AnswerEnd, ClaimResolution, GateOutput};
 use super::machine::Gate;
 
@@ -10,47 +10,7 @@
 const FIRST_SERVER_ERROR: u16 = 500;
 
 impl Gate {
-    /// Whether a slot is free for an attempt.
-    pub(super) fn has_room(&mut self, now: Timestamp, lane: Lane, protected: bool) -> bool {
-        let connections = self.target.as_ref().map_or(0, |target| target.connections);
-        if self.slots.all + self.large.streams() >= connections {
-            return false;
-        }
-        match lane {
-            Lane::Large => self.large.has_room(),
-            Lane::Short => self.has_short_room(now, protected),
-        }
-    }
-
-    fn has_short_room(&mut self, now: Timestamp, protected: bool) -> bool {
-        let limit = self.concurrency_limit(now);
-        if self.slots.all >= limit {
-            return false;
-        }
-        if protected {
-            return true;
-        }
-        // Edges refuse protected calls at such a level, so nothing less important may take their place.
-        if self.settings.mechanisms.admission_level && self.admission.only_protected() {
-            return false;
-        }
-        self.slots.unprotected < limit - self.reserve(now, limit)
-    }
-
-    /// Gives free slots to waiting attempts.
-    pub(super) fn start_waiting(&mut self, now: Timestamp, outputs: &mut Vec<GateOutput>) {
-        for lane in [Lane::Short, Lane::Large] {
-            while let Some((ticket, waiting)) = self.queue(lane).peek(self.overloaded(now)) {
-                if !self.has_room(now, lane, is_protected(waiting.rank)) {
-                    break;
-                }
-                self.queue_mut(lane).remove(ticket);
-                self.take_slot(now, waiting.attempt, outputs);
-            }
-        }
-    }
-
-    fn take_slot(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
+    pub(super) fn take_slot(&mut self, now: Timestamp, attempt: AttemptId, outputs: &mut Vec<GateOutput>) {
         let Some(entry) = self.attempts.get(&attempt) else { return };
         if self.has_too_little_time(now, entry) {
             self.end_refused(now, attempt, Refusal::not_run(RefusalReason::DeadlineTooShort), outputs);
@@ -142,12 +102,9 @@
         let timer = running_timer(entry, self.settings.run_on);
         entry.phase = Phase::Running { since: now, answer_started: false, cancel_sent: false, timer };
         let remaining = now.until(entry.deadline);
-        let lane = entry.lane;
         self.timers.insert((timer, attempt));
         self.cold_start.dispatched(now);
-        if lane == Lane::Short {
-            self.limit.running_changed(now, self.slots.all);
-        }
+        self.limit.running_changed(now, self.slots.all + self.large.streams());
         outputs.push(GateOutput::Dispatch { attempt, remaining });
     }
 
@@ -226,7 +183,12 @@
     /// Measures an attempt that ended without a head: a broken or cancelled one took at least this long.
     fn measure_end(&mut self, now: Timestamp, attempt: AttemptId, end: &AnswerEnd, latency: std::time::Duration) {
         match end {
-            AnswerEnd::Whole { status, .. } if *status < FIRST_SERVER_ERROR => self.measure(now, attempt, latency),
+            AnswerEnd::Whole { status, .. } => {
+                self.cold_start.answered();
+                if *status < FIRST_SERVER_ERROR {
+                    self.measure(now, attempt, latency);
+                }
+            }
             AnswerEnd::Broken | AnswerEnd::Cancelled => {
                 let Some(entry) = self.attempts.get(&attempt) else { return };
                 // Only at the deadline is the back end to blame; an earlier end says nothing about its latency.
@@ -360,9 +322,9 @@
                 self.slots.all -= 1;
                 self.slots.unprotected -= u32::from(!entry.is_protected());
                 self.record_hold(now.since(entry.slot_since));
-                self.limit.running_changed(now, self.slots.all);
             }
         }
+        self.limit.running_changed(now, self.slots.all + self.large.streams());
     }
 }
 
--- /dev/null
+++ b/crates/calls/src/gate/slots.rs
@@ -0,0 +1,89 @@
+//! Which waiting attempt gets a slot next, and whether one is free for it.
+
+use quillhatch_types::Timestamp;
+
+use super::attempt::{is_protected, Lane};
+use super::io::GateOutput;
+use super::machine::Gate;
+
+impl Gate {
+    /// Whether a slot is free for an attempt.
+    pub(super) fn has_room(&mut self, now: Timestamp, lane: Lane, protected: bool) -> bool {
+        let connections = self.target.as_ref().map_or(0, |target| target.connections);
+        if self.slots.all + self.large.streams() >= connections {
+            return false;
+        }
+        match lane {
+            Lane::Large => self.has_large_room(now, protected),
+            Lane::Short => self.has_short_room(now, protected),
+        }
+    }
+
+    /// The slots that short calls may hold: all that large answers leave, but at least the share kept from them.
+    pub(super) fn short_limit(&mut self, now: Timestamp) -> u32 {
+        let limit = self.concurrency_limit(now);
+        let kept = limit - limit * self.large_share_percent() / 100;
+        limit.saturating_sub(self.large.streams()).max(kept)
+    }
+
+    fn has_short_room(&mut self, now: Timestamp, protected: bool) -> bool {
+        let limit = self.short_limit(now);
+        if self.slots.all >= limit {
+            return false;
+        }
+        if protected {
+            return true;
+        }
+        // Edges refuse protected calls at such a level, so nothing less important may take their place.
+        if self.only_protected() {
+            return false;
+        }
+        self.slots.unprotected < limit - self.reserve(now, limit)
+    }
+
+    fn has_large_room(&mut self, now: Timestamp, protected: bool) -> bool {
+        if !self.large.has_room() || (!protected && self.only_protected()) {
+            return false;
+        }
+        self.large.streams() == 0 || self.slots.all + self.large.streams() < self.concurrency_limit(now)
+    }
+
+    fn only_protected(&self) -> bool {
+        self.settings.mechanisms.admission_level && self.admission.only_protected()
+    }
+
+    /// Gives free slots to waiting attempts.
+    ///
+    /// A large answer holds its slot for long and is never stopped, so none begins while a more important short call
+    /// waits. Short calls go on while a more important large answer waits for others of its kind to end.
+    pub(super) fn start_waiting(&mut self, now: Timestamp, outputs: &mut Vec<GateOutput>) {
+        while let Some(lane) = self.first_lane(now) {
+            let started = self.start_next(now, lane, outputs)
+                || (lane == Lane::Large && self.start_next(now, Lane::Short, outputs));
+            if !started {
+                break;
+            }
+        }
+    }
+
+    /// The lane of the attempt that leaves next.
+    fn first_lane(&self, now: Timestamp) -> Option<Lane> {
+        let overloaded = self.overloaded(now);
+        let key = |lane: Lane| {
+            let (_, head) = self.queue(lane).peek(overloaded)?;
+            Some((self.queue(lane).precedence(&head, overloaded), lane))
+        };
+        [key(Lane::Short), key(Lane::Large)].into_iter().flatten().min().map(|(_, lane)| lane)
+    }
+
+    /// Gives the first waiting attempt of a lane a slot; returns whether there was one with a slot to take.
+    fn start_next(&mut self, now: Timestamp, lane: Lane, outputs: &mut Vec<GateOutput>) -> bool {
+        let Some((ticket, waiting)) = self.queue(lane).peek(self.overloaded(now)) else { return false };
+        if !self.has_room(now, lane, is_protected(waiting.rank)) {
+            return false;
+        }
+        self.queue_mut(lane).remove(ticket);
+        self.take_slot(now, waiting.attempt, outputs);
+        true
+    }
+}
--- a/crates/calls/src/gate/tests/invariants.rs
+++ b/crates/calls/src/gate/tests/invariants.rs
@@ -167,10 +167,8 @@
         let for_load = matches!(reason, RefusalReason::Overloaded | RefusalReason::QueueTimeout);
         let by_gate = !self.dispatched.contains(&attempt);
         if by_gate && for_load && context.priority == Priority::Protected {
-            let lane = |other: &CallContext| other.class.as_str() == "fetch";
-            let same_lane = |other: &&CallContext| lane(other) == lane(context);
-            let others = self.waiting.iter().map(|other| &self.arrived[other]).filter(same_lane);
-            if others.clone().any(|other| other.priority != Priority::Protected) {
+            let mut others = self.waiting.iter().map(|other| &self.arrived[other]);
+            if others.any(|other| other.priority != Priority::Protected) {
                 return Err(format!("refused a protected call while less important work waits: {attempt}"));
             }
         }
--- a/crates/calls/src/gate/tests/limits.rs
+++ b/crates/calls/src/gate/tests/limits.rs
@@ -77,6 +77,14 @@
     run.goodput(7.0, 16.0) > 0.7 * run.goodput(1.0, 6.0)
 }
 
+/// A fleet that starts with a warm back end must not refuse calls because it might be cold.
+#[test]
+fn a_start_under_normal_load_refuses_nothing() {
+    let mut run = run_with(GateMechanisms { cold_start: true, ..warm() }, 0.5);
+    run.run(Duration::from_secs(4), Condition { rate: 110.0, ..NORMAL });
+    assert_eq!(run.sum(0.0, 4.0, |seen| seen.refused), 0);
+}
+
 /// Only an adaptive limit finds capacity that the configuration does not know of.
 #[test_case(true => true; "adaptive")]
 #[test_case(false => false; "fixed")]
--- a/crates/calls/src/gate/tests/mod.rs
+++ b/crates/calls/src/gate/tests/mod.rs
@@ -3,6 +3,7 @@
 mod adaptive;
 mod back_end;
 mod invariants;
+mod lanes;
 mod limits;
 mod parts;
 mod rules;
