Program: non-repeatable runs go on without their caller; tests over real nodes

Cause: a caller that left ended the back end's request at once, so the answer of a pledge was never recorded; no committed test started real nodes; a back end's own calls without a context counted as root calls. Found: a dispatch that crossed with its edge leaving kept its slot for ever; stops did not count runs whose connection had closed.

--- a/crates/quillhatch/src/call_header.rs
+++ b/crates/quillhatch/src/call_header.rs
@@ -41,6 +41,22 @@
     WrongRun,
 }
 
+impl CallHeaderError {
+    /// All of them.
+    pub const ALL: [Self; 5] = [Self::Absent, Self::Malformed, Self::UnknownKey, Self::WrongTag, Self::WrongRun];
+
+    /// The word for it between nodes and in metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            CallHeaderError::Absent => "absent",
+            CallHeaderError::Malformed => "malformed",
+            CallHeaderError::UnknownKey => "unknown-key",
+            CallHeaderError::WrongTag => "wrong-tag",
+            CallHeaderError::WrongRun => "wrong-run",
+        }
+    }
+}
+
 /// What besides the context the tag covers.
 #[derive(Clone, Copy, Debug)]
 pub struct SignedRequest<'a> {
--- a/crates/quillhatch/src/command_line/tests.rs
+++ b/crates/quillhatch/src/command_line/tests.rs
@@ -80,3 +80,22 @@
     ));
     assert_eq!(parse(&["status", "--export"]), Ok(OperatorRequest::Status { export: true }));
 }
+
+#[test]
+fn check_names_every_mistake_with_its_line() {
+    let text = "deployment = \"test\"\nsite = \"o ld\"\nzone = \"one\"\n\
+        [listeners]\ncallers = \"127.0.0.1:1\"\npeers = \"127.0.0.1:2\"\noperators = \"127.0.0.1:2\"\n\
+        [fleet]\nkeys = [{ id = 1, secret = \"000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\" }]\n\
+        [platform]\nurls = [\"http://127.0.0.1:4\"]\n[stop]\ngrace = 20\n";
+    let path = std::env::temp_dir().join(format!("quillhatch-check-{}.toml", std::process::id()));
+    std::fs::write(&path, text).expect("the file is written");
+    let name = path.to_string_lossy().into_owned();
+    let ran = run_line(&["check", "--settings", &name]);
+    std::fs::remove_file(&path).expect("the file is removed");
+    assert_eq!(ran.exit, Exit::Failed);
+    for (line, key) in [(2, "site"), (7, "listeners.operators"), (13, "stop.grace")] {
+        let found = ran.output.lines().any(|one| one.starts_with(&format!("{name}:{line}:")) && one.contains(key));
+        assert!(found, "line {line} is not named: {}", ran.output);
+    }
+    assert_eq!(ran.output.matches(": error: ").count(), 3, "{}", ran.output);
+}
--- a/crates/quillhatch/src/edge/attempt.rs
+++ b/crates/quillhatch/src/edge/attempt.rs
@@ -91,7 +91,10 @@
             return AttemptOutcome::ConnectFailed;
         };
         match request.send().await {
-            Ok(response) => judge(response, range),
+            Ok(response) => {
+                self.edge.unaccepted.note(target.address, response.headers(), &self.edge.counters);
+                judge(response, range)
+            }
             Err(error) if error.is_connect() || error.is_builder() => AttemptOutcome::ConnectFailed,
             Err(_) => AttemptOutcome::Lost,
         }
--- a/crates/quillhatch/src/edge/call.rs
+++ b/crates/quillhatch/src/edge/call.rs
@@ -83,7 +83,7 @@
         drawn_key: drawn_key(),
         digest,
         remaining: request.remaining,
-        outgoing: request.context != ContextHeader::Absent,
+        outgoing: edge.outgoing_only || request.context != ContextHeader::Absent,
         parent,
         replayable_body: body.replayable(),
     }
@@ -204,11 +204,12 @@
 
     fn refuse(&mut self, refusal: Refusal) -> Rejection {
         self.guard.end();
+        let call = Some(self.guard.call());
         if self.outgoing.body.size.exceeded() {
             let limit = self.outgoing.edge().limits.body_bytes.unwrap_or_default();
-            return Rejection { refusal, ..body_too_large(limit) };
+            return Rejection { refusal, call, ..body_too_large(limit) };
         }
-        Rejection::from(refusal)
+        Rejection { call, ..Rejection::from(refusal) }
     }
 }
 
--- a/crates/quillhatch/src/edge/mod.rs
+++ b/crates/quillhatch/src/edge/mod.rs
@@ -1,4 +1,4 @@
-//! The callers' listener: takes calls, sends attempts to gates and streams answers back.
+//! The listeners of callers and of the back end's own calls: takes calls, sends attempts to gates and streams answers back.
 //!
 //! A call passes through these phases: its head is read ([`request`]), its body is held or streamed ([`request_body`]),
 //! attempts are sent as the decision code says ([`call`], [`attempt`]), and the answer is relayed ([`relay`]).
@@ -8,6 +8,7 @@
 pub mod relay;
 pub mod request;
 pub mod request_body;
+pub mod unaccepted;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,16 +35,21 @@
 }
 
 /// The edge of a node, as its listener sees it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Edge {
     /// The driver of the decision code.
     pub driver: Arc<Driver>,
+    /// Whether every call here is one that the node's own back end makes. At the other listener only a call with a context
+    /// shows that it is one: on one machine, addresses tell nothing.
+    pub outgoing_only: bool,
     /// Connections to gates.
     pub client: reqwest::Client,
     /// The keys that authenticate attempts.
     pub keys: Arc<FleetKeys>,
     /// What callers may use up.
     pub limits: RequestLimits,
+    /// Gates that do not accept this node's attempts.
+    pub unaccepted: Arc<unaccepted::UnacceptedAttempts>,
     /// The program's counters.
     pub counters: Arc<Counters>,
 }
--- a/crates/quillhatch/src/gate/attempt.rs
+++ b/crates/quillhatch/src/gate/attempt.rs
@@ -6,24 +6,32 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_LENGTH};
 use hyper::http::request::Parts;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 use quillhatch_calls::gate::io::{AnswerEnd, GateInput};
 use quillhatch_types::{AttemptId, CallContext, Feedback, RecordedAnswer, Refusal, RefusalReason};
 use tokio::sync::mpsc;
 
+use super::awaited_head::{Awaited, AwaitedHead};
 use super::backend::BackendOutcome;
-use super::{refusal_answer, relay, Gate};
+use super::relay::{self, BackendBody};
+use super::{refusal_answer, Gate};
 use crate::call_header;
 use crate::driver::{AttemptCommand, Driver};
 use crate::http::headers::{append_recorded, content_length, FEEDBACK};
 use crate::http::problem::Rejection;
 use crate::http::{body, Answer};
 
-/// Tells the decision code that the edge has gone, unless the attempt ended before.
+#[cfg(test)]
+mod tests;
+
+/// Tells the decision code how an attempt ended, whatever becomes of its task.
 pub struct AttemptGuard {
     driver: Arc<Driver>,
     attempt: AttemptId,
+    commands: mpsc::UnboundedReceiver<AttemptCommand>,
     phase: Phase,
+    /// Whether the decision code knows that the edge has gone.
+    told_gone: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,9 +42,18 @@
 }
 
 impl AttemptGuard {
-    /// The attempt.
-    pub fn attempt(&self) -> AttemptId {
-        self.attempt
+    /// Hands an attempt that arrived to the decision code; `None` if the same attempt is here already.
+    pub fn arrived(driver: &Arc<Driver>, context: &CallContext) -> Option<Self> {
+        let attempt = context.attempt_id();
+        let commands = driver.open_attempt(attempt, context.service.clone())?;
+        let driver = Arc::clone(driver);
+        driver.gate(GateInput::Arrived(Box::new(context.clone())));
+        Some(AttemptGuard { driver, attempt, commands, phase: Phase::Waiting, told_gone: false })
+    }
+
+    /// The next command about the attempt. After the dispatch the only one is to stop.
+    pub async fn command(&mut self) -> Option<AttemptCommand> {
+        self.commands.recv().await
     }
 
     /// The back end's part has ended.
@@ -47,16 +64,43 @@
         self.phase = Phase::Ended;
         self.driver.gate(GateInput::AnswerEnded { attempt: self.attempt, end });
     }
+
+    /// The edge has gone. Returns whether the back end's run goes on, which is for the decision code to say: it stops a
+    /// run that may be repeated, and lets one that may not come to its end.
+    pub fn goes_on_without_edge(&mut self) -> bool {
+        if self.phase != Phase::Dispatched {
+            return false;
+        }
+        self.tell_gone();
+        // Outputs are handed on before the input returns, so the command to stop would be here by now.
+        let stopped = self.commands.try_recv().is_ok();
+        if stopped {
+            self.end(AnswerEnd::Cancelled);
+        }
+        !stopped
+    }
+
+    fn tell_gone(&mut self) {
+        if self.phase != Phase::Ended && !std::mem::replace(&mut self.told_gone, true) {
+            self.driver.gate(GateInput::Cancelled { attempt: self.attempt });
+        }
+    }
 }
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
-        if self.phase != Phase::Ended {
-            self.driver.gate(GateInput::Cancelled { attempt: self.attempt });
-        }
-        if self.phase == Phase::Dispatched {
+        self.tell_gone();
+        match self.phase {
+            Phase::Waiting => {
+                // A dispatch that no task took up: the decision code counts the attempt as running, and would for ever.
+                let dispatch = |command| matches!(command, AttemptCommand::Dispatch { .. });
+                if self.commands.try_recv().is_ok_and(dispatch) {
+                    self.end(AnswerEnd::ConnectFailed);
+                }
+            }
             // The request to the back end is dropped together with this guard, which closes its connection.
-            self.driver.gate(GateInput::AnswerEnded { attempt: self.attempt, end: AnswerEnd::Cancelled });
+            Phase::Dispatched => self.end(AnswerEnd::Cancelled),
+            Phase::Ended => {}
         }
         self.driver.close_attempt(self.attempt);
     }
@@ -68,9 +112,7 @@
     pub gate: Arc<Gate>,
     /// What the edge said.
     pub context: CallContext,
-    /// The commands about the attempt.
-    pub commands: mpsc::UnboundedReceiver<AttemptCommand>,
-    /// Tells when the edge leaves.
+    /// Tells when the edge leaves, and takes commands.
     pub guard: AttemptGuard,
 }
 
@@ -84,19 +126,16 @@
     if !serves {
         return Err(Refusal::not_run(RefusalReason::NoTarget).into());
     }
-    let attempt = context.attempt_id();
-    let commands = gate.driver.open_attempt(attempt, context.service.clone());
     // The same attempt twice is a replayed request; the first one goes on undisturbed.
-    let commands = commands.ok_or_else(|| Rejection::from(Refusal::unknown(RefusalReason::KeyInProgress)))?;
-    let guard = AttemptGuard { driver: Arc::clone(&gate.driver), attempt, phase: Phase::Waiting };
-    gate.driver.gate(GateInput::Arrived(Box::new(context.clone())));
-    let task = AttemptTask { gate, context, commands, guard };
+    let guard = AttemptGuard::arrived(&gate.driver, &context);
+    let guard = guard.ok_or_else(|| Rejection::from(Refusal::unknown(RefusalReason::KeyInProgress)))?;
+    let task = AttemptTask { gate, context, guard };
     Ok(task.run(head, body).await)
 }
 
 impl AttemptTask {
     async fn run(mut self, head: Parts, body: Incoming) -> Answer {
-        match self.commands.recv().await {
+        match self.guard.command().await {
             Some(AttemptCommand::Dispatch { remaining }) => self.dispatch(head, body, remaining).await,
             Some(AttemptCommand::Refuse { refusal, feedback }) => self.refuse(refusal, feedback),
             Some(AttemptCommand::Replay { answer, feedback }) => self.replay(&answer, &feedback),
@@ -106,29 +145,35 @@
 
     async fn dispatch(mut self, head: Parts, body: Incoming, remaining: Duration) -> Answer {
         self.guard.phase = Phase::Dispatched;
-        let gate = Arc::clone(&self.gate);
-        let Some(backend) = gate.backend.as_ref() else {
-            return self.ended_without_answer(AnswerEnd::ConnectFailed);
-        };
         let method = head.method.clone();
-        let sending = backend.send(self.context.call, head, body, remaining);
-        let outcome = tokio::select! {
-            outcome = sending => outcome,
-            _ = self.commands.recv() => return self.cancelled(),
-        };
+        let (gate, call) = (Arc::clone(&self.gate), self.context.call);
+        let sending = Box::pin(async move {
+            match gate.backend.as_ref() {
+                Some(backend) => backend.send(call, head, body, remaining).await,
+                None => BackendOutcome::ConnectFailed,
+            }
+        });
+        match AwaitedHead::new(self, method, sending).wait().await {
+            Awaited::Answer(body) => relay::answer(*body),
+            Awaited::Ended(task, end) => task.ended_without_answer(end),
+        }
+    }
+
+    /// What the outcome of a request means: an answer to read, or the end of the attempt.
+    pub fn judge(self, method: &Method, outcome: BackendOutcome) -> Awaited {
         match outcome {
             BackendOutcome::Answered(response) if self.refused_before_running(response.status()) => {
                 let status = response.status().as_u16();
-                self.ended_without_answer(AnswerEnd::RefusedBeforeRunning { status })
+                Awaited::Ended(Box::new(self), AnswerEnd::RefusedBeforeRunning { status })
             }
             BackendOutcome::Answered(response) => {
                 let status = response.status().as_u16();
                 let length = content_length(response.headers());
                 self.gate.driver.gate(GateInput::AnswerStarted { attempt: self.guard.attempt, status, length });
-                relay::answer(self, &method, response)
+                Awaited::Answer(Box::new(BackendBody::new(self, method, response)))
             }
-            BackendOutcome::ConnectFailed => self.ended_without_answer(AnswerEnd::ConnectFailed),
-            BackendOutcome::Broken | BackendOutcome::TimedOut => self.ended_without_answer(AnswerEnd::Broken),
+            BackendOutcome::ConnectFailed => Awaited::Ended(Box::new(self), AnswerEnd::ConnectFailed),
+            BackendOutcome::Broken => Awaited::Ended(Box::new(self), AnswerEnd::Broken),
         }
     }
 
@@ -144,11 +189,13 @@
         let proven = match end {
             AnswerEnd::ConnectFailed => Refusal::not_run(RefusalReason::ConnectFailed),
             AnswerEnd::RefusedBeforeRunning { .. } => Refusal::not_run(RefusalReason::Overloaded),
+            // Before the back end's answer, nobody knows how far it came.
+            AnswerEnd::Cancelled => Refusal::unknown(RefusalReason::Cancelled),
             _ => Refusal::unknown(RefusalReason::ConnectionLost),
         };
         self.guard.end(end);
         // Outputs are handed on before the input returns, so a refusal would be here by now.
-        while let Ok(command) = self.commands.try_recv() {
+        while let Ok(command) = self.guard.commands.try_recv() {
             if let AttemptCommand::Refuse { refusal, feedback } = command {
                 return self.refuse(refusal, feedback);
             }
@@ -157,11 +204,9 @@
         self.refuse(proven, feedback)
     }
 
-    /// The attempt was stopped from here: before the back end's answer, nobody knows how far it came.
+    /// The attempt was stopped before the back end saw it.
     fn cancelled(self) -> Answer {
-        let not_dispatched = self.guard.phase == Phase::Waiting;
-        let refusal = if not_dispatched { Refusal::not_run } else { Refusal::unknown };
-        refusal_answer(&refusal(RefusalReason::Cancelled).into())
+        refusal_answer(&Refusal::not_run(RefusalReason::Cancelled).into())
     }
 
     fn refuse(mut self, refusal: Refusal, feedback: Feedback) -> Answer {
--- /dev/null
+++ b/crates/quillhatch/src/gate/attempt/tests.rs
@@ -0,0 +1,89 @@
+//! Tests of what the decision code hears of an attempt whose task is dropped.
+
+use std::sync::Mutex;
+
+use quillhatch_calls::gate::io::GateOutput;
+use quillhatch_types::{
+    AdmissionRank, CallId, ClassName, Configuration, ParentContext, Priority, RootId, ServiceName, Timestamp,
+};
+
+use super::*;
+use crate::decisions::{Decisions, NodeInput, NodeOutput, Statistic};
+use crate::driver::NoMessages;
+
+/// Dispatches at once, and stops a dispatched attempt only if it may be repeated.
+#[derive(Clone, Default)]
+struct Noted(Arc<Mutex<Vec<GateInput>>>);
+
+impl Decisions for Noted {
+    fn step(&mut self, _now: Timestamp, input: NodeInput, outputs: &mut Vec<NodeOutput>) {
+        let NodeInput::Gate(input) = input else {
+            return;
+        };
+        if let GateInput::Arrived(context) = &input {
+            let output = GateOutput::Dispatch { attempt: context.attempt_id(), remaining: context.remaining };
+            outputs.push(NodeOutput::Gate(output));
+        }
+        self.0.lock().expect("inputs").push(input);
+    }
+
+    fn next_wake(&self) -> Option<Timestamp> {
+        None
+    }
+
+    fn feedback(&mut self, _now: Timestamp, _attempt: Option<AttemptId>) -> Feedback {
+        Feedback::default()
+    }
+
+    fn lend_tokens(&mut self, _now: Timestamp, _parent: CallId, _wanted: u16) -> Option<ParentContext> {
+        None
+    }
+
+    fn configuration(&self) -> Option<Arc<Configuration>> {
+        None
+    }
+
+    fn is_ready(&self) -> bool {
+        true
+    }
+
+    fn statistics(&self) -> Vec<Statistic> {
+        Vec::new()
+    }
+}
+
+fn context() -> CallContext {
+    CallContext {
+        call: CallId(1),
+        root: RootId(1),
+        attempt: 0,
+        depth: 0,
+        tokens: 0,
+        service: ServiceName::new("giving").expect("name"),
+        class: ClassName::new("all").expect("name"),
+        priority: Priority::Protected,
+        rank: AdmissionRank::new(Priority::Protected, false, 0),
+        repeatable: false,
+        key: None,
+        key_from_caller: false,
+        digest: None,
+        remaining: Duration::from_secs(1),
+    }
+}
+
+#[test]
+fn a_dispatch_that_no_task_took_up_ends_as_not_run() {
+    let noted = Noted::default();
+    let driver = Driver::new(Box::new(noted.clone()), Box::new(NoMessages));
+    let guard = AttemptGuard::arrived(&driver, &context()).expect("the first of its kind");
+    assert!(AttemptGuard::arrived(&driver, &context()).is_none());
+    drop(guard);
+    let attempt = context().attempt_id();
+    let expected = [
+        GateInput::Arrived(Box::new(context())),
+        GateInput::Cancelled { attempt },
+        GateInput::AnswerEnded { attempt, end: AnswerEnd::ConnectFailed },
+    ];
+    assert_eq!(*noted.0.lock().expect("inputs"), expected);
+    assert!(driver.running().is_empty());
+}
--- a/crates/quillhatch/src/gate/backend.rs
+++ b/crates/quillhatch/src/gate/backend.rs
@@ -31,12 +31,13 @@
     ConnectFailed,
     /// The connection broke after bytes had reached the back end.
     Broken,
-    /// The time ran out before the head of the answer.
-    TimedOut,
 }
 
 impl Backend {
-    /// Sends the request of `call` and waits up to `remaining` for the head of the answer.
+    /// Sends the request of `call` and waits for the head of the answer.
+    ///
+    /// The back end is told that `remaining` is left. How long it may take in fact is for the decision code to say, which
+    /// stops the attempt: a call that may not be repeated goes on for a while after its caller's deadline.
     pub async fn send(&self, call: CallId, mut head: Parts, body: Incoming, remaining: Duration) -> BackendOutcome {
         let length = content_length(&head.headers);
         remove_hop_by_hop(&mut head.headers);
@@ -52,11 +53,10 @@
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let url = format!("http://{}{path}", self.address);
         let request = self.client.request(head.method, url).headers(head.headers).body(request_body(body));
-        match tokio::time::timeout(remaining, request.send()).await {
-            Ok(Ok(response)) => BackendOutcome::Answered(response),
-            Ok(Err(error)) if error.is_connect() || error.is_builder() => BackendOutcome::ConnectFailed,
-            Ok(Err(_)) => BackendOutcome::Broken,
-            Err(_) => BackendOutcome::TimedOut,
+        match request.send().await {
+            Ok(response) => BackendOutcome::Answered(response),
+            Err(error) if error.is_connect() || error.is_builder() => BackendOutcome::ConnectFailed,
+            Err(_) => BackendOutcome::Broken,
         }
     }
 }
--- a/crates/quillhatch/src/gate/mod.rs
+++ b/crates/quillhatch/src/gate/mod.rs
@@ -1,23 +1,27 @@
 //! The peers' listener: checks and runs attempts of calls, and takes control frames.
 //!
 //! An attempt's header is opened, the decision code decides when it is dispatched ([`attempt`]), the request goes to the
-//! back end ([`backend`]), and the answer streams back with the gate's feedback ([`relay`]).
+//! back end ([`backend`]), its head is awaited ([`awaited_head`]), and the answer streams back with the gate's feedback
+//! ([`relay`]). A run that goes on after its edge has gone does so in the [`background`].
 
 pub mod attempt;
+pub mod awaited_head;
 pub mod backend;
+pub mod background;
 pub mod relay;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, StatusCode};
 use quillhatch_messages::FleetKeys;
-use quillhatch_types::{NodeId, RefusalReason};
+use quillhatch_types::{CallContext, NodeId, RefusalReason};
 
-use crate::call_header::{self, SignedRequest};
+use crate::call_header::{self, CallHeaderError, SignedRequest};
 use crate::driver::Driver;
-use crate::http::headers::CALL;
+use crate::http::headers::{CALL, UNACCEPTED};
 use crate::http::problem::{write_refusal, Rejection};
 use crate::http::server::Handler;
 use crate::http::Answer;
@@ -35,6 +39,8 @@
     pub backend: Option<backend::Backend>,
     /// The keys that authenticate attempts.
     pub keys: Arc<FleetKeys>,
+    /// Runs that go on without a reader.
+    pub background: Arc<background::BackgroundRuns>,
     /// Takes control frames.
     pub frames: FrameReceiver,
     /// The program's counters.
@@ -49,25 +55,37 @@
         if is_frames {
             return self.frames.receive(request.into_body()).await;
         }
-        match self.attempt(request).await {
-            Ok(answer) => answer,
-            Err(rejection) => refusal_answer(&rejection),
+        match self.open(&request) {
+            Ok(context) => match self.attempt(context, request).await {
+                Ok(answer) => answer,
+                Err(rejection) => refusal_answer(&rejection),
+            },
+            Err(error) => self.unaccepted(error),
         }
     }
 }
 
 impl Gate {
-    async fn attempt(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Rejection> {
+    fn open(&self, request: &Request<Incoming>) -> Result<CallContext, CallHeaderError> {
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
+        let signed = SignedRequest { receiver: self.node, method: request.method().as_str(), path };
+        call_header::open(&self.keys, signed, request.headers().get(CALL))
+    }
+
+    async fn attempt(self: Arc<Self>, context: CallContext, request: Request<Incoming>) -> Result<Answer, Rejection> {
         let (head, body) = request.into_parts();
-        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let signed = SignedRequest { receiver: self.node, method: head.method.as_str(), path };
-        let context = call_header::open(&self.keys, signed, head.headers.get(CALL)).map_err(|error| {
-            self.counters.rejected_call_headers.inc();
-            let detail = format!("the call's context is not accepted: {error}");
-            Rejection::not_run(StatusCode::UNAUTHORIZED, RefusalReason::NoTarget, detail)
-        })?;
         attempt::run(self, context, head, body).await
     }
+
+    /// The edge is told why in words of its own: to the caller it is one more target that cannot be used.
+    fn unaccepted(&self, error: CallHeaderError) -> Answer {
+        self.counters.rejected_call_headers.inc();
+        let detail = format!("the call's context is not accepted: {error}");
+        let rejection = Rejection::not_run(StatusCode::UNAUTHORIZED, RefusalReason::NoTarget, detail);
+        let mut answer = refusal_answer(&rejection);
+        answer.headers_mut().insert(UNACCEPTED, HeaderValue::from_static(error.code()));
+        answer
+    }
 }
 
 /// A gate's own answer: like the one that a caller gets, with the words that the edge reads.
--- a/crates/quillhatch/src/gate/relay.rs
+++ b/crates/quillhatch/src/gate/relay.rs
@@ -1,31 +1,28 @@
 //! Streams a back end's answer to the edge, and keeps a copy of a small answer for replay.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use futures::stream::{self, StreamExt, TryStreamExt};
-use hyper::{Method, Response};
+use hyper::header::HeaderMap;
+use hyper::{Method, Response, StatusCode};
 use quillhatch_calls::gate::io::AnswerEnd;
 use quillhatch_types::{HeaderField, RecordedAnswer};
 
 use super::attempt::{write_feedback, AttemptTask};
+use super::background::LONGEST_BACKGROUND_RUN;
 use crate::http::body::{streamed, BodyBroken, ByteStream};
 use crate::http::headers::{expected_length, recordable, remove_hop_by_hop, remove_internal, OUTCOME};
 use crate::http::Answer;
 
 /// The head of the answer for the edge, with a body that streams the rest.
-pub fn answer(task: AttemptTask, method: &Method, response: reqwest::Response) -> Answer {
-    let status = response.status();
-    let mut headers = response.headers().clone();
-    remove_hop_by_hop(&mut headers);
-    // Only nodes say what became of a call: a back end may have copied these from an answer to a call of its own.
-    remove_internal(&mut headers);
-    headers.remove(OUTCOME);
-    let feedback = task.feedback();
-    let record = Record::new(&task, method, recordable(&headers));
-    let length = expected_length(method, status, &headers);
-    let source = response.bytes_stream().map_err(|_| BodyBroken::Upstream).boxed();
-    let mut body = BackendBody { task, source, status: status.as_u16(), bytes: 0, length, record };
-    body.end_if_whole();
-    let body = stream::unfold(body, |mut body| async move { body.next().await.map(|chunk| (chunk, body)) });
+pub fn answer(body: BackendBody) -> Answer {
+    let feedback = body.task.feedback();
+    let (status, headers) = (body.status, body.headers.clone());
+    let body = stream::unfold(RelayedBody(Some(body)), |mut body| async move {
+        let chunk = body.0.as_mut()?.next().await?;
+        Some((chunk, body))
+    });
     let mut answer = Response::new(streamed(body.boxed()));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
@@ -67,16 +64,40 @@
     }
 }
 
-struct BackendBody {
+/// A back end's answer, read chunk by chunk.
+pub struct BackendBody {
     task: AttemptTask,
     source: ByteStream,
-    status: u16,
+    status: StatusCode,
+    headers: HeaderMap,
     bytes: u64,
     length: Option<u64>,
     record: Record,
 }
 
 impl BackendBody {
+    /// The answer whose head is that of `response`.
+    pub fn new(task: AttemptTask, method: &Method, response: reqwest::Response) -> Self {
+        let status = response.status();
+        let mut headers = response.headers().clone();
+        remove_hop_by_hop(&mut headers);
+        // Only nodes say what became of a call: a back end may have copied these from an answer to a call of its own.
+        remove_internal(&mut headers);
+        headers.remove(OUTCOME);
+        let record = Record::new(&task, method, recordable(&headers));
+        let length = expected_length(method, status, &headers);
+        let source = response.bytes_stream().map_err(|_| BodyBroken::Upstream).boxed();
+        let mut body = BackendBody { task, source, status, headers, bytes: 0, length, record };
+        body.end_if_whole();
+        body
+    }
+
+    /// Reads the rest for nobody but the record, for a bounded time.
+    pub async fn read_to_end(mut self) {
+        // What is not at its end by then is dropped, and its guard reports it as stopped.
+        let _ = tokio::time::timeout(LONGEST_BACKGROUND_RUN, async { while self.next().await.is_some() {} }).await;
+    }
+
     /// Reports the end with the last byte: the server does not ask for more than the length announced.
     fn end_if_whole(&mut self) {
         if self.length == Some(self.bytes) {
@@ -85,15 +106,15 @@
     }
 
     fn end(&mut self) {
-        let record = self.record.finish(self.status);
-        self.task.guard.end(AnswerEnd::Whole { status: self.status, bytes: self.bytes, record });
+        let status = self.status.as_u16();
+        let record = self.record.finish(status);
+        self.task.guard.end(AnswerEnd::Whole { status, bytes: self.bytes, record });
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, BodyBroken>> {
         let chunk = tokio::select! {
             chunk = self.source.next() => chunk,
-            // The only command after the dispatch is to stop; the guard then reports the end.
-            _ = self.task.commands.recv() => return Some(Err(BodyBroken::Upstream)),
+            _ = self.task.guard.command() => return Some(Err(self.stopped())),
         };
         match chunk {
             Some(Ok(chunk)) => {
@@ -115,4 +136,26 @@
             }
         }
     }
+
+    /// The only command after the dispatch is to stop.
+    fn stopped(&mut self) -> BodyBroken {
+        self.source = stream::empty().boxed();
+        self.task.guard.end(AnswerEnd::Cancelled);
+        BodyBroken::Upstream
+    }
+}
+
+/// A body on its way to the edge; it is read on in the background if the edge goes and the run is to come to its end.
+struct RelayedBody(Option<BackendBody>);
+
+impl Drop for RelayedBody {
+    fn drop(&mut self) {
+        let Some(mut body) = self.0.take() else {
+            return;
+        };
+        if body.task.guard.goes_on_without_edge() {
+            let background = Arc::clone(&body.task.gate.background);
+            background.spawn(body.read_to_end());
+        }
+    }
 }
--- a/crates/quillhatch/src/http/headers.rs
+++ b/crates/quillhatch/src/http/headers.rs
@@ -19,6 +19,8 @@
 pub const FEEDBACK: HeaderName = HeaderName::from_static("quillhatch-feedback");
 /// A gate's own refusal, for the edge.
 pub const REFUSAL: HeaderName = HeaderName::from_static("quillhatch-refusal");
+/// Why a gate does not accept an attempt's context, for the edge.
+pub const UNACCEPTED: HeaderName = HeaderName::from_static("quillhatch-unaccepted");
 /// What is known of whether a call ran, for callers.
 pub const OUTCOME: HeaderName = HeaderName::from_static("outcome");
 /// The key under which a request runs at most once.
--- a/crates/quillhatch/src/http/problem.rs
+++ b/crates/quillhatch/src/http/problem.rs
@@ -5,7 +5,7 @@
 use derive_more::{Display, Error};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
-use quillhatch_types::{Outcome, Refusal, RefusalReason};
+use quillhatch_types::{CallId, Outcome, Refusal, RefusalReason};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -38,6 +38,9 @@
     /// What is wrong with this request in particular.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub detail: Option<String>,
+    /// The call, in hexadecimal, for an operator's question why it was refused.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub call: Option<String>,
 }
 
 /// A refusal with the status code and the words that the caller gets.
@@ -50,12 +53,14 @@
     pub status: StatusCode,
     /// What is wrong with this request in particular.
     pub detail: Option<String>,
+    /// The call, if it came so far as to have a number.
+    pub call: Option<CallId>,
 }
 
 impl Rejection {
     /// The request is refused before anything was done, with `status` in place of the reason's own.
     pub fn not_run(status: StatusCode, reason: RefusalReason, detail: impl Into<String>) -> Self {
-        Rejection { refusal: Refusal::not_run(reason), status, detail: Some(detail.into()) }
+        Rejection { refusal: Refusal::not_run(reason), status, detail: Some(detail.into()), call: None }
     }
 
     /// The request is malformed.
@@ -72,6 +77,7 @@
             outcome: self.refusal.outcome,
             reason: self.refusal.reason,
             detail: self.detail.clone(),
+            call: self.call.map(|call| call.to_string()),
         };
         let document = serde_json::to_vec(&problem).unwrap_or_default();
         let mut answer = Response::new(body::full(document.clone()));
@@ -89,7 +95,7 @@
 
 impl From<Refusal> for Rejection {
     fn from(refusal: Refusal) -> Self {
-        Rejection { refusal, status: status_of(&refusal), detail: None }
+        Rejection { refusal, status: status_of(&refusal), detail: None, call: None }
     }
 }
 
--- a/crates/quillhatch/src/metrics.rs
+++ b/crates/quillhatch/src/metrics.rs
@@ -15,6 +15,13 @@
     pub reason: String,
 }
 
+/// Labels of attempts that a gate did not accept.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnacceptedLabels {
+    /// What the gate says of the attempt's context.
+    pub reason: &'static str,
+}
+
 macro_rules! counters {
     ($($(#[doc = $help:literal])+ $name:ident),+ $(,)?) => {
         /// What the program itself counts, besides what the decision code counts.
@@ -22,6 +29,8 @@
         pub struct Counters {
             /// Answers to callers in the place of a back end.
             pub refusals: Family<RefusalLabels, Counter>,
+            /// Attempts that a gate did not accept as coming from a node of its deployment.
+            pub unaccepted_attempts: Family<UnacceptedLabels, Counter>,
             $($(#[doc = $help])+ pub $name: Counter,)+
         }
 
@@ -29,6 +38,8 @@
             /// Registers all counters under their names.
             pub fn register(&self, registry: &mut Registry) {
                 registry.register("refusals", "Answers to callers in the place of a back end", self.refusals.clone());
+                let help = "Attempts that a gate did not accept as coming from a node of its deployment";
+                registry.register("unaccepted_attempts", help, self.unaccepted_attempts.clone());
                 $(registry.register(stringify!($name), concat!($($help),+).trim_start(), self.$name.clone());)+
             }
         }
--- a/crates/quillhatch/src/running/mod.rs
+++ b/crates/quillhatch/src/running/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::decisions::Decisions;
 use crate::driver::Driver;
+use crate::gate::background::BackgroundRuns;
 use crate::metrics::Counters;
 use crate::operators::{Operators, OperatorsError};
 use crate::peers::PeerSender;
@@ -61,6 +62,8 @@
     pub peers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For the calls that the back end makes, if they have their own listener.
+    pub outgoing: Option<SocketAddr>,
 }
 
 /// A node that runs in this process.
@@ -78,6 +81,7 @@
     servers: JoinSet<()>,
     /// Tasks that never end by themselves.
     background: JoinSet<()>,
+    background_runs: Arc<BackgroundRuns>,
     grace: std::time::Duration,
 }
 
@@ -94,7 +98,9 @@
 
     /// Ends the node at once, as when its machine fails: every connection is cut.
     pub async fn kill(self) {
-        let RunningNode { operators, mut servers, mut background, .. } = self;
+        let RunningNode { operators, mut servers, mut background, background_runs, .. } = self;
+        // First, so that what the servers drop does not go on there.
+        background_runs.shutdown().await;
         servers.shutdown().await;
         background.shutdown().await;
         operators.stop().await;
--- a/crates/quillhatch/src/running/options.rs
+++ b/crates/quillhatch/src/running/options.rs
@@ -8,6 +8,9 @@
 use super::StartError;
 use crate::decisions::Decisions;
 
+#[cfg(test)]
+mod tests;
+
 pub(super) fn build_node(node: NodeId, settings: &NodeSettings) -> Result<Box<dyn Decisions>, StartError> {
     let options = options(node, settings)?;
     Ok(Box::new(Node::new(options, rand::random())))
--- a/crates/quillhatch/src/running/setup.rs
+++ b/crates/quillhatch/src/running/setup.rs
@@ -18,6 +18,7 @@
 use crate::driver::Driver;
 use crate::edge::{Edge, RequestLimits};
 use crate::gate::backend::Backend;
+use crate::gate::background::BackgroundRuns;
 use crate::gate::Gate;
 use crate::http::server::{serve, ServerLimits};
 use crate::metrics::Counters;
@@ -49,6 +50,10 @@
 pub(super) async fn start(settings: NodeSettings, factory: impl DecisionFactory) -> Result<RunningNode, StartError> {
     let callers = bind("callers", settings.callers).await?;
     let peers = bind("peers", settings.peers.0).await?;
+    let outgoing = match settings.backend.as_ref().and_then(|backend| backend.outgoing) {
+        Some(address) => Some(bind("the back end's calls", address).await?),
+        None => None,
+    };
     let node = NodeId { address: NodeAddress(peers.address), incarnation: draw_incarnation() };
     let keys = Arc::new(fleet_keys(&settings.fleet_keys)?);
     let counters = Arc::new(Counters::default());
@@ -63,18 +68,22 @@
     let opener = FrameOpener::new(node, settings.deployment.clone(), (*keys).clone());
     let frames = FrameReceiver::new(opener, versions, Arc::clone(&driver), Arc::clone(&counters));
     let backend = settings.backend.as_ref().map(backend).transpose()?;
+    let background_runs = Arc::new(BackgroundRuns::default());
     let gate = Gate {
         node,
         driver: Arc::clone(&driver),
         backend,
         keys: Arc::clone(&keys),
+        background: Arc::clone(&background_runs),
         frames,
         counters: Arc::clone(&counters),
     };
     let edge = Edge {
         driver: Arc::clone(&driver),
+        outgoing_only: false,
         client: clients::transparent()?,
         keys,
+        unaccepted: Arc::default(),
         limits: request_limits(&settings),
         counters: Arc::clone(&counters),
     };
@@ -82,15 +91,36 @@
     let token = settings.operator_token.as_ref().map(|token| BearerToken::new(token.expose().to_vec()));
     let operators = Operators::start(settings.operators, token, Arc::clone(&driver), &counters).await?;
     let background = background(&settings, &driver, &counters)?;
-    let addresses = Addresses { callers: callers.address, peers: peers.address, operators: operators.address };
+    let addresses = Addresses {
+        callers: callers.address,
+        peers: peers.address,
+        operators: operators.address,
+        outgoing: outgoing.as_ref().map(|bound| bound.address),
+    };
     let stop_listeners = watch::Sender::new(false);
     let mut servers = JoinSet::new();
     let limits = caller_limits(&settings);
+    if let Some(outgoing) = outgoing {
+        let edge = Edge { outgoing_only: true, ..edge.clone() };
+        servers.spawn(serve(outgoing.listener, Arc::new(edge), limits, stop_listeners.subscribe()));
+    }
     servers.spawn(serve(callers.listener, Arc::new(edge), limits, stop_listeners.subscribe()));
     servers.spawn(serve(peers.listener, Arc::new(gate), peer_limits(&settings), stop_listeners.subscribe()));
     log_start(&node, &addresses);
     let grace = settings.stop.grace;
-    Ok(RunningNode { addresses, node, driver, counters, sender, operators, stop_listeners, servers, background, grace })
+    Ok(RunningNode {
+        addresses,
+        node,
+        driver,
+        counters,
+        sender,
+        operators,
+        stop_listeners,
+        servers,
+        background,
+        background_runs,
+        grace,
+    })
 }
 
 /// Zero means "any run" on the wire and is never drawn.
--- a/crates/quillhatch/src/running/stop.rs
+++ b/crates/quillhatch/src/running/stop.rs
@@ -39,8 +39,10 @@
         self.stop_listeners.send_replace(true);
         let last = deadline.max(Instant::now() + LAST_BYTES);
         let closing = async { while self.servers.join_next().await.is_some() {} };
-        let closed = tokio::time::timeout_at(last, closing).await;
-        let cut = if closed.is_ok() { Vec::new() } else { self.driver.running() };
+        let _ = tokio::time::timeout_at(last, closing).await;
+        // Also with every connection closed, a run without a reader may be left.
+        let cut = self.driver.running();
+        self.background_runs.shutdown().await;
         self.servers.shutdown().await;
         let _ = tokio::time::timeout(LAST_BYTES, self.sender.flush()).await;
         self.background.shutdown().await;
--- a/crates/quillhatch/tests/headers.rs
+++ b/crates/quillhatch/tests/headers.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use quillhatch::decisions::NodeInput;
+use quillhatch::metrics::UnacceptedLabels;
 use quillhatch_calls::edge::io::EdgeInput;
 use quillhatch_calls::gate::io::{AnswerEnd, GateInput};
 use quillhatch_types::{Incarnation, NodeAddress, NodeId};
@@ -105,6 +106,8 @@
     let gate = start_gate(backend).await;
     let stranger = start_edge_with(vec![gate.node], keys(2), None).await;
     assert_refused(client().get(stranger.url("/x")).send().await.expect("answer"), 503, "no-target").await;
+    let unaccepted = UnacceptedLabels { reason: "wrong-tag" };
+    assert_eq!(stranger.counters.unaccepted_attempts.get_or_create(&unaccepted).get(), 1);
     let direct = client().get(format!("http://{}/x", gate.node.address)).send().await.expect("answer");
     assert_eq!(direct.status(), 401);
     assert_eq!(gate.counters.rejected_call_headers.get(), 2);
--- a/crates/quillhatch/tests/node.rs
+++ b/crates/quillhatch/tests/node.rs
@@ -5,12 +5,15 @@
 use std::time::Duration;
 
 use quillhatch::decisions::NodeInput;
-use quillhatch_calls::gate::io::GateInput;
+use quillhatch_calls::edge::io::EdgeInput;
+use quillhatch_calls::gate::io::{GateInput, LoadHint};
 use quillhatch_control::operator::OperatorRequest;
 use quillhatch_messages::{Kind, Payload};
+use quillhatch_standins::backend::{Backend, BackendFaults, BackendOptions};
+use quillhatch_standins::server::any_loopback;
 use support::backend::{start_raw, start_rocket};
 use support::node::{settings, start, TOKEN};
-use support::{client, BOUND};
+use support::{client, BOUND, SERVICE};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -90,3 +93,75 @@
     assert!(!received.ends_with(b"0\r\n\r\n"), "a cut body ended as if it were whole");
     gate.kill().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_the_back_end_says_of_itself_reaches_the_gate() {
+    let options = BackendOptions {
+        service: SERVICE.to_owned(),
+        name: "backend".to_owned(),
+        slots: 4,
+        service_time: Duration::ZERO,
+        edge: None,
+        children: Vec::new(),
+    };
+    let backend = Backend::start(any_loopback(), options).await.expect("the back end starts");
+    let mut settings = settings(Some(backend.address()));
+    if let Some(backend) = &mut settings.backend {
+        (backend.load_path, backend.poll_interval) = (Some("/load".to_owned()), Duration::from_millis(50));
+    }
+    let (node, log) = start(settings, Vec::new()).await;
+    let hint = |healthy, load| move |input: &NodeInput| *input == GateInput::Hint(LoadHint { healthy, load }).into();
+    log.wait_for("a healthy, idle back end", hint(true, Some(0.0))).await;
+    let ill =
+        BackendFaults { shedding: true, always_healthy: false, claimed_load: Some(0.5), ..BackendFaults::default() };
+    backend.behaviour.set_faults(ill);
+    log.wait_for("an ill back end", hint(false, Some(0.5))).await;
+    backend.stop().await;
+    log.wait_for("a back end that does not answer", hint(false, None)).await;
+    node.kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_back_ends_own_listener_marks_its_calls() {
+    let mut settings = settings(Some(start_rocket().await));
+    if let Some(backend) = &mut settings.backend {
+        backend.outgoing = Some(any_loopback());
+    }
+    let (node, log) = start(settings, Vec::new()).await;
+    let outgoing = node.addresses.outgoing.expect("the listener");
+    let context = "0123456789abcdef0123456789abcdef";
+    for (address, context) in
+        [(node.addresses.callers, None), (node.addresses.callers, Some(context)), (outgoing, None)]
+    {
+        let mut request = client().get(format!("http://{address}/giving/x"));
+        if let Some(context) = context {
+            request = request.header("quillhatch-context", context);
+        }
+        request.send().await.expect("answer");
+    }
+    let arrivals = log.inputs().into_iter().filter_map(|input| match input {
+        NodeInput::Edge(EdgeInput::Arrived(arrival)) => Some((arrival.outgoing, arrival.parent.is_some())),
+        _ => None,
+    });
+    assert_eq!(arrivals.collect::<Vec<_>>(), [(false, false), (true, false), (true, false)]);
+    node.kill().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_without_a_reader_ends_with_its_node_at_the_latest() {
+    let (backend, seen) = start_raw(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart".to_vec(), true).await;
+    let (gate, log) = start(settings(Some(backend)), Vec::new()).await;
+    let (edge, edge_log) = start(settings(None), vec![gate.node]).await;
+    let url = format!("http://{}/giving/x", edge.addresses.callers);
+    let answer = client().post(url).header("idempotency-key", "a-key").send().await.expect("head");
+    drop(answer);
+    edge_log.wait_for("the caller left", |input| matches!(input, NodeInput::Edge(EdgeInput::CallerGone { .. }))).await;
+    log.wait_for("the edge left", |input| matches!(input, NodeInput::Gate(GateInput::Cancelled { .. }))).await;
+    let ended = |input: &NodeInput| matches!(input, NodeInput::Gate(GateInput::AnswerEnded { .. }));
+    assert!(!log.inputs().iter().any(ended), "the run was not to be stopped");
+    let report = tokio::time::timeout(BOUND, gate.stop_within(Duration::from_millis(1))).await.expect("the node stops");
+    assert_eq!(report.cut.len(), 1, "{report:?}");
+    tokio::time::timeout(BOUND, seen.left.notified()).await.expect("the back end's connection closes");
+    log.wait_for("the end", ended).await;
+    edge.kill().await;
+}
--- a/crates/quillhatch/tests/support/mod.rs
+++ b/crates/quillhatch/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod backend;
 pub mod double;
+pub mod fleet;
 pub mod node;
 
 use std::collections::BTreeMap;
@@ -109,6 +110,7 @@
         driver: Arc::clone(&driver),
         backend: Some(backend),
         keys: keys(1),
+        background: Arc::default(),
         frames: FrameReceiver::new(opener, Arc::new(Mutex::default()), driver, Arc::clone(&counters)),
         counters: Arc::clone(&counters),
     };
@@ -143,8 +145,10 @@
     let counters = Arc::new(Counters::default());
     let edge = Edge {
         driver: Arc::clone(&driver),
+        outgoing_only: false,
         client: quillhatch::clients::transparent().expect("client"),
         keys,
+        unaccepted: Arc::default(),
         limits: RequestLimits { header_bytes: HEADER_LIMIT, body_bytes, retry_buffer_bytes: RETRY_BUFFER },
         counters: Arc::clone(&counters),
     };
--- a/crates/settings/src/node_settings/checks.rs
+++ b/crates/settings/src/node_settings/checks.rs
@@ -26,10 +26,11 @@
     pub(super) operators: Option<Located<SocketAddr>>,
 }
 
-/// The back end's settings, and its address even where another key is wrong.
+/// The back end's settings, and its addresses even where another key is wrong.
 #[derive(Debug)]
 pub(super) struct LocatedBackend {
     pub(super) address: Option<Located<SocketAddr>>,
+    pub(super) outgoing: Option<Located<SocketAddr>>,
     pub(super) settings: Option<BackendSettings>,
 }
 
@@ -69,9 +70,11 @@
 
 /// Reports addresses that are used twice.
 pub(super) fn check_addresses(report: &mut Report<'_>, listeners: &Listeners, backend: Option<&LocatedBackend>) {
-    let backend = backend.and_then(|backend| backend.address.as_ref());
-    let all = [listeners.callers.as_ref(), listeners.peers.as_ref(), listeners.operators.as_ref(), backend];
-    let given: Vec<&Located<SocketAddr>> = all.into_iter().flatten().collect();
+    let address = backend.and_then(|backend| backend.address.as_ref());
+    let outgoing = backend.and_then(|backend| backend.outgoing.as_ref());
+    let listeners = [listeners.callers.as_ref(), listeners.peers.as_ref(), listeners.operators.as_ref()];
+    let all = listeners.into_iter().chain([address, outgoing]);
+    let given: Vec<&Located<SocketAddr>> = all.flatten().collect();
     for (index, address) in given.iter().enumerate() {
         let Some(other) = given[..index].iter().find(|other| collide(address.value, other.value)) else {
             continue;
--- a/crates/settings/src/node_settings/read.rs
+++ b/crates/settings/src/node_settings/read.rs
@@ -215,11 +215,12 @@
 
 fn read_backend(report: &mut Report<'_>, field: &Field<'_>) -> checks::LocatedBackend {
     let Some(mut section) = Section::open(report, field) else {
-        return checks::LocatedBackend { address: None, settings: None };
+        return checks::LocatedBackend { address: None, outgoing: None, settings: None };
     };
     let address =
         section.require(report, "address").and_then(|field| checks::Located::reachable_address(report, &field));
     let service = section.require(report, "service").and_then(|field| field.name(report, ServiceName::new));
+    let outgoing = section.take("outgoing").and_then(|field| checks::Located::address(report, &field));
     let health_path =
         section.optional(report, "health_path", BackendSettings::DEFAULT_HEALTH_PATH.to_string(), |field, report| {
             checks::endpoint_path(report, field)
@@ -232,11 +233,12 @@
     let settings = address.as_ref().zip(service).map(|(address, service)| BackendSettings {
         address: address.value,
         service,
+        outgoing: outgoing.as_ref().map(|outgoing| outgoing.value),
         health_path,
         load_path,
         poll_interval,
     });
-    checks::LocatedBackend { address, settings }
+    checks::LocatedBackend { address, outgoing, settings }
 }
 
 fn read_limits(report: &mut Report<'_>, root: &mut Section<'_>) -> Limits {
--- a/crates/settings/src/node_settings/sections.rs
+++ b/crates/settings/src/node_settings/sections.rs
@@ -69,6 +69,8 @@
     pub address: SocketAddr,
     /// The service that it belongs to.
     pub service: ServiceName,
+    /// Where the node listens for the calls that the back end makes, if it has an own listener for them.
+    pub outgoing: Option<SocketAddr>,
     /// The path of its health endpoint.
     pub health_path: String,
     /// The path of its load endpoint, if it has one.
--- a/crates/settings/tests/settings/node_settings.rs
+++ b/crates/settings/tests/settings/node_settings.rs
@@ -73,6 +73,8 @@
 #[test_case("127.0.0.1:9103", "127.0.0.1:8103", "listeners.operators", "already taken by listeners.callers"; "an address twice")]
 #[test_case("127.0.0.1:9103", "0.0.0.0:8103", "listeners.operators", "already taken"; "a wildcard over an address")]
 #[test_case("127.0.0.1:6103", "127.0.0.1:8103", "backend.address", "already taken by listeners.callers"; "a back end that is the node itself")]
+#[test_case("load_path = ", "outgoing = \"127.0.0.1:9103\"\nload_path = ", "backend.outgoing", "already taken by listeners.operators"; "outgoing calls at a listener that is taken")]
+#[test_case("load_path = ", "outgoing = \"nowhere\"\nload_path = ", "backend.outgoing", "nowhere"; "outgoing calls without an address")]
 #[test_case("127.0.0.1:8103", "127.0.0.1:0", "listeners.callers", "port must not be zero"; "port zero")]
 #[test_case("peers = \"127.0.0.1", "peers = \"0.0.0.0", "listeners.peers", "no address at which"; "an identity that nobody reaches")]
 #[test_case("token = \"example-token-draw-your-own\"", "token = \"short\"", "operators.token", "5 characters"; "a short token")]
@@ -93,6 +95,14 @@
     assert!(render_text(&findings).contains(part), "{findings}");
 }
 
+#[test]
+fn the_back_ends_calls_may_have_their_own_listener() {
+    let backend = |text: &str| parse(text).unwrap().0.backend.unwrap();
+    assert_eq!(backend(NODE).outgoing, None);
+    let text = replaced(NODE, "load_path = ", "outgoing = \"127.0.0.1:5103\"\nload_path = ");
+    assert_eq!(backend(&text).outgoing, Some("127.0.0.1:5103".parse().unwrap()));
+}
+
 #[test]
 fn an_operator_listener_beyond_loopback_needs_a_token() {
     let without = replaced(NODE, "token = \"example-token-draw-your-own\"", "");
