--- a/crates/group/src/election.rs
+++ b/crates/group/src/election.rs
@@ -15,8 +15,7 @@
         let Some(member) = &self.member else {
             return;
         };
-        let allowed = member.is_voter(&self.node) && !self.stopping;
-        if !allowed || now < member.election_deadline {
+        if !member.is_voter(&self.node) || now < member.election_deadline {
             return;
         }
         if self.settings.mechanisms.pre_vote {
@@ -233,6 +232,8 @@
     pub(crate) fn on_stop(&mut self, now: Timestamp, outputs: &mut Vec<GroupOutput>) {
         self.stopping = true;
         self.attempt = None;
+        // The others campaign first; but if this node alone has all that was agreed, only it can win, and hand over.
+        self.rearm_election(now);
         self.continue_transfer(now, outputs);
     }
 
--- a/crates/group/src/group.rs
+++ b/crates/group/src/group.rs
@@ -1,6 +1,7 @@
 //! The group's state machine: entry point, accessors and what all parts of it share.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use quillhatch_types::{Epoch, Generation, Incarnation, NodeId, Timestamp};
 
@@ -14,6 +15,9 @@
 use crate::survey::Survey;
 use crate::voters::{ActiveSets, VoterSet};
 
+/// For how many of the longest election timeouts a stopping node leaves it to the others to be elected.
+const STOPPING_DEFERENCE: u32 = 2;
+
 /// One node's part in the agreement of a small group.
 ///
 /// It keeps everything in memory. A restarted node starts as an outsider under a new incarnation, and is taken in anew.
@@ -191,8 +195,7 @@
             return Some(leadership.heartbeat_due);
         }
         let survey = self.survey_due(member);
-        let campaigns = member.is_voter(&self.node) && !self.stopping;
-        if campaigns {
+        if member.is_voter(&self.node) {
             return Some(survey.min(member.election_deadline));
         }
         Some(survey)
@@ -320,8 +323,10 @@
     pub(crate) fn rearm_election(&mut self, now: Timestamp) {
         let settings = &self.settings;
         let span = self.random.span(settings.election_timeout_minimum, settings.election_timeout_maximum);
+        let deference =
+            if self.stopping { settings.election_timeout_maximum * STOPPING_DEFERENCE } else { Duration::ZERO };
         if let Some(member) = &mut self.member {
-            member.election_deadline = now + span;
+            member.election_deadline = now + span + deference;
         }
     }
 
--- a/crates/group/tests/elections.rs
+++ b/crates/group/tests/elections.rs
@@ -161,6 +161,24 @@
     }
 }
 
+#[test]
+fn a_stopping_node_that_alone_has_the_last_entry_is_elected_and_hands_over() {
+    for seed in SEEDS {
+        let mut network = Network::formed(3, GroupSettings::default(), seed);
+        let leader = network.leader().unwrap();
+        let (stopping, behind) = ((leader + 1) % 3, (leader + 2) % 3);
+        network.split(&[behind]);
+        network.propose(leader);
+        network.run_for(Duration::from_millis(300));
+        network.kill(leader);
+        network.step(stopping, GroupInput::Stop);
+        network.heal();
+        let taken = network.run_until(Duration::from_secs(10), |network| network.leader() == Some(behind));
+        assert!(taken.is_some(), "nobody leads with seed {seed}");
+        assert_eq!(network.record.broken, Vec::<String>::new());
+    }
+}
+
 #[test]
 fn an_idle_group_says_little() {
     let mut network = Network::new(3, Formation::New, GroupSettings::default(), 5);
--- a/crates/simulation/src/random.rs
+++ b/crates/simulation/src/random.rs
@@ -18,6 +18,8 @@
     Identities = 5,
     /// Seeds of the nodes under test.
     Nodes = 6,
+    /// Callers that ask again for what they were given.
+    Repeats = 7,
 }
 
 /// The generator of `stream` in a run with `seed`.
--- a/crates/simulation/src/world/callers.rs
+++ b/crates/simulation/src/world/callers.rs
@@ -207,6 +207,45 @@
             self.record.accepted(run);
         }
         self.record.completed_whole(self.requests[request].number, agenda.now());
+        self.plan_repeat(request, agenda);
+    }
+
+    /// Some callers ask again for what they were given: a second click, or a job that starts over.
+    fn plan_repeat(&mut self, request: usize, agenda: &mut Agenda) {
+        const SOONEST: Instant = 50 * MILLISECOND;
+        const LATEST: Instant = 5 * SECOND;
+        // Nothing is drawn while no caller repeats, so that the other scenarios stay as they are.
+        if self.repeat_percent == 0 || self.requests[request].key.is_none() {
+            return;
+        }
+        let generator = &mut self.generators.repeats;
+        let pause = generator.gen_range(SOONEST..LATEST);
+        if chance(generator, self.repeat_percent) {
+            agenda.after(pause, Event::Repeat { request });
+        }
+    }
+
+    /// The same caller asks under the same key, through any edge; it is owed the answer that was given.
+    pub(super) fn repeat(&mut self, request: usize, agenda: &mut Agenda) {
+        let Request { traffic, tag, ref key, most_tries, .. } = self.requests[request];
+        let key = key.clone();
+        let class = self.deployment.class_of(self.deployment.traffic[traffic].step);
+        let number = self.record.offered(class.name, class.priority, agenda.now());
+        let generator = &mut self.generators.repeats;
+        self.requests.push(Request {
+            traffic,
+            number,
+            tag,
+            key,
+            tries: 0,
+            most_tries,
+            site: generator.gen_range(0..SITES.len()),
+            zone: generator.gen_range(0..self.deployment.zones.len()),
+            current: None,
+            abandons: false,
+            heeds_advice: false,
+        });
+        self.start_try(self.requests.len() - 1, agenda);
     }
 
     fn try_again(&mut self, request: usize, outcome: Outcome, advice: Option<Instant>, agenda: &mut Agenda) {
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -51,6 +51,8 @@
     Arrival { traffic: usize },
     /// An outside caller tries again.
     Retry { request: usize },
+    /// An outside caller asks again under the key of a request that was answered.
+    Repeat { request: usize },
     /// An outside caller has waited long enough for one try.
     Patience { call: CallIndex },
     /// An answer, or the lack of one, reaches an outside caller.
@@ -107,6 +109,7 @@
     faults: Pcg64,
     identities: Pcg64,
     nodes: Pcg64,
+    repeats: Pcg64,
 }
 
 /// The whole emulated world of one run.
@@ -134,6 +137,8 @@
     misleading_hints: bool,
     /// Whether callers try again at once and more often.
     hard_callers: bool,
+    /// How many keyed requests in a hundred are asked for again after they were answered.
+    repeat_percent: u32,
     outputs: Vec<HostOutput>,
     /// What callers and back ends saw.
     pub record: Record,
@@ -152,6 +157,7 @@
             faults: generator(options.seed, Stream::Faults),
             identities: generator(options.seed, Stream::Identities),
             nodes: generator(options.seed, Stream::Nodes),
+            repeats: generator(options.seed, Stream::Repeats),
         };
         let machines = machine::layout(&deployment);
         let platform = Platform::new(&deployment, &machines);
@@ -174,6 +180,7 @@
             normal_rate,
             misleading_hints: false,
             hard_callers: false,
+            repeat_percent: 0,
             outputs: Vec::new(),
             record: Record::default(),
         }
@@ -305,6 +312,7 @@
         match event {
             Event::Arrival { traffic } => self.arrival(traffic, agenda),
             Event::Retry { request } => self.start_try(request, agenda),
+            Event::Repeat { request } => self.repeat(request, agenda),
             Event::Patience { call } => self.patience_over(call, agenda),
             Event::AtCaller { call, news } => self.at_caller(call, news, agenda),
             Event::AtEdgeCall { call } => self.at_edge_call(call, agenda),
