Simulation: judge 'in force everywhere' by the same nodes that it was said of

The events show one leaving node, told revision 10 0.37 s after its publication, that was still at 9 and had never been at 10. 'Everywhere' is declared without leaving nodes, but the check that compares with it took them in. Ruled out: a node that went back (none did), and readiness on answers of unready peers. Change: the comparison takes the same nodes; a node that goes back from what it showed itself still counts, leaving or not, so nothing that the check is for passes now that was caught before. Each reversion is an event in the report. Conclusion: the check was wrong in one case and is as strict for the promise.

--- a/crates/simulation/src/world/probes.rs
+++ b/crates/simulation/src/world/probes.rs
@@ -135,9 +135,14 @@
     pub(super) fn see_revision(&mut self, machine: MachineIndex, life: u32, revision: Revision, now: Instant) {
         let last = self.probes.seen.insert((machine, life), revision);
         let went_back = last.is_some_and(|last| revision < last);
-        let is_behind = revision < self.probes.everywhere && now >= self.machines[machine.at()].current_from;
+        // A leaving node is not among those that "everywhere" was said of; that it went back would still show above.
+        let judged = self.counts_everywhere(machine) && now >= self.machines[machine.at()].current_from;
+        let is_behind = judged && revision < self.probes.everywhere;
         if went_back || is_behind {
             self.record.config_reversions += 1;
+            let (label, everywhere) = (&self.machines[machine.at()].label, self.probes.everywhere);
+            let text = format!("{label}: revision {revision} seen after {everywhere} was in force everywhere");
+            self.record.event(now, text);
         }
         let Some(expected) = &self.probes.expected else { return };
         let (wanted, published) = (expected.revision, expected.published);
@@ -151,14 +156,18 @@
         self.record.event(now, format!("configuration revision {wanted} seen in force everywhere"));
     }
 
+    /// Whether a revision must be in force at this node to be in force everywhere.
+    fn counts_everywhere(&self, machine: MachineIndex) -> bool {
+        let machine = &self.machines[machine.at()];
+        machine.presence == Presence::Up && !machine.stopping && machine.drained_at.is_none()
+    }
+
     /// Live nodes that were not seen with `revision` or a newer one.
     fn nodes_behind(&self, revision: Revision) -> Vec<MachineIndex> {
         let indices = (0..self.machines.len()).map(|index| MachineIndex(index as u16));
         let behind = indices.filter(|index| {
-            let machine = &self.machines[index.at()];
-            let seen = self.probes.seen.get(&(*index, machine.life));
-            let counts = machine.presence == Presence::Up && !machine.stopping && machine.drained_at.is_none();
-            counts && seen.is_none_or(|seen| *seen < revision)
+            let seen = self.probes.seen.get(&(*index, self.machines[index.at()].life));
+            self.counts_everywhere(*index) && seen.is_none_or(|seen| *seen < revision)
         });
         behind.collect()
     }
