Node: forget attempts whose claim was not granted

Cause: found on the last read: the set of attempts with an open claim was emptied only by finish and release, which the gate does not say of a refused or replayed attempt, so every repeat of a key left an entry for ever. Change: an attempt that is not granted its claim is forgotten; a gauge tells open claims; a set in place of a map without values. Conclusion: memory of a gate no longer grows with repeats.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -1,6 +1,6 @@
 //! The claims of the local gate's attempts: the owner's side, and what must be known of an attempt to end its claim.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use quillhatch_calls::gate::{AnswerEnd, GateInput};
 use quillhatch_claims::{ClaimMechanisms, ClaimOwner, OwnerInput, OwnerOutput, OwnerSettings};
@@ -15,13 +15,13 @@
     /// Attempts whose claim was asked for and has not ended.
     open: BTreeSet<AttemptId>,
     /// Attempts that ended without anybody knowing whether the back end ran them.
-    uncertain: BTreeMap<AttemptId, ()>,
+    uncertain: BTreeSet<AttemptId>,
 }
 
 impl ClaimDesk {
     pub(crate) fn new(node: NodeId, service: ServiceName, mechanisms: ClaimMechanisms) -> Self {
         let owner = ClaimOwner::with_mechanisms(node, service.clone(), OwnerSettings::default(), mechanisms);
-        ClaimDesk { owner, service, slot_count: 1, open: BTreeSet::new(), uncertain: BTreeMap::new() }
+        ClaimDesk { owner, service, slot_count: 1, open: BTreeSet::new(), uncertain: BTreeSet::new() }
     }
 
     pub(crate) fn next_wake(&self) -> Option<Timestamp> {
@@ -54,11 +54,21 @@
         })
     }
 
+    /// Forgets an attempt whose claim was not granted: the gate says nothing more of its claim.
+    pub(crate) fn not_granted(&mut self, attempt: AttemptId) {
+        self.open.remove(&attempt);
+    }
+
+    /// The number of attempts whose claim was asked for and has not ended.
+    pub(crate) fn open_claims(&self) -> usize {
+        self.open.len()
+    }
+
     /// Notes how the back end's part ended, before the gate says what becomes of the claim.
     pub(crate) fn observe(&mut self, input: &GateInput) {
         let GateInput::AnswerEnded { attempt, end } = input else { return };
         if matches!(end, AnswerEnd::Broken | AnswerEnd::Cancelled) && self.open.contains(attempt) {
-            self.uncertain.insert(*attempt, ());
+            self.uncertain.insert(*attempt);
         }
     }
 
@@ -69,7 +79,7 @@
 
     pub(crate) fn finished(&mut self, attempt: AttemptId, record: Option<RecordedAnswer>) -> OwnerInput {
         self.open.remove(&attempt);
-        let uncertain = self.uncertain.remove(&attempt).is_some();
+        let uncertain = self.uncertain.remove(&attempt);
         if uncertain && record.is_none() {
             return OwnerInput::Abandoned { ticket: attempt };
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -133,6 +133,7 @@
     pub fn statistics(&self) -> Vec<Statistic> {
         let edge = self.edge.statistics();
         let held = self.gate.as_ref().map_or(0, |part| part.claims.held());
+        let open = self.gate.as_ref().map_or(0, |part| part.claims.open_claims());
         let recorded: usize = self.voters.values().map(ClaimVoter::held_claims).sum();
         vec![
             Statistic::counter("calls_arrived", "Calls that arrived at the edge.", edge.arrived),
@@ -152,6 +153,7 @@
             ),
             Statistic::counter("messages_undecodable", "Messages that could not be decoded.", self.undecodable),
             Statistic::gauge("members", "Members that can be reached.", self.membership.reachable().count() as f64),
+            Statistic::gauge("claims_open", "Attempts whose claim has not ended.", open as f64),
             Statistic::gauge("claims_held", "Claims held as owner.", held as f64),
             Statistic::gauge("claims_recorded", "Claims held as voter.", recorded as f64),
             Statistic::gauge("configuration_revision", "Revision in force.", self.control.revision().0 as f64),
--- a/crates/node/src/route/calls.rs
+++ b/crates/node/src/route/calls.rs
@@ -78,10 +78,14 @@
     ) {
         let Some(part) = &mut self.gate else { return };
         let service = part.service.clone();
-        for output in part.claims.step(now, input) {
+        let owner_outputs = part.claims.step(now, input);
+        for output in owner_outputs {
             match output {
                 OwnerOutput::Send { to, message } => self.send_claim(to, message, inbox, outputs),
                 OwnerOutput::Resolved { ticket, resolution } => {
+                    if let Some(part) = self.gate.as_mut().filter(|_| resolution != ClaimDecision::Granted) {
+                        part.claims.not_granted(ticket);
+                    }
                     let resolution = resolution_of(resolution);
                     inbox.push(GateInput::ClaimResolved { attempt: ticket, resolution });
                 }
--- a/crates/node/tests/fleet_tests.rs
+++ b/crates/node/tests/fleet_tests.rs
@@ -41,6 +41,10 @@
     fleet.run(SECOND);
     assert_eq!(fleet.runs.len(), 1);
     assert_eq!(fleet.doubled_keys(), 0);
+    let statistics = fleet.nodes.values().flat_map(|(_, node)| node.statistics());
+    let open: f64 =
+        statistics.filter(|statistic| statistic.name == "claims_open").map(|statistic| statistic.value).sum();
+    assert_eq!(open, 0.0, "nothing is kept of a repeat that was answered");
 }
 
 #[test]
