Sidecar: the target itself is asked who it is

Change: a gate asks its target for its identity once at start and after it was out of reach; a superseded identity is not listed again.

--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets of all services, as the platform's store lists them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,12 +43,16 @@
 pub struct TargetTable {
     by_id: HashMap<TargetId, Arc<Target>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
+    superseded: HashSet<TargetId>,
 }
 
 impl TargetTable {
-    /// Lists a target, or takes what a listed one says now.
+    /// Lists a target, or takes what a listed one says now. A target that was found to be followed by another is left out.
     pub fn update(&mut self, id: TargetId, announcement: Announcement, now: Timestamp) {
-        self.remove(&id);
+        if self.superseded.contains(&id) {
+            return;
+        }
+        self.unlist(&id);
         let cold_until = now + announcement.cold_for;
         let target = Arc::new(Target { id: id.clone(), announcement, cold_until });
         let service = target.announcement.service.clone();
@@ -58,18 +62,26 @@
 
     /// Lists the target `present` in place of `former`, which it was found to have followed at the same address.
     ///
-    /// Does nothing if `present` is listed already, if `former` is not, or if another service has taken the address.
+    /// Does nothing if `former` is not listed, or if another service has taken the address.
     pub fn succeed(&mut self, former: &str, present: TargetId, service: &str, now: Timestamp) {
         let Some(target) = self.by_id.get(former).cloned() else { return };
-        if self.by_id.contains_key(&present) || *target.announcement.service != *service {
+        if *target.id == *present || *target.announcement.service != *service {
             return;
         }
-        self.remove(former);
-        self.update(present, Announcement { draining: false, ..target.announcement.clone() }, now);
+        self.unlist(former);
+        self.superseded.insert(target.id.clone());
+        if !self.by_id.contains_key(&present) {
+            self.update(present, Announcement { draining: false, ..target.announcement.clone() }, now);
+        }
     }
 
     /// Takes a target off the list.
     pub fn remove(&mut self, id: &str) {
+        self.superseded.remove(id);
+        self.unlist(id);
+    }
+
+    fn unlist(&mut self, id: &str) {
         let Some(gone) = self.by_id.remove(id) else { return };
         if let Some(members) = self.by_service.get_mut(&gone.announcement.service) {
             members.retain(|member| member.id != gone.id);
@@ -80,8 +92,9 @@
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         let gone: Vec<TargetId> = self.by_id.keys().filter(|id| !keep(id)).cloned().collect();
         for id in gone {
-            self.remove(&id);
+            self.unlist(&id);
         }
+        self.superseded.retain(|id| keep(id));
     }
 
     /// The listed targets of a service.
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -66,6 +66,8 @@
     Full,
     /// It has not run for another reason, and no target has seen it.
     NotRun(&'static str),
+    /// It has not run, since another target has followed the one that was meant; that one is listed now.
+    Followed,
     /// It has not run, but a target has seen and refused it.
     Rejected,
     /// It may have run, and there is no answer.
@@ -253,6 +255,7 @@
                 node.balance.borrow_mut().failed(&target.id, node.now());
                 tried.push(target.id.clone());
             }
+            Attempt::Followed => tried.push(target.id.clone()),
             Attempt::Rejected => {
                 node.log_failure(|| attempt_line(&call, &target, "rejected"));
                 tried.push(target.id.clone());
@@ -336,9 +339,11 @@
     if report.version > node.configuration.borrow().version() {
         node.behind.notify_one();
     }
-    if let Some(present) = &report.present {
-        node.targets.borrow_mut().succeed(&target.id, Arc::from(present.id.as_str()), &present.service, now);
-    }
+    let follows = report.present.as_ref().is_some_and(|present| {
+        let mut targets = node.targets.borrow_mut();
+        targets.succeed(&target.id, Arc::from(present.id.as_str()), &present.service, now);
+        targets.get(&present.id).is_some()
+    });
     match report.outcome {
         Outcome::Answered => {
             if response.status().is_success() {
@@ -351,6 +356,10 @@
             finish(response, lease).await;
             Attempt::Full
         }
+        Outcome::Closed if follows => {
+            finish(response, lease).await;
+            Attempt::Followed
+        }
         Outcome::Closed => {
             finish(response, lease).await;
             Attempt::NotRun("closed")
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -19,9 +19,10 @@
 
 use crate::body::{read_up_to, Body, BodyError, Read};
 use crate::edge::remove_connection_headers;
-use crate::hop::{Forwarded, Outcome, PresentTarget, Report, HOP};
+use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::{Admitted, Node};
 use crate::pool::{ExchangeError, Lease};
+use crate::present_target;
 
 /// The largest answer that is read whole before any of it is passed on, in bytes.
 const KEPT_ANSWER_BYTES: usize = 64 * 1024;
@@ -114,7 +115,9 @@
     });
     let version = node.configuration.borrow().version();
     let present = match outcome {
-        Outcome::Closed | Outcome::Rejected => present_target(node).filter(|present| present.id != call.expected),
+        Outcome::Closed | Outcome::Rejected => {
+            present_target::present(node).filter(|present| present.id != call.expected)
+        }
         _ => None,
     };
     let report = Report { outcome, load, level: own.min(called), version, present };
@@ -211,38 +214,9 @@
     }
 }
 
-/// Takes note of who the target beside this node says that it is.
-fn learn_present(node: &Node, id: &str) {
-    let is_known = node.present.borrow().as_deref() == Some(id);
-    if !is_known {
-        node.log(&format!("\"event\":\"target-is-another\",\"target\":\"{id}\""));
-        *node.present.borrow_mut() = Some(Arc::from(id));
-    }
-}
-
-/// The target beside this node, if it is known and takes calls.
-fn present_target(node: &Node) -> Option<PresentTarget> {
-    let id = node.present.borrow().clone()?;
-    let is_draining = node.targets.borrow().get(&id).is_some_and(|target| target.announcement.draining);
-    (!is_draining).then(|| PresentTarget { id: id.to_string(), service: node.settings.service.clone() })
-}
-
-/// Whether calls for the target with this identity are taken.
-fn takes(node: &Node, expected: &str) -> bool {
-    if node.present.borrow().as_deref() == Some(expected) {
-        return !node.targets.borrow().get(expected).is_some_and(|target| target.announcement.draining);
-    }
-    if !node.targets_known.get() {
-        return node.present.borrow().is_none();
-    }
-    let targets = node.targets.borrow();
-    targets.get(expected).is_some_and(|target| {
-        !target.announcement.draining && target.announcement.address == node.settings.local_target
-    })
-}
-
 async fn admit(node: &Rc<Node>, call: &Call, forwarded: Forwarded, now: Timestamp) -> Result<Slot, Refusal> {
-    if !takes(node, &call.expected) {
+    present_target::verify(node).await;
+    if !present_target::takes(node, &call.expected) {
         return Err(Refusal::Closed);
     }
     let rank = Rank { is_root: forwarded.is_root, priority: forwarded.priority };
@@ -263,7 +237,7 @@
                 return Err(if closed { Refusal::Closed } else { Refusal::Full });
             }
             let slot = Slot::new(node, call.route.clone());
-            if takes(node, &call.expected) {
+            if present_target::takes(node, &call.expected) {
                 Ok(slot)
             } else {
                 Err(Refusal::Closed)
@@ -298,7 +272,10 @@
     let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, exchange).await;
     let (response, lease) = match exchange {
         Err(_) => return Err((Outcome::Late, "no answer in time".to_owned())),
-        Ok(Err(ExchangeError::NotSent(why))) => return Err((Outcome::Closed, why)),
+        Ok(Err(ExchangeError::NotSent(why))) => {
+            present_target::out_of_reach(node);
+            return Err((Outcome::Closed, why));
+        }
         Ok(Err(ExchangeError::NoAnswer(why))) => return Err((Outcome::Broken, why)),
         Ok(Ok(answered)) => answered,
     };
@@ -310,7 +287,7 @@
     {
         let status = response.status();
         if let Some(id) = header(response.headers(), headers::INSTANCE_ID) {
-            learn_present(node, id);
+            present_target::learn(node, id);
         }
         let _ = relay_answer(response, lease).await;
         return Err((Outcome::Rejected, format!("the target said {status}")));
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod logging;
 pub mod node;
 pub mod pool;
+pub mod present_target;
 pub mod run;
 pub mod store;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -53,6 +53,12 @@
     pub targets: RefCell<TargetTable>,
     /// The identity of the target beside this node, as the list or the target itself told last.
     pub present: RefCell<Option<TargetId>>,
+    /// The target beside this node that the list held last.
+    pub seen_listed: RefCell<Option<TargetId>>,
+    /// Whether the target beside this node has told its identity since it was last out of reach.
+    pub present_verified: Cell<bool>,
+    /// Held while the target is asked for its identity.
+    pub verifying: tokio::sync::Mutex<()>,
     /// Whether the list of targets was read at least once.
     pub targets_known: Cell<bool>,
     /// What is known of other targets.
@@ -117,6 +123,9 @@
             configuration: RefCell::default(),
             targets: RefCell::default(),
             present: RefCell::default(),
+            seen_listed: RefCell::default(),
+            present_verified: Cell::new(false),
+            verifying: tokio::sync::Mutex::default(),
             targets_known: Cell::new(false),
             balance: RefCell::default(),
             levels: RefCell::default(),
--- /dev/null
+++ b/crates/sidecar/src/present_target.rs
@@ -0,0 +1,130 @@
+//! Who the target beside this node is.
+//!
+//! The platform's list lags, and a target that starts again is another one at the same address. So the target itself is
+//! asked when the process starts and after the target was out of reach, and what it says goes before the list.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::header::HOST;
+use hyper::Request;
+use quillhatch_platform::headers;
+
+use crate::body::Body;
+use crate::gate;
+use crate::hop::PresentTarget;
+use crate::node::Node;
+
+/// How long the target may take to tell its identity.
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The target beside this node, if it is known and takes calls.
+pub fn present(node: &Node) -> Option<PresentTarget> {
+    let id = node.present.borrow().clone()?;
+    let is_draining = node.targets.borrow().get(&id).is_some_and(|target| target.announcement.draining);
+    (!is_draining).then(|| PresentTarget { id: id.to_string(), service: node.settings.service.clone() })
+}
+
+/// Whether calls for the target with this identity are taken.
+pub fn takes(node: &Node, expected: &str) -> bool {
+    let targets = node.targets.borrow();
+    let listed = targets.get(expected);
+    if node.present.borrow().as_deref() == Some(expected) {
+        return !listed.is_some_and(|target| target.announcement.draining);
+    }
+    if node.present_verified.get() {
+        return false;
+    }
+    if !node.targets_known.get() {
+        return node.present.borrow().is_none();
+    }
+    listed.is_some_and(|target| {
+        !target.announcement.draining && target.announcement.address == node.settings.local_target
+    })
+}
+
+/// Asks the target who it is, unless it has told since it was last out of reach. Calls that arrive meanwhile wait for the
+/// one question.
+pub async fn verify(node: &Rc<Node>) {
+    if node.present_verified.get() {
+        return;
+    }
+    let _asking = node.verifying.lock().await;
+    if node.present_verified.get() {
+        return;
+    }
+    let Some(path) = health_path(node) else { return };
+    let address = node.settings.local_target;
+    let request = Request::get(path).header(HOST, address.to_string()).body(Body::empty());
+    let Ok(request) = request else { return };
+    let exchange = async {
+        let (response, lease) = node.target.exchange(address, request).await.ok()?;
+        let id = response.headers().get(headers::INSTANCE_ID)?.to_str().ok()?.to_owned();
+        response.into_body().collect().await.ok()?;
+        lease.keep();
+        Some(id)
+    };
+    if let Ok(Some(id)) = tokio::time::timeout(VERIFY_TIMEOUT, exchange).await {
+        learn(node, &id);
+    }
+}
+
+fn health_path(node: &Node) -> Option<String> {
+    let configuration = node.current_configuration()?;
+    let service = configuration.services.get(node.settings.service.as_str())?;
+    (!service.health_path.is_empty()).then(|| service.health_path.clone())
+}
+
+/// Takes note of who the target says that it is.
+pub fn learn(node: &Rc<Node>, id: &str) {
+    node.present_verified.set(true);
+    let former = node.present.borrow().clone();
+    if former.as_deref() == Some(id) {
+        return;
+    }
+    let former = former.as_deref().unwrap_or_default();
+    node.log(&format!("\"event\":\"target-told\",\"target\":\"{id}\",\"before\":\"{former}\""));
+    let now = node.now();
+    node.targets.borrow_mut().succeed(former, Arc::from(id), &node.settings.service, now);
+    *node.present.borrow_mut() = Some(Arc::from(id));
+    follow_list(node);
+}
+
+/// The target is out of reach; whoever answers next may be another one.
+pub fn out_of_reach(node: &Node) {
+    node.present_verified.set(false);
+}
+
+/// Lets the gate follow the list of targets.
+pub fn follow_list(node: &Rc<Node>) {
+    let told = node.present.borrow().clone().filter(|_| node.present_verified.get());
+    let targets = node.targets.borrow();
+    let listed = match &told {
+        Some(id) => targets.get(id).cloned(),
+        None => targets
+            .at_address(node.settings.local_target)
+            .filter(|target| !target.announcement.draining && *target.announcement.service == *node.settings.service)
+            .max_by_key(|target| target.cold_until)
+            .cloned(),
+    };
+    drop(targets);
+    if let Some(target) = &listed {
+        node.gate.borrow_mut().set_slots(target.announcement.slots);
+    }
+    let is_leaving = listed.as_ref().is_some_and(|target| target.announcement.draining);
+    // A target that is not listed yet may be told of before; one that was listed and is not has left.
+    let has_left = listed.is_none() && told.as_ref().is_none_or(|id| node.seen_listed.borrow().as_ref() == Some(id));
+    if let Some(target) = &listed {
+        *node.seen_listed.borrow_mut() = Some(target.id.clone());
+        *node.present.borrow_mut() = Some(target.id.clone());
+    }
+    if is_leaving || has_left || node.is_stopping() {
+        node.gate.borrow_mut().close();
+    } else {
+        node.gate.borrow_mut().open();
+    }
+    gate::dismiss(node);
+    gate::hand_out(node);
+}
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -17,9 +17,9 @@
 
 use crate::body::Body;
 use crate::counters::Counters;
-use crate::gate;
 use crate::node::Node;
 use crate::pool::ExchangeError;
+use crate::present_target;
 
 /// How long a plain read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -164,30 +164,10 @@
 
 /// Lets the gate and the balance follow the list of targets.
 fn changed(node: &Rc<Node>) {
-    {
-        let targets = node.targets.borrow();
-        node.balance.borrow_mut().retain(|id| targets.get(id).is_some());
-        let own = targets
-            .at_address(node.settings.local_target)
-            .filter(|target| !target.announcement.draining && *target.announcement.service == *node.settings.service)
-            .max_by_key(|target| target.cold_until);
-        let mut gate = node.gate.borrow_mut();
-        match own {
-            Some(target) => {
-                gate.set_slots(target.announcement.slots);
-                *node.present.borrow_mut() = Some(target.id.clone());
-                if !node.is_stopping() {
-                    gate.open();
-                }
-            }
-            None => {
-                *node.present.borrow_mut() = None;
-                gate.close();
-            }
-        }
-    }
-    gate::dismiss(node);
-    gate::hand_out(node);
+    let targets = node.targets.borrow();
+    node.balance.borrow_mut().retain(|id| targets.get(id).is_some());
+    drop(targets);
+    present_target::follow_list(node);
 }
 
 async fn get(
