Sidecar: requests behind another on their connection begin at once

Change: heads of requests without a body are found in what was read ahead (httparse) and their calls begun; hyper writes the answers in order. A call without any target now lowers the level of its route, and refusals of a closed gate no longer raise it.

--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -4,21 +4,39 @@
 //! of the connection. This reads ahead into a bounded buffer of its own.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Instant;
 
+use hyper::http::request::Parts;
 use hyper::rt::ReadBufCursor;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::pipeline::{next_request, Next};
+
 /// The most bytes that are read ahead.
 const AHEAD_BYTES: usize = 16 * 1024;
 
+/// How far the bytes that were read ahead are taken apart.
+#[derive(Default)]
+struct Split {
+    /// Whether hyper gets the bytes as they come.
+    is_off: bool,
+    /// The bytes at the front that belong to requests that were found, and are not given to hyper yet.
+    found: usize,
+    /// The lengths of these requests.
+    lengths: VecDeque<usize>,
+    /// The bytes at the front that hyper may take: the rest of one request.
+    released: usize,
+}
+
 struct Shared {
     stream: RefCell<TcpStream>,
+    split: RefCell<Split>,
     ahead: RefCell<Vec<u8>>,
     ended: Cell<bool>,
     last_read: Cell<Instant>,
@@ -29,16 +47,59 @@
 pub struct CallerIo(Rc<Shared>);
 
 impl CallerIo {
-    /// Takes over a connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Takes over a connection; with `splits`, hyper gets one request at a time and [`CallerIo::next_request`] tells of
+    /// those that wait.
+    pub fn new(stream: TcpStream, splits: bool) -> Self {
         CallerIo(Rc::new(Shared {
             stream: RefCell::new(stream),
+            split: RefCell::new(Split { is_off: !splits, ..Split::default() }),
             ahead: RefCell::default(),
             ended: Cell::new(false),
             last_read: Cell::new(Instant::now()),
         }))
     }
 
+    /// The next request that was read ahead and not told of before.
+    pub fn next_request(&self) -> Option<Box<Parts>> {
+        let mut split = self.0.split.borrow_mut();
+        let ahead = self.0.ahead.borrow();
+        let rest = &ahead[split.found..];
+        if split.is_off || rest.is_empty() {
+            return None;
+        }
+        match next_request(rest) {
+            Next::Request(length, parts) => {
+                split.found += length;
+                split.lengths.push_back(length);
+                Some(parts)
+            }
+            Next::Incomplete if rest.len() < AHEAD_BYTES / 2 => None,
+            Next::Incomplete | Next::Other => {
+                split.is_off = true;
+                None
+            }
+        }
+    }
+
+    /// How many bytes at the front hyper may take now.
+    fn available(&self) -> usize {
+        let ahead = self.0.ahead.borrow().len();
+        let mut split = self.0.split.borrow_mut();
+        if split.is_off && split.lengths.is_empty() && split.released == 0 {
+            return ahead;
+        }
+        if split.released == 0 {
+            split.released = split.lengths.pop_front().unwrap_or(0);
+        }
+        split.released
+    }
+
+    fn taken(&self, count: usize) {
+        let mut split = self.0.split.borrow_mut();
+        split.released = split.released.saturating_sub(count);
+        split.found = split.found.saturating_sub(count);
+    }
+
     /// When bytes arrived last.
     pub fn last_read(&self) -> Instant {
         self.0.last_read.get()
@@ -73,6 +134,7 @@
     pub fn poll_discard(&self, context: &mut Context<'_>) -> Poll<()> {
         loop {
             self.0.ahead.borrow_mut().clear();
+            self.0.split.borrow_mut().is_off = true;
             let polled = self.poll_ended(context);
             if polled.is_ready() || self.0.ahead.borrow().is_empty() {
                 return polled;
@@ -87,16 +149,20 @@
         context: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.0.ahead.borrow().is_empty() {
+        let mut available = self.available();
+        if available == 0 {
             let polled = self.poll_ended(context);
-            if self.0.ahead.borrow().is_empty() {
+            available = self.available();
+            if available == 0 {
                 return polled.map(Ok);
             }
         }
         let mut ahead = self.0.ahead.borrow_mut();
-        let taken = ahead.len().min(buffer.remaining());
+        let taken = available.min(buffer.remaining());
         buffer.put_slice(&ahead[..taken]);
         ahead.drain(..taken);
+        drop(ahead);
+        self.taken(taken);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -7,7 +7,10 @@
 
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER, TRANSFER_ENCODING,
+};
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use quillhatch_mesh::admission::{admission_probability, Entrant};
 use quillhatch_mesh::configuration::{Configuration, Repeatability, Route};
@@ -85,39 +88,35 @@
 }
 
 /// Serves one request.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
     node.edge_calls.set(node.edge_calls.get() + 1);
     let _running = Running(Rc::clone(&node));
-    let mut response = answer(&node, request, peer).await;
-    if node.is_stopping() {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    response
+    answer(&node, parts, body, peer).await
 }
 
-async fn answer(node: &Rc<Node>, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
+async fn answer(node: &Rc<Node>, parts: Parts, incoming: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
     let arrived = node.now();
-    let id = text(request.headers(), headers::REQUEST_ID).to_owned();
+    let id = text(&parts.headers, headers::REQUEST_ID).to_owned();
     let Some(configuration) = node.current_configuration() else {
         return refuse(node, &id, "no-configuration", Duration::from_millis(300), arrived);
     };
     let is_inner = peer.ip() == node.settings.local_target.ip();
-    let authority = match request.uri().authority() {
+    let authority = match parts.uri.authority() {
         Some(authority) => authority.as_str().to_owned(),
-        None => text(request.headers(), HOST.as_str()).to_owned(),
+        None => text(&parts.headers, HOST.as_str()).to_owned(),
     };
-    let Some(route) = find_route(&configuration, &authority, request.uri().path()).cloned() else {
+    let Some(route) = find_route(&configuration, &authority, parts.uri.path()).cloned() else {
         let version = configuration.version;
         node.log_failure(|| {
             format!("\"event\":\"no-route\",\"id\":\"{id}\",\"host\":{authority:?},\"version\":{version}")
         });
         return own_answer(node, &id, StatusCode::NOT_FOUND, "no-route", arrived);
     };
-    if let Some(status) = malformed(&configuration, &request) {
+    if let Some(status) = malformed(&configuration, &parts, incoming.as_ref()) {
         node.log_failure(|| format!("\"event\":\"malformed\",\"id\":\"{id}\",\"status\":{}", status.as_u16()));
         return own_answer(node, &id, status, "malformed", arrived);
     }
-    let given = text(request.headers(), headers::DEADLINE_MS).parse().ok().map(Duration::from_millis);
+    let given = text(&parts.headers, headers::DEADLINE_MS).parse().ok().map(Duration::from_millis);
     let time = given.map_or(route.timeout, |given| given.min(route.timeout));
     if is_inner {
         node.graph.borrow_mut().called(&route.name, arrived);
@@ -131,17 +130,15 @@
         });
         return refuse(node, &id, "shed", entry_retry_after(node), arrived);
     }
-    let (parts, incoming) = request.into_parts();
-    let body = if incoming.is_end_stream() {
-        Body::empty()
-    } else {
-        match read_up_to(incoming, KEPT_REQUEST_BYTES).await {
+    let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
+        None => Body::empty(),
+        Some(incoming) => match read_up_to(incoming, KEPT_REQUEST_BYTES).await {
             Ok(Read::Whole(bytes)) if bytes.len() as u64 > configuration.limits.body_bytes => {
                 return own_answer(node, &id, StatusCode::PAYLOAD_TOO_LARGE, "too-large", arrived);
             }
             Ok(read) => read.into_body(),
             Err(_) => return own_answer(node, &id, StatusCode::BAD_REQUEST, "body-broke-off", arrived),
-        }
+        },
     };
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
@@ -177,18 +174,18 @@
     node.random.borrow_mut().gen_range(Duration::from_millis(600)..Duration::from_millis(1400))
 }
 
-fn malformed(configuration: &Configuration, request: &Request<Incoming>) -> Option<StatusCode> {
+fn malformed(configuration: &Configuration, parts: &Parts, body: Option<&Incoming>) -> Option<StatusCode> {
     let limits = &configuration.limits;
-    let head: usize = request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    if head + request.uri().to_string().len() > limits.header_bytes {
+    let head: usize = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if head + parts.uri.path().len() > limits.header_bytes {
         return Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
     }
-    if request.body().size_hint().exact().is_some_and(|length| length > limits.body_bytes) {
+    let length = body.and_then(|body| body.size_hint().exact());
+    if length.is_some_and(|length| length > limits.body_bytes) {
         return Some(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let has_both =
-        request.headers().contains_key(CONTENT_LENGTH) && request.headers().contains_key("transfer-encoding");
-    (has_both || !request.headers().contains_key(headers::REQUEST_ID)).then_some(StatusCode::BAD_REQUEST)
+    let has_both = parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING);
+    (has_both || !parts.headers.contains_key(headers::REQUEST_ID)).then_some(StatusCode::BAD_REQUEST)
 }
 
 async fn run(node: &Rc<Node>, call: Call, body: Body) -> Response<Body> {
@@ -220,6 +217,7 @@
                 tried.clear();
                 continue;
             }
+            node.levels.borrow_mut().report(&call.route.name, 0.0, now);
             return give_up(node, &call, may_have_run, "no-target", tried.len());
         };
         let Some(sent) = body.as_ref().and_then(Body::copy_if_whole).or_else(|| body.take()) else {
@@ -335,7 +333,9 @@
     let Some(report) = report else { return Attempt::Broken("an answer without a report".to_owned()) };
     let now = node.now();
     node.balance.borrow_mut().reported(&target.id, report.load, now);
-    node.levels.borrow_mut().report(&call.route.name, report.level, now);
+    if matches!(report.outcome, Outcome::Answered | Outcome::Full) {
+        node.levels.borrow_mut().report(&call.route.name, report.level, now);
+    }
     if report.version > node.configuration.borrow().version() {
         node.behind.notify_one();
     }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_ENCODING};
+use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::gate::{Arrival, Refusal};
 use quillhatch_mesh::queue::{Rank, Ticket};
@@ -39,9 +40,9 @@
 }
 
 /// Serves one request of another node.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>) -> Response<Body> {
     let arrived = node.now();
-    let headers = request.headers();
+    let headers = &parts.headers;
     let forwarded = header(headers, HOP).and_then(Forwarded::decode);
     let time = header(headers, headers::DEADLINE_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
     let (Some(forwarded), Some(time)) = (forwarded, time) else {
@@ -52,11 +53,11 @@
     let call = Call {
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: header(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
-        route: route_name(&node, &request),
+        route: route_name(&node, &parts),
         deadline: arrived + time,
     };
     let outcome = match admit(&node, &call, forwarded, arrived).await {
-        Ok(slot) => run(&node, &call, request, slot).await,
+        Ok(slot) => run(&node, &call, parts, body, slot).await,
         Err(refusal) => Err((outcome_of(refusal), "not admitted".to_owned())),
     };
     match outcome {
@@ -76,10 +77,10 @@
     }
 }
 
-fn route_name(node: &Node, request: &Request<Incoming>) -> Option<Arc<str>> {
+fn route_name(node: &Node, parts: &Parts) -> Option<Arc<str>> {
     let configuration = node.current_configuration()?;
-    let authority = header(request.headers(), "host").unwrap_or_default();
-    find_route(&configuration, authority, request.uri().path()).map(|route| route.name.clone())
+    let authority = header(&parts.headers, "host").unwrap_or_default();
+    find_route(&configuration, authority, parts.uri.path()).map(|route| route.name.clone())
 }
 
 fn outcome_of(refusal: Refusal) -> Outcome {
@@ -248,24 +249,28 @@
 
 type Failure = (Outcome, String);
 
-async fn run(node: &Rc<Node>, call: &Call, request: Request<Incoming>, slot: Slot) -> Result<Response<Body>, Failure> {
+async fn run(
+    node: &Rc<Node>,
+    call: &Call,
+    mut parts: Parts,
+    body: Option<Incoming>,
+    slot: Slot,
+) -> Result<Response<Body>, Failure> {
     let left = node.now().until(call.deadline);
     if left < SHORTEST_TIME {
         return Err((Outcome::Full, "no time left".to_owned()));
     }
-    let (mut parts, incoming) = request.into_parts();
     remove_connection_headers(&mut parts.headers);
     parts.headers.remove(HOP);
     if let Ok(value) = HeaderValue::from_str(&left.as_millis().to_string()) {
         parts.headers.insert(headers::DEADLINE_MS, value);
     }
-    let body = if incoming.is_end_stream() {
-        Body::empty()
-    } else {
-        match read_up_to(incoming, KEPT_ANSWER_BYTES).await {
+    let body = match body.filter(|body| !body.is_end_stream()) {
+        None => Body::empty(),
+        Some(incoming) => match read_up_to(incoming, KEPT_ANSWER_BYTES).await {
             Ok(read) => read.into_body(),
             Err(error) => return Err((Outcome::Closed, error.to_string())),
-        }
+        },
     };
     let request = Request::from_parts(parts, body);
     let exchange = node.target.exchange(node.settings.local_target, request);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod listener;
 pub mod logging;
 pub mod node;
+pub mod pipeline;
 pub mod pool;
 pub mod present_target;
 pub mod run;
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -11,6 +11,8 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
+use hyper::http::request::Parts;
 use hyper::rt::ReadBufCursor;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +23,7 @@
 
 use crate::body::Body;
 use crate::caller_io::CallerIo;
+use crate::pipeline::{EarlyCalls, MOST_EARLY};
 
 /// The longest queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -98,6 +101,10 @@
     pub ending: watch::Receiver<bool>,
     /// The number of open connections.
     pub open: Rc<Cell<usize>>,
+    /// Whether callers are led away: their connections end once nothing waits on them.
+    pub leading_away: Rc<Cell<bool>>,
+    /// Whether requests that wait behind another on their connection are begun early.
+    pub begins_early: bool,
 }
 
 /// Listens at an address.
@@ -115,7 +122,7 @@
 /// Serves every connection with `handler` until the process ends.
 pub async fn serve<Handler, Answer>(listener: TcpListener, connections: Connections, handler: Handler)
 where
-    Handler: Fn(Request<Incoming>, SocketAddr) -> Answer + Clone + 'static,
+    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> Answer + Clone + 'static,
     Answer: Future<Output = Response<Body>> + 'static,
 {
     loop {
@@ -141,24 +148,35 @@
     connections: Connections,
     handler: Handler,
 ) where
-    Handler: Fn(Request<Incoming>, SocketAddr) -> Answer + Clone + 'static,
+    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> Answer + Clone + 'static,
     Answer: Future<Output = Response<Body>> + 'static,
 {
-    let io = CallerIo::new(stream);
+    let io = CallerIo::new(stream, connections.begins_early);
     let watched = io.clone();
     let active = Rc::new(Cell::new(0_usize));
-    let counted = Rc::clone(&active);
-    let service = service_fn(move |request: Request<Incoming>| {
-        let answer = handler(request, peer);
-        let counted = Rc::clone(&counted);
-        counted.set(counted.get() + 1);
-        let done = Countdown(counted);
-        async move {
-            let response = answer.await;
-            drop(done);
-            Ok::<_, Infallible>(response)
-        }
-    });
+    let early = Rc::new(EarlyCalls::default());
+    let leading_away = Rc::clone(&connections.leading_away);
+    let service = {
+        let (handler, active, early) = (handler.clone(), Rc::clone(&active), Rc::clone(&early));
+        service_fn(move |request: Request<Incoming>| {
+            active.set(active.get() + 1);
+            let done = Countdown(Rc::clone(&active));
+            let (handler, early, leading_away) = (handler.clone(), Rc::clone(&early), Rc::clone(&leading_away));
+            async move {
+                let (parts, body) = request.into_parts();
+                let mut response = match early.take(&parts).await {
+                    Some(response) => response,
+                    None => handler(parts, Some(body), peer).await,
+                };
+                // Requests that were begun early are answered before the connection ends.
+                if leading_away.get() && early.is_empty() {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                drop(done);
+                Ok::<_, Infallible>(response)
+            }
+        })
+    };
     let mut builder = http1::Builder::new();
     // Without flushes put off for requests that wait behind: with them hyper closes after `Connection: close` without
     // having written that answer.
@@ -169,11 +187,12 @@
     let mut rest_check = pin!(tokio::time::sleep(REST_CHECK));
     loop {
         let connection_or_end = std::future::poll_fn(|context| {
-            if connection.as_mut().poll(context).is_ready() {
+            // Before and after hyper, which takes the requests that were found.
+            if watched.poll_ended(context).is_ready() {
                 return Poll::Ready(());
             }
-            // After hyper, which takes what it wants of the bytes that are there.
-            watched.poll_ended(context)
+            begin_early(&watched, &early, active.get(), &connections, &handler, peer);
+            connection.as_mut().poll(context).map(|_| ())
         });
         tokio::select! {
             biased;
@@ -195,6 +214,33 @@
     let _ = tokio::time::timeout(LINGER, std::future::poll_fn(|context| watched.poll_discard(context))).await;
 }
 
+/// Begins the calls of requests that were read ahead. The first request of an idle connection is left to hyper.
+fn begin_early<Handler, Answer>(
+    io: &CallerIo,
+    early: &EarlyCalls,
+    active: usize,
+    connections: &Connections,
+    handler: &Handler,
+    peer: SocketAddr,
+) where
+    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> Answer + Clone + 'static,
+    Answer: Future<Output = Response<Body>> + 'static,
+{
+    let mut waits_for_hyper = active == 0 && early.is_empty();
+    while !connections.leading_away.get() || waits_for_hyper {
+        if early.len() >= MOST_EARLY {
+            return;
+        }
+        let Some(parts) = io.next_request() else { return };
+        if waits_for_hyper {
+            waits_for_hyper = false;
+            continue;
+        }
+        let task = tokio::task::spawn_local(handler((*parts).clone(), None, peer));
+        early.push(&parts, task);
+    }
+}
+
 struct Countdown(Rc<Cell<usize>>);
 
 impl Drop for Countdown {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
+use hyper::http::request::Parts;
+use hyper::{Response, StatusCode};
 use quillhatch_mesh::configuration::CallerLimits;
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_platform::headers::READY_PATH;
@@ -103,8 +103,21 @@
     let (end_connections, ending) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
     let limits = CallerLimits::default();
-    let callers = Connections { head_bytes: limits.header_bytes * 4, rest: limits.idle_timeout, ending, open };
-    let peers = Connections { head_bytes: PEER_HEAD_BYTES, rest: PEER_REST, ..callers.clone() };
+    let callers = Connections {
+        head_bytes: limits.header_bytes * 4,
+        rest: limits.idle_timeout,
+        ending,
+        open,
+        leading_away: Rc::default(),
+        begins_early: true,
+    };
+    let peers = Connections {
+        head_bytes: PEER_HEAD_BYTES,
+        rest: PEER_REST,
+        leading_away: Rc::default(),
+        begins_early: false,
+        ..callers.clone()
+    };
 
     let failed = |what| move |source| StartError::System { what, source };
     let outbound = bind(settings.outbound).map_err(failed("outbound"))?;
@@ -112,18 +125,18 @@
     let ready = bind(settings.ready).map_err(failed("ready"))?;
 
     let for_edge = Rc::clone(&node);
-    spawn_local(serve(outbound, callers.clone(), move |request, peer| {
-        edge::serve(Rc::clone(&for_edge), request, peer)
+    spawn_local(serve(outbound, callers.clone(), move |parts, body, peer| {
+        edge::serve(Rc::clone(&for_edge), parts, body, peer)
     }));
     let for_gate = Rc::clone(&node);
-    spawn_local(serve(inbound, peers.clone(), move |request, _| gate::serve(Rc::clone(&for_gate), request)));
+    spawn_local(serve(inbound, peers.clone(), move |parts, body, _| gate::serve(Rc::clone(&for_gate), parts, body)));
     let for_ready = Rc::clone(&node);
-    spawn_local(serve(ready, peers.clone(), move |request, _| answer_ready(Rc::clone(&for_ready), request)));
+    spawn_local(serve(ready, peers.clone(), move |parts, _, _| answer_ready(Rc::clone(&for_ready), parts)));
     if let Some((address, metrics_path)) = settings.metrics.clone() {
         let listener = bind(address).map_err(failed("metrics"))?;
         let for_metrics = Rc::clone(&node);
-        spawn_local(serve(listener, peers, move |request, _| {
-            answer_metrics(Rc::clone(&for_metrics), request, metrics_path.clone())
+        spawn_local(serve(listener, peers, move |parts, _, _| {
+            answer_metrics(Rc::clone(&for_metrics), parts, metrics_path.clone())
         }));
     }
     spawn_local(store::follow(Rc::clone(&node)));
@@ -141,6 +154,7 @@
             _ = terminations.recv() => break,
         }
     }
+    callers.leading_away.set(true);
     stop(&node, &end_connections, &callers.open).await;
     Ok(())
 }
@@ -200,8 +214,8 @@
     }
 }
 
-async fn answer_ready(node: Rc<Node>, request: Request<Incoming>) -> Response<Body> {
-    let status = match request.uri().path() {
+async fn answer_ready(node: Rc<Node>, request: Parts) -> Response<Body> {
+    let status = match request.uri.path() {
         READY_PATH if node.is_ready() => StatusCode::OK,
         READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::NOT_FOUND,
@@ -211,8 +225,8 @@
     response
 }
 
-async fn answer_metrics(node: Rc<Node>, request: Request<Incoming>, path: String) -> Response<Body> {
-    if request.uri().path() == path {
+async fn answer_metrics(node: Rc<Node>, request: Parts, path: String) -> Response<Body> {
+    if request.uri.path() == path {
         return Response::new(Body::Whole(node.metrics().into()));
     }
     let mut response = Response::new(Body::empty());
