Sidecar: what the graph can't serve is refused where it enters; calls of targets are told by their deadline

Ruled out: identity of targets (all known), the retry budget (few repeats). Change: a call that ends with the deadline of a running call is taken to be made for it and inherits its importance and position; the queue serves by importance, then begun work, then the same roots everywhere; entry refuses by position and level.

--- a/crates/mesh/src/configuration.rs
+++ b/crates/mesh/src/configuration.rs
@@ -89,6 +89,13 @@
     pub limits: CallerLimits,
 }
 
+impl Configuration {
+    /// The number of the least important priority in use.
+    pub fn least_priority(&self) -> u8 {
+        self.hosts.values().flatten().map(|route| route.priority).max().unwrap_or(0)
+    }
+}
+
 /// The configuration that a node follows. It only ever moves to a newer version.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigurationInForce {
--- a/crates/mesh/src/demand.rs
+++ b/crates/mesh/src/demand.rs
@@ -1,6 +1,6 @@
 //! Learns which routes the calls of a route call in turn.
 //!
-//! A target's own calls do not tell for which of its running calls they are made. Each is shared out among the routes that
+//! Where it is not known for which of its running calls a target makes one of its own, the call is shared out among the routes that
 //! run at that moment, by how many of them run and by how often calls of the route were made before; the shares settle on the
 //! true ones, since routes that never call also run while nothing is called.
 
@@ -63,9 +63,13 @@
         }
     }
 
-    /// The target makes a call of route `called`.
-    pub fn called(&mut self, called: &Arc<str>, now: Timestamp) {
+    /// The target makes a call of route `called`, for a call of route `parent` if that is known.
+    pub fn called(&mut self, called: &Arc<str>, parent: Option<&str>, now: Timestamp) {
         self.advance(now);
+        if let Some(parent) = parent.and_then(|parent| self.parents.get_mut(parent)) {
+            *parent.calls.entry(called.clone()).or_default() += 1.0;
+            return;
+        }
         let weight = |parent: &Parent| f64::from(parent.running) * parent.rate(called);
         let total: f64 = self.parents.values().map(weight).sum();
         if total <= 0.0 {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod demand;
 pub mod gate;
+pub mod parents;
 pub mod pressure;
 pub mod queue;
 pub mod retry_budget;
--- a/crates/mesh/tests/decisions.rs
+++ b/crates/mesh/tests/decisions.rs
@@ -10,6 +10,7 @@
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce, Destination, Repeatability, Route};
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::{Arrival, Gate, Load, Refusal};
+use quillhatch_mesh::parents::{Lineage, Origin, Parents};
 use quillhatch_mesh::pressure::{Pressure, RouteLevels};
 use quillhatch_mesh::queue::Rank;
 use quillhatch_mesh::retry_budget::RetryBudget;
@@ -98,9 +99,9 @@
     assert_eq!(choose_service(&route("/a/", &[("alpha", 0.0)]), &mut random), None);
 }
 
-const CALL_OF_A_TARGET: Rank = Rank { is_root: false, priority: 3 };
-const IMPORTANT_ROOT: Rank = Rank { is_root: true, priority: 0 };
-const ROOT: Rank = Rank { is_root: true, priority: 2 };
+const CALL_OF_A_TARGET: Rank = Rank { is_root: false, priority: 0, position: 200 };
+const IMPORTANT_ROOT: Rank = Rank { is_root: true, priority: 0, position: 0 };
+const ROOT: Rank = Rank { is_root: true, priority: 2, position: 0 };
 const PATIENCE: Duration = Duration::from_millis(100);
 
 /// A gate of four slots that are all in use.
@@ -245,7 +246,7 @@
         let is_parents_round = round % 3 != 0;
         if is_parents_round {
             graph.started(parent, milliseconds(now + 10));
-            graph.called(called, milliseconds(now + 20));
+            graph.called(called, None, milliseconds(now + 20));
             graph.ended(parent, milliseconds(now + 30));
         }
         graph.ended(leaf, milliseconds(now + 60));
@@ -311,3 +312,30 @@
     let address: SocketAddr = "10.0.0.1:80".parse().expect("an address");
     assert_eq!(targets.at_address(address).count(), 1);
 }
+
+#[test]
+fn a_call_with_the_deadline_of_a_running_one_is_made_for_it() {
+    let names: [Arc<str>; 3] = ["parent", "called", "other"].map(Arc::from);
+    let [parent, called, other] = &names;
+    let lineage = |position| Lineage { priority: 0, position };
+    let mut parents = Parents::default();
+    let first = parents.started(milliseconds(1_000), parent.clone(), lineage(1));
+    parents.started(milliseconds(1_020), parent.clone(), lineage(2));
+    assert_eq!(parents.origin(called, milliseconds(1_001)), Origin::Parent(parent.clone(), lineage(1)));
+    assert_eq!(parents.origin(called, milliseconds(1_019)), Origin::Parent(parent.clone(), lineage(2)));
+    assert_eq!(parents.origin(other, milliseconds(5_000)), Origin::Caller);
+    parents.ended(first);
+    assert_eq!(parents.origin(other, milliseconds(1_001)), Origin::Caller);
+}
+
+#[test]
+fn a_route_that_targets_call_is_known_also_where_its_own_deadline_is_shorter() {
+    let (parent, called): (Arc<str>, Arc<str>) = (Arc::from("parent"), Arc::from("called"));
+    let mut parents = Parents::default();
+    parents.started(milliseconds(1_000), parent, Lineage { priority: 0, position: 1 });
+    assert_eq!(parents.origin(&called, milliseconds(700)), Origin::Caller);
+    for _ in 0..40 {
+        parents.origin(&called, milliseconds(1_000));
+    }
+    assert_eq!(parents.origin(&called, milliseconds(700)), Origin::Target);
+}
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -1,5 +1,6 @@
 //! The edge: takes a call from a caller or from this node's own target and brings back an answer.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use quillhatch_mesh::admission::{admission_probability, Entrant};
 use quillhatch_mesh::configuration::{Configuration, Repeatability, Route};
+use quillhatch_mesh::parents::{Lineage, Origin};
 use quillhatch_mesh::routing::{choose_service, find_route};
 use quillhatch_mesh::targets::{Target, TargetId};
 use quillhatch_platform::headers;
@@ -56,6 +58,7 @@
     uri: hyper::Uri,
     headers: HeaderMap,
     is_inner: bool,
+    lineage: Lineage,
     arrived: Timestamp,
     deadline: Timestamp,
 }
@@ -98,7 +101,6 @@
     let Some(configuration) = node.current_configuration() else {
         return refuse(node, &id, "no-configuration", Duration::from_millis(300), arrived);
     };
-    let is_inner = peer.ip() == node.settings.local_target.ip();
     let authority = match parts.uri.authority() {
         Some(authority) => authority.as_str().to_owned(),
         None => text(&parts.headers, HOST.as_str()).to_owned(),
@@ -116,17 +118,21 @@
     }
     let given = text(&parts.headers, headers::DEADLINE_MS).parse().ok().map(Duration::from_millis);
     let time = given.map_or(route.timeout, |given| given.min(route.timeout));
-    if is_inner {
-        node.graph.borrow_mut().called(&route.name, arrived);
-    } else if let Some(level) = refused_at_entry(node, &route, given, arrived) {
-        let version = configuration.version;
-        node.log_failure(|| {
-            format!(
-                "\"event\":\"refused\",\"id\":\"{id}\",\"route\":\"{}\",\"level\":{level:.3},\"version\":{version}",
-                route.name
-            )
-        });
-        return refuse(node, &id, "shed", entry_retry_after(node), arrived);
+    let origin = origin(node, &route, peer, given, arrived);
+    let lineage = match &origin {
+        Origin::Parent(_, lineage) => lineage.clone(),
+        Origin::Target | Origin::Caller => Lineage { priority: route.priority, position: position(&id) },
+    };
+    let is_inner = origin != Origin::Caller;
+    if !is_inner {
+        if let Some(level) = refused_at_entry(node, &configuration, &route, &lineage, given, arrived) {
+            let version = configuration.version;
+            node.log_failure(|| {
+                let name = &route.name;
+                format!("\"event\":\"refused\",\"id\":\"{id}\",\"route\":\"{name}\",\"level\":{level:.3},\"version\":{version}")
+            });
+            return refuse(node, &id, "shed", entry_retry_after(node), arrived);
+        }
     }
     let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
         None => Body::empty(),
@@ -147,12 +153,41 @@
         headers.insert(headers::CALLER_SERVICE, service);
     }
     let deadline = arrived + time;
-    let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, arrived, deadline };
+    let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, arrived, deadline };
     run(node, call, body).await
 }
 
+/// Who makes a call; a call of this node's target is noted in the graph of calls.
+fn origin(node: &Node, route: &Route, peer: SocketAddr, given: Option<Duration>, now: Timestamp) -> Origin {
+    if peer.ip() != node.settings.local_target.ip() {
+        return Origin::Caller;
+    }
+    let Some(given) = given else { return Origin::Caller };
+    let origin = node.parents.borrow_mut().origin(&route.name, now + given);
+    match &origin {
+        Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, Some(parent), now),
+        Origin::Target => node.graph.borrow_mut().called(&route.name, None, now),
+        Origin::Caller => {}
+    }
+    origin
+}
+
+/// The position of a call that enters the graph, drawn from its identity.
+fn position(id: &str) -> u8 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish() as u8
+}
+
 /// The level that refused a call which enters the graph here, if it is refused.
-fn refused_at_entry(node: &Node, route: &Route, given: Option<Duration>, now: Timestamp) -> Option<f64> {
+fn refused_at_entry(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    lineage: &Lineage,
+    given: Option<Duration>,
+    now: Timestamp,
+) -> Option<f64> {
     let is_repeat = given.is_some_and(|given| {
         let mut longest = node.longest_deadlines.borrow_mut();
         let longest = longest.entry(route.name.clone()).or_default();
@@ -163,9 +198,9 @@
     if level >= 0.999 {
         return None;
     }
-    let unimportance = if route.priority == 0 { 0.0 } else { 1.0 };
+    let unimportance = f64::from(route.priority) / f64::from(configuration.least_priority().max(1));
     let probability = admission_probability(Entrant { level, unimportance, is_repeat });
-    (node.random.borrow_mut().gen::<f64>() >= probability).then_some(level)
+    (f64::from(lineage.position) / 256.0 >= probability).then_some(level)
 }
 
 fn entry_retry_after(node: &Node) -> Duration {
@@ -306,7 +341,7 @@
     } else {
         begun.until(call.arrived + call.route.objective.mul_f64(UNOFFERED_PART)).min(left)
     };
-    let forwarded = Forwarded { is_root: !call.is_inner, priority: call.route.priority, patience };
+    let forwarded = Forwarded { is_root: !call.is_inner, lineage: call.lineage.clone(), patience };
     let added = [
         (HOP, forwarded.encode()),
         (headers::DEADLINE_MS, left.as_millis().to_string()),
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -12,6 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::gate::{Arrival, Refusal};
+use quillhatch_mesh::parents::{Lineage, RunningCall};
 use quillhatch_mesh::queue::{Rank, Ticket};
 use quillhatch_mesh::routing::find_route;
 use quillhatch_platform::headers;
@@ -56,8 +57,8 @@
         route: route_name(&node, &parts),
         deadline: arrived + time,
     };
-    let outcome = match admit(&node, &call, forwarded, arrived).await {
-        Ok(slot) => run(&node, &call, parts, body, slot).await,
+    let outcome = match admit(&node, &call, &forwarded, arrived).await {
+        Ok(slot) => run(&node, &call, parts, body, slot, forwarded.lineage).await,
         Err(refusal) => Err((outcome_of(refusal), "not admitted".to_owned())),
     };
     match outcome {
@@ -131,6 +132,7 @@
 pub struct Slot {
     node: Rc<Node>,
     route: Option<Arc<str>>,
+    running: Option<RunningCall>,
 }
 
 impl Slot {
@@ -138,12 +140,22 @@
         if let Some(route) = &route {
             node.graph.borrow_mut().started(route, node.now());
         }
-        Slot { node: Rc::clone(node), route }
+        Slot { node: Rc::clone(node), route, running: None }
+    }
+
+    /// The call goes to the target, which is told to end it at `deadline`.
+    fn begin(&mut self, deadline: Timestamp, lineage: Lineage) {
+        if let Some(route) = self.route.clone() {
+            self.running = Some(self.node.parents.borrow_mut().started(deadline, route, lineage));
+        }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if let Some(running) = self.running.take() {
+            self.node.parents.borrow_mut().ended(running);
+        }
         if let Some(route) = &self.route {
             self.node.graph.borrow_mut().ended(route, self.node.now());
         }
@@ -215,12 +227,13 @@
     }
 }
 
-async fn admit(node: &Rc<Node>, call: &Call, forwarded: Forwarded, now: Timestamp) -> Result<Slot, Refusal> {
+async fn admit(node: &Rc<Node>, call: &Call, forwarded: &Forwarded, now: Timestamp) -> Result<Slot, Refusal> {
     present_target::verify(node).await;
     if !present_target::takes(node, &call.expected) {
         return Err(Refusal::Closed);
     }
-    let rank = Rank { is_root: forwarded.is_root, priority: forwarded.priority };
+    let Lineage { priority, position } = forwarded.lineage;
+    let rank = Rank { priority, is_root: forwarded.is_root, position };
     let (arrival, displaced) = node.gate.borrow_mut().arrive(rank, forwarded.patience, now);
     if let Some(ticket) = displaced {
         refuse_waiting(node, ticket);
@@ -254,7 +267,8 @@
     call: &Call,
     mut parts: Parts,
     body: Option<Incoming>,
-    slot: Slot,
+    mut slot: Slot,
+    lineage: Lineage,
 ) -> Result<Response<Body>, Failure> {
     let left = node.now().until(call.deadline);
     if left < SHORTEST_TIME {
@@ -273,6 +287,8 @@
         },
     };
     let request = Request::from_parts(parts, body);
+    let told = Duration::from_millis(left.as_millis() as u64);
+    slot.begin(node.now() + told, lineage);
     let exchange = node.target.exchange(node.settings.local_target, request);
     let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, exchange).await;
     let (response, lease) = match exchange {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -7,17 +7,18 @@
 use std::time::Duration;
 
 use quillhatch_mesh::gate::Load;
+use quillhatch_mesh::parents::Lineage;
 
 /// The name of the header.
 pub const HOP: &str = "quillhatch-hop";
 
 /// What an edge tells a gate of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Forwarded {
     /// Whether the call enters the graph at the edge, rather than being made by a target.
     pub is_root: bool,
-    /// Its importance; 0 is the greatest.
-    pub priority: u8,
+    /// The importance and the position of the call that entered the graph.
+    pub lineage: Lineage,
     /// For how long it may wait at the gate.
     pub patience: Duration,
 }
@@ -25,16 +26,17 @@
 impl Forwarded {
     /// The header's text.
     pub fn encode(&self) -> String {
-        format!("{};{};{}", u8::from(self.is_root), self.priority, self.patience.as_millis())
+        let Lineage { priority, position } = self.lineage;
+        format!("{};{priority};{position};{}", u8::from(self.is_root), self.patience.as_millis())
     }
 
     /// Reads the header's text.
     pub fn decode(text: &str) -> Option<Self> {
         let mut parts = text.split(';');
         let is_root = parts.next()? == "1";
-        let priority = parts.next()?.parse().ok()?;
+        let lineage = Lineage { priority: parts.next()?.parse().ok()?, position: parts.next()?.parse().ok()? };
         let patience = Duration::from_millis(parts.next()?.parse().ok()?);
-        Some(Forwarded { is_root, priority, patience })
+        Some(Forwarded { is_root, lineage, patience })
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,6 +10,7 @@
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::Gate;
+use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::pressure::{Pressure, RouteLevels};
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
@@ -67,6 +68,8 @@
     pub levels: RefCell<RouteLevels>,
     /// Which routes the calls of a route call.
     pub graph: RefCell<CallGraph>,
+    /// The calls that run at this node's target.
+    pub parents: RefCell<Parents>,
     /// The gate before this node's target.
     pub gate: RefCell<Gate>,
     /// The gate's own level.
@@ -130,6 +133,7 @@
             balance: RefCell::default(),
             levels: RefCell::default(),
             graph: RefCell::new(CallGraph::new(now)),
+            parents: RefCell::default(),
             gate: RefCell::new(Gate::new(FALLBACK_SLOTS)),
             pressure: RefCell::new(Pressure::new(now)),
             waiting: RefCell::default(),
