Sidecar: the level follows the expected wait; routes that only targets call are told by their callers

Change: gates tell whether a route is used from the machines of one service alone; the level follows waiting calls times the time of a call over the limit, aim 60 ms; positions order the queue only while not all can be served.

--- a/crates/mesh/src/demand.rs
+++ b/crates/mesh/src/demand.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// The route that is likeliest to be the one whose running calls make a call of `called`.
+    pub fn likely_parent(&self, called: &str) -> Option<&Arc<str>> {
+        let running = self.parents.iter().filter(|(_, parent)| parent.running > 0);
+        let weight = |parent: &Parent| f64::from(parent.running) * parent.rate(called);
+        running.max_by(|one, other| weight(one.1).total_cmp(&weight(other.1))).map(|(route, _)| route)
+    }
+
     /// The routes that calls of `route` call.
     pub fn called_by<'a>(&'a self, route: &str) -> impl Iterator<Item = &'a Arc<str>> {
         let parent = self.parents.get(route).filter(|parent| parent.runs >= RUNS_NEEDED);
--- a/crates/mesh/src/pressure.rs
+++ b/crates/mesh/src/pressure.rs
@@ -1,8 +1,9 @@
 //! How much of the demand a gate can serve, as a level between zero and one that travels to where calls enter.
 //!
-//! The gate compares what runs and waits with its limit. While more is there than fits, the level falls; while there is
-//! room, it rises. Each answer carries the level of its route: the least of the gate's own and of those routes that calls
-//! of this route call in turn, so a busy service deep in the graph is known where its load begins.
+//! The gate estimates how long a call waits that arrives now: the waiting calls, times what one takes, over what runs at a
+//! time. While that is more than a call deep in the graph can bear, the level falls; while it is less, it rises. Each answer
+//! carries the level of its route: the least of the gate's own and of those routes that calls of this route call in turn, so a
+//! busy service deep in the graph is known where its load begins.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,30 +13,33 @@
 
 use crate::gate::Load;
 
-/// The utilization that the controller aims at.
-const AIM: f64 = 1.0;
-/// The utilization below which the level rises at its full rate.
-const ROOM: f64 = 0.8;
-/// The time in which a level falls to a third at twice the load that fits.
-const FALL_TIME: f64 = 0.6;
-/// The share of the whole range by which a level rises in a second when there is room.
+/// The wait that the controller aims at. A call of several hops meets it at each of them.
+const AIM: Duration = Duration::from_millis(60);
+/// The wait, as a multiple of the aim, beyond which the level falls no faster.
+const WORST: f64 = 4.0;
+/// The time in which a level falls to a third at twice the aimed wait.
+const FALL_TIME: f64 = 1.0;
+/// The share of the whole range by which a level rises in a second when nothing waits.
 const RISE_PER_SECOND: f64 = 0.5;
 /// The lowest level; some calls are always let through, so that a rise is noticed.
 const LOWEST: f64 = 0.05;
 /// The longest time that one observation stands for.
 const LONGEST_STEP: f64 = 0.2;
+/// The weight of one call in the time that calls take.
+const TIME_GAIN: f64 = 0.02;
 
 /// The level of one gate.
 #[derive(Clone, Copy, Debug)]
 pub struct Pressure {
     level: f64,
     observed: Timestamp,
+    call_time: f64,
 }
 
 impl Pressure {
     /// A level that admits everything.
     pub fn new(now: Timestamp) -> Self {
-        Pressure { level: 1.0, observed: now }
+        Pressure { level: 1.0, observed: now, call_time: 0.0 }
     }
 
     /// The share of the demand that is admitted.
@@ -43,17 +47,29 @@
         self.level
     }
 
+    /// A call has held its slot for this long.
+    pub fn held(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        if self.call_time == 0.0 {
+            self.call_time = time;
+        }
+        self.call_time += TIME_GAIN * (time - self.call_time);
+    }
+
+    /// How long a call waits that arrives at a gate with this load.
+    pub fn expected_wait(&self, load: Load) -> Duration {
+        Duration::from_secs_f64(f64::from(load.waiting) * self.call_time / f64::from(load.limit.max(1)))
+    }
+
     /// Takes the gate's load at this moment into account.
     pub fn observe(&mut self, load: Load, now: Timestamp) {
         let step = now.since(self.observed).as_secs_f64().min(LONGEST_STEP);
         self.observed = now;
-        let utilization = load.utilization();
-        if utilization > AIM {
-            let excess = (utilization - AIM).min(2.0);
-            self.level *= (-excess * step / FALL_TIME).exp();
+        let wait = self.expected_wait(load).as_secs_f64() / AIM.as_secs_f64();
+        if wait > 1.0 {
+            self.level *= (-(wait.min(WORST) - 1.0) * step / FALL_TIME).exp();
         } else {
-            let room = ((AIM - utilization) / (AIM - ROOM)).min(1.0);
-            self.level += room * RISE_PER_SECOND * step;
+            self.level += (1.0 - wait) * RISE_PER_SECOND * step;
         }
         self.level = self.level.clamp(LOWEST, 1.0);
     }
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -121,7 +121,8 @@
     let origin = origin(node, &route, peer, given, arrived);
     let lineage = match &origin {
         Origin::Parent(_, lineage) => lineage.clone(),
-        Origin::Target | Origin::Caller => Lineage { priority: route.priority, position: position(&id) },
+        Origin::Target => Lineage { priority: likely_priority(node, &route), position: position(&id) },
+        Origin::Caller => Lineage { priority: route.priority, position: position(&id) },
     };
     let is_inner = origin != Origin::Caller;
     if !is_inner {
@@ -172,6 +173,13 @@
     origin
 }
 
+/// The importance that a call of this node's target inherits where its parent is not known for sure.
+fn likely_priority(node: &Node, route: &Route) -> u8 {
+    let graph = node.graph.borrow();
+    let inherited = graph.likely_parent(&route.name).and_then(|parent| node.parents.borrow().priority_of(parent));
+    inherited.unwrap_or(route.priority)
+}
+
 /// The position of a call that enters the graph, drawn from its identity.
 fn position(id: &str) -> u8 {
     let mut hasher = DefaultHasher::new();
@@ -368,6 +376,7 @@
     if matches!(report.outcome, Outcome::Answered | Outcome::Full) {
         node.levels.borrow_mut().report(&call.route.name, report.level, now);
     }
+    node.parents.borrow_mut().told(&call.route.name, report.is_called_by_targets);
     if report.version > node.configuration.borrow().version() {
         node.behind.notify_one();
     }
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -28,6 +28,8 @@
 
 /// The largest answer that is read whole before any of it is passed on, in bytes.
 const KEPT_ANSWER_BYTES: usize = 64 * 1024;
+/// The level below which all gates serve the same roots first.
+const SAME_ROOTS_BELOW: f64 = 0.9;
 /// How long a target's own answer at the deadline is waited for.
 const DEADLINE_ALLOWANCE: Duration = Duration::from_millis(20);
 /// The least time left with which a call goes to the target.
@@ -57,6 +59,9 @@
         route: route_name(&node, &parts),
         deadline: arrived + time,
     };
+    if let (Some(route), Some(caller)) = (&call.route, header(headers, headers::CALLER_SERVICE)) {
+        node.callers.borrow_mut().count(route, caller);
+    }
     let outcome = match admit(&node, &call, &forwarded, arrived).await {
         Ok(slot) => run(&node, &call, parts, body, slot, forwarded.lineage).await,
         Err(refusal) => Err((outcome_of(refusal), "not admitted".to_owned())),
@@ -122,7 +127,10 @@
         }
         _ => None,
     };
-    let report = Report { outcome, load, level: own.min(called), version, present };
+    let services = node.current_configuration().map_or(0, |configuration| configuration.services.len());
+    let is_called_by_targets =
+        call.route.as_ref().is_some_and(|route| node.callers.borrow().is_called_by_targets(route, services));
+    let report = Report { outcome, load, level: own.min(called), is_called_by_targets, version, present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
@@ -133,6 +141,7 @@
     node: Rc<Node>,
     route: Option<Arc<str>>,
     running: Option<RunningCall>,
+    since: Timestamp,
 }
 
 impl Slot {
@@ -140,7 +149,7 @@
         if let Some(route) = &route {
             node.graph.borrow_mut().started(route, node.now());
         }
-        Slot { node: Rc::clone(node), route, running: None }
+        Slot { node: Rc::clone(node), route, running: None, since: node.now() }
     }
 
     /// The call goes to the target, which is told to end it at `deadline`.
@@ -154,6 +163,8 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         if let Some(running) = self.running.take() {
+            let held = self.node.now().since(self.since);
+            self.node.pressure.borrow_mut().held(held);
             self.node.parents.borrow_mut().ended(running);
         }
         if let Some(route) = &self.route {
@@ -233,6 +244,8 @@
         return Err(Refusal::Closed);
     }
     let Lineage { priority, position } = forwarded.lineage;
+    // In the order of arrival while all that arrives can be served.
+    let position = if node.pressure.borrow().level() < SAME_ROOTS_BELOW { position } else { 0 };
     let rank = Rank { priority, is_root: forwarded.is_root, position };
     let (arrival, displaced) = node.gate.borrow_mut().arrive(rank, forwarded.patience, now);
     if let Some(ticket) = displaced {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -100,6 +100,8 @@
     pub load: Load,
     /// The share of the route's calls that can be served.
     pub level: f64,
+    /// Whether only targets call the route.
+    pub is_called_by_targets: bool,
     /// The version of the configuration at the gate.
     pub version: u64,
     /// The target beside the gate, told where the call was for another one.
@@ -120,7 +122,9 @@
     pub fn encode(&self) -> String {
         let Load { running, limit, waiting } = self.load;
         let level = (self.level * 1000.0).round() as u32;
-        let mut text = format!("{};{running};{limit};{waiting};{level};{}", self.outcome.letter(), self.version);
+        let inner = u8::from(self.is_called_by_targets);
+        let letter = self.outcome.letter();
+        let mut text = format!("{letter};{running};{limit};{waiting};{level};{inner};{}", self.version);
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -134,11 +138,12 @@
         let mut number = || parts.next()?.parse::<u64>().ok();
         let load = Load { running: number()? as u32, limit: number()? as u32, waiting: number()? as u32 };
         let level = number()? as f64 / 1000.0;
+        let is_called_by_targets = number()? == 1;
         let version = number()?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, level, version, present })
+        Some(Report { outcome, load, level, is_called_by_targets, version, present })
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,7 +10,7 @@
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::Gate;
-use quillhatch_mesh::parents::Parents;
+use quillhatch_mesh::parents::{CallerShares, Parents};
 use quillhatch_mesh::pressure::{Pressure, RouteLevels};
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
@@ -70,6 +70,8 @@
     pub graph: RefCell<CallGraph>,
     /// The calls that run at this node's target.
     pub parents: RefCell<Parents>,
+    /// From where the calls of this node's routes come.
+    pub callers: RefCell<CallerShares>,
     /// The gate before this node's target.
     pub gate: RefCell<Gate>,
     /// The gate's own level.
@@ -134,6 +136,7 @@
             levels: RefCell::default(),
             graph: RefCell::new(CallGraph::new(now)),
             parents: RefCell::default(),
+            callers: RefCell::default(),
             gate: RefCell::new(Gate::new(FALLBACK_SLOTS)),
             pressure: RefCell::new(Pressure::new(now)),
             waiting: RefCell::default(),
