Sidecar: a local runtime, longer gathering of changes

Cause: LocalSet wakes its runtime through an eventfd; each change of the list at start cost each node a store call of its own.

--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -12,9 +12,10 @@
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_platform::headers::READY_PATH;
 use quillhatch_platform::settings::{read_settings, SettingsError};
+use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::{JoinSet, LocalSet};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, Instant};
 
 use crate::body::Body;
@@ -92,10 +93,10 @@
     let dropped = logging::set_up().unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()
+        .build_local(LocalOptions::default())
         .map_err(|source| StartError::System { what: "the runtime", source })?;
     let node = Node::new(settings, dropped);
-    LocalSet::new().block_on(&runtime, run_node(node, path.to_owned()))
+    runtime.block_on(run_node(node, path.to_owned()))
 }
 
 async fn run_node(node: Rc<Node>, path: String) -> Result<(), StartError> {
@@ -123,7 +124,7 @@
     tasks: JoinSet<()>,
 }
 
-/// Opens the listeners and starts the tasks of a sidecar on the current `LocalSet`.
+/// Opens the listeners and starts the tasks of a sidecar on the current thread's runtime.
 ///
 /// # Errors
 ///
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -28,7 +28,7 @@
 /// What an answer may take beyond the time that the store was asked to wait.
 const WATCH_ALLOWANCE: Duration = Duration::from_millis(1500);
 /// Changes are gathered for so long before the store is asked for more.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(300);
 /// The pause after the first failure in a row; it doubles.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures in a row.
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -17,7 +17,7 @@
 use quillhatch_sidecar::run::{start, Running};
 use store::StandInStore;
 use target::StandInTarget;
-use tokio::task::LocalSet;
+use tokio::runtime::LocalOptions;
 use tokio::time::{sleep, timeout, Instant};
 
 /// The longest time that any test may take.
@@ -25,9 +25,10 @@
 
 /// Runs a test on one thread, as the program runs.
 pub fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_all().build_local(LocalOptions::default()).expect("a runtime");
     let bounded = async { timeout(TEST_TIME, test).await.expect("the test ends in time") };
-    LocalSet::new().block_on(&runtime, bounded);
+    runtime.block_on(bounded);
 }
 
 /// Waits until `condition` holds; panics with `what` after ten seconds.
