Sidecar: nodes cut off from the store get the view of it from nodes that it speaks with

Cause: a node that started while the store was down answered 503 until the store came back, and knew no peer to ask. Change: the headers between nodes tell how far each view of the store reaches and who is cut off; whoever reaches further hands its view over (protobuf, at most once a second to the same node), and a view is only replaced by one that reaches further. A node that hears of a newer configuration reads the store anew only if its own watch has not brought it within 0.6 s (before, each change of configuration made nodes that were a little later read everything again). Figures: tests over real sockets: a node restarted under a silent store serves after the first call to it; one that reads the store refuses.

--- a/crates/mesh/src/configuration.rs
+++ b/crates/mesh/src/configuration.rs
@@ -87,6 +87,8 @@
     pub services: HashMap<Arc<str>, ServiceSettings>,
     /// Bounds on callers.
     pub limits: CallerLimits,
+    /// The document that it was read from, as other nodes get it.
+    pub document: Arc<[u8]>,
 }
 
 impl Configuration {
--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -120,6 +120,11 @@
         machines
     }
 
+    /// All listed targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.by_id.values()
+    }
+
     /// The number of listed targets.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -25,6 +25,7 @@
 use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::Node;
 use crate::pool::{ExchangeError, Lease};
+use crate::views;
 
 /// The largest request that is kept to be sent again, in bytes.
 const KEPT_REQUEST_BYTES: usize = 64 * 1024;
@@ -349,7 +350,8 @@
     } else {
         begun.until(call.arrived + call.route.objective.mul_f64(UNOFFERED_PART)).min(left)
     };
-    let forwarded = Forwarded { is_root: !call.is_inner, lineage: call.lineage.clone(), patience };
+    let forwarded =
+        Forwarded { is_root: !call.is_inner, lineage: call.lineage.clone(), patience, reach: views::own_reach(node) };
     let added = [
         (HOP, forwarded.encode()),
         (headers::DEADLINE_MS, left.as_millis().to_string()),
@@ -377,9 +379,11 @@
         node.levels.borrow_mut().report(&call.route.name, report.level, now);
     }
     node.parents.borrow_mut().told(&call.route.name, report.is_called_by_targets);
-    if report.version > node.configuration.borrow().version() {
+    if report.version > node.heard_version.get().max(node.configuration.borrow().version()) {
+        node.heard_version.set(report.version);
         node.behind.notify_one();
     }
+    views::hand_over_if_needed(node, target.announcement.address.ip(), report.reach);
     let follows = report.present.as_ref().is_some_and(|present| {
         let mut targets = node.targets.borrow_mut();
         targets.succeed(&target.id, Arc::from(present.id.as_str()), &present.service, now);
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -1,5 +1,6 @@
 //! The gate: takes calls of other nodes for this node's target, and hands over what the target can work on.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use crate::node::{Admitted, Node};
 use crate::pool::{ExchangeError, Lease};
 use crate::present_target;
+use crate::views::{self, VIEW_PATH};
 
 /// The largest answer that is read whole before any of it is passed on, in bytes.
 const KEPT_ANSWER_BYTES: usize = 64 * 1024;
@@ -43,7 +45,10 @@
 }
 
 /// Serves one request of another node.
-pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>) -> Response<Body> {
+pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
+    if parts.uri.path() == VIEW_PATH && !parts.headers.contains_key(HOP) {
+        return views::receive(&node, body).await;
+    }
     let arrived = node.now();
     let headers = &parts.headers;
     let forwarded = header(headers, HOP).and_then(Forwarded::decode);
@@ -53,6 +58,7 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
+    views::hand_over_if_needed(&node, peer.ip(), forwarded.reach);
     let call = Call {
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: header(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
@@ -130,7 +136,15 @@
     let services = node.current_configuration().map_or(0, |configuration| configuration.services.len());
     let is_called_by_targets =
         call.route.as_ref().is_some_and(|route| node.callers.borrow().is_called_by_targets(route, services));
-    let report = Report { outcome, load, level: own.min(called), is_called_by_targets, version, present };
+    let report = Report {
+        outcome,
+        load,
+        level: own.min(called),
+        is_called_by_targets,
+        version,
+        reach: views::own_reach(node),
+        present,
+    };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -12,6 +12,26 @@
 /// The name of the header.
 pub const HOP: &str = "quillhatch-hop";
 
+/// How far a node's view of the platform's store reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reach {
+    /// The revision of the store at which its view stands; zero if it has none.
+    pub revision: u64,
+    /// Whether it can't read the store.
+    pub is_cut_off: bool,
+}
+
+impl Reach {
+    fn encode(self) -> String {
+        format!("{},{}", self.revision, u8::from(self.is_cut_off))
+    }
+
+    fn decode(text: &str) -> Option<Self> {
+        let (revision, is_cut_off) = text.split_once(',')?;
+        Some(Reach { revision: revision.parse().ok()?, is_cut_off: is_cut_off == "1" })
+    }
+}
+
 /// What an edge tells a gate of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Forwarded {
@@ -21,13 +41,16 @@
     pub lineage: Lineage,
     /// For how long it may wait at the gate.
     pub patience: Duration,
+    /// How far the edge's view of the store reaches.
+    pub reach: Reach,
 }
 
 impl Forwarded {
     /// The header's text.
     pub fn encode(&self) -> String {
         let Lineage { priority, position } = self.lineage;
-        format!("{};{priority};{position};{}", u8::from(self.is_root), self.patience.as_millis())
+        let (is_root, patience) = (u8::from(self.is_root), self.patience.as_millis());
+        format!("{is_root};{priority};{position};{patience};{}", self.reach.encode())
     }
 
     /// Reads the header's text.
@@ -36,7 +59,8 @@
         let is_root = parts.next()? == "1";
         let lineage = Lineage { priority: parts.next()?.parse().ok()?, position: parts.next()?.parse().ok()? };
         let patience = Duration::from_millis(parts.next()?.parse().ok()?);
-        Some(Forwarded { is_root, lineage, patience })
+        let reach = Reach::decode(parts.next()?)?;
+        Some(Forwarded { is_root, lineage, patience, reach })
     }
 }
 
@@ -104,6 +128,8 @@
     pub is_called_by_targets: bool,
     /// The version of the configuration at the gate.
     pub version: u64,
+    /// How far the gate's view of the store reaches.
+    pub reach: Reach,
     /// The target beside the gate, told where the call was for another one.
     pub present: Option<PresentTarget>,
 }
@@ -124,7 +150,8 @@
         let level = (self.level * 1000.0).round() as u32;
         let inner = u8::from(self.is_called_by_targets);
         let letter = self.outcome.letter();
-        let mut text = format!("{letter};{running};{limit};{waiting};{level};{inner};{}", self.version);
+        let mut text =
+            format!("{letter};{running};{limit};{waiting};{level};{inner};{};{}", self.version, self.reach.encode());
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -140,10 +167,11 @@
         let level = number()? as f64 / 1000.0;
         let is_called_by_targets = number()? == 1;
         let version = number()?;
+        let reach = Reach::decode(parts.next()?)?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, level, is_called_by_targets, version, present })
+        Some(Report { outcome, load, level, is_called_by_targets, version, reach, present })
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod present_target;
 pub mod run;
 pub mod store;
+pub mod views;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -98,8 +99,16 @@
     pub counters: Counters,
     /// Wakes whoever waits for the gate's next expiry to change.
     pub gate_changed: Notify,
-    /// Asks the reader of the store to look at once.
+    /// The newest version of the configuration that another node has told of.
+    pub heard_version: Cell<u64>,
+    /// Wakes the reader of the store when another node has told of a newer version.
     pub behind: Notify,
+    /// The revision of the store at which this node's view stands; zero if it has none.
+    pub revision: Cell<u64>,
+    /// Since when the store can't be read.
+    pub store_lost: Cell<Option<Timestamp>>,
+    /// When this node's view was handed to others.
+    pub views_handed: RefCell<HashMap<IpAddr, Timestamp>>,
     dropped: DroppedLines,
     failure_lines: RefCell<LineRate>,
     success_lines: RefCell<LineRate>,
@@ -150,7 +159,11 @@
             random: RefCell::new(Pcg64::from_entropy()),
             counters: Counters::default(),
             gate_changed: Notify::new(),
+            heard_version: Cell::new(0),
             behind: Notify::new(),
+            revision: Cell::new(0),
+            store_lost: Cell::new(Some(now)),
+            views_handed: RefCell::default(),
             dropped,
             failure_lines: RefCell::new(LineRate::new(FAILURE_LINES)),
             success_lines: RefCell::new(LineRate::new(SUCCESS_LINES)),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -162,8 +162,8 @@
         edge::serve(Rc::clone(&for_edge), parts, body, peer)
     }));
     let for_gate = Rc::clone(&node);
-    tasks.spawn_local(serve(inbound, peers.clone(), move |parts, body, _| {
-        gate::serve(Rc::clone(&for_gate), parts, body)
+    tasks.spawn_local(serve(inbound, peers.clone(), move |parts, body, peer| {
+        gate::serve(Rc::clone(&for_gate), parts, body, peer)
     }));
     let for_ready = Rc::clone(&node);
     tasks.spawn_local(serve(ready, peers.clone(), move |parts, _, _| answer_ready(Rc::clone(&for_ready), parts)));
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -29,6 +29,8 @@
 const WATCH_ALLOWANCE: Duration = Duration::from_millis(1500);
 /// Changes are gathered for so long before the store is asked for more.
 const GATHER: Duration = Duration::from_millis(300);
+/// For how long another node may have a newer configuration before the store is read anew.
+const BEHIND_FOR: Duration = Duration::from_millis(600);
 /// The pause after the first failure in a row; it doubles.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures in a row.
@@ -78,6 +80,9 @@
 
 fn lost(node: &Node, error: &StoreError) {
     Counters::add(&node.counters.store_failures);
+    if node.store_lost.get().is_none() {
+        node.store_lost.set(Some(node.now()));
+    }
     node.log(&format!("\"event\":\"store-lost\",\"why\":{:?}", error.to_string()));
 }
 
@@ -107,9 +112,11 @@
         Err(StoreError::Status(StatusCode::NOT_FOUND)) => {}
         Err(error) => return Err(error),
     }
+    let revision = revision.unwrap_or_default();
     node.targets_known.set(true);
+    reached(node, revision);
     changed(node);
-    Ok(revision.unwrap_or_default())
+    Ok(revision)
 }
 
 async fn watch(node: &Rc<Node>, mut revision: u64) -> StoreError {
@@ -118,11 +125,12 @@
         let watching = get(node, &path, WATCH_WAIT + WATCH_ALLOWANCE, read_page);
         let page = tokio::select! {
             page = watching => page,
-            () = node.behind.notified() => Err(StoreError::Behind),
+            () = behind_for_long(node) => Err(StoreError::Behind),
         };
         match page {
             Ok(page) => {
                 revision = page.revision;
+                reached(node, revision);
                 if page.changes.is_empty() {
                     continue;
                 }
@@ -135,6 +143,26 @@
     }
 }
 
+/// Ends once other nodes have told of a newer configuration and the watch has not brought it for a while.
+async fn behind_for_long(node: &Node) {
+    loop {
+        node.behind.notified().await;
+        sleep(BEHIND_FOR).await;
+        if node.heard_version.get() > node.configuration.borrow().version() {
+            return;
+        }
+    }
+}
+
+/// The store was read, and the view stands at `revision`.
+fn reached(node: &Node, revision: u64) {
+    node.revision.set(revision);
+    if let Some(since) = node.store_lost.take() {
+        let lost_ms = node.now().since(since).as_millis();
+        node.log(&format!("\"event\":\"store-reached\",\"revision\":{revision},\"lost_ms\":{lost_ms}"));
+    }
+}
+
 fn apply(node: &Node, changes: Vec<Change>) {
     for change in changes {
         match change {
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -267,3 +267,43 @@
         assert!(text.contains("quillhatch_edge_call_seconds_count 1"), "{text}");
     });
 }
+
+#[test]
+fn a_node_that_starts_while_the_store_is_silent_gets_the_view_of_its_callers() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        store.set_mode(Mode::Silent);
+        let (address, local) = (alpha.address, alpha.target.address);
+        alpha.sidecar.stop().await;
+        let restarted = start_sidecar(address, "alpha", local, store.address);
+        assert!(!restarted.node.is_ready());
+        let answer = call(beta.outbound(), &read("one")).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+        eventually("the restarted node has the view", || restarted.node.is_ready()).await;
+        assert_eq!(restarted.node.configuration.borrow().version(), 5);
+        assert_eq!(restarted.node.targets.borrow().len(), 2);
+        let own = call((address, OUTBOUND).into(), &read("two")).await.expect("an answer");
+        assert_eq!(own.status, 200);
+    });
+}
+
+#[test]
+fn a_node_that_reads_the_store_takes_no_view_of_others() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        for number in 0..10 {
+            call(beta.outbound(), &read(&format!("call-{number}"))).await.expect("an answer");
+        }
+        let view = quillhatch_messages::generated::view::View {
+            revision: 1_000,
+            configuration: document(99, "alpha").into_bytes(),
+            targets: Vec::new(),
+        };
+        let status =
+            support::caller::post(alpha.inbound(), "/quillhatch/view", &quillhatch_messages::encode(&view)).await;
+        assert_eq!(status, 409);
+        assert_eq!(alpha.node().configuration.borrow().version(), 5);
+        assert_eq!(support::caller::post(alpha.inbound(), "/quillhatch/view", b"nonsense").await, 400);
+        drop(store);
+    });
+}
--- a/crates/sidecar/tests/support/caller.rs
+++ b/crates/sidecar/tests/support/caller.rs
@@ -126,3 +126,12 @@
     caller.send(text).await;
     caller.answer().await
 }
+
+/// Posts bytes; returns the status of the answer.
+pub async fn post(to: SocketAddr, path: &str, body: &[u8]) -> u16 {
+    let mut caller = Caller::connect(to).await;
+    let head = format!("POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {}\r\n\r\n", body.len());
+    caller.send(&head).await;
+    caller.stream.write_all(body).await.expect("the connection takes bytes");
+    caller.answer().await.expect("an answer").status
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -103,6 +103,11 @@
         SocketAddr::from((self.address, OUTBOUND))
     }
 
+    /// Where other nodes send their calls.
+    pub fn inbound(&self) -> SocketAddr {
+        SocketAddr::from((self.address, INBOUND))
+    }
+
     /// The sidecar's state.
     pub fn node(&self) -> &Rc<Node> {
         &self.sidecar.node
