Sidecar: frozen and cut off nodes are noticed by the calls that meet them

Change: a repeatable call that hears nothing for three of its route's times asks the node on another connection and leaves it if it is silent (within the budget of repeats); a call that runs once is sent only to a node heard of in the last 60 ms, else the node is asked first. The mean time of a route settles on its first calls (found by the test: one slow first call made a lone target look fast).

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -32,6 +32,14 @@
 const SHORTEST_AVOIDANCE: Duration = Duration::from_millis(250);
 /// The longest time for which a target that fails again and again is left out.
 const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+/// A call that takes so many times longer than its route's mean makes its gate suspect.
+const SUSPICION_FACTOR: u32 = 3;
+/// The time beyond that.
+const SUSPICION_ADDED: Duration = Duration::from_millis(150);
+/// The longest time until a gate is suspect.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(2);
+/// The mean time of a route of which nothing was measured.
+const UNKNOWN_TIME: Duration = Duration::from_millis(200);
 /// The speed of a target relative to the mean is taken within these bounds.
 const SPEED_BOUNDS: (f64, f64) = (0.2, 20.0);
 
@@ -44,6 +52,7 @@
     load_at: Timestamp,
     avoided_until: Timestamp,
     failures: u32,
+    heard: Timestamp,
 }
 
 impl Default for TargetView {
@@ -56,15 +65,32 @@
             load_at: Timestamp::ZERO,
             avoided_until: Timestamp::ZERO,
             failures: 0,
+            heard: Timestamp::ZERO,
         }
     }
 }
 
+/// The mean time of a route's calls.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteTime {
+    seconds: f64,
+    calls: u32,
+}
+
+impl RouteTime {
+    fn add(&mut self, seconds: f64) -> f64 {
+        self.calls = self.calls.saturating_add(1);
+        let gain = ROUTE_GAIN.max(1.0 / f64::from(self.calls));
+        self.seconds += gain * (seconds - self.seconds);
+        self.seconds
+    }
+}
+
 /// What this node has learnt of the targets that it sends to.
 #[derive(Clone, Debug, Default)]
 pub struct Balance {
     views: HashMap<TargetId, TargetView>,
-    route_times: HashMap<Arc<str>, f64>,
+    route_times: HashMap<Arc<str>, RouteTime>,
 }
 
 impl Balance {
@@ -113,8 +139,7 @@
     /// Notes how long a target took for a call of a route.
     pub fn answered(&mut self, target: &TargetId, route: &Arc<str>, took: Duration, now: Timestamp) {
         let took = took.as_secs_f64();
-        let mean = self.route_times.entry(route.clone()).or_insert(took);
-        *mean += ROUTE_GAIN * (took - *mean);
+        let mean = self.route_times.entry(route.clone()).or_default().add(took);
         let ratio = (took / mean.max(1e-6)).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
         let view = self.views.entry(target.clone()).or_default();
         view.speed = remembered_speed(view, now);
@@ -128,6 +153,23 @@
         let view = self.views.entry(target.clone()).or_default();
         view.load = load;
         view.load_at = now;
+        view.heard = now;
+    }
+
+    /// Notes that a target's gate is there.
+    pub fn heard_of(&mut self, target: &TargetId, now: Timestamp) {
+        self.views.entry(target.clone()).or_default().heard = now;
+    }
+
+    /// When a target's gate was heard of last.
+    pub fn heard(&self, target: &str) -> Timestamp {
+        self.views.get(target).map_or(Timestamp::ZERO, |view| view.heard)
+    }
+
+    /// How long a call of a route may go without a word of its gate before the gate is asked whether it is there.
+    pub fn suspicion_after(&self, route: &str) -> Duration {
+        let mean = self.route_time(route).unwrap_or(UNKNOWN_TIME);
+        (mean * SUSPICION_FACTOR + SUSPICION_ADDED).min(LONGEST_SUSPICION)
     }
 
     /// Leaves a target out for a moment, longer each time in a row.
@@ -140,7 +182,7 @@
 
     /// The mean time of a route's answered calls, if any was measured.
     pub fn route_time(&self, route: &str) -> Option<Duration> {
-        self.route_times.get(route).map(|seconds| Duration::from_secs_f64(*seconds))
+        self.route_times.get(route).map(|time| Duration::from_secs_f64(time.seconds))
     }
 
     /// Forgets targets that are neither listed nor in use.
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -1,7 +1,9 @@
 //! The edge: takes a call from a caller or from this node's own target and brings back an answer.
 
+use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +27,7 @@
 use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::Node;
 use crate::pool::{ExchangeError, Lease};
+use crate::presence;
 use crate::views;
 
 /// The largest request that is kept to be sent again, in bytes.
@@ -261,6 +264,12 @@
             node.levels.borrow_mut().report(&call.route.name, 0.0, now);
             return give_up(node, &call, may_have_run, "no-target", tried.len());
         };
+        let runs_once = call.route.repeatability == Repeatability::AtMostOnce;
+        if runs_once && !presence::is_there_now(node, &target).await {
+            node.log_failure(|| attempt_line(&call, &target, "silent, not sent"));
+            tried.push(target.id.clone());
+            continue;
+        }
         let Some(sent) = body.as_ref().and_then(Body::copy_if_whole).or_else(|| body.take()) else {
             return give_up(node, &call, may_have_run, "body-gone", tried.len());
         };
@@ -364,12 +373,13 @@
     let address = SocketAddr::new(target.announcement.address.ip(), node.settings.inbound.port());
     node.balance.borrow_mut().sent(&target.id);
     let in_flight = InFlight { node, target: &target.id };
-    let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, node.peers.exchange(address, request)).await;
-    let (response, lease) = match exchange {
-        Err(_) => return Attempt::Late,
-        Ok(Err(ExchangeError::NotSent(_))) => return Attempt::NotRun("unreachable"),
-        Ok(Err(ExchangeError::NoAnswer(why))) => return Attempt::Broken(why),
-        Ok(Ok(answered)) => answered,
+    let exchange = node.peers.exchange(address, request);
+    let (response, lease) = match exchange_while_present(node, call, target, begun, exchange).await {
+        Exchanged::Late => return Attempt::Late,
+        Exchanged::Silent => return Attempt::Broken("the node is silent".to_owned()),
+        Exchanged::Failed(ExchangeError::NotSent(_)) => return Attempt::NotRun("unreachable"),
+        Exchanged::Failed(ExchangeError::NoAnswer(why)) => return Attempt::Broken(why),
+        Exchanged::Answered(response, lease) => (*response, lease),
     };
     let report = response.headers().get(HOP).and_then(|value| value.to_str().ok()).and_then(Report::decode);
     let Some(report) = report else { return Attempt::Broken("an answer without a report".to_owned()) };
@@ -424,6 +434,51 @@
     }
 }
 
+enum Exchanged {
+    Answered(Box<Response<Incoming>>, Lease),
+    Failed(ExchangeError),
+    /// The call's time is over.
+    Late,
+    /// The node is not there; only told of calls that may be repeated.
+    Silent,
+}
+
+impl From<Result<(Response<Incoming>, Lease), ExchangeError>> for Exchanged {
+    fn from(result: Result<(Response<Incoming>, Lease), ExchangeError>) -> Self {
+        match result {
+            Ok((response, lease)) => Exchanged::Answered(Box::new(response), lease),
+            Err(error) => Exchanged::Failed(error),
+        }
+    }
+}
+
+/// Waits for an exchange until the call's deadline, or until its node turns out not to be there.
+async fn exchange_while_present(
+    node: &Rc<Node>,
+    call: &Call,
+    target: &Target,
+    begun: Timestamp,
+    exchange: impl Future<Output = Result<(Response<Incoming>, Lease), ExchangeError>>,
+) -> Exchanged {
+    let mut exchange = pin!(exchange);
+    let until_end = |node: &Node| node.now().until(call.deadline) + DEADLINE_ALLOWANCE;
+    let suspicion = node.balance.borrow().suspicion_after(&call.route.name);
+    if suspicion < until_end(node) && call.route.repeatability == Repeatability::Repeatable {
+        if let Ok(result) = tokio::time::timeout(suspicion, &mut exchange).await {
+            return result.into();
+        }
+        tokio::select! {
+            biased;
+            result = &mut exchange => return result.into(),
+            is_there = presence::is_there(node, target, begun) => if !is_there { return Exchanged::Silent },
+        }
+    }
+    match tokio::time::timeout(until_end(node), exchange).await {
+        Ok(result) => result.into(),
+        Err(_) => Exchanged::Late,
+    }
+}
+
 async fn finish(response: Response<Incoming>, lease: Lease) {
     if response.into_body().collect().await.is_ok() {
         lease.keep();
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -25,6 +25,7 @@
 use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::{Admitted, Node};
 use crate::pool::{ExchangeError, Lease};
+use crate::presence::PRESENCE_PATH;
 use crate::present_target;
 use crate::views::{self, VIEW_PATH};
 
@@ -49,6 +50,9 @@
     if parts.uri.path() == VIEW_PATH && !parts.headers.contains_key(HOP) {
         return views::receive(&node, body).await;
     }
+    if parts.uri.path() == PRESENCE_PATH && !parts.headers.contains_key(HOP) {
+        return Response::new(Body::empty());
+    }
     let arrived = node.now();
     let headers = &parts.headers;
     let forwarded = header(headers, HOP).and_then(Forwarded::decode);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -23,8 +23,10 @@
 use tokio::sync::{oneshot, Notify};
 
 use crate::counters::Counters;
+use crate::keyed_lock::KeyedLock;
 use crate::logging::{DroppedLines, LineRate};
 use crate::pool::{Pool, PoolRules};
+use crate::presence::Presence;
 
 /// The slots that a target is taken to have until its own number is known.
 const FALLBACK_SLOTS: u32 = 16;
@@ -107,6 +109,10 @@
     pub revision: Cell<u64>,
     /// Since when the store can't be read.
     pub store_lost: Cell<Option<Timestamp>>,
+    /// What is known of the presence of other nodes.
+    pub presences: RefCell<HashMap<IpAddr, Presence>>,
+    /// Held while another node is asked whether it is there.
+    pub asking_presence: KeyedLock<IpAddr>,
     /// When this node's view was handed to others.
     pub views_handed: RefCell<HashMap<IpAddr, Timestamp>>,
     dropped: DroppedLines,
@@ -163,6 +169,8 @@
             behind: Notify::new(),
             revision: Cell::new(0),
             store_lost: Cell::new(Some(now)),
+            presences: RefCell::default(),
+            asking_presence: KeyedLock::default(),
             views_handed: RefCell::default(),
             dropped,
             failure_lines: RefCell::new(LineRate::new(FAILURE_LINES)),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -243,6 +243,7 @@
         sleep(SWEEP).await;
         node.peers.sweep();
         node.target.sweep();
+        node.asking_presence.sweep();
     }
 }
 
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -274,3 +274,43 @@
         assert_eq!(alpha.target.ran().len(), 3);
     });
 }
+
+#[test]
+fn a_call_that_may_be_repeated_leaves_a_silent_node() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        // A machine that takes connections and says nothing stands for one that is frozen.
+        let frozen = support::machine();
+        let silent = tokio::net::TcpListener::bind((frozen, beta.inbound().port())).await.expect("a free port");
+        let taken = tokio::task::spawn_local(async move {
+            let mut kept = Vec::new();
+            while let Ok((stream, _)) = silent.accept().await {
+                kept.push(stream);
+            }
+        });
+        // Repeats need a budget: the share of calls that were made.
+        for number in 0..60 {
+            call(beta.outbound(), &read(&format!("before-{number}"))).await.expect("an answer");
+        }
+        let entry = format!(
+            r#"{{"service":"alpha","address":"{frozen}:9","zone":"zone-a","version":"v1","slots":400,"state":"ready","cold_remaining_s":0,"seq":1}}"#
+        );
+        store.write("servers/i-frozen", Some(&entry));
+        eventually("the frozen one is listed", || beta.node().targets.borrow().len() == 3).await;
+        let mut slowest = Duration::ZERO;
+        for number in 0..60 {
+            let begun = Instant::now();
+            let answer = call(beta.outbound(), &read(&format!("call-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200);
+            slowest = slowest.max(begun.elapsed());
+        }
+        assert!(slowest > Duration::from_millis(100), "no call met the silent node");
+        assert!(slowest < Duration::from_millis(800), "{slowest:?}");
+        for number in 0..20 {
+            let answer = call(beta.outbound(), &pay(&format!("pay-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200, "a call that runs once is not sent to a silent node");
+        }
+        taken.abort();
+        drop(alpha);
+    });
+}
