Sidecar: a stopping node keeps its gate open while its callers' calls end; last log lines are written

Change: the gate closes after the calls that entered here have ended (at the latest 2.2 s before the grace's end); 2.2 s, not 2.6, to lead callers away (two misses of a question a second); a refusal is avoided for 0.2 s, only silence for longer; the log is written at the end.

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -29,9 +29,9 @@
 /// The share by which costs are varied at random, so that nodes with the same view don't all choose the same target.
 const VARIATION: f64 = 0.1;
 /// The least time for which a target that failed is left out.
-const SHORTEST_AVOIDANCE: Duration = Duration::from_millis(250);
-/// The longest time for which a target that fails again and again is left out.
-const LONGEST_AVOIDANCE: Duration = Duration::from_secs(2);
+const SHORTEST_AVOIDANCE: Duration = Duration::from_millis(200);
+/// The longest time for which a target that is silent again and again is left out.
+const LONGEST_AVOIDANCE: Duration = Duration::from_secs(1);
 /// A call that takes so many times longer than its route's mean makes its gate suspect.
 const SUSPICION_FACTOR: u32 = 3;
 /// The time beyond that.
@@ -172,8 +172,13 @@
         (mean * SUSPICION_FACTOR + SUSPICION_ADDED).min(LONGEST_SUSPICION)
     }
 
-    /// Leaves a target out for a moment, longer each time in a row.
-    pub fn failed(&mut self, target: &TargetId, now: Timestamp) {
+    /// Leaves a target out for a moment that has refused a call or its connection. To try it again costs next to nothing.
+    pub fn refused(&mut self, target: &TargetId, now: Timestamp) {
+        self.views.entry(target.clone()).or_default().avoided_until = now + SHORTEST_AVOIDANCE;
+    }
+
+    /// Leaves a target out that is silent, longer each time in a row.
+    pub fn silent(&mut self, target: &TargetId, now: Timestamp) {
         let view = self.views.entry(target.clone()).or_default();
         let span = SHORTEST_AVOIDANCE * 2_u32.pow(view.failures.min(3));
         view.failures += 1;
--- a/crates/mesh/tests/decisions.rs
+++ b/crates/mesh/tests/decisions.rs
@@ -287,7 +287,7 @@
     let mut random = Pcg64::seed_from_u64(3);
     let targets = [target("one", "here"), target("two", "here")];
     let mut balance = Balance::default();
-    balance.failed(&Arc::from("one"), Timestamp::ZERO);
+    balance.refused(&Arc::from("one"), Timestamp::ZERO);
     let mut choose = |tried: &[Arc<str>], now| {
         balance.choose(&targets, tried, "here", now, &mut random).map(|target| target.id.to_string())
     };
--- a/crates/sidecar/src/edge.rs
+++ b/crates/sidecar/src/edge.rs
@@ -1,5 +1,6 @@
 //! The edge: takes a call from a caller or from this node's own target and brings back an answer.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -84,18 +85,25 @@
     Late,
 }
 
-struct Running(Rc<Node>);
+/// Counts a call while it is served.
+struct Counted<'a>(&'a Cell<usize>);
 
-impl Drop for Running {
+impl<'a> Counted<'a> {
+    fn new(counter: &'a Cell<usize>) -> Self {
+        counter.set(counter.get() + 1);
+        Counted(counter)
+    }
+}
+
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
-        self.0.edge_calls.set(self.0.edge_calls.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
 /// Serves one request.
 pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
-    node.edge_calls.set(node.edge_calls.get() + 1);
-    let _running = Running(Rc::clone(&node));
+    let _counted = Counted::new(&node.edge_calls);
     answer(&node, parts, body, peer).await
 }
 
@@ -159,6 +167,7 @@
     }
     let deadline = arrived + time;
     let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, arrived, deadline };
+    let _root = (!is_inner).then(|| Counted::new(&node.root_calls));
     run(node, call, body).await
 }
 
@@ -300,7 +309,7 @@
             }
             Attempt::NotRun(why) => {
                 node.log_failure(|| attempt_line(&call, &target, why));
-                node.balance.borrow_mut().failed(&target.id, node.now());
+                node.balance.borrow_mut().refused(&target.id, node.now());
                 tried.push(target.id.clone());
             }
             Attempt::Followed => tried.push(target.id.clone()),
--- a/crates/sidecar/src/logging.rs
+++ b/crates/sidecar/src/logging.rs
@@ -3,7 +3,7 @@
 //! A line that finds the queue full, or the rate of its kind used up, is dropped and counted; nothing waits for the output.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver};
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,18 +15,32 @@
 /// How long the writing thread gathers lines before it writes them together.
 const GATHER: Duration = Duration::from_millis(200);
 
-/// Counts the lines that were dropped.
+/// The state of the log: what was dropped, and what still waits to be written.
 #[derive(Clone, Debug, Default)]
-pub struct DroppedLines(Arc<AtomicU64>);
+pub struct LogState(Arc<LogCounts>);
 
-impl DroppedLines {
+#[derive(Debug, Default)]
+struct LogCounts {
+    dropped: AtomicU64,
+    queued: AtomicU64,
+    written: AtomicU64,
+    at_once: AtomicBool,
+}
+
+impl LogState {
     /// The number of dropped lines.
-    pub fn count(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    pub fn dropped(&self) -> u64 {
+        self.0.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Has what waits written without gathering more, from now on.
+    pub fn write_at_once(&self) {
+        self.0.at_once.store(true, Ordering::Relaxed);
     }
 
-    fn add(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+    /// Whether every line that was taken is written.
+    pub fn is_written(&self) -> bool {
+        self.0.written.load(Ordering::Relaxed) >= self.0.queued.load(Ordering::Relaxed)
     }
 }
 
@@ -35,36 +49,44 @@
 /// # Errors
 ///
 /// Returns an error if the process has a logger already.
-pub fn set_up() -> Result<DroppedLines, SetLoggerError> {
-    let dropped = DroppedLines::default();
+pub fn set_up() -> Result<LogState, SetLoggerError> {
+    let state = LogState::default();
     let (sender, receiver) = sync_channel::<String>(QUEUE_LINES);
-    std::thread::spawn(move || write_lines(&receiver));
-    let counted = dropped.clone();
+    let writing = state.clone();
+    std::thread::spawn(move || write_lines(&receiver, &writing.0));
+    let counts = state.clone();
     let output = fern::Output::call(move |record| {
-        if sender.try_send(record.args().to_string()).is_err() {
-            counted.add();
-        }
+        let counter = match sender.try_send(record.args().to_string()) {
+            Ok(()) => &counts.0.queued,
+            Err(_) => &counts.0.dropped,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
     });
     fern::Dispatch::new()
         .level(LevelFilter::Off)
         .level_for("quillhatch_sidecar", LevelFilter::Info)
         .chain(output)
         .apply()?;
-    Ok(dropped)
+    Ok(state)
 }
 
-fn write_lines(receiver: &Receiver<String>) {
+fn write_lines(receiver: &Receiver<String>, counts: &LogCounts) {
     while let Ok(first) = receiver.recv() {
-        std::thread::sleep(GATHER);
+        if !counts.at_once.load(Ordering::Relaxed) {
+            std::thread::sleep(GATHER);
+        }
         let mut text = first;
         text.push('\n');
+        let mut lines = 1;
         while let Ok(line) = receiver.try_recv() {
             text.push_str(&line);
             text.push('\n');
+            lines += 1;
         }
         let mut output = std::io::stdout().lock();
         // Nobody is left to tell if standard output is closed.
         let _ = output.write_all(text.as_bytes()).and_then(|()| output.flush());
+        counts.written.fetch_add(lines, Ordering::Relaxed);
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -24,7 +24,7 @@
 
 use crate::counters::Counters;
 use crate::keyed_lock::KeyedLock;
-use crate::logging::{DroppedLines, LineRate};
+use crate::logging::{LineRate, LogState};
 use crate::pool::{Pool, PoolRules};
 use crate::presence::Presence;
 
@@ -95,6 +95,8 @@
     pub stage: Cell<Stage>,
     /// Calls that are being served at the edge.
     pub edge_calls: Cell<usize>,
+    /// Those of them that callers have made, not this node's target.
+    pub root_calls: Cell<usize>,
     /// Random numbers.
     pub random: RefCell<Pcg64>,
     /// Counters.
@@ -115,7 +117,7 @@
     pub asking_presence: KeyedLock<IpAddr>,
     /// When this node's view was handed to others.
     pub views_handed: RefCell<HashMap<IpAddr, Timestamp>>,
-    dropped: DroppedLines,
+    log_state: LogState,
     failure_lines: RefCell<LineRate>,
     success_lines: RefCell<LineRate>,
     started: Instant,
@@ -123,7 +125,7 @@
 
 impl Node {
     /// A node that knows nothing yet.
-    pub fn new(settings: SidecarSettings, dropped: DroppedLines) -> Rc<Self> {
+    pub fn new(settings: SidecarSettings, log_state: LogState) -> Rc<Self> {
         let now = Timestamp::ZERO;
         let peers = PoolRules {
             connect_timeout: Duration::from_millis(600),
@@ -162,6 +164,7 @@
             store: Pool::new(store),
             stage: Cell::new(Stage::Serving),
             edge_calls: Cell::new(0),
+            root_calls: Cell::new(0),
             random: RefCell::new(Pcg64::from_entropy()),
             counters: Counters::default(),
             gate_changed: Notify::new(),
@@ -172,7 +175,7 @@
             presences: RefCell::default(),
             asking_presence: KeyedLock::default(),
             views_handed: RefCell::default(),
-            dropped,
+            log_state,
             failure_lines: RefCell::new(LineRate::new(FAILURE_LINES)),
             success_lines: RefCell::new(LineRate::new(SUCCESS_LINES)),
             started: Instant::now(),
@@ -235,7 +238,7 @@
             ("edge_running", self.edge_calls.get() as f64),
             ("ready", f64::from(u8::from(self.is_ready()))),
         ];
-        self.counters.render(&gauges, self.dropped.count())
+        self.counters.render(&gauges, self.log_state.dropped())
     }
 
     /// Writes a line about a call that was not served as asked, if the rate allows.
@@ -252,6 +255,11 @@
         }
     }
 
+    /// The state of the log.
+    pub fn log_state(&self) -> &LogState {
+        &self.log_state
+    }
+
     /// Writes a line: JSON fields without the braces.
     pub fn log(&self, fields: &str) {
         let at = self.started.elapsed().as_secs_f64();
--- a/crates/sidecar/src/presence.rs
+++ b/crates/sidecar/src/presence.rs
@@ -51,7 +51,7 @@
         node.balance.borrow_mut().heard_of(&target.id, presence.asked);
     } else {
         node.log(&format!("\"event\":\"node-silent\",\"peer\":\"{peer}\",\"target\":\"{}\"", target.id));
-        node.balance.borrow_mut().failed(&target.id, node.now());
+        node.balance.borrow_mut().silent(&target.id, node.now());
     }
     is_there
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -25,11 +25,19 @@
 use crate::{edge, gate, store};
 
 /// How long callers are given to be led away once the process is asked to stop.
-const LEAD_AWAY: Duration = Duration::from_millis(2600);
+///
+/// The platform asks once a second whether the node is ready, and two misses lead callers away.
+const LEAD_AWAY: Duration = Duration::from_millis(2200);
 /// The part of the grace that is left unused at its end.
 const GRACE_LEFT: Duration = Duration::from_millis(500);
+/// The part of the grace that is kept for the calls at the target.
+const GATE_TIME: Duration = Duration::from_millis(2200);
 /// How long connections get to write their last answers.
 const LAST_ANSWERS: Duration = Duration::from_millis(60);
+/// How long the last log lines get to be written.
+const LAST_LINES: Duration = Duration::from_millis(250);
+/// How often it is looked whether they are.
+const LOG_CHECK: Duration = Duration::from_millis(10);
 /// How often a stopping process looks whether it has finished.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 /// How often unused connections are looked through.
@@ -90,12 +98,12 @@
 /// Returns why it does not start.
 pub fn run(path: &str) -> Result<(), StartError> {
     let settings = load_settings(path)?;
-    let dropped = logging::set_up().unwrap_or_default();
+    let log_state = logging::set_up().unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(LocalOptions::default())
         .map_err(|source| StartError::System { what: "the runtime", source })?;
-    let node = Node::new(settings, dropped);
+    let node = Node::new(settings, log_state);
     runtime.block_on(run_node(node, path.to_owned()))
 }
 
@@ -194,6 +202,11 @@
         node.log("\"event\":\"stopping\"");
         let grace = node.settings.bounds.stop_grace.saturating_sub(GRACE_LEFT);
         sleep(LEAD_AWAY.min(grace)).await;
+        // The gate stays open while calls that entered here are finished: its target serves others meanwhile.
+        while begun.elapsed() < grace.saturating_sub(GATE_TIME) && node.root_calls.get() > 0 {
+            sleep(STOP_CHECK).await;
+        }
+        node.log("\"event\":\"gate-closed\"");
         node.gate.borrow_mut().close();
         gate::dismiss(node);
         while begun.elapsed() < grace && (node.edge_calls.get() > 0 || node.gate.borrow().load().running > 0) {
@@ -207,6 +220,11 @@
         sleep(LAST_ANSWERS).await;
         let (calls, connections) = (node.edge_calls.get(), self.open.get());
         node.log(&format!("\"event\":\"stopped\",\"edge_calls\":{calls},\"connections\":{connections}"));
+        node.log_state().write_at_once();
+        let written_until = Instant::now() + LAST_LINES;
+        while !node.log_state().is_written() && Instant::now() < written_until {
+            sleep(LOG_CHECK).await;
+        }
         self.tasks.shutdown().await;
     }
 }
