Sidecar: bounds on callers follow the configuration; unknown targets are tried; large services are sampled

Cause: connections were closed after a default time, not the configured one; a head that does not come was never answered; a test met a target that was never tried because the others had been measured a little better than the mean; choosing looked at every target. Change: limits of the configuration in force on every connection, 408 for a head that does not come, a better than mean speed until a target has answered, 12 targets of the own zone and 12 of the others for each attempt.

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -10,6 +10,8 @@
 use crate::gate::Load;
 use crate::targets::{Target, TargetId};
 
+/// The targets of the own zone, and of the others together, that are looked at for one attempt.
+const LOOKED_AT: usize = 12;
 /// What an attempt in another zone costs besides its time, as a share of the mean time of its route.
 const OTHER_ZONE_COST: f64 = 0.15;
 /// The utilization from which waiting is expected at a target.
@@ -26,6 +28,8 @@
 const SPEED_MEMORY: Duration = Duration::from_secs(6);
 /// How much slower a target works that has just started.
 const COLD_FACTOR: f64 = 2.0;
+/// The speed that a target is taken to have before it has answered; better than the mean, so that it is tried.
+const UNKNOWN_SPEED: f64 = 0.8;
 /// The share by which costs are varied at random, so that nodes with the same view don't all choose the same target.
 const VARIATION: f64 = 0.1;
 /// The least time for which a target that failed is left out.
@@ -48,6 +52,7 @@
     in_flight: u32,
     speed: f64,
     speed_at: Timestamp,
+    answers: u32,
     load: Load,
     load_at: Timestamp,
     avoided_until: Timestamp,
@@ -61,6 +66,7 @@
             in_flight: 0,
             speed: 1.0,
             speed_at: Timestamp::ZERO,
+            answers: 0,
             load: Load::default(),
             load_at: Timestamp::ZERO,
             avoided_until: Timestamp::ZERO,
@@ -105,8 +111,14 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<Arc<Target>> {
-        let open = targets.iter().filter(|target| !target.announcement.draining && !tried.contains(&target.id));
-        let costed = open.map(|target| {
+        let is_open = |target: &&Arc<Target>| !target.announcement.draining && !tried.contains(&target.id);
+        // Of a large service some targets are looked at, beginning at a random place; of a small one all.
+        let begin = random.gen_range(0..targets.len().max(1));
+        let (before, from) = targets.split_at(begin.min(targets.len()));
+        let open = from.iter().chain(before).filter(is_open);
+        let near = open.clone().filter(|target| *target.announcement.zone == *zone).take(LOOKED_AT);
+        let far = open.filter(|target| *target.announcement.zone != *zone).take(LOOKED_AT);
+        let costed = near.chain(far).map(|target| {
             let avoided = self.views.get(&target.id).is_some_and(|view| view.avoided_until > now);
             (avoided, self.cost(target, zone, now) * random.gen_range(1.0..1.0 + VARIATION), target)
         });
@@ -116,7 +128,7 @@
 
     fn cost(&self, target: &Target, zone: &str, now: Timestamp) -> f64 {
         let view = self.views.get(&target.id);
-        let speed = view.map_or(1.0, |view| remembered_speed(view, now));
+        let speed = view.map_or(UNKNOWN_SPEED, |view| remembered_speed(view, now));
         let cold = if target.cold_until > now { COLD_FACTOR } else { 1.0 };
         let utilization = view.map_or(0.0, |view| utilization(view, target.announcement.slots, now));
         let busy = BUSY_COST * ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).max(0.0);
@@ -142,7 +154,8 @@
         let mean = self.route_times.entry(route.clone()).or_default().add(took);
         let ratio = (took / mean.max(1e-6)).clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
         let view = self.views.entry(target.clone()).or_default();
-        view.speed = remembered_speed(view, now);
+        view.speed = if view.answers == 0 { ratio } else { remembered_speed(view, now) };
+        view.answers = view.answers.saturating_add(1);
         view.speed += SPEED_GAIN * (ratio - view.speed);
         view.speed_at = now;
         view.failures = 0;
@@ -197,6 +210,9 @@
 }
 
 fn remembered_speed(view: &TargetView, now: Timestamp) -> f64 {
+    if view.answers == 0 {
+        return UNKNOWN_SPEED;
+    }
     let age = now.since(view.speed_at).as_secs_f64() / SPEED_MEMORY.as_secs_f64();
     1.0 + (view.speed - 1.0) * 0.5_f64.powf(age)
 }
--- a/crates/mesh/tests/decisions.rs
+++ b/crates/mesh/tests/decisions.rs
@@ -359,3 +359,18 @@
     parents.told(&inner, false);
     assert_eq!(parents.origin(&inner, milliseconds(700)), Origin::Caller);
 }
+
+#[test]
+fn of_a_large_service_all_targets_are_used() {
+    let mut random = Pcg64::seed_from_u64(4);
+    let targets: Vec<_> = (0..500).map(|number| target(&format!("t{number}"), "here")).collect();
+    let balance = Balance::default();
+    let mut chosen: HashMap<Arc<str>, u32> = HashMap::new();
+    for _ in 0..20_000 {
+        let target = balance.choose(&targets, &[], "here", Timestamp::ZERO, &mut random).expect("a target");
+        *chosen.entry(target.id.clone()).or_default() += 1;
+    }
+    assert_eq!(chosen.len(), 500);
+    assert!(chosen.values().all(|count| *count < 120), "40 each on the mean");
+    assert!(balance.choose(&[], &[], "here", Timestamp::ZERO, &mut random).is_none());
+}
--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -112,6 +112,18 @@
         split.found = split.found.saturating_sub(count);
     }
 
+    /// Whether the beginning of a request lies here that hyper does not get before its head is whole.
+    pub fn has_begun_request(&self) -> bool {
+        let split = self.0.split.borrow();
+        !split.is_off && self.0.ahead.borrow().len() > split.found
+    }
+
+    /// Writes bytes if the connection takes them at once; hyper must have nothing to write.
+    pub fn write_late(&self, bytes: &[u8]) {
+        // A caller that takes nothing gets nothing.
+        let _ = self.0.stream.borrow().try_write(bytes);
+    }
+
     /// When bytes arrived last.
     pub fn last_read(&self) -> Instant {
         self.0.last_read.get()
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -17,6 +17,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
+use quillhatch_mesh::configuration::CallerLimits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -30,7 +31,11 @@
 /// How long to wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often a connection looks whether it has rested too long.
-const REST_CHECK: Duration = Duration::from_secs(5);
+const REST_CHECK: Duration = Duration::from_secs(2);
+/// Room for a head beyond its bound, so that the answer to it is this node's own.
+const HEAD_ROOM: usize = 4;
+/// The answer to a request whose head does not come.
+const REQUEST_TIMEOUT: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// How long a closed connection waits for its peer to close too.
 const LINGER: Duration = Duration::from_millis(500);
@@ -93,10 +98,8 @@
 /// What a listener needs to know of its connections.
 #[derive(Clone)]
 pub struct Connections {
-    /// The largest head of a request in bytes.
-    pub head_bytes: usize,
-    /// How long a connection may rest between requests.
-    pub rest: Duration,
+    /// The bounds in force on what a caller sends and how long it takes.
+    pub limits: Rc<dyn Fn() -> CallerLimits>,
     /// Turns true when connections are to end after their current request.
     pub ending: watch::Receiver<bool>,
     /// The number of open connections.
@@ -183,7 +186,10 @@
     let mut builder = http1::Builder::new();
     // Without flushes put off for requests that wait behind: with them hyper closes after `Connection: close` without
     // having written that answer.
-    builder.auto_date_header(false).pipeline_flush(false).max_buf_size(connections.head_bytes.max(8192) + 8192);
+    builder
+        .auto_date_header(false)
+        .pipeline_flush(false)
+        .max_buf_size((connections.limits)().header_bytes.max(8192) * HEAD_ROOM);
     let mut connection = pin!(builder.serve_connection(io, service));
     let mut ending = connections.ending.clone();
     let mut is_ending = false;
@@ -205,8 +211,13 @@
                 connection.as_mut().graceful_shutdown();
             }
             () = &mut rest_check => {
+                let limits = (connections.limits)();
                 let rested = Instant::now().duration_since(watched.last_read());
-                if active.get() == 0 && rested > connections.rest {
+                if active.get() == 0 && watched.has_begun_request() && rested > limits.header_timeout {
+                    watched.write_late(REQUEST_TIMEOUT);
+                    break;
+                }
+                if active.get() == 0 && rested > limits.idle_timeout {
                     connection.as_mut().graceful_shutdown();
                 }
                 rest_check.as_mut().reset(tokio::time::Instant::now() + REST_CHECK);
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -29,7 +29,7 @@
 /// The platform asks once a second whether the node is ready, and two misses lead callers away.
 const LEAD_AWAY: Duration = Duration::from_millis(2200);
 /// The part of the grace that is left unused at its end.
-const GRACE_LEFT: Duration = Duration::from_millis(500);
+const GRACE_LEFT: Duration = Duration::from_millis(800);
 /// The part of the grace that is kept for the calls at the target.
 const GATE_TIME: Duration = Duration::from_millis(2200);
 /// How long connections get to write their last answers.
@@ -42,10 +42,13 @@
 const STOP_CHECK: Duration = Duration::from_millis(50);
 /// How often unused connections are looked through.
 const SWEEP: Duration = Duration::from_secs(2);
-/// The longest time that other nodes' connections may rest.
-const PEER_REST: Duration = Duration::from_secs(60);
-/// The largest head between nodes in bytes.
-const PEER_HEAD_BYTES: usize = 128 * 1024;
+/// The bounds on other nodes. They keep connections for 20 s, so none is closed while it may still be used.
+const PEER_LIMITS: CallerLimits = CallerLimits {
+    header_bytes: 128 * 1024,
+    body_bytes: u64::MAX,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(60),
+};
 
 /// Why a sidecar does not start.
 #[derive(Debug, Display)]
@@ -142,18 +145,16 @@
     let (end_connections, ending) = watch::channel(false);
     let open = Rc::new(Cell::new(0));
     let leading_away: Rc<Cell<bool>> = Rc::default();
-    let limits = CallerLimits::default();
+    let for_limits = Rc::clone(&node);
     let callers = Connections {
-        head_bytes: limits.header_bytes * 4,
-        rest: limits.idle_timeout,
+        limits: Rc::new(move || for_limits.current_configuration().map(|in_force| in_force.limits).unwrap_or_default()),
         ending,
         open: Rc::clone(&open),
         leading_away: Rc::clone(&leading_away),
         begins_early: true,
     };
     let peers = Connections {
-        head_bytes: PEER_HEAD_BYTES,
-        rest: PEER_REST,
+        limits: Rc::new(|| PEER_LIMITS),
         leading_away: Rc::default(),
         begins_early: false,
         ..callers.clone()
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -314,3 +314,51 @@
         drop(alpha);
     });
 }
+
+#[test_case(200; "short")]
+#[test_case(90_000; "longer than what is kept")]
+fn bodies_of_requests_come_whole(length: usize) {
+    run(async move {
+        let (_store, alpha, beta) = two_machines().await;
+        let body = "y".repeat(length);
+        let whole = request("POST", HOST, "/pay/", "one", 5000, &body);
+        assert_eq!(call(beta.outbound(), &whole).await.expect("an answer").status, 200);
+        let (half, rest) = body.split_at(length / 2);
+        let chunked = request("POST", HOST, "/pay/", "two", 5000, "")
+            .replace("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
+        let answer = call(beta.outbound(), &(chunked + &chunks)).await.expect("an answer");
+        let ran = alpha.target.ran();
+        assert!(ran[0].body == body.as_bytes(), "{} of {length} bytes", ran[0].body.len());
+        if length < 64 * 1024 {
+            assert_eq!(answer.status, 200);
+            assert!(ran[1].body == body.as_bytes(), "{} of {length} bytes", ran[1].body.len());
+        }
+    });
+}
+
+#[test]
+fn a_head_that_does_not_come_is_a_408() {
+    run(async {
+        let (_store, alpha, beta) = two_machines().await;
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send("GET /read/x HTTP/1.1\r\nHost: ").await;
+        let answer = caller.answer().await.expect("an answer");
+        assert_eq!((answer.status, answer.header("connection")), (408, "close"));
+        assert_eq!(caller.answer().await, None);
+        assert_eq!(alpha.target.arrivals(), 0);
+    });
+}
+
+#[test]
+fn a_resting_connection_is_kept_for_the_configured_time() {
+    run(async {
+        let (_store, _alpha, beta) = two_machines().await;
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&read("one")).await;
+        caller.answer().await.expect("an answer");
+        sleep(Duration::from_secs(5)).await;
+        caller.send(&read("two")).await;
+        assert_eq!(caller.answer().await.expect("an answer").status, 200);
+    });
+}
