--- a/crates/mesh/src/pressure.rs
+++ b/crates/mesh/src/pressure.rs
@@ -100,6 +100,11 @@
         1.0 - (1.0 - level) * 0.5_f64.powf(age)
     }
 
+    /// How long ago the level of a route was told last.
+    pub fn age(&self, route: &str, now: Timestamp) -> Option<Duration> {
+        self.levels.get(route).map(|(_, reported)| now.since(*reported))
+    }
+
     /// The least level among `routes`.
     pub fn least<'a>(&self, routes: impl Iterator<Item = &'a Arc<str>>, now: Timestamp) -> f64 {
         routes.map(|route| self.level(route, now)).fold(1.0, f64::min)
--- /dev/null
+++ b/crates/sidecar/src/edge/answers.rs
@@ -0,0 +1,62 @@
+//! Answers of the node itself.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use quillhatch_platform::headers;
+use quillhatch_types::Timestamp;
+use rand::Rng;
+
+use super::Call;
+use crate::body::Body;
+use crate::node::Node;
+
+/// When a caller whose call has not run is told to come back; drawn between these.
+const COME_BACK: std::ops::Range<Duration> = Duration::from_millis(200)..Duration::from_millis(600);
+
+/// The final answer to a call that no target has answered.
+pub(super) fn give_up(node: &Node, call: &Call, may_have_run: bool, why: &'static str, tried: usize) -> Response<Body> {
+    let now = node.now();
+    let version = node.configuration.borrow().version();
+    node.log_failure(|| {
+        format!(
+            "\"event\":\"given-up\",\"id\":{:?},\"route\":\"{}\",\"why\":\"{why}\",\"may_have_run\":{may_have_run},\"tried\":{tried},\"ms\":{},\"version\":{version}",
+            call.id, call.route.name, now.since(call.arrived).as_millis()
+        )
+    });
+    if !may_have_run {
+        let pause = node.random.borrow_mut().gen_range(COME_BACK);
+        return refuse(node, &call.id, why, pause, call.arrived);
+    }
+    let status = if why == "late" { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+    own_answer(node, &call.id, status, why, call.arrived)
+}
+
+/// Tells the caller that the call has not run, and when to come back.
+pub(super) fn refuse(node: &Node, id: &str, why: &'static str, pause: Duration, arrived: Timestamp) -> Response<Body> {
+    let mut response = own_answer(node, id, StatusCode::SERVICE_UNAVAILABLE, why, arrived);
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64())) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+/// An answer without a body.
+pub(super) fn own_answer(
+    node: &Node,
+    id: &str,
+    status: StatusCode,
+    why: &'static str,
+    arrived: Timestamp,
+) -> Response<Body> {
+    node.counters.edge_ended(why, node.now().since(arrived));
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    if let Ok(value) = HeaderValue::from_str(id) {
+        if !id.is_empty() {
+            response.headers_mut().insert(headers::REQUEST_ID, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -0,0 +1,211 @@
+//! One attempt of a call at one target.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response};
+use quillhatch_mesh::configuration::Repeatability;
+use quillhatch_mesh::targets::{Target, TargetId};
+use quillhatch_platform::headers;
+use quillhatch_types::Timestamp;
+
+use super::Call;
+use crate::body::Body;
+use crate::hop::{Forwarded, Outcome, Report, HOP};
+use crate::node::Node;
+use crate::pool::{ExchangeError, Lease};
+use crate::presence;
+use crate::relay::relay_answer;
+use crate::views;
+
+/// How long a target's own answer at the deadline is waited for.
+const DEADLINE_ALLOWANCE: Duration = Duration::from_millis(40);
+/// The part of its time that a call made by a target may wait at a gate.
+const INNER_PATIENCE_PART: f64 = 0.6;
+/// The part of its objective for which a call may go without being offered to a target.
+pub(super) const UNOFFERED_PART: f64 = 0.22;
+
+/// How one attempt ended.
+pub(super) enum Attempt {
+    /// The target's answer.
+    Answer(Box<Response<Body>>),
+    /// It has not run: the gate has no room.
+    Full,
+    /// It has not run for another reason, and no target has seen it.
+    NotRun(&'static str),
+    /// It has not run, since another target has followed the one that was meant; that one is listed now.
+    Followed,
+    /// It has not run, but a target has seen and refused it.
+    Rejected,
+    /// It may have run, and there is no answer.
+    Broken(String),
+    /// Its time is over.
+    Late,
+}
+
+struct InFlight<'a> {
+    node: &'a Node,
+    target: &'a TargetId,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.node.balance.borrow_mut().ended(self.target);
+    }
+}
+
+/// Sends a call to a target and waits for what becomes of it.
+pub(super) async fn attempt(node: &Rc<Node>, call: &Call, target: &Target, body: Body) -> Attempt {
+    let begun = node.now();
+    let left = begun.until(call.deadline);
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    let patience = if call.is_inner {
+        left.mul_f64(INNER_PATIENCE_PART)
+    } else {
+        begun.until(call.arrived + call.route.objective.mul_f64(UNOFFERED_PART)).min(left)
+    };
+    let forwarded =
+        Forwarded { is_root: !call.is_inner, lineage: call.lineage.clone(), patience, reach: views::own_reach(node) };
+    let added = [
+        (HOP, forwarded.encode()),
+        (headers::DEADLINE_MS, left.as_millis().to_string()),
+        (headers::EXPECT_INSTANCE, target.id.to_string()),
+    ];
+    for (name, value) in added {
+        let Ok(value) = HeaderValue::from_str(&value) else { return Attempt::NotRun("unfit header") };
+        request.headers_mut().insert(name, value);
+    }
+    let address = SocketAddr::new(target.announcement.address.ip(), node.settings.inbound.port());
+    node.balance.borrow_mut().sent(&target.id);
+    let in_flight = InFlight { node, target: &target.id };
+    let exchange = node.peers.exchange(address, request);
+    let (response, lease) = match exchange_while_present(node, call, target, begun, exchange).await {
+        Exchanged::Late => return Attempt::Late,
+        Exchanged::Silent => return Attempt::Broken("the node is silent".to_owned()),
+        Exchanged::Failed(ExchangeError::NotSent(_)) => return Attempt::NotRun("unreachable"),
+        Exchanged::Failed(ExchangeError::NoAnswer(why)) => return Attempt::Broken(why),
+        Exchanged::Answered(response, lease) => (*response, lease),
+    };
+    let report = response.headers().get(HOP).and_then(|value| value.to_str().ok()).and_then(Report::decode);
+    let Some(report) = report else { return Attempt::Broken("an answer without a report".to_owned()) };
+    let now = node.now();
+    node.balance.borrow_mut().reported(&target.id, report.load, now);
+    if matches!(report.outcome, Outcome::Answered | Outcome::Full) {
+        node.levels.borrow_mut().report(&call.route.name, report.level, now);
+    }
+    node.parents.borrow_mut().told(&call.route.name, report.is_called_by_targets);
+    if report.version > node.heard_version.get().max(node.configuration.borrow().version()) {
+        node.heard_version.set(report.version);
+        node.behind.notify_one();
+    }
+    views::hand_over_if_needed(node, target.announcement.address.ip(), report.reach);
+    let follows = report.present.as_ref().is_some_and(|present| {
+        let mut targets = node.targets.borrow_mut();
+        targets.succeed(&target.id, Arc::from(present.id.as_str()), &present.service, now);
+        targets.get(&present.id).is_some()
+    });
+    match report.outcome {
+        Outcome::Answered => {
+            if response.status().is_success() {
+                node.balance.borrow_mut().answered(&target.id, &call.route.name, now.since(begun), now);
+            }
+            drop(in_flight);
+            relay(response, lease).await
+        }
+        Outcome::Full => {
+            finish(response, lease).await;
+            Attempt::Full
+        }
+        Outcome::Closed if follows => {
+            finish(response, lease).await;
+            Attempt::Followed
+        }
+        Outcome::Closed => {
+            finish(response, lease).await;
+            Attempt::NotRun("closed")
+        }
+        Outcome::Rejected => {
+            finish(response, lease).await;
+            Attempt::Rejected
+        }
+        Outcome::Broken => {
+            finish(response, lease).await;
+            Attempt::Broken("broken at the target".to_owned())
+        }
+        Outcome::Late => {
+            finish(response, lease).await;
+            Attempt::Late
+        }
+    }
+}
+
+enum Exchanged {
+    Answered(Box<Response<Incoming>>, Lease),
+    Failed(ExchangeError),
+    /// The call's time is over.
+    Late,
+    /// The node is not there; only told of calls that may be repeated.
+    Silent,
+}
+
+impl From<Result<(Response<Incoming>, Lease), ExchangeError>> for Exchanged {
+    fn from(result: Result<(Response<Incoming>, Lease), ExchangeError>) -> Self {
+        match result {
+            Ok((response, lease)) => Exchanged::Answered(Box::new(response), lease),
+            Err(error) => Exchanged::Failed(error),
+        }
+    }
+}
+
+/// Waits for an exchange until the call's deadline, or until its node turns out not to be there.
+async fn exchange_while_present(
+    node: &Rc<Node>,
+    call: &Call,
+    target: &Target,
+    begun: Timestamp,
+    exchange: impl Future<Output = Result<(Response<Incoming>, Lease), ExchangeError>>,
+) -> Exchanged {
+    let mut exchange = pin!(exchange);
+    let until_end = |node: &Node| node.now().until(call.deadline) + DEADLINE_ALLOWANCE;
+    let suspicion = node.balance.borrow().suspicion_after(&call.route.name);
+    if suspicion < until_end(node) && call.route.repeatability == Repeatability::Repeatable {
+        if let Ok(result) = tokio::time::timeout(suspicion, &mut exchange).await {
+            return result.into();
+        }
+        tokio::select! {
+            biased;
+            result = &mut exchange => return result.into(),
+            is_there = presence::is_there(node, target, begun) => if !is_there { return Exchanged::Silent },
+        }
+    }
+    match tokio::time::timeout(until_end(node), exchange).await {
+        Ok(result) => result.into(),
+        Err(_) => Exchanged::Late,
+    }
+}
+
+async fn finish(response: Response<Incoming>, lease: Lease) {
+    if response.into_body().collect().await.is_ok() {
+        lease.keep();
+    }
+}
+
+async fn relay(response: Response<Incoming>, lease: Lease) -> Attempt {
+    match relay_answer(response, lease).await {
+        Ok(mut response) => {
+            response.headers_mut().remove(HOP);
+            Attempt::Answer(Box::new(response))
+        }
+        Err(why) => Attempt::Broken(why),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/edge/entry.rs
@@ -0,0 +1,101 @@
+//! Who makes a call, and whether it may enter the graph.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::body::{Body as _, Incoming};
+use hyper::http::request::Parts;
+use hyper::StatusCode;
+use quillhatch_mesh::admission::{admission_probability, Entrant};
+use quillhatch_mesh::configuration::{Configuration, Route};
+use quillhatch_mesh::parents::{Lineage, Origin};
+use quillhatch_platform::headers;
+use quillhatch_types::Timestamp;
+use rand::Rng;
+
+use crate::node::Node;
+
+/// The share of the longest deadline of a route below which a caller is taken to ask again.
+const REPEAT_BELOW: f64 = 0.97;
+
+/// Who makes a call; a call of this node's target is noted in the graph of calls.
+pub(super) fn origin(node: &Node, route: &Route, peer: SocketAddr, given: Option<Duration>, now: Timestamp) -> Origin {
+    if peer.ip() != node.settings.local_target.ip() {
+        return Origin::Caller;
+    }
+    let Some(given) = given else { return Origin::Caller };
+    let origin = node.parents.borrow_mut().origin(&route.name, now + given);
+    match &origin {
+        Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, Some(parent), now),
+        Origin::Target => node.graph.borrow_mut().called(&route.name, None, now),
+        Origin::Caller => {}
+    }
+    origin
+}
+
+/// The importance and the position of the call that entered the graph, for a call of this origin.
+pub(super) fn lineage_of(node: &Node, route: &Route, origin: &Origin, id: &str) -> Lineage {
+    match origin {
+        Origin::Parent(_, lineage) => lineage.clone(),
+        Origin::Target => Lineage { priority: likely_priority(node, route), position: position(id) },
+        Origin::Caller => Lineage { priority: route.priority, position: position(id) },
+    }
+}
+
+/// The importance that a call of this node's target inherits where its parent is not known for sure.
+fn likely_priority(node: &Node, route: &Route) -> u8 {
+    let graph = node.graph.borrow();
+    let inherited = graph.likely_parent(&route.name).and_then(|parent| node.parents.borrow().priority_of(parent));
+    inherited.unwrap_or(route.priority)
+}
+
+/// The position of a call that enters the graph, drawn from its identity.
+fn position(id: &str) -> u8 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish() as u8
+}
+
+/// The level that refused a call which enters the graph here, if it is refused.
+pub(super) fn refused_at_entry(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    lineage: &Lineage,
+    given: Option<Duration>,
+    now: Timestamp,
+) -> Option<f64> {
+    let is_repeat = given.is_some_and(|given| {
+        let mut longest = node.longest_deadlines.borrow_mut();
+        let longest = longest.entry(route.name.clone()).or_default();
+        *longest = given.max(*longest);
+        given < longest.mul_f64(REPEAT_BELOW)
+    });
+    let level = node.levels.borrow().level(&route.name, now);
+    if level >= 0.999 {
+        return None;
+    }
+    let unimportance = f64::from(route.priority) / f64::from(configuration.least_priority().max(1));
+    let probability = admission_probability(Entrant { level, unimportance, is_repeat });
+    (f64::from(lineage.position) / 256.0 >= probability).then_some(level)
+}
+
+/// When a caller that was refused at entry is told to come back.
+pub(super) fn entry_retry_after(node: &Node) -> Duration {
+    node.random.borrow_mut().gen_range(Duration::from_millis(600)..Duration::from_millis(1400))
+}
+
+/// The status with which a request is refused that no target should see.
+pub(super) fn malformed(configuration: &Configuration, parts: &Parts, body: Option<&Incoming>) -> Option<StatusCode> {
+    let limits = &configuration.limits;
+    let head: usize = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if head + parts.uri.path().len() > limits.header_bytes {
+        return Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
+    let length = body.and_then(|body| body.size_hint().exact());
+    if length.is_some_and(|length| length > limits.body_bytes) {
+        return Some(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    (!parts.headers.contains_key(headers::REQUEST_ID)).then_some(StatusCode::BAD_REQUEST)
+}
--- /dev/null
+++ b/crates/sidecar/src/edge/mod.rs
@@ -0,0 +1,134 @@
+//! The edge: takes a call from a caller or from this node's own target and brings back an answer.
+
+mod answers;
+mod attempt;
+mod entry;
+mod run;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HeaderMap, HeaderValue, HOST};
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
+use quillhatch_mesh::configuration::Route;
+use quillhatch_mesh::parents::{Lineage, Origin};
+use quillhatch_mesh::routing::find_route;
+use quillhatch_platform::headers;
+use quillhatch_types::Timestamp;
+
+use crate::body::{read_up_to, Body, Read};
+use crate::headers::{remove_connection_headers, text};
+use crate::hop::HOP;
+use crate::node::Node;
+use answers::{own_answer, refuse};
+use entry::{entry_retry_after, lineage_of, malformed, origin, refused_at_entry};
+
+/// The largest request that is kept to be sent again, in bytes.
+const KEPT_REQUEST_BYTES: usize = 64 * 1024;
+/// When a caller that comes before the first configuration is told to come back.
+const NO_CONFIGURATION_PAUSE: Duration = Duration::from_millis(300);
+
+/// A call on its way.
+pub(super) struct Call {
+    pub(super) id: String,
+    pub(super) route: Arc<Route>,
+    pub(super) method: Method,
+    pub(super) uri: hyper::Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) is_inner: bool,
+    pub(super) lineage: Lineage,
+    pub(super) arrived: Timestamp,
+    pub(super) deadline: Timestamp,
+}
+
+/// Counts a call while it is served.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(counter: &'a Cell<usize>) -> Self {
+        counter.set(counter.get() + 1);
+        Counted(counter)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Serves one request.
+pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
+    let _counted = Counted::new(&node.edge_calls);
+    answer(&node, parts, body, peer).await
+}
+
+async fn answer(node: &Rc<Node>, parts: Parts, incoming: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
+    let arrived = node.now();
+    let id = text(&parts.headers, headers::REQUEST_ID).unwrap_or_default().to_owned();
+    let Some(configuration) = node.current_configuration() else {
+        return refuse(node, &id, "no-configuration", NO_CONFIGURATION_PAUSE, arrived);
+    };
+    let authority = match parts.uri.authority() {
+        Some(authority) => authority.as_str().to_owned(),
+        None => text(&parts.headers, HOST.as_str()).unwrap_or_default().to_owned(),
+    };
+    let Some(route) = find_route(&configuration, &authority, parts.uri.path()).cloned() else {
+        let version = configuration.version;
+        node.log_failure(|| {
+            format!("\"event\":\"no-route\",\"id\":{id:?},\"host\":{authority:?},\"version\":{version}")
+        });
+        return own_answer(node, &id, StatusCode::NOT_FOUND, "no-route", arrived);
+    };
+    if let Some(status) = malformed(&configuration, &parts, incoming.as_ref()) {
+        node.log_failure(|| format!("\"event\":\"malformed\",\"id\":{id:?},\"status\":{}", status.as_u16()));
+        return own_answer(node, &id, status, "malformed", arrived);
+    }
+    let given =
+        text(&parts.headers, headers::DEADLINE_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let time = given.map_or(route.timeout, |given| given.min(route.timeout));
+    let origin = origin(node, &route, peer, given, arrived);
+    let lineage = lineage_of(node, &route, &origin, &id);
+    let is_inner = origin != Origin::Caller;
+    if !is_inner {
+        if let Some(level) = refused_at_entry(node, &configuration, &route, &lineage, given, arrived) {
+            let version = configuration.version;
+            node.log_failure(|| {
+                let name = &route.name;
+                let age = node.levels.borrow().age(name, arrived).unwrap_or_default().as_millis();
+                let position = lineage.position;
+                format!(
+                    "\"event\":\"refused\",\"id\":{id:?},\"route\":\"{name}\",\"level\":{level:.3},\"level_age_ms\":{age},\"position\":{position},\"version\":{version}"
+                )
+            });
+            return refuse(node, &id, "shed", entry_retry_after(node), arrived);
+        }
+    }
+    let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
+        None => Body::empty(),
+        Some(incoming) => match read_up_to(incoming, KEPT_REQUEST_BYTES).await {
+            Ok(Read::Whole(bytes)) if bytes.len() as u64 > configuration.limits.body_bytes => {
+                return own_answer(node, &id, StatusCode::PAYLOAD_TOO_LARGE, "too-large", arrived);
+            }
+            Ok(read) => read.into_body(),
+            Err(_) => return own_answer(node, &id, StatusCode::BAD_REQUEST, "body-broke-off", arrived),
+        },
+    };
+    let mut headers = parts.headers;
+    remove_connection_headers(&mut headers);
+    for name in [HOP, headers::DEADLINE_MS, headers::EXPECT_INSTANCE, headers::CALLER_SERVICE] {
+        headers.remove(name);
+    }
+    if let Ok(service) = HeaderValue::from_str(&node.settings.service) {
+        headers.insert(headers::CALLER_SERVICE, service);
+    }
+    let deadline = arrived + time;
+    let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, arrived, deadline };
+    let _root = (!is_inner).then(|| Counted::new(&node.root_calls));
+    run::run(node, call, body).await
+}
--- /dev/null
+++ b/crates/sidecar/src/gate/mod.rs
@@ -0,0 +1,221 @@
+//! The gate: takes calls of other nodes for this node's target, and hands over what the target can work on.
+
+mod slots;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{HeaderValue, CONTENT_ENCODING};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
+use quillhatch_mesh::gate::Refusal;
+use quillhatch_mesh::parents::Lineage;
+use quillhatch_mesh::routing::find_route;
+use quillhatch_platform::headers;
+use quillhatch_types::Timestamp;
+
+use crate::body::{read_up_to, Body};
+use crate::headers::{remove_connection_headers, text};
+use crate::hop::{Forwarded, Outcome, Report, HOP};
+use crate::node::Node;
+use crate::pool::ExchangeError;
+use crate::presence::PRESENCE_PATH;
+use crate::present_target;
+use crate::relay::{relay_answer, relay_answer_holding};
+use crate::views::{self, VIEW_PATH};
+use slots::admit;
+pub use slots::{dismiss, hand_out, Slot};
+
+/// The largest request that is read whole before it is handed over, in bytes.
+const KEPT_REQUEST_BYTES: usize = 64 * 1024;
+/// How long a target's own answer at the deadline is waited for.
+const DEADLINE_ALLOWANCE: Duration = Duration::from_millis(20);
+/// The least time left with which a call goes to the target.
+const SHORTEST_TIME: Duration = Duration::from_millis(3);
+
+/// A call of another node.
+struct Call {
+    id: Option<HeaderValue>,
+    expected: String,
+    route: Option<Arc<str>>,
+    deadline: Timestamp,
+}
+
+/// Serves one request of another node.
+pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
+    if parts.uri.path() == VIEW_PATH && !parts.headers.contains_key(HOP) {
+        return views::receive(&node, body).await;
+    }
+    if parts.uri.path() == PRESENCE_PATH && !parts.headers.contains_key(HOP) {
+        return Response::new(Body::empty());
+    }
+    let arrived = node.now();
+    let headers = &parts.headers;
+    let forwarded = text(headers, HOP).and_then(Forwarded::decode);
+    let time = text(headers, headers::DEADLINE_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let (Some(forwarded), Some(time)) = (forwarded, time) else {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        return response;
+    };
+    views::hand_over_if_needed(&node, peer.ip(), forwarded.reach);
+    let call = Call {
+        id: headers.get(headers::REQUEST_ID).cloned(),
+        expected: text(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
+        route: route_name(&node, &parts),
+        deadline: arrived + time,
+    };
+    if let (Some(route), Some(caller)) = (&call.route, text(headers, headers::CALLER_SERVICE)) {
+        node.callers.borrow_mut().count(route, caller);
+    }
+    let outcome = match admit(&node, &call, &forwarded, arrived).await {
+        Ok(slot) => run(&node, &call, parts, body, slot, forwarded.lineage).await,
+        Err(refusal) => Err((outcome_of(refusal), "not admitted".to_owned())),
+    };
+    match outcome {
+        Ok(mut response) => {
+            node.counters.gate_ended("answered");
+            report(&node, &call, Outcome::Answered, &mut response);
+            response
+        }
+        Err((outcome, why)) => {
+            node.counters.gate_ended(outcome.name());
+            log_failure(&node, &call, outcome, &why, arrived);
+            let mut response = Response::new(Body::empty());
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            report(&node, &call, outcome, &mut response);
+            response
+        }
+    }
+}
+
+fn route_name(node: &Node, parts: &Parts) -> Option<Arc<str>> {
+    let configuration = node.current_configuration()?;
+    let authority = text(&parts.headers, "host").unwrap_or_default();
+    find_route(&configuration, authority, parts.uri.path()).map(|route| route.name.clone())
+}
+
+fn outcome_of(refusal: Refusal) -> Outcome {
+    match refusal {
+        Refusal::Full => Outcome::Full,
+        Refusal::Closed => Outcome::Closed,
+    }
+}
+
+fn log_failure(node: &Node, call: &Call, outcome: Outcome, why: &str, arrived: Timestamp) {
+    node.log_failure(|| {
+        let load = node.gate.borrow().load();
+        let id = call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        format!(
+            "\"event\":\"gate\",\"id\":{id:?},\"outcome\":\"{}\",\"why\":{why:?},\"expected\":\"{}\",\"running\":{},\"limit\":{},\"waiting\":{},\"ms\":{}",
+            outcome.name(), call.expected, load.running, load.limit, load.waiting, node.now().since(arrived).as_millis()
+        )
+    });
+}
+
+fn report(node: &Node, call: &Call, outcome: Outcome, response: &mut Response<Body>) {
+    let now = node.now();
+    let load = node.gate.borrow().load();
+    let own = {
+        let mut pressure = node.pressure.borrow_mut();
+        pressure.observe(load, now);
+        pressure.level()
+    };
+    let called = call.route.as_ref().map_or(1.0, |route| {
+        let graph = node.graph.borrow();
+        let level = node.levels.borrow().least(graph.called_by(route), now);
+        level
+    });
+    let version = node.configuration.borrow().version();
+    let present = match outcome {
+        Outcome::Closed | Outcome::Rejected => {
+            present_target::present(node).filter(|present| present.id != call.expected)
+        }
+        _ => None,
+    };
+    let services = node.current_configuration().map_or(0, |configuration| configuration.services.len());
+    let is_called_by_targets =
+        call.route.as_ref().is_some_and(|route| node.callers.borrow().is_called_by_targets(route, services));
+    let report = Report {
+        outcome,
+        load,
+        level: own.min(called),
+        is_called_by_targets,
+        version,
+        reach: views::own_reach(node),
+        present,
+    };
+    if let Ok(value) = HeaderValue::from_str(&report.encode()) {
+        response.headers_mut().insert(HOP, value);
+    }
+}
+
+type Failure = (Outcome, String);
+
+async fn run(
+    node: &Rc<Node>,
+    call: &Call,
+    mut parts: Parts,
+    body: Option<Incoming>,
+    mut slot: Slot,
+    lineage: Lineage,
+) -> Result<Response<Body>, Failure> {
+    let left = node.now().until(call.deadline);
+    if left < SHORTEST_TIME {
+        return Err((Outcome::Full, "no time left".to_owned()));
+    }
+    remove_connection_headers(&mut parts.headers);
+    parts.headers.remove(HOP);
+    if let Ok(value) = HeaderValue::from_str(&left.as_millis().to_string()) {
+        parts.headers.insert(headers::DEADLINE_MS, value);
+    }
+    let body = match body.filter(|body| !body.is_end_stream()) {
+        None => Body::empty(),
+        Some(incoming) => match read_up_to(incoming, KEPT_REQUEST_BYTES).await {
+            Ok(read) => read.into_body(),
+            Err(error) => return Err((Outcome::Closed, error.to_string())),
+        },
+    };
+    let request = Request::from_parts(parts, body);
+    let told = Duration::from_millis(left.as_millis() as u64);
+    slot.begin(node.now() + told, lineage);
+    let exchange = node.target.exchange(node.settings.local_target, request);
+    let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, exchange).await;
+    let (response, lease) = match exchange {
+        Err(_) => return Err((Outcome::Late, "no answer in time".to_owned())),
+        Ok(Err(ExchangeError::NotSent(why))) => {
+            present_target::out_of_reach(node);
+            return Err((Outcome::Closed, why));
+        }
+        Ok(Err(ExchangeError::NoAnswer(why))) => return Err((Outcome::Broken, why)),
+        Ok(Ok(answered)) => answered,
+    };
+    let is_own = response.headers().get(headers::REQUEST_ID) == call.id.as_ref();
+    if !is_own {
+        return Err((Outcome::Broken, "an answer to another request".to_owned()));
+    }
+    if response.status() == StatusCode::MISDIRECTED_REQUEST || response.headers().contains_key(headers::REQUEST_NOT_RUN)
+    {
+        let status = response.status();
+        if let Some(id) = text(response.headers(), headers::INSTANCE_ID) {
+            present_target::learn(node, id);
+        }
+        let _ = relay_answer(response, lease).await;
+        return Err((Outcome::Rejected, format!("the target said {status}")));
+    }
+    let is_signed = response.headers().contains_key(headers::SERVER_STAMP);
+    if response.status().is_success() && (!is_signed || response.headers().contains_key(CONTENT_ENCODING)) {
+        return Err((Outcome::Broken, "an answer without the target's signature".to_owned()));
+    }
+    let relayed = tokio::time::timeout(
+        node.now().until(call.deadline) + DEADLINE_ALLOWANCE,
+        relay_answer_holding(response, lease, Some(slot)),
+    );
+    match relayed.await {
+        Ok(relayed) => relayed.map_err(|why| (Outcome::Broken, why)),
+        Err(_) => Err((Outcome::Late, "the answer did not end in time".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/relay.rs
@@ -0,0 +1,107 @@
+//! Passes answers on: short ones whole, long ones as they arrive.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::CONTENT_LENGTH;
+use hyper::Response;
+
+use crate::body::{read_up_to, Body, BodyError, Continued, Read};
+use crate::gate::Slot;
+use crate::headers::remove_connection_headers;
+use crate::pool::Lease;
+
+/// The largest answer that is read whole before any of it is passed on, in bytes.
+const KEPT_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Passes an answer on: whole if it is short, else as it arrives. The connection is kept after a whole answer.
+///
+/// # Errors
+///
+/// Returns why a short answer broke off.
+pub async fn relay_answer(response: Response<Incoming>, lease: Lease) -> Result<Response<Body>, String> {
+    relay_answer_holding(response, lease, None).await
+}
+
+/// As [`relay_answer`], with a slot that is given back when the answer has ended.
+///
+/// # Errors
+///
+/// Returns why a short answer broke off.
+pub async fn relay_answer_holding(
+    response: Response<Incoming>,
+    lease: Lease,
+    slot: Option<Slot>,
+) -> Result<Response<Body>, String> {
+    let (mut parts, incoming) = response.into_parts();
+    let length = parts.headers.get(CONTENT_LENGTH).cloned();
+    remove_connection_headers(&mut parts.headers);
+    match read_up_to(incoming, KEPT_ANSWER_BYTES).await.map_err(|error| error.to_string())? {
+        Read::Whole(bytes) => {
+            if bytes.is_empty() {
+                if let Some(length) = length {
+                    parts.headers.insert(CONTENT_LENGTH, length);
+                }
+            }
+            lease.keep();
+            drop(slot);
+            Ok(Response::from_parts(parts, Body::Whole(bytes)))
+        }
+        Read::Continued(rest) => {
+            let remaining = rest.size_hint().exact();
+            let held = Held { body: Box::pin(rest), remaining, holding: Some((lease, slot)) };
+            Ok(Response::from_parts(parts, Body::streamed(held)))
+        }
+    }
+}
+
+/// A long answer that holds its connection and its slot until it has ended.
+struct Held {
+    body: Pin<Box<Continued>>,
+    remaining: Option<u64>,
+    holding: Option<(Lease, Option<Slot>)>,
+}
+
+impl Held {
+    /// Takes note of what was passed on; an answer of known length ends without a further call.
+    fn note(&mut self, polled: &Poll<Option<Result<Frame<Bytes>, BodyError>>>) {
+        let is_over = match polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(frame))) => {
+                let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+                self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(length));
+                self.remaining == Some(0)
+            }
+            _ => false,
+        };
+        if !is_over {
+            return;
+        }
+        if let Some((lease, _slot)) = self.holding.take() {
+            lease.keep();
+        }
+    }
+}
+
+impl HttpBody for Held {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        let polled = this.body.as_mut().poll_frame(context);
+        this.note(&polled);
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // The end must be polled for, so that the connection is given back.
+        false
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
