--- a/crates/quillhatch/src/command_line/mod.rs
+++ b/crates/quillhatch/src/command_line/mod.rs
@@ -11,6 +11,7 @@
 mod sidecar;
 #[cfg(test)]
 mod tests;
+mod trace;
 
 use std::io::Write;
 
@@ -84,6 +85,7 @@
 Commands:
   node         run a node
   sidecar      run a node beside a target of the users' platform
+  trace        tell a request's story from collected logs
   check        check a settings file or a configuration document
   plan         ask what would be done for an intent: plan move | retire | retries
   confirm      do what a plan says
@@ -115,6 +117,7 @@
         "node" => node::run(rest, streams),
         "check" => check::run(rest, streams),
         "sidecar" => sidecar::run(rest, streams),
+        "trace" => trace::run(rest, streams),
         name if request::is_command(name) => remote::run(name, rest, streams),
         unknown => Err(UsageError::new(format!("there is no command {unknown:?}"))),
     };
@@ -126,7 +129,7 @@
 }
 
 fn command_prefix(command: &str) -> String {
-    let known = matches!(command, "node" | "check" | "sidecar") || request::is_command(command);
+    let known = matches!(command, "node" | "check" | "sidecar" | "trace") || request::is_command(command);
     if known {
         format!("{command} ")
     } else {
--- /dev/null
+++ b/crates/sidecar/tests/log_lines.rs
@@ -0,0 +1,147 @@
+//! The lines that docs/OPERATIONS.md tells on-call engineers to look for are written.
+
+mod support;
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use support::caller::{call, request};
+use support::store::{Mode, StandInStore};
+use support::target::Habit;
+use support::{eventually, run, start_sidecar, Machine};
+use tokio::time::sleep;
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Collecting;
+
+impl log::Log for Collecting {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if record.target().starts_with("quillhatch_sidecar") {
+            LINES.lock().expect("no test panicked").push(record.args().to_string());
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+fn lines_of(event: &str, containing: &str) -> Vec<serde_json::Value> {
+    let lines = LINES.lock().expect("no test panicked");
+    let parsed = lines.iter().map(|line| serde_json::from_str::<serde_json::Value>(line).expect("each line is JSON"));
+    let wanted = parsed.filter(|line| line["event"] == event && line.to_string().contains(containing));
+    wanted.collect()
+}
+
+fn one(event: &str, containing: &str) -> serde_json::Value {
+    let found = lines_of(event, containing);
+    assert!(!found.is_empty(), "no line {event:?} with {containing:?}");
+    found[0].clone()
+}
+
+const HOST: &str = "shop.example";
+
+fn document(version: u32) -> String {
+    format!(
+        r#"{{"version":"r{version}","listeners":[{{"host":"{HOST}","rules":[
+          {{"name":"pay","kind":"unsafe","aim_s":1,"priority":0,"match":{{"prefix":"/pay/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}},
+          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}}]}}],
+        "clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#
+    )
+}
+
+#[test]
+fn the_lines_named_in_the_operations_page_are_written() {
+    log::set_boxed_logger(Box::new(Collecting)).expect("no logger yet");
+    log::set_max_level(log::LevelFilter::Info);
+    run(async {
+        let store = StandInStore::start().await;
+        store.configure(&document(5));
+        let alpha = Machine::start(&store, "alpha", 2).await;
+        let beta = Machine::start(&store, "beta", 2).await;
+        eventually("both are listed", || beta.node().targets.borrow().len() == 2).await;
+        let pay = |id: &str| request("POST", HOST, "/pay/", id, 5000, "x");
+        let read = |id: &str| request("GET", HOST, "/read/", id, 5000, "");
+
+        // A call that failed with its target.
+        alpha.target.set_habit(Habit::Lost);
+        call(beta.outbound(), &pay("lost-call")).await;
+        let gate = one("gate", "lost-call");
+        assert_eq!(gate["outcome"], "broken");
+        assert_eq!(gate["expected"], alpha.target.id());
+        assert_eq!(one("attempt-failed", "lost-call")["target"], alpha.target.id());
+        let given_up = one("given-up", "lost-call");
+        assert_eq!(
+            (&given_up["why"], &given_up["may_have_run"], &given_up["version"]),
+            (&"broken".into(), &true.into(), &5.into())
+        );
+
+        // A call that was refused under load.
+        alpha.target.set_habit(Habit::Slow(Duration::from_millis(700)));
+        let calls: Vec<_> = (0..12)
+            .map(|number| {
+                tokio::task::spawn_local({
+                    let (outbound, text) = (beta.outbound(), read(&format!("load-{number}")));
+                    async move { call(outbound, &text).await }
+                })
+            })
+            .collect();
+        for call in calls {
+            call.await.expect("the caller ends");
+        }
+        let full = lines_of("gate", "load-");
+        assert!(full.iter().any(|line| line["outcome"] == "full" && line["limit"] == 2), "{full:?}");
+        assert!(lines_of("given-up", "load-").iter().any(|line| line["may_have_run"] == false));
+        for route in ["read"] {
+            for _ in 0..200 {
+                beta.node().levels.borrow_mut().report(&route.into(), 0.0, beta.node().now());
+            }
+        }
+        let mut number = 0;
+        while lines_of("refused", "shed-").is_empty() {
+            call(beta.outbound(), &read(&format!("shed-{number}"))).await;
+            number += 1;
+            assert!(number < 50, "a level of zero refuses most calls");
+        }
+        let refused = one("refused", "shed-");
+        for field in ["level", "level_age_ms", "position", "version", "route"] {
+            assert!(!refused[field].is_null(), "{field} of {refused}");
+        }
+
+        // A call that was late, and one without a route.
+        call(beta.outbound(), &request("GET", HOST, "/none/", "astray", 5000, "")).await;
+        assert_eq!(one("no-route", "astray")["version"], 5);
+        alpha.target.set_habit(Habit::Failing);
+        sleep(Duration::from_secs(5)).await;
+        call(beta.outbound(), &pay("failing")).await;
+        assert_eq!(one("answered", "failing")["status"], 500);
+
+        // What changes a node's belief.
+        store.configure(&document(6));
+        eventually("version 6", || beta.node().configuration.borrow().version() == 6).await;
+        assert_eq!(one("configuration", "\"version\":6")["taken"], true);
+        store.configure("{");
+        eventually("the broken one is told", || !lines_of("configuration-unusable", "").is_empty()).await;
+        store.set_mode(Mode::Silent);
+        let (address, local) = (alpha.address, alpha.target.address);
+        alpha.sidecar.stop().await;
+        for event in ["stopping", "gate-closed", "stopped"] {
+            one(event, &address.to_string());
+        }
+        alpha.target.set_habit(Habit::Good);
+        let restarted = start_sidecar(address, "alpha", local, store.address);
+        sleep(Duration::from_millis(300)).await;
+        call(beta.outbound(), &read("after-restart")).await;
+        eventually("the view is taken", || !lines_of("view-taken", "").is_empty()).await;
+        eventually("the hand-over is told", || !lines_of("view-handed", "").is_empty()).await;
+        eventually("the loss of the store is told", || !lines_of("store-lost", "").is_empty()).await;
+        store.set_mode(Mode::Normal);
+        eventually("the store is reached", || lines_of("store-reached", &address.to_string()).len() > 1).await;
+        one("started", &address.to_string());
+        one("target", &alpha.target.id());
+        drop(restarted);
+    });
+}
