Sidecar: targets whose entries ran out with the store are kept until they are listed again

Ruled out: refusals at entry (they followed from calls without a target: 214 in two seconds). Change: a list that lacks two or more and 30% of the known targets is doubted: 4 s after trouble of the store, else 0.7 s less than drain_s.

--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -44,9 +44,51 @@
     by_id: HashMap<TargetId, Arc<Target>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
     superseded: HashSet<TargetId>,
+    doubtful: HashMap<TargetId, Timestamp>,
 }
 
+/// The share of all targets that must vanish at once for the list to be doubted.
+const DOUBTED_FROM: f64 = 0.3;
+/// The fewest targets that must vanish at once for the list to be doubted.
+const DOUBTED_COUNT: usize = 2;
+
 impl TargetTable {
+    /// Takes the targets in `gone` off the list; if they are so many that the list itself is in doubt, only after `doubt`.
+    ///
+    /// Entries run out while the platform's store is in trouble, though their targets serve, and come back with the next word
+    /// of each target.
+    pub fn vanish(&mut self, gone: &[TargetId], doubt: Duration, now: Timestamp) {
+        let listed = gone.iter().filter(|id| self.by_id.contains_key(*id)).count();
+        let is_doubted = listed >= DOUBTED_COUNT && listed as f64 >= DOUBTED_FROM * self.by_id.len() as f64;
+        for id in gone {
+            if !is_doubted || doubt.is_zero() {
+                self.remove(id);
+            } else if self.by_id.contains_key(id) {
+                self.doubtful.entry(id.clone()).or_insert(now + doubt);
+            }
+        }
+    }
+
+    /// Takes the targets off the list whose time of doubt is over; says whether there were any.
+    pub fn drop_doubtful(&mut self, now: Timestamp) -> bool {
+        let over: Vec<TargetId> =
+            self.doubtful.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.remove(id);
+        }
+        !over.is_empty()
+    }
+
+    /// When the next time of doubt is over.
+    pub fn next_doubt(&self) -> Option<Timestamp> {
+        self.doubtful.values().min().copied()
+    }
+
+    /// The listed targets whose identity is not in `listed`.
+    pub fn missing_from(&self, listed: &HashSet<TargetId>) -> Vec<TargetId> {
+        self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect()
+    }
+
     /// Lists a target, or takes what a listed one says now. A target that was found to be followed by another is left out.
     pub fn update(&mut self, id: TargetId, announcement: Announcement, now: Timestamp) {
         if self.superseded.contains(&id) {
@@ -82,19 +124,16 @@
     }
 
     fn unlist(&mut self, id: &str) {
+        self.doubtful.remove(id);
         let Some(gone) = self.by_id.remove(id) else { return };
         if let Some(members) = self.by_service.get_mut(&gone.announcement.service) {
             members.retain(|member| member.id != gone.id);
         }
     }
 
-    /// Takes every target off the list whose identity `keep` refuses.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        let gone: Vec<TargetId> = self.by_id.keys().filter(|id| !keep(id)).cloned().collect();
-        for id in gone {
-            self.unlist(&id);
-        }
-        self.superseded.retain(|id| keep(id));
+    /// Forgets superseded identities that the platform's list no longer holds.
+    pub fn forget_superseded(&mut self, listed: &HashSet<TargetId>) {
+        self.superseded.retain(|id| listed.contains(id));
     }
 
     /// The listed targets of a service.
--- a/crates/mesh/tests/decisions.rs
+++ b/crates/mesh/tests/decisions.rs
@@ -374,3 +374,22 @@
     assert!(chosen.values().all(|count| *count < 120), "40 each on the mean");
     assert!(balance.choose(&[], &[], "here", Timestamp::ZERO, &mut random).is_none());
 }
+
+#[test]
+fn a_list_that_loses_many_targets_at_once_is_doubted_for_a_while() {
+    let mut targets = TargetTable::default();
+    let ids: Vec<Arc<str>> = (0..10).map(|number| Arc::from(format!("t{number}"))).collect();
+    let listed = announcement("alpha", "10.0.0.1:80", "here");
+    for id in &ids {
+        targets.update(id.clone(), listed.clone(), Timestamp::ZERO);
+    }
+    let doubt = Duration::from_secs(4);
+    targets.vanish(&ids[..2], doubt, Timestamp::ZERO);
+    assert_eq!(targets.len(), 8, "two of ten are believed at once");
+    targets.vanish(&ids[2..], doubt, Timestamp::ZERO);
+    assert_eq!((targets.len(), targets.next_doubt()), (8, Some(milliseconds(4_000))));
+    targets.update(ids[2].clone(), listed, milliseconds(1_000));
+    assert!(!targets.drop_doubtful(milliseconds(3_999)));
+    assert!(targets.drop_doubtful(milliseconds(4_000)));
+    assert_eq!((targets.len(), targets.next_doubt()), (1, None), "the one that was heard of again stays");
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -107,6 +107,8 @@
     pub heard_version: Cell<u64>,
     /// Wakes the reader of the store when another node has told of a newer version.
     pub behind: Notify,
+    /// Wakes whoever takes doubtful targets off the list.
+    pub doubt_changed: Notify,
     /// The revision of the store at which this node's view stands; zero if it has none.
     pub revision: Cell<u64>,
     /// Since when the store can't be read.
@@ -170,6 +172,7 @@
             gate_changed: Notify::new(),
             heard_version: Cell::new(0),
             behind: Notify::new(),
+            doubt_changed: Notify::new(),
             revision: Cell::new(0),
             store_lost: Cell::new(Some(now)),
             presences: RefCell::default(),
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -31,6 +31,10 @@
 const GATHER: Duration = Duration::from_millis(300);
 /// For how long another node may have a newer configuration before the store is read anew.
 const BEHIND_FOR: Duration = Duration::from_millis(600);
+/// For how long targets are kept that a list lacks after trouble of the store: two of their words, and what the list lags.
+const DOUBT_AFTER_TROUBLE: Duration = Duration::from_secs(4);
+/// How much sooner than it must be left a target is left that has vanished together with many.
+const DRAIN_RESERVE: Duration = Duration::from_millis(700);
 /// The pause after the first failure in a row; it doubles.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures in a row.
@@ -54,8 +58,9 @@
 /// Follows the store until the process ends.
 pub async fn follow(node: Rc<Node>) {
     let mut failures = 0;
+    let mut was_in_trouble = false;
     loop {
-        match read_all(&node).await {
+        match read_all(&node, was_in_trouble).await {
             Ok(revision) => {
                 node.log(&format!(
                     "\"event\":\"store-read\",\"revision\":{revision},\"version\":{},\"targets\":{}",
@@ -65,11 +70,15 @@
                 failures = 0;
                 let error = watch(&node, revision).await;
                 lost(&node, &error);
-                if matches!(error, StoreError::Behind | StoreError::Status(StatusCode::GONE)) {
+                was_in_trouble = !matches!(error, StoreError::Behind | StoreError::Status(StatusCode::GONE));
+                if !was_in_trouble {
                     continue;
                 }
             }
-            Err(error) => lost(&node, &error),
+            Err(error) => {
+                lost(&node, &error);
+                was_in_trouble = true;
+            }
         }
         failures += 1;
         let pause = (SHORTEST_PAUSE * 2_u32.pow(failures.min(4) - 1)).min(LONGEST_PAUSE);
@@ -87,7 +96,9 @@
 }
 
 /// Reads the configuration and all targets; returns the revision from which changes are to be followed.
-async fn read_all(node: &Rc<Node>) -> Result<u64, StoreError> {
+///
+/// After trouble of the store many entries may have run out whose targets serve, so these are kept for a while.
+async fn read_all(node: &Rc<Node>, was_in_trouble: bool) -> Result<u64, StoreError> {
     let mut revision = None;
     let mut listed: HashSet<Arc<str>> = HashSet::new();
     let mut after = String::new();
@@ -106,7 +117,17 @@
             break;
         }
     }
-    node.targets.borrow_mut().retain(|id| listed.contains(id));
+    let doubt = if was_in_trouble { DOUBT_AFTER_TROUBLE } else { Duration::ZERO };
+    {
+        let mut targets = node.targets.borrow_mut();
+        let missing = targets.missing_from(&listed);
+        targets.vanish(&missing, doubt, node.now());
+        targets.forget_superseded(&listed);
+        if targets.next_doubt().is_some() {
+            node.log(&format!("\"event\":\"list-doubted\",\"listed\":{},\"missing\":{}", listed.len(), missing.len()));
+        }
+    }
+    node.doubt_changed.notify_one();
     match get(node, &configuration_path(), READ_TIMEOUT, read_item).await {
         Ok(page) => apply(node, page.changes),
         Err(StoreError::Status(StatusCode::NOT_FOUND)) => {}
@@ -164,6 +185,17 @@
 }
 
 fn apply(node: &Node, changes: Vec<Change>) {
+    let gone: Vec<Arc<str>> = changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::TargetGone(id) => Some(id.clone()),
+            _ => None,
+        })
+        .collect();
+    // Shorter than the time in which a gone target must be left.
+    let doubt = node.settings.bounds.drain.saturating_sub(DRAIN_RESERVE);
+    node.targets.borrow_mut().vanish(&gone, doubt, node.now());
+    node.doubt_changed.notify_one();
     for change in changes {
         match change {
             Change::Configuration(offered) => {
@@ -183,10 +215,32 @@
             }
             Change::UnusableTarget(id) => node.log(&format!("\"event\":\"target-unusable\",\"target\":\"{id}\"")),
             Change::TargetGone(id) => {
-                node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\""));
-                node.targets.borrow_mut().remove(&id);
+                let kept = node.targets.borrow().get(&id).is_some();
+                node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\",\"kept_for_now\":{kept}"));
+            }
+        }
+    }
+}
+
+/// Takes doubtful targets off the list when their time is over.
+pub async fn drop_doubtful(node: Rc<Node>) {
+    loop {
+        let next = node.targets.borrow().next_doubt();
+        match next {
+            None => node.doubt_changed.notified().await,
+            Some(until) => {
+                let wait = node.now().until(until) + Duration::from_millis(1);
+                tokio::select! {
+                    () = sleep(wait) => {}
+                    () = node.doubt_changed.notified() => {}
+                }
             }
         }
+        let now = node.now();
+        let dropped = node.targets.borrow_mut().drop_doubtful(now);
+        if dropped {
+            changed(&node);
+        }
     }
 }
 
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -124,7 +124,8 @@
     {
         let mut table = node.targets.borrow_mut();
         let listed: HashSet<Arc<str>> = targets.iter().map(|(id, _)| id.clone()).collect();
-        table.retain(|id| listed.contains(id));
+        let missing = table.missing_from(&listed);
+        table.vanish(&missing, Duration::ZERO, now);
         for (id, announcement) in targets {
             table.update(id, announcement, now);
         }
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -307,3 +307,26 @@
         drop(store);
     });
 }
+
+#[test]
+fn targets_whose_entries_ran_out_while_the_store_was_down_are_kept_until_they_are_listed_again() {
+    // Found on the users' bench: when the store came back it listed one of twelve targets.
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        store.set_mode(Mode::Status(503));
+        sleep(Duration::from_millis(400)).await;
+        store.unlist(&alpha.target.id());
+        store.unlist(&beta.target.id());
+        store.set_mode(Mode::Normal);
+        eventually("the store is read", || beta.node().store_lost.get().is_none()).await;
+        for number in 0..5 {
+            let answer = call(beta.outbound(), &read(&format!("call-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200);
+        }
+        store.list(&alpha.target, "ready");
+        sleep(Duration::from_millis(4500)).await;
+        let targets = || beta.node().targets.borrow().len();
+        eventually("the one that was not listed again is dropped", || targets() == 1).await;
+        assert_eq!(call(beta.outbound(), &read("after")).await.expect("an answer").status, 200);
+    });
+}
