--- /dev/null
+++ b/crates/sidecar/tests/parts.rs
@@ -0,0 +1,119 @@
+//! Small parts of the program one by one.
+
+use std::time::Duration;
+
+use quillhatch_mesh::gate::Load;
+use quillhatch_mesh::parents::Lineage;
+use quillhatch_sidecar::counters::Counters;
+use quillhatch_sidecar::hop::{Forwarded, Outcome, PresentTarget, Reach, Report};
+use quillhatch_sidecar::logging::LineRate;
+use quillhatch_sidecar::pipeline::{next_request, Next};
+use test_case::test_case;
+
+#[test]
+fn what_an_edge_tells_a_gate_is_read_as_it_was_written() {
+    let forwarded = Forwarded {
+        is_root: true,
+        lineage: Lineage { priority: 2, position: 255 },
+        patience: Duration::from_millis(330),
+        reach: Reach { revision: 77, is_cut_off: true },
+    };
+    assert_eq!(Forwarded::decode(&forwarded.encode()), Some(forwarded));
+}
+
+#[test]
+fn what_a_gate_tells_an_edge_is_read_as_it_was_written() {
+    let present = PresentTarget { id: "i-1".to_owned(), service: "alpha".to_owned() };
+    for outcome in Outcome::ALL {
+        for present in [None, Some(present.clone())] {
+            let report = Report {
+                outcome,
+                load: Load { running: 3, limit: 36, waiting: 144 },
+                level: 0.125,
+                is_called_by_targets: true,
+                version: 12,
+                reach: Reach { revision: 0, is_cut_off: false },
+                present,
+            };
+            assert_eq!(Report::decode(&report.encode()), Some(report));
+        }
+    }
+}
+
+#[test_case("")]
+#[test_case("1;2")]
+#[test_case("x;1;2;3;4;5;6;7,0")]
+#[test_case("a;1;2;3;4;5;-6;7,0")]
+#[test_case("a;1;2;3;4;5;6;7")]
+fn a_header_that_no_node_wrote_is_refused(text: &str) {
+    assert_eq!(Report::decode(text), None);
+    assert_eq!(Forwarded::decode(text), None);
+}
+
+fn length_of(text: &str) -> Option<usize> {
+    match next_request(text.as_bytes()) {
+        Next::Request(length, _) => Some(length),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_request_without_a_body_ends_with_its_head() {
+    let first = "GET /a?x=1 HTTP/1.1\r\nHost: h\r\nX: a\r\nX: b\r\n\r\n";
+    assert_eq!(length_of(&format!("{first}GET /b HTTP/1.1\r\n")), Some(first.len()));
+    let Next::Request(_, parts) = next_request(first.as_bytes()) else { panic!("a request") };
+    assert_eq!((parts.method.as_str(), parts.uri.to_string().as_str()), ("GET", "/a?x=1"));
+    assert_eq!(parts.headers.get_all("x").iter().count(), 2);
+}
+
+#[test_case("GET / HTTP/1.1\r\nHost: h\r\n"; "a head that is not whole")]
+#[test_case(""; "nothing")]
+fn an_unfinished_head_is_waited_for(text: &str) {
+    assert!(matches!(next_request(text.as_bytes()), Next::Incomplete));
+}
+
+#[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nx"; "a body with a length")]
+#[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"; "a body in chunks")]
+#[test_case("GET / HTTP/1.0\r\n\r\n"; "an older protocol")]
+#[test_case("GET / HTTP/1.1\r\nUpgrade: x\r\n\r\n"; "an upgrade")]
+#[test_case("nonsense\r\n\r\n"; "no request")]
+fn all_else_is_left_to_hyper(text: &str) {
+    assert!(matches!(next_request(text.as_bytes()), Next::Other));
+}
+
+#[test]
+fn two_lengths_leave_the_end_open() {
+    let text = "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert!(matches!(next_request(text.as_bytes()), Next::Ambiguous));
+}
+
+#[test]
+fn lines_are_bounded_in_rate() {
+    let mut rate = LineRate::new(5.0);
+    let allowed = (0..1_000).filter(|_| rate.allows()).count();
+    assert!((5..=6).contains(&allowed), "{allowed}");
+    std::thread::sleep(Duration::from_millis(450));
+    let allowed = (0..1_000).filter(|_| rate.allows()).count();
+    assert!((2..=4).contains(&allowed), "{allowed}");
+}
+
+#[test]
+fn counters_are_told_in_the_usual_text() {
+    let counters = Counters::default();
+    counters.edge_ended("answered", Duration::from_millis(30));
+    counters.edge_ended("shed", Duration::from_millis(1));
+    counters.gate_ended("full");
+    let text = counters.render(&[("ready", 1.0)], 7);
+    for line in [
+        "quillhatch_edge_calls_total{outcome=\"answered\"} 1",
+        "quillhatch_edge_calls_total{outcome=\"shed\"} 1",
+        "quillhatch_gate_calls_total{outcome=\"full\"} 1",
+        "quillhatch_log_lines_dropped_total 7",
+        "quillhatch_ready 1",
+        "quillhatch_edge_call_seconds_bucket{le=\"0.01\"} 1",
+        "quillhatch_edge_call_seconds_bucket{le=\"0.05\"} 2",
+        "quillhatch_edge_call_seconds_count 2",
+    ] {
+        assert!(text.lines().any(|known| known == line), "{line} in\n{text}");
+    }
+}
