--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -223,9 +223,9 @@
     fn with_budget<T>(&self, service: &Arc<str>, action: impl FnOnce(&mut RetryBudget, Timestamp) -> T) -> T {
         let now = self.now();
         let bounds = &self.settings.bounds;
-        let nodes = self.targets.borrow().machines().len().max(1) as f64;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let nodes = self.targets.borrow().machines().len().max(1) as f64;
             RetryBudget::new(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack / nodes / 2.0, now)
         });
         action(budget, now)
