--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -8,6 +8,7 @@
 pub mod model;
 pub mod platform;
 pub mod simulate;
+pub mod soak;
 
 pub mod output;
 mod runtime;
@@ -25,5 +26,6 @@
         &backend::Backend,
         &load::Load,
         &bench::Bench,
+        &soak::Soak,
     ]
 }
--- /dev/null
+++ b/crates/lab/src/commands/soak.rs
@@ -0,0 +1,83 @@
+//! `soak`: real sidecar processes on loopback under random faults, judged by what callers and targets see.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use getopts::Options;
+use quillhatch_soak::checks::Promise;
+use quillhatch_soak::run::{make_folder, run, SoakOptions, SoakReport};
+
+use crate::command_line::{Arguments, Command, CommandError, Verdict};
+
+/// The violations of one promise that are printed in full.
+const PRINTED: usize = 5;
+
+/// Runs one soak and prints what was broken.
+pub struct Soak;
+
+impl Command for Soak {
+    fn name(&self) -> &'static str {
+        "soak"
+    }
+
+    fn summary(&self) -> &'static str {
+        "run sidecar processes on loopback under random faults and check the promises"
+    }
+
+    fn operands(&self) -> &'static str {
+        "[--seed N] [--time SECONDS] [--program FILE] [--folder DIR] [--calm]"
+    }
+
+    fn declare(&self, options: &mut Options) {
+        options.optopt("", "seed", "the seed of the schedule (default 1)", "N");
+        options.optopt("", "time", "how long faults and calm take turns, in seconds (default 60)", "SECONDS");
+        options.optopt("", "program", "the quillhatch program (default beside this one)", "FILE");
+        options.optopt("", "folder", "where settings and logs are kept (default the system's folder for such)", "DIR");
+        options.optflag("", "calm", "only planned work, no faults");
+    }
+
+    fn run(&self, arguments: &Arguments) -> Result<Verdict, CommandError> {
+        let seed = arguments.value("seed", 1);
+        let seconds = arguments.value("time", 60);
+        let parent = arguments.text("folder").map_or_else(std::env::temp_dir, PathBuf::from);
+        let program = arguments.text("program").map_or_else(beside_this_program, |text| Ok(PathBuf::from(text)));
+        arguments.limit_operands(0);
+        arguments.check()?;
+        let has_faults = !arguments.has("calm");
+        let folder = make_folder(&parent, seed)?;
+        println!("seed {seed}, {seconds} s, settings and logs in {}", folder.display());
+        let options = SoakOptions { program: program?, folder, seed, time: Duration::from_secs(seconds), has_faults };
+        let report = run(&options)?;
+        print(&report);
+        Ok(Verdict::of(report.violations.is_empty()))
+    }
+}
+
+fn beside_this_program() -> std::io::Result<PathBuf> {
+    Ok(std::env::current_exe()?.with_file_name("quillhatch"))
+}
+
+fn print(report: &SoakReport) {
+    let faults: Vec<String> = report.faults.iter().map(|(kind, machine)| format!("{kind}@{machine}")).collect();
+    println!("faults: {}", faults.join(" "));
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    for call in &report.record.calls {
+        *ends.entry(format!("{:?}", call.end)).or_default() += 1;
+    }
+    println!("{} calls, {} runs at targets", report.record.calls.len(), report.record.runs.len());
+    for (end, count) in ends {
+        println!("  {count:>7} {end}");
+    }
+    let mut broken: BTreeMap<Promise, Vec<&str>> = BTreeMap::new();
+    for violation in &report.violations {
+        broken.entry(violation.promise).or_default().push(&violation.what);
+    }
+    for (promise, whats) in &broken {
+        println!("BROKEN {promise}: {}", whats.len());
+        for what in whats.iter().take(PRINTED) {
+            println!("  {what}");
+        }
+    }
+    println!("{} promises broken", broken.len());
+}
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -35,6 +35,8 @@
     pub stop_grace: Duration,
     /// Within this time after an announcement a leaving target gets no new calls.
     pub drain: Duration,
+    /// Within this time after it was written a configuration is in force.
+    pub apply: Duration,
     /// Repeats may be at most this share of the calls of a service.
     pub retry_ratio: f64,
     /// The window over which repeats are counted.
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -108,7 +108,7 @@
         node.heard_version.set(report.version);
         node.behind.notify_one();
     }
-    views::hand_over_if_needed(node, target.announcement.address.ip(), report.reach);
+    views::heard(node, target.announcement.address.ip(), report.reach);
     let follows = report.present.as_ref().is_some_and(|present| {
         let mut targets = node.targets.borrow_mut();
         targets.succeed(&target.id, Arc::from(present.id.as_str()), &present.service, now);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -61,7 +61,7 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
-    views::hand_over_if_needed(&node, peer.ip(), forwarded.reach);
+    views::heard(&node, peer.ip(), forwarded.reach);
     let call = Call {
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: text(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -109,6 +109,10 @@
     pub heard_version: Cell<u64>,
     /// Wakes the reader of the store when another node has told of a newer version.
     pub behind: Notify,
+    /// The latest revision of the store at which the view of another node stands.
+    pub heard_revision: Cell<u64>,
+    /// Wakes the reader of the store when another node has told of a later revision.
+    pub later_change: Notify,
     /// Wakes whoever takes doubtful targets off the list.
     pub doubt_changed: Notify,
     /// The revision of the store at which this node's view stands; zero if it has none.
@@ -175,6 +179,8 @@
             gate_changed: Notify::new(),
             heard_version: Cell::new(0),
             behind: Notify::new(),
+            heard_revision: Cell::new(0),
+            later_change: Notify::new(),
             doubt_changed: Notify::new(),
             revision: Cell::new(0),
             store_lost: Cell::new(Some(now)),
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -24,13 +24,25 @@
 /// How long a plain read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// How long the store is asked to wait for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(8);
+///
+/// A watch that hangs is noticed by what other nodes tell, long before this time is over.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// What an answer may take beyond the time that the store was asked to wait.
 const WATCH_ALLOWANCE: Duration = Duration::from_millis(1500);
-/// Changes are gathered for so long before the store is asked for more.
-const GATHER: Duration = Duration::from_millis(300);
+/// After a change, more are gathered for so long before the store is asked for them.
+const SHORTEST_GATHER: Duration = Duration::from_millis(300);
+/// The share of the time in which a change must have its effect for which others are gathered while they keep coming.
+const LONGEST_GATHER_PART: f64 = 0.35;
+/// The pause between changes from which the next one counts as the first again.
+const CALM: Duration = Duration::from_millis(600);
+/// How long the store is asked to wait by a watch that takes the place of one which hangs.
+const RENEWED_WAIT: Duration = Duration::from_millis(200);
+/// What the answer to that one may take beyond.
+const RENEWED_ALLOWANCE: Duration = Duration::from_millis(600);
 /// For how long another node may have a newer configuration before the store is read anew.
 const BEHIND_FOR: Duration = Duration::from_millis(600);
+/// For how long the view of another node may reach further before the watch is taken to hang.
+const HANGING_AFTER: Duration = Duration::from_millis(900);
 /// For how long targets are kept that a list lacks after trouble of the store: two of their words, and what the list lags.
 const DOUBT_AFTER_TROUBLE: Duration = Duration::from_secs(4);
 /// How much sooner than it must be left a target is left that has vanished together with many.
@@ -141,25 +153,49 @@
 }
 
 async fn watch(node: &Rc<Node>, mut revision: u64) -> StoreError {
+    let longest_gather = node.settings.bounds.drain.min(node.settings.bounds.apply).mul_f64(LONGEST_GATHER_PART);
+    let mut gather = SHORTEST_GATHER;
+    let mut patience = (WATCH_WAIT, WATCH_ALLOWANCE);
     loop {
-        let path = watch_path(revision, WATCH_WAIT);
-        let watching = get(node, &path, WATCH_WAIT + WATCH_ALLOWANCE, read_page);
+        let (wait, allowance) = std::mem::replace(&mut patience, (WATCH_WAIT, WATCH_ALLOWANCE));
+        let path = watch_path(revision, wait);
+        let begun = node.now();
+        let watching = get(node, &path, wait + allowance, read_page);
         let page = tokio::select! {
             page = watching => page,
             () = behind_for_long(node) => Err(StoreError::Behind),
-        };
-        match page {
-            Ok(page) => {
-                revision = page.revision;
-                reached(node, revision);
-                if page.changes.is_empty() {
-                    continue;
-                }
-                apply(node, page.changes);
-                changed(node);
-                sleep(GATHER).await;
+            heard = hanging_for_long(node) => {
+                node.log(&format!("\"event\":\"watch-renewed\",\"revision\":{revision},\"heard\":{heard}"));
+                patience = (RENEWED_WAIT, RENEWED_ALLOWANCE);
+                continue;
             }
+        };
+        let page = match page {
+            Ok(page) => page,
             Err(error) => return error,
+        };
+        revision = page.revision;
+        reached(node, revision);
+        if page.changes.is_empty() {
+            continue;
+        }
+        apply(node, page.changes);
+        changed(node);
+        let is_calm = node.now().since(begun) >= CALM;
+        gather = if is_calm { SHORTEST_GATHER } else { (gather * 2).min(longest_gather) };
+        sleep(gather).await;
+    }
+}
+
+/// Ends once the views of other nodes have reached further than this node's for longer than changes are on their way;
+/// returns how far. For each revision that others tell it ends once.
+async fn hanging_for_long(node: &Node) -> u64 {
+    loop {
+        node.later_change.notified().await;
+        sleep(HANGING_AFTER).await;
+        let heard = node.heard_revision.get();
+        if heard > node.revision.get() {
+            return heard;
         }
     }
 }
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -41,8 +41,19 @@
     Reach { revision: node.revision.get(), is_cut_off }
 }
 
-/// Hands this node's view to the node at `peer`, if that one is cut off from the store and its view reaches less far.
-pub fn hand_over_if_needed(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
+/// Takes how far the view of the node at `peer` reaches.
+///
+/// If it reaches further than this node's own, the watch on the store may hang, and its reader is told. If it reaches less
+/// far and the other one is cut off from the store, it is handed this node's view.
+pub fn heard(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
+    if reach.revision > node.revision.get().max(node.heard_revision.get()) {
+        node.heard_revision.set(reach.revision);
+        node.later_change.notify_one();
+    }
+    hand_over_if_needed(node, peer, reach);
+}
+
+fn hand_over_if_needed(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
     if !reach.is_cut_off || reach.revision >= node.revision.get() {
         return;
     }
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -210,6 +210,66 @@
     });
 }
 
+#[test]
+fn a_node_whose_watch_hangs_learns_of_a_drain_from_what_others_tell() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.configure(&document(5, "alpha"));
+        let alpha = Machine::start(&store, "alpha", 8).await;
+        let hanging = store.another_address().await;
+        let beta = Machine::start(&hanging, "beta", 8).await;
+        eventually("both are listed at alpha", || alpha.node().targets.borrow().len() == 2).await;
+        hanging.set_mode(Mode::Deaf);
+        sleep(Duration::from_millis(100)).await;
+        store.list(&beta.target, "draining");
+        let begun = Instant::now();
+        eventually("alpha knows", || {
+            alpha.node().targets.borrow().get(&beta.target.id()).unwrap().announcement.draining
+        })
+        .await;
+        // The connection of the watch stays silent; a new one is answered.
+        hanging.set_mode(Mode::Normal);
+        assert!(!beta.node().gate.borrow().is_closed());
+        call(beta.outbound(), &read("one")).await.expect("an answer");
+        eventually("beta's gate is closed", || beta.node().gate.borrow().is_closed()).await;
+        assert!(begun.elapsed() < support::BOUNDS.drain, "{:?}", begun.elapsed());
+    });
+}
+
+#[test]
+fn a_watch_is_not_asked_again_and_again_for_a_change_that_it_does_not_have() {
+    run(async {
+        let (store, _alpha, beta) = two_machines().await;
+        sleep(Duration::from_millis(1500)).await;
+        let before = store.calls();
+        let unknown = quillhatch_sidecar::hop::Reach { revision: 1_000_000, is_cut_off: false };
+        for _ in 0..6 {
+            quillhatch_sidecar::views::heard(beta.node(), beta.address.into(), unknown);
+            sleep(Duration::from_millis(500)).await;
+        }
+        assert!(store.calls() - before <= 2, "{} calls", store.calls() - before);
+    });
+}
+
+#[test]
+fn changes_that_keep_coming_are_gathered() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        sleep(Duration::from_millis(1500)).await;
+        let before = store.calls();
+        let begun = Instant::now();
+        for version in 10..40 {
+            store.configure(&document(version, "alpha"));
+            sleep(Duration::from_millis(100)).await;
+        }
+        eventually("the last is in force", || beta.node().configuration.borrow().version() == 39).await;
+        let calls = store.calls() - before;
+        assert!(calls <= 2 * 7, "{calls} calls of two nodes for 30 changes in 3 s");
+        assert!(begun.elapsed() < Duration::from_secs(4), "{:?}", begun.elapsed());
+        drop(alpha);
+    });
+}
+
 #[test]
 fn a_stop_answers_all_that_was_read_and_leads_callers_away() {
     run(async {
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -2,9 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses a part of this.
 
-pub mod caller;
-pub mod store;
-pub mod target;
+pub use quillhatch_standins::mesh::{caller, store, target};
 
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -58,6 +56,7 @@
 pub const BOUNDS: Bounds = Bounds {
     stop_grace: Duration::from_secs(6),
     drain: Duration::from_secs(2),
+    apply: Duration::from_secs(2),
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
     retry_slack: 55.0,
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,252 @@
+//! The promises, checked on what callers and targets saw.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use quillhatch_standins::mesh::target::chained_id;
+
+use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
+use crate::record::{CallEnd, CallRecord, RunRecord, SoakRecord};
+
+/// How long a machine must have been without disturbance for bounds in time to hold there.
+pub const SETTLE: Duration = Duration::from_secs(3);
+/// Within this time a configuration is in force, and a draining target is left.
+pub const APPLY: Duration = Duration::from_secs(2);
+/// What is left to the scheduling of this machine, beyond each bound.
+pub const SLACK: Duration = Duration::from_millis(500);
+/// A connection may end without an answer so soon after a request that has not been read.
+const UNREAD: Duration = Duration::from_millis(200);
+/// The share of calls in calm that must be served.
+const SERVED_IN_CALM: f64 = 0.95;
+/// Repeats that a service may get in a window beyond the share of its calls.
+const RETRY_SLACK: f64 = 55.0;
+/// The share of a service's calls that may be repeats.
+const RETRY_RATIO: f64 = 0.2;
+/// The window in which repeats are counted.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+/// What is promised.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Promise {
+    /// An answer belongs to its request and is whole.
+    #[display("own-answer")]
+    OwnAnswer,
+    /// Only what callers sent runs, and unchanged.
+    #[display("as-sent")]
+    AsSent,
+    /// What may not be repeated runs once at most.
+    #[display("once")]
+    Once,
+    /// What was refused has not run.
+    #[display("not-run")]
+    NotRun,
+    /// A request runs at a service to which some configuration sends it.
+    #[display("routed")]
+    Routed,
+    /// A target is not given more than it can work on.
+    #[display("slots")]
+    Slots,
+    /// Repeats stay within their budget.
+    #[display("retry-budget")]
+    RetryBudget,
+    /// In calm nothing is cut, planned stops included.
+    #[display("uncut")]
+    Uncut,
+    /// In calm a configuration is in force in time.
+    #[display("in-force")]
+    InForce,
+    /// In calm a draining target gets nothing new.
+    #[display("drained")]
+    Drained,
+    /// In calm nearly everything is served.
+    #[display("served")]
+    Served,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[display("{promise}: {what}")]
+pub struct Violation {
+    /// Which.
+    pub promise: Promise,
+    /// What was seen.
+    pub what: String,
+}
+
+fn broken(promise: Promise, what: String) -> Violation {
+    Violation { promise, what }
+}
+
+/// Checks everything.
+pub fn all(record: &SoakRecord) -> Vec<Violation> {
+    let mut found = always(record);
+    found.extend(in_calm(record));
+    found
+}
+
+/// The promises that hold at any moment.
+pub fn always(record: &SoakRecord) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let mut sent: HashMap<String, &CallRecord> = HashMap::new();
+    for call in &record.calls {
+        sent.insert(call.id.clone(), call);
+        if call.kind == RouteKind::Chain {
+            sent.insert(chained_id(&call.id), call);
+        }
+        if let CallEnd::Answered { is_own: false, status } = call.end {
+            found.push(broken(Promise::OwnAnswer, format!("{} got a foreign or partial answer {status}", call.id)));
+        }
+    }
+    let mut times: HashMap<&str, u32> = HashMap::new();
+    for run in &record.runs {
+        *times.entry(&run.id).or_default() += 1;
+        let Some(call) = sent.get(&run.id) else {
+            found.push(broken(Promise::AsSent, format!("{} was never sent", run.id)));
+            continue;
+        };
+        let kind = if run.id == call.id { call.kind } else { RouteKind::Read };
+        if let Some(what) = changed(run, kind, call) {
+            found.push(broken(Promise::AsSent, what));
+        }
+        let service = MachineAddrs::service_of(run.machine);
+        if kind.service().is_some_and(|own| own != service) || !SERVICES.contains(&service) {
+            found.push(broken(Promise::Routed, format!("{} ran at {service}", run.id)));
+        }
+    }
+    for call in &record.calls {
+        let runs = times.get(call.id.as_str()).copied().unwrap_or(0);
+        if call.kind.is_repeatable() {
+            continue;
+        }
+        if runs > 1 {
+            found.push(broken(Promise::Once, format!("{} ran {runs} times", call.id)));
+        }
+        if runs > 0 && matches!(call.end, CallEnd::Answered { status: 408 | 421 | 429 | 503, .. }) {
+            found.push(broken(Promise::NotRun, format!("{} was refused and ran", call.id)));
+        }
+    }
+    if record.most_running > SLOTS {
+        found.push(broken(Promise::Slots, format!("{} of {SLOTS} slots used", record.most_running)));
+    }
+    found.extend(over_budget(record));
+    found
+}
+
+fn changed(run: &RunRecord, kind: RouteKind, call: &CallRecord) -> Option<String> {
+    let (method, path, body) = &run.request;
+    if method != kind.method() || path != kind.path() || body != kind.body() {
+        return Some(format!("{} arrived as {method} {path} {body:?}", run.id));
+    }
+    let caller = if run.id == call.id { MachineAddrs::service_of(call.machine) } else { "alpha" };
+    (run.caller_service != caller).then(|| format!("{} came from {caller}, said to be {}", run.id, run.caller_service))
+}
+
+/// Windows in which a service got more repeats than the budget allows. A call made below a repeated one is a repeat too,
+/// as it carries the same id.
+fn over_budget(record: &SoakRecord) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for service in SERVICES {
+        let mut runs: Vec<&RunRecord> =
+            record.runs.iter().filter(|run| MachineAddrs::service_of(run.machine) == service).collect();
+        runs.sort_by_key(|run| run.at);
+        let mut seen: HashSet<&str> = HashSet::new();
+        let marked: Vec<(Instant, bool)> = runs.iter().map(|run| (run.at, !seen.insert(&run.id))).collect();
+        for (first, (begin, _)) in marked.iter().enumerate() {
+            let window = marked[first..].iter().take_while(|(at, _)| at.duration_since(*begin) < RETRY_WINDOW);
+            let (repeats, all) =
+                window.fold((0, 0), |(repeats, all), (_, repeat)| (repeats + usize::from(*repeat), all + 1));
+            let allowed = RETRY_RATIO * (all - repeats) as f64 + RETRY_SLACK;
+            if repeats as f64 > allowed {
+                found.push(broken(
+                    Promise::RetryBudget,
+                    format!("{service} got {repeats} repeats of {all} in a window"),
+                ));
+                break;
+            }
+        }
+    }
+    found
+}
+
+/// The promises that hold for machines that no fault has struck lately.
+pub fn in_calm(record: &SoakRecord) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let ran: HashSet<&str> = record.runs.iter().map(|run| run.id.as_str()).collect();
+    let (mut served, mut asked) = (0_usize, 0_usize);
+    for call in &record.calls {
+        if !record.is_all_calm(SETTLE, call.sent, call.ended) {
+            continue;
+        }
+        asked += 1;
+        match call.end {
+            CallEnd::Answered { status: 200, .. } => served += 1,
+            CallEnd::Answered { .. } => {}
+            // A process that was asked to stop may be gone, and its callers come to nobody.
+            CallEnd::Unreached => asked -= usize::from(was_stopping(record, call)),
+            CallEnd::Cut if !ran.contains(call.id.as_str()) && call.ended - call.sent <= UNREAD => {}
+            CallEnd::Cut | CallEnd::Silent => {
+                let what = format!(
+                    "{} at machine {} ended as {:?} after {:?}",
+                    call.id,
+                    call.machine,
+                    call.end,
+                    call.ended - call.sent
+                );
+                found.push(broken(Promise::Uncut, what));
+            }
+        }
+    }
+    if (served as f64) < SERVED_IN_CALM * asked as f64 {
+        found.push(broken(Promise::Served, format!("{served} of {asked} in calm")));
+    }
+    found.extend(out_of_date(record));
+    found.extend(not_left(record));
+    found
+}
+
+fn was_stopping(record: &SoakRecord, call: &CallRecord) -> bool {
+    record.stops.iter().any(|stop| {
+        stop.machine == call.machine && call.ended >= stop.asked && call.sent <= stop.asked + stop.grace + SETTLE
+    })
+}
+
+/// Requests that ran at a service to which only configurations send them that should be in force no longer.
+fn out_of_date(record: &SoakRecord) -> Vec<Violation> {
+    let mut found = Vec::new();
+    let sent: HashMap<&str, &CallRecord> = record.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    for run in &record.runs {
+        let Some(call) = sent.get(run.id.as_str()).filter(|call| call.kind == RouteKind::Moving) else { continue };
+        if !record.is_all_calm(SETTLE, call.sent, call.ended) {
+            continue;
+        }
+        let service = MachineAddrs::service_of(run.machine);
+        let mut may_run = false;
+        for (index, config) in record.configs.iter().enumerate() {
+            let replaced = record.configs.get(index + 1).map(|next| next.acked);
+            let is_over = replaced.is_some_and(|replaced| call.sent > replaced + APPLY + SLACK);
+            may_run |= config.moving == service && config.acked <= call.ended && !is_over;
+        }
+        if !may_run {
+            found.push(broken(Promise::InForce, format!("{} ran at {service}", run.id)));
+        }
+    }
+    found
+}
+
+/// Requests that reached a target long after its drain was acknowledged.
+fn not_left(record: &SoakRecord) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for run in &record.runs {
+        for drain in record.drains.iter().filter(|drain| drain.machine == run.machine) {
+            let is_late = run.at > drain.acked + APPLY + SLACK && run.at < drain.until;
+            if is_late && record.is_all_calm(SETTLE, drain.acked, run.at) {
+                found.push(broken(
+                    Promise::Drained,
+                    format!("{} ran {:?} after the drain", run.id, run.at - drain.acked),
+                ));
+            }
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/soak/src/faults.rs
@@ -0,0 +1,165 @@
+//! Faults that are brought in from outside, each on one machine or on the store for all, and taken back after a while.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use quillhatch_standins::mesh::store::Mode;
+use quillhatch_standins::mesh::target::Habit;
+use rand::Rng;
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use crate::machine::SoakMachine;
+use crate::proxy::LinkState;
+use crate::record::Disturbance;
+
+/// What is done to a machine.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum FaultKind {
+    /// What comes to it and from it takes longer.
+    LinkDelay,
+    /// Its connections are reset.
+    LinkReset,
+    /// Nothing comes to it.
+    HoldRequests,
+    /// Nothing comes from it.
+    HoldAnswers,
+    /// Both.
+    LinkSilent,
+    /// Its process stands still.
+    Freeze,
+    /// Its process is killed and started again.
+    Kill,
+    /// Its target starts again under a new identity.
+    TargetRestart,
+    /// Its target loses answers.
+    TargetLoses,
+    /// Its target answers what is no answer.
+    TargetGarbage,
+    /// Its target breaks its answers off.
+    TargetBreaksOff,
+    /// Its target sends second answers.
+    TargetSurplus,
+    /// Its target refuses everything.
+    TargetSheds,
+    /// The store says nothing to it.
+    StoreSilent,
+    /// The store turns it away.
+    StoreBusy,
+    /// Its watches hang.
+    StoreDeaf,
+    /// Its watches are told that history is gone.
+    StoreForgetful,
+    /// The store says nothing to anybody.
+    StoreSilentToAll,
+    /// All processes are killed and started again.
+    KillAll,
+}
+
+impl FaultKind {
+    /// All kinds.
+    pub const ALL: [FaultKind; 19] = [
+        FaultKind::LinkDelay,
+        FaultKind::LinkReset,
+        FaultKind::HoldRequests,
+        FaultKind::HoldAnswers,
+        FaultKind::LinkSilent,
+        FaultKind::Freeze,
+        FaultKind::Kill,
+        FaultKind::TargetRestart,
+        FaultKind::TargetLoses,
+        FaultKind::TargetGarbage,
+        FaultKind::TargetBreaksOff,
+        FaultKind::TargetSurplus,
+        FaultKind::TargetSheds,
+        FaultKind::StoreSilent,
+        FaultKind::StoreBusy,
+        FaultKind::StoreDeaf,
+        FaultKind::StoreForgetful,
+        FaultKind::StoreSilentToAll,
+        FaultKind::KillAll,
+    ];
+
+    /// Draws a kind.
+    pub fn draw(random: &mut impl Rng) -> Self {
+        Self::ALL[random.gen_range(0..Self::ALL.len())]
+    }
+
+    /// Whether it strikes all machines.
+    pub fn strikes_all(self) -> bool {
+        matches!(self, FaultKind::StoreSilentToAll | FaultKind::KillAll)
+    }
+}
+
+/// Brings a fault in, takes it back after `span`, and returns what was disturbed.
+pub async fn strike(kind: FaultKind, machines: &[Rc<SoakMachine>], struck: usize, span: Duration) -> Disturbance {
+    let from = Instant::now();
+    let machine = &machines[struck];
+    let former = machine.target.id();
+    for touched in touched(kind, machines, struck) {
+        begin(kind, touched);
+    }
+    sleep(span).await;
+    for touched in touched(kind, machines, struck) {
+        end(kind, touched);
+    }
+    if kind == FaultKind::TargetRestart {
+        machine.store.unlist(&former);
+    }
+    Disturbance { machine: (!kind.strikes_all()).then_some(struck), from, until: Instant::now() }
+}
+
+fn touched(kind: FaultKind, machines: &[Rc<SoakMachine>], struck: usize) -> impl Iterator<Item = &Rc<SoakMachine>> {
+    let all = kind.strikes_all();
+    machines.iter().enumerate().filter(move |(number, _)| all || *number == struck).map(|(_, machine)| machine)
+}
+
+fn begin(kind: FaultKind, machine: &SoakMachine) {
+    let calm = LinkState::default();
+    let silent = LinkState { holds_requests: true, holds_answers: true, ..calm };
+    match kind {
+        FaultKind::LinkDelay => machine.link.set(LinkState { delay: Duration::from_millis(80), ..calm }),
+        FaultKind::LinkReset => machine.link.reset(),
+        FaultKind::HoldRequests => machine.link.set(LinkState { holds_requests: true, ..calm }),
+        FaultKind::HoldAnswers => machine.link.set(LinkState { holds_answers: true, ..calm }),
+        FaultKind::LinkSilent => machine.link.set(silent),
+        FaultKind::Freeze => machine.signal(Signal::STOP),
+        FaultKind::Kill | FaultKind::KillAll => machine.signal(Signal::KILL),
+        FaultKind::TargetRestart => {
+            machine.target.restart();
+            machine.store.list(&machine.target, "ready");
+        }
+        FaultKind::TargetLoses => machine.target.set_habit(Habit::Lost),
+        FaultKind::TargetGarbage => machine.target.set_habit(Habit::Garbage),
+        FaultKind::TargetBreaksOff => machine.target.set_habit(Habit::BreaksOff),
+        FaultKind::TargetSurplus => machine.target.set_habit(Habit::Surplus),
+        FaultKind::TargetSheds => machine.target.set_habit(Habit::Sheds),
+        FaultKind::StoreSilent | FaultKind::StoreSilentToAll => machine.store.set_mode(Mode::Silent),
+        FaultKind::StoreBusy => machine.store.set_mode(Mode::Status(503)),
+        FaultKind::StoreDeaf => machine.store.set_mode(Mode::Deaf),
+        FaultKind::StoreForgetful => machine.store.set_mode(Mode::Forgetful),
+    }
+}
+
+fn end(kind: FaultKind, machine: &SoakMachine) {
+    match kind {
+        FaultKind::LinkDelay | FaultKind::HoldRequests | FaultKind::HoldAnswers | FaultKind::LinkSilent => {
+            machine.link.set(LinkState::default());
+        }
+        FaultKind::LinkReset => machine.link.reset(),
+        FaultKind::Freeze => machine.signal(Signal::CONT),
+        FaultKind::Kill | FaultKind::KillAll => machine.start_process().expect("the program that ran before starts"),
+        FaultKind::TargetRestart => {}
+        FaultKind::TargetLoses
+        | FaultKind::TargetGarbage
+        | FaultKind::TargetBreaksOff
+        | FaultKind::TargetSurplus
+        | FaultKind::TargetSheds => machine.heal_target(),
+        FaultKind::StoreSilent
+        | FaultKind::StoreBusy
+        | FaultKind::StoreDeaf
+        | FaultKind::StoreForgetful
+        | FaultKind::StoreSilentToAll => machine.store.set_mode(Mode::Normal),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/layout.rs
@@ -0,0 +1,177 @@
+//! The deployment that is soaked: machines, services, routes and the configuration documents.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use rand::Rng;
+
+/// The host of all routes.
+pub const HOST: &str = "soak.example";
+/// The services, each with [`TARGETS_EACH`] targets.
+pub const SERVICES: [&str; 3] = ["alpha", "beta", "gamma"];
+/// The targets of a service.
+pub const TARGETS_EACH: usize = 2;
+/// The machines.
+pub const MACHINES: usize = SERVICES.len() * TARGETS_EACH;
+/// The requests that a target works on at a time.
+pub const SLOTS: u32 = 24;
+
+const OUTBOUND: u16 = 22501;
+const INBOUND: u16 = 22502;
+const READY: u16 = 22503;
+const METRICS: u16 = 22504;
+const TARGET: u16 = 22505;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RouteKind {
+    /// May be repeated; served by beta.
+    Read,
+    /// Runs at most once; served by gamma.
+    Pay,
+    /// May be repeated; served by alpha, whose targets call beta for it.
+    Chain,
+    /// May be repeated; the configuration moves it from service to service.
+    Moving,
+}
+
+impl RouteKind {
+    /// All kinds.
+    pub const ALL: [RouteKind; 4] = [RouteKind::Read, RouteKind::Pay, RouteKind::Chain, RouteKind::Moving];
+
+    /// The path of its requests.
+    pub fn path(self) -> &'static str {
+        match self {
+            RouteKind::Read => "/read/x",
+            RouteKind::Pay => "/pay/x",
+            RouteKind::Chain => "/chain/x",
+            RouteKind::Moving => "/moving/x",
+        }
+    }
+
+    /// The kind with this path.
+    pub fn of_path(path: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.path() == path)
+    }
+
+    /// The method of its requests.
+    pub fn method(self) -> &'static str {
+        match self {
+            RouteKind::Pay => "POST",
+            _ => "GET",
+        }
+    }
+
+    /// The body of its requests.
+    pub fn body(self) -> &'static str {
+        match self {
+            RouteKind::Pay => "one pledge",
+            _ => "",
+        }
+    }
+
+    /// The service that always serves it, unless the configuration moves it.
+    pub fn service(self) -> Option<&'static str> {
+        match self {
+            RouteKind::Read => Some("beta"),
+            RouteKind::Pay => Some("gamma"),
+            RouteKind::Chain => Some("alpha"),
+            RouteKind::Moving => None,
+        }
+    }
+
+    /// Whether its requests may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        self != RouteKind::Pay
+    }
+}
+
+/// The configuration of a version, in which [`RouteKind::Moving`] is served by `moving`.
+pub fn document(version: u64, moving: &str) -> String {
+    let rule = |name: &str, kind: &str, service: &str, priority: u32| {
+        format!(
+            r#"{{"name":"{name}","kind":"{kind}","aim_s":1,"priority":{priority},"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":2,"max_attempts":2}}}}"#
+        )
+    };
+    let rules = [
+        rule("read", "safe", "beta", 2),
+        rule("pay", "unsafe", "gamma", 0),
+        rule("chain", "safe", "alpha", 1),
+        rule("moving", "safe", moving, 2),
+    ];
+    let clusters = SERVICES.map(|service| format!(r#"{{"name":"{service}","health_path":"/health"}}"#));
+    format!(
+        r#"{{"version":"r{version}","listeners":[{{"host":"{HOST}","rules":[{}]}}],"clusters":[{}]}}"#,
+        rules.join(","),
+        clusters.join(",")
+    )
+}
+
+/// The addresses of one machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineAddrs {
+    /// Its number.
+    pub number: usize,
+    /// The address that others know; its callers and its target use it, and a proxy listens there for other nodes.
+    pub public: Ipv4Addr,
+    /// The address at which its process listens.
+    pub own: Ipv4Addr,
+}
+
+impl MachineAddrs {
+    /// The addresses of machine `number` of the soak that drew `net`.
+    pub fn new(net: SoakNet, number: usize) -> Self {
+        let at = |host: usize| Ipv4Addr::new(127, net.0, net.1, host as u8);
+        MachineAddrs { number, public: at(10 + number), own: at(100 + number) }
+    }
+
+    /// The service of the target of machine `number`.
+    pub fn service_of(number: usize) -> &'static str {
+        SERVICES[number % SERVICES.len()]
+    }
+
+    /// The service of its target.
+    pub fn service(&self) -> &'static str {
+        Self::service_of(self.number)
+    }
+
+    /// Where callers send their calls.
+    pub fn outbound(&self) -> SocketAddr {
+        (self.own, OUTBOUND).into()
+    }
+
+    /// Where other nodes send their calls.
+    pub fn proxy(&self) -> SocketAddr {
+        (self.public, INBOUND).into()
+    }
+
+    /// Where the process takes what comes through the proxy.
+    pub fn inbound(&self) -> SocketAddr {
+        (self.own, INBOUND).into()
+    }
+
+    /// Where the process says whether it is ready.
+    pub fn ready(&self) -> SocketAddr {
+        (self.own, READY).into()
+    }
+
+    /// The port of the counters.
+    pub fn metrics_port(&self) -> u16 {
+        METRICS
+    }
+
+    /// Where the target listens.
+    pub fn target(&self) -> SocketAddr {
+        (self.public, TARGET).into()
+    }
+}
+
+/// The part of the loopback range that one soak uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SoakNet(u8, u8);
+
+impl SoakNet {
+    /// Draws a part that other soaks on this machine hardly ever use at the same time.
+    pub fn draw(random: &mut impl Rng) -> Self {
+        SoakNet(random.gen_range(60..250), random.gen_range(1..250))
+    }
+}
--- /dev/null
+++ b/crates/soak/src/machine.rs
@@ -0,0 +1,138 @@
+//! One machine: a sidecar process, the target beside it, its address of the store and the link to it.
+
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use quillhatch_standins::mesh::settings::{settings_document, MachineSettings};
+use quillhatch_standins::mesh::store::StandInStore;
+use quillhatch_standins::mesh::target::{ChainedCall, Habit, StandInTarget};
+use rustix::process::{kill_process, Pid, Signal};
+
+use crate::layout::{MachineAddrs, RouteKind, HOST, SLOTS};
+use crate::proxy::LinkProxy;
+
+/// How long a request takes at a target.
+const WORK: Duration = Duration::from_millis(15);
+
+/// A machine of the soak.
+pub struct SoakMachine {
+    /// Its addresses.
+    pub addrs: MachineAddrs,
+    /// Its target.
+    pub target: StandInTarget,
+    /// The store as this machine meets it.
+    pub store: StandInStore,
+    /// The link from the other machines.
+    pub link: LinkProxy,
+    /// Whether callers send new work here.
+    pub takes_callers: Cell<bool>,
+    process: RefCell<Option<Child>>,
+    program: PathBuf,
+    settings: PathBuf,
+    log: File,
+}
+
+impl SoakMachine {
+    /// Sets a machine up and starts its process; its settings and its log lie in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be written, an address can't be used or the process does not start.
+    pub async fn start(
+        addrs: MachineAddrs,
+        store: &StandInStore,
+        program: &Path,
+        folder: &Path,
+    ) -> io::Result<SoakMachine> {
+        let target = StandInTarget::start_at(addrs.target(), addrs.service(), SLOTS).await;
+        target.set_habit(Habit::Slow(WORK));
+        let path = RouteKind::Read.path().to_owned();
+        target.chain(ChainedCall { outbound: addrs.outbound(), host: HOST.to_owned(), path });
+        let store = store.another_address().await;
+        store.list(&target, "ready");
+        let link = LinkProxy::open(addrs.proxy(), addrs.inbound()).await?;
+        let node = format!("machine-{}", addrs.number);
+        let settings = folder.join(format!("{node}.json"));
+        let document = settings_document(&MachineSettings {
+            node: &node,
+            service: addrs.service(),
+            ip: addrs.own.into(),
+            target: addrs.target(),
+            outbound: addrs.outbound(),
+            inbound: addrs.inbound(),
+            ready: addrs.ready(),
+            metrics_port: addrs.metrics_port(),
+            store: store.address,
+        });
+        std::fs::write(&settings, document)?;
+        let log = File::create(folder.join(format!("{node}.log")))?;
+        let machine = SoakMachine {
+            addrs,
+            target,
+            store,
+            link,
+            takes_callers: Cell::new(true),
+            process: RefCell::default(),
+            program: program.to_owned(),
+            settings,
+            log,
+        };
+        machine.start_process()?;
+        Ok(machine)
+    }
+
+    /// Starts the process, unless one runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not start.
+    pub fn start_process(&self) -> io::Result<()> {
+        if self.runs() {
+            return Ok(());
+        }
+        let child = Command::new(&self.program)
+            .arg("sidecar")
+            .env("QUILLHATCH_CONFIG", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(self.log.try_clone()?)
+            .stderr(self.log.try_clone()?)
+            .spawn()?;
+        *self.process.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    /// Whether the process runs.
+    pub fn runs(&self) -> bool {
+        let mut process = self.process.borrow_mut();
+        process.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Sends a signal to the process that this machine started, if it still runs.
+    pub fn signal(&self, signal: Signal) {
+        if !self.runs() {
+            return;
+        }
+        let process = self.process.borrow();
+        let Some(pid) = process.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) else { return };
+        // It may have ended in this moment.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Lets the target answer as it should again.
+    pub fn heal_target(&self) {
+        self.target.set_habit(Habit::Slow(WORK));
+    }
+}
+
+impl Drop for SoakMachine {
+    fn drop(&mut self) {
+        let Some(child) = self.process.get_mut() else { return };
+        // It may have ended before.
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,110 @@
+//! A loopback proxy between nodes, through which faults of the network are brought in.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// How often held bytes look whether they may go on.
+const HELD_CHECK: Duration = Duration::from_millis(10);
+
+/// How a link treats what passes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkState {
+    /// What each piece takes longer.
+    pub delay: Duration,
+    /// Whether what goes to the node is held.
+    pub holds_requests: bool,
+    /// Whether what comes from the node is held.
+    pub holds_answers: bool,
+}
+
+/// The link to one machine.
+#[derive(Clone, Default)]
+pub struct LinkProxy {
+    state: Rc<Cell<LinkState>>,
+    reset: Rc<Notify>,
+}
+
+impl LinkProxy {
+    /// Passes connections to `listen` on to `node`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be used.
+    pub async fn open(listen: SocketAddr, node: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let proxy = LinkProxy::default();
+        let link = proxy.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(link.clone().pass(stream, node));
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Changes how what passes is treated.
+    pub fn set(&self, state: LinkState) {
+        self.state.set(state);
+    }
+
+    /// Resets all connections.
+    pub fn reset(&self) {
+        self.reset.notify_waiters();
+    }
+
+    async fn pass(self, near: TcpStream, node: SocketAddr) {
+        let mut near = near;
+        let Ok(mut far) = TcpStream::connect(node).await else {
+            // Nobody listens there, and the other side sees what it would see without the proxy.
+            let _ = near.set_zero_linger();
+            return;
+        };
+        let _ = near.set_nodelay(true);
+        let _ = far.set_nodelay(true);
+        let was_reset = {
+            let (near_read, near_write) = near.split();
+            let (far_read, far_write) = far.split();
+            let requests = self.copy(near_read, far_write, |state| state.holds_requests);
+            let answers = self.copy(far_read, near_write, |state| state.holds_answers);
+            tokio::select! {
+                _ = async { tokio::join!(requests, answers) } => false,
+                () = self.reset.notified() => true,
+            }
+        };
+        if was_reset {
+            let _ = near.set_zero_linger();
+            let _ = far.set_zero_linger();
+        }
+    }
+
+    /// Copies one way until the sender ends.
+    async fn copy(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, holds: impl Fn(LinkState) -> bool) {
+        let mut buf = vec![0; 16 * 1024];
+        while let Ok(count @ 1..) = from.read(&mut buf).await {
+            sleep_unless_zero(self.state.get().delay).await;
+            while holds(self.state.get()) {
+                sleep(HELD_CHECK).await;
+            }
+            if to.write_all(&buf[..count]).await.is_err() {
+                return;
+            }
+        }
+        let _ = to.shutdown().await;
+    }
+}
+
+async fn sleep_unless_zero(delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/record.rs
@@ -0,0 +1,132 @@
+//! What callers and targets saw, and what was done to the machines.
+
+use std::time::{Duration, Instant};
+
+use crate::layout::RouteKind;
+
+/// How a call ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// With an answer.
+    Answered {
+        /// Its status code.
+        status: u16,
+        /// Whether it carries the id of the request, and as a success also the target's signature and whole body.
+        is_own: bool,
+    },
+    /// The connection ended without a whole answer.
+    Cut,
+    /// Nothing came in the time that the caller gave.
+    Silent,
+    /// Nobody took the connection.
+    Unreached,
+}
+
+/// A call as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// The request's id.
+    pub id: String,
+    /// What was asked for.
+    pub kind: RouteKind,
+    /// The machine whose node it was sent to.
+    pub machine: usize,
+    /// When its last byte was sent.
+    pub sent: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// How it ended.
+    pub end: CallEnd,
+}
+
+/// A request as a target saw it.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// The request's id.
+    pub id: String,
+    /// The machine of the target.
+    pub machine: usize,
+    /// When the target began to work on it.
+    pub at: Instant,
+    /// Its method, path and body.
+    pub request: (String, String, String),
+    /// The service that the node named as its caller.
+    pub caller_service: String,
+}
+
+/// A time in which something was wrong with a machine, or with all of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// The machine; `None` for all.
+    pub machine: Option<usize>,
+    /// When it began.
+    pub from: Instant,
+    /// When it was over.
+    pub until: Instant,
+}
+
+/// A configuration that the store has acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigWrite {
+    /// The service of [`RouteKind::Moving`] in it.
+    pub moving: &'static str,
+    /// When it was acknowledged.
+    pub acked: Instant,
+}
+
+/// A time in which a target's entry said that it is draining.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainSpan {
+    /// The target's machine.
+    pub machine: usize,
+    /// When the store acknowledged it.
+    pub acked: Instant,
+    /// When its entry was taken back.
+    pub until: Instant,
+}
+
+/// A planned stop of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct StopSpan {
+    /// The machine.
+    pub machine: usize,
+    /// When the process was asked to stop.
+    pub asked: Instant,
+    /// How long its callers went on, and its process had to end.
+    pub grace: Duration,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct SoakRecord {
+    /// Calls, in the order of their ends.
+    pub calls: Vec<CallRecord>,
+    /// Requests at targets.
+    pub runs: Vec<RunRecord>,
+    /// What was wrong, and when.
+    pub disturbances: Vec<Disturbance>,
+    /// Configurations, in order.
+    pub configs: Vec<ConfigWrite>,
+    /// Drains.
+    pub drains: Vec<DrainSpan>,
+    /// Planned stops.
+    pub stops: Vec<StopSpan>,
+    /// The most requests that a target has worked on at a time.
+    pub most_running: u32,
+}
+
+impl SoakRecord {
+    /// Whether a machine was without disturbance from `settle` before `from` until `until`.
+    pub fn is_calm(&self, machine: usize, settle: Duration, from: Instant, until: Instant) -> bool {
+        let strikes = |disturbance: &Disturbance| disturbance.machine.is_none_or(|struck| struck == machine);
+        !self
+            .disturbances
+            .iter()
+            .any(|disturbance| strikes(disturbance) && disturbance.from <= until && disturbance.until + settle >= from)
+    }
+
+    /// Whether all machines were without disturbance from `settle` before `from` until `until`.
+    pub fn is_all_calm(&self, settle: Duration, from: Instant, until: Instant) -> bool {
+        !self.disturbances.iter().any(|disturbance| disturbance.from <= until && disturbance.until + settle >= from)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,277 @@
+//! Runs a soak: rounds of faults and of calm, planned work in the calm ones, and a verdict at the end.
+
+use std::cell::RefCell;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use quillhatch_standins::mesh::caller::Caller;
+use quillhatch_standins::mesh::store::StandInStore;
+use quillhatch_standins::mesh::target::Seen;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use rustix::process::Signal;
+use tokio::runtime::LocalOptions;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::sleep;
+
+use crate::checks::{self, Violation};
+use crate::faults::{strike, FaultKind};
+use crate::layout::{document, MachineAddrs, SoakNet, MACHINES, SERVICES};
+use crate::machine::SoakMachine;
+use crate::record::{ConfigWrite, DrainSpan, RunRecord, SoakRecord, StopSpan};
+use crate::traffic::SoakCaller;
+
+/// Callers of each machine.
+const CALLERS: usize = 4;
+/// How long the processes get to start.
+const START: Duration = Duration::from_secs(10);
+/// How long a round of faults lasts.
+const STORM: Duration = Duration::from_secs(8);
+/// How long a machine rests after a storm before planned work is done.
+const REST: Duration = Duration::from_millis(3500);
+/// The pause between two faults, in milliseconds.
+const FAULT_PAUSE_MS: std::ops::Range<u64> = 300..1400;
+/// How long a fault lasts, in milliseconds.
+const FAULT_SPAN_MS: std::ops::Range<u64> = 300..3000;
+/// How long a target stays draining.
+const DRAIN: Duration = Duration::from_millis(4500);
+/// For how long callers go on to come to a process that was asked to stop: two questions a second whether it is ready.
+const LED_AWAY: Duration = Duration::from_millis(2500);
+/// The time in which a process must have stopped.
+const GRACE: Duration = Duration::from_secs(6);
+/// How long a last call may take.
+const LAST_CALLS: Duration = Duration::from_secs(5);
+/// How often it is looked whether something has happened.
+const CHECK: Duration = Duration::from_millis(20);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// The quillhatch program.
+    pub program: PathBuf,
+    /// Where settings and logs are written; it must exist.
+    pub folder: PathBuf,
+    /// The seed of the schedule.
+    pub seed: u64,
+    /// How long faults and calm take turns.
+    pub time: Duration,
+    /// Whether there are faults; without them only planned work is done.
+    pub has_faults: bool,
+}
+
+/// What came of it.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// All that was seen.
+    pub record: SoakRecord,
+    /// The faults in order, each with the machine that it struck.
+    pub faults: Vec<(FaultKind, usize)>,
+    /// The promises that were broken.
+    pub violations: Vec<Violation>,
+}
+
+/// Runs a soak on a runtime of its own.
+///
+/// # Errors
+///
+/// Returns an error if the machines can't be set up.
+pub fn run(options: &SoakOptions) -> io::Result<SoakReport> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    runtime.block_on(soak(options))
+}
+
+/// The machines and what is recorded of them.
+struct SoakWorld {
+    store: StandInStore,
+    machines: Vec<Rc<SoakMachine>>,
+    record: Rc<RefCell<SoakRecord>>,
+    faults: Vec<(FaultKind, usize)>,
+    random: Pcg64,
+    version: u64,
+}
+
+async fn soak(options: &SoakOptions) -> io::Result<SoakReport> {
+    let mut world = SoakWorld::start(options).await?;
+    world.configure();
+    world.wait_until_ready().await?;
+    let end = Instant::now() + options.time;
+    let callers = world.start_callers(end);
+    while Instant::now() < end {
+        if options.has_faults {
+            world.storm().await;
+            sleep(REST).await;
+        }
+        world.planned_work().await?;
+    }
+    for caller in callers {
+        // A caller that has ended early would have panicked, and its calls are missing.
+        caller.await.map_err(io::Error::other)?;
+    }
+    sleep(LAST_CALLS).await;
+    Ok(world.report())
+}
+
+impl SoakWorld {
+    async fn start(options: &SoakOptions) -> io::Result<Self> {
+        let mut random = Pcg64::seed_from_u64(options.seed);
+        let net = SoakNet::draw(&mut Pcg64::from_entropy());
+        let store = StandInStore::start().await;
+        let mut machines = Vec::new();
+        for number in 0..MACHINES {
+            let addrs = MachineAddrs::new(net, number);
+            let machine = SoakMachine::start(addrs, &store, &options.program, &options.folder).await?;
+            machines.push(Rc::new(machine));
+        }
+        let version = random.gen_range(1..50);
+        let record = Rc::default();
+        Ok(SoakWorld { store, machines, record, faults: Vec::new(), random, version })
+    }
+
+    /// Writes a configuration that moves a route to another service.
+    fn configure(&mut self) {
+        self.version += self.random.gen_range(1..5);
+        let former = self.record.borrow().configs.last().map(|config| config.moving);
+        let others: Vec<&'static str> = SERVICES.into_iter().filter(|service| Some(*service) != former).collect();
+        let moving = others[self.random.gen_range(0..others.len())];
+        self.store.configure(&document(self.version, moving));
+        self.record.borrow_mut().configs.push(ConfigWrite { moving, acked: Instant::now() });
+    }
+
+    async fn wait_until_ready(&self) -> io::Result<()> {
+        let begun = Instant::now();
+        for machine in &self.machines {
+            while !is_ready(machine).await {
+                if begun.elapsed() > START {
+                    return Err(io::Error::other(format!("machine {} does not get ready", machine.addrs.number)));
+                }
+                sleep(CHECK).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_callers(&mut self, end: Instant) -> Vec<JoinHandle<()>> {
+        let mut callers = Vec::new();
+        for machine in &self.machines {
+            for number in 0..CALLERS {
+                let random = Pcg64::seed_from_u64(self.random.gen());
+                let (machine, record) = (Rc::clone(machine), Rc::clone(&self.record));
+                let caller = SoakCaller { machine, number, record, random };
+                callers.push(spawn_local(caller.call_until(end)));
+            }
+        }
+        callers
+    }
+
+    /// A round of faults; ends when the last of them is over.
+    async fn storm(&mut self) {
+        let end = Instant::now() + STORM;
+        let mut strikes = Vec::new();
+        while Instant::now() < end {
+            let kind = FaultKind::draw(&mut self.random);
+            let struck = self.random.gen_range(0..MACHINES);
+            let span = Duration::from_millis(self.random.gen_range(FAULT_SPAN_MS));
+            self.faults.push((kind, struck));
+            let machines = self.machines.clone();
+            strikes.push(spawn_local(async move { strike(kind, &machines, struck, span).await }));
+            sleep(Duration::from_millis(self.random.gen_range(FAULT_PAUSE_MS))).await;
+            self.look_at_targets();
+        }
+        for strike in strikes {
+            if let Ok(disturbance) = strike.await {
+                self.record.borrow_mut().disturbances.push(disturbance);
+            }
+        }
+        // Faults that overlapped may have left a process frozen, down, or a link cut.
+        for machine in &self.machines {
+            machine.signal(Signal::CONT);
+        }
+    }
+
+    /// A change of the configuration, a drain and a planned stop, on machines of different services.
+    async fn planned_work(&mut self) -> io::Result<()> {
+        self.configure();
+        let drained = self.random.gen_range(0..MACHINES);
+        let stopped = (drained + self.random.gen_range(1..SERVICES.len())) % MACHINES;
+        let draining = Rc::clone(&self.machines[drained]);
+        self.store.list(&draining.target, "draining");
+        let acked = Instant::now();
+        self.stop_and_start(stopped).await?;
+        sleep(DRAIN.saturating_sub(acked.elapsed())).await;
+        self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
+        self.store.list(&draining.target, "ready");
+        self.look_at_targets();
+        sleep(Duration::from_secs(1)).await;
+        Ok(())
+    }
+
+    async fn stop_and_start(&mut self, number: usize) -> io::Result<()> {
+        let machine = Rc::clone(&self.machines[number]);
+        let asked = Instant::now();
+        self.record.borrow_mut().stops.push(StopSpan { machine: number, asked, grace: GRACE });
+        machine.signal(Signal::TERM);
+        sleep(LED_AWAY).await;
+        machine.takes_callers.set(false);
+        while machine.runs() && asked.elapsed() < GRACE {
+            sleep(CHECK).await;
+        }
+        if machine.runs() {
+            machine.signal(Signal::KILL);
+        }
+        while machine.runs() {
+            sleep(CHECK).await;
+        }
+        machine.start_process()?;
+        let begun = Instant::now();
+        while !is_ready(&machine).await && begun.elapsed() < START {
+            sleep(CHECK).await;
+        }
+        machine.takes_callers.set(true);
+        Ok(())
+    }
+
+    /// Takes over what the targets have recorded.
+    fn look_at_targets(&self) {
+        let mut record = self.record.borrow_mut();
+        for machine in &self.machines {
+            let number = machine.addrs.number;
+            record.runs.extend(machine.target.take_ran().into_iter().map(|seen| run_record(number, seen)));
+            record.most_running = record.most_running.max(machine.target.most_running() as u32);
+        }
+    }
+
+    fn report(self) -> SoakReport {
+        self.look_at_targets();
+        let record = self.record.borrow().clone();
+        let violations = checks::all(&record);
+        SoakReport { record, faults: self.faults, violations }
+    }
+}
+
+fn run_record(machine: usize, seen: Seen) -> RunRecord {
+    let id = seen.header("quillhatch-request-id").to_owned();
+    let caller_service = seen.header("quillhatch-caller-service").to_owned();
+    let body = String::from_utf8_lossy(&seen.body).into_owned();
+    RunRecord { id, machine, at: seen.at, request: (seen.method, seen.path, body), caller_service }
+}
+
+/// Whether the process of a machine says that it takes callers.
+async fn is_ready(machine: &SoakMachine) -> bool {
+    let own = machine.addrs.public.into();
+    let Some(mut caller) = Caller::connect_from(own, machine.addrs.ready()).await else { return false };
+    caller.send("GET /ready HTTP/1.1\r\nHost: node\r\n\r\n").await;
+    caller.answer_within(Duration::from_secs(1)).await.is_some_and(|answer| answer.status == 200)
+}
+
+/// A folder for settings and logs of one soak below `parent`.
+///
+/// # Errors
+///
+/// Returns an error if it can't be made.
+pub fn make_folder(parent: &Path, seed: u64) -> io::Result<PathBuf> {
+    let folder = parent.join(format!("quillhatch-soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod backend;
 pub mod content;
 pub mod load;
+pub mod mesh;
 pub mod platform;
 pub mod server;
--- a/crates/sidecar/tests/support/caller.rs
+++ b/crates/standins/src/mesh/caller.rs
@@ -1,20 +1,25 @@
 //! A caller that speaks plain HTTP/1.1 and sees exactly the bytes that it gets.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
+/// How long a caller waits for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(8);
 
 /// An answer as a caller got it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
+    /// Its status code.
     pub status: u16,
+    /// Its headers in order.
     pub headers: Vec<(String, String)>,
+    /// Its body.
     pub body: Vec<u8>,
 }
 
@@ -54,6 +59,16 @@
         Some(Caller { stream, buffer: Vec::new() })
     }
 
+    /// Connects from the address `source` if anybody listens.
+    pub async fn connect_from(source: IpAddr, to: SocketAddr) -> Option<Self> {
+        let socket = TcpSocket::new_v4().ok()?;
+        socket.set_reuseaddr(true).ok()?;
+        socket.bind(SocketAddr::new(source, 0)).ok()?;
+        let stream = timeout(CONNECT_TIMEOUT, socket.connect(to)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Caller { stream, buffer: Vec::new() })
+    }
+
     /// Sends text as it is.
     pub async fn send(&mut self, text: &str) {
         // If the connection has ended, the answer that doesn't come tells it.
@@ -65,6 +80,11 @@
         timeout(PATIENCE, self.read_answer()).await.expect("an answer or an end in time")
     }
 
+    /// The next answer; `None` if the connection ends without a whole one or `patience` is over.
+    pub async fn answer_within(&mut self, patience: Duration) -> Option<Answer> {
+        timeout(patience, self.read_answer()).await.ok().flatten()
+    }
+
     async fn read_answer(&mut self) -> Option<Answer> {
         let end = loop {
             if let Some(end) = self.buffer.windows(4).position(|window| window == b"\r\n\r\n") {
--- a/crates/sidecar/tests/support/store.rs
+++ b/crates/standins/src/mesh/store.rs
@@ -27,6 +27,8 @@
     Status(u16),
     /// Watches get 410; reads are answered.
     Forgetful,
+    /// Watches that wait, or come, are never answered; reads are.
+    Deaf,
 }
 
 struct Item {
@@ -37,42 +39,53 @@
 struct State {
     items: RefCell<BTreeMap<String, Item>>,
     revision: Cell<u64>,
-    mode: Cell<Mode>,
     calls: RefCell<Vec<String>>,
     changed: Notify,
 }
 
-/// The store.
+/// One address of the store; what it holds is the same at all of them, how it answers is set for each.
 #[derive(Clone)]
 pub struct StandInStore {
+    /// Where it listens.
     pub address: SocketAddr,
+    mode: Rc<Cell<Mode>>,
     state: Rc<State>,
 }
 
 impl StandInStore {
     /// An empty store.
     pub async fn start() -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
         let state = Rc::new(State {
             items: RefCell::default(),
             revision: Cell::new(1),
-            mode: Cell::new(Mode::Normal),
             calls: RefCell::default(),
             changed: Notify::new(),
         });
-        let served = Rc::clone(&state);
+        Self::open(state).await
+    }
+
+    /// The same store at another address, so that it can answer some machines otherwise than others.
+    pub async fn another_address(&self) -> Self {
+        Self::open(Rc::clone(&self.state)).await
+    }
+
+    async fn open(state: Rc<State>) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let mode = Rc::new(Cell::new(Mode::Normal));
+        let store = StandInStore { address, mode, state };
+        let served = store.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serve(stream, Rc::clone(&served)));
+                spawn_local(serve(stream, served.clone()));
             }
         });
-        StandInStore { address, state }
+        store
     }
 
-    /// Changes how the store answers.
+    /// Changes how the store answers at this address.
     pub fn set_mode(&self, mode: Mode) {
-        self.state.mode.set(mode);
+        self.mode.set(mode);
         self.state.changed.notify_waiters();
     }
 
@@ -110,7 +123,7 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, state: Rc<State>) {
+async fn serve(mut stream: TcpStream, store: StandInStore) {
     let mut buffer = Vec::new();
     loop {
         let mut space = [0; 4096];
@@ -122,8 +135,8 @@
         let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
         buffer.drain(..end + 4);
         let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-        state.calls.borrow_mut().push(path.clone());
-        let (status, body) = answer(&state, &path).await;
+        store.state.calls.borrow_mut().push(path.clone());
+        let (status, body) = answer(&store, &path).await;
         let text = format!(
             "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
@@ -134,8 +147,9 @@
     }
 }
 
-async fn answer(state: &State, path: &str) -> (u16, String) {
-    match state.mode.get() {
+async fn answer(store: &StandInStore, path: &str) -> (u16, String) {
+    let state = &store.state;
+    match store.mode.get() {
         Mode::Silent => {
             sleep(Duration::from_secs(60)).await;
             return (503, String::new());
@@ -145,7 +159,7 @@
             sleep(Duration::from_millis(50)).await;
             return (410, String::new());
         }
-        Mode::Normal | Mode::Forgetful => {}
+        Mode::Normal | Mode::Forgetful | Mode::Deaf => {}
     }
     let query = |name: &str| {
         let (_, query) = path.split_once('?')?;
@@ -173,12 +187,15 @@
     let after: u64 = query("after").and_then(|text| text.parse().ok()).unwrap_or(0);
     let wait = query("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
     let _ = timeout(Duration::from_millis(wait), async {
-        while state.revision.get() <= after && state.mode.get() == Mode::Normal {
+        while state.revision.get() <= after && store.mode.get() == Mode::Normal {
             state.changed.notified().await;
         }
     })
     .await;
-    if state.mode.get() != Mode::Normal {
+    if store.mode.get() == Mode::Deaf {
+        sleep(Duration::from_secs(60)).await;
+    }
+    if store.mode.get() != Mode::Normal {
         return (503, String::new());
     }
     let items = state.items.borrow();
--- a/crates/sidecar/tests/support/target.rs
+++ b/crates/standins/src/mesh/target.rs
@@ -3,13 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::sleep;
 
+use super::caller::{request, Caller};
+
 /// How a target answers one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Habit {
@@ -44,12 +46,32 @@
 /// A request as a target got it.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    /// When it began to work on it.
+    pub at: Instant,
+    /// The request's method.
     pub method: String,
+    /// The request's path.
     pub path: String,
+    /// The request's headers in order.
     pub headers: Vec<(String, String)>,
+    /// The request's body.
     pub body: Vec<u8>,
 }
 
+/// A call that a target makes while it runs a request whose path begins with [`CHAIN_PREFIX`].
+#[derive(Clone, Debug)]
+pub struct ChainedCall {
+    /// Where its machine's node takes calls.
+    pub outbound: SocketAddr,
+    /// The host that it names.
+    pub host: String,
+    /// The path that it asks for.
+    pub path: String,
+}
+
+/// The beginning of the paths whose requests make a call of their own.
+pub const CHAIN_PREFIX: &str = "/chain/";
+
 impl Seen {
     /// A header's value, empty if there is none.
     pub fn header(&self, name: &str) -> &str {
@@ -68,13 +90,17 @@
     abandoned: Cell<usize>,
     connections: Cell<usize>,
     probes: Cell<usize>,
+    chained: RefCell<Option<ChainedCall>>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
 /// The target.
 pub struct StandInTarget {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The service that it serves.
     pub service: String,
+    /// The requests that it says it works on at a time.
     pub slots: u32,
     state: Rc<State>,
 }
@@ -82,7 +108,12 @@
 impl StandInTarget {
     /// Starts a target on `machine`.
     pub async fn start(machine: Ipv4Addr, service: &str, slots: u32) -> Self {
-        let listener = TcpListener::bind((machine, 0)).await.expect("a free port");
+        Self::start_at((machine, 0).into(), service, slots).await
+    }
+
+    /// Starts a target at an address.
+    pub async fn start_at(address: SocketAddr, service: &str, slots: u32) -> Self {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let state = Rc::new(State {
             id: RefCell::new(format!("i-{:08x}", rand::random::<u32>())),
@@ -94,6 +125,7 @@
             abandoned: Cell::new(0),
             connections: Cell::new(0),
             probes: Cell::new(0),
+            chained: RefCell::default(),
             tasks: RefCell::default(),
         });
         let served = Rc::clone(&state);
@@ -118,6 +150,16 @@
         self.state.habit.set(habit);
     }
 
+    /// Makes a call of its own for requests whose path begins with [`CHAIN_PREFIX`].
+    pub fn chain(&self, call: ChainedCall) {
+        *self.state.chained.borrow_mut() = Some(call);
+    }
+
+    /// Takes what was recorded of the requests that it has begun to work on since the last time.
+    pub fn take_ran(&self) -> Vec<Seen> {
+        std::mem::take(&mut *self.state.ran.borrow_mut())
+    }
+
     /// Starts again at the same address: a new identity, all connections gone.
     pub fn restart(&self) {
         let mut tasks = self.state.tasks.borrow_mut();
@@ -172,6 +214,7 @@
 }
 
 async fn serve(mut stream: TcpStream, state: Rc<State>) {
+    let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Some(seen) = read_request(&mut stream, &mut buffer).await {
         if answer(&mut stream, &state, seen).await.is_none() {
@@ -196,7 +239,7 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_owned(), value.trim().to_owned()))
         .collect();
-    let mut seen = Seen { method, path, headers, body: Vec::new() };
+    let mut seen = Seen { at: Instant::now(), method, path, headers, body: Vec::new() };
     let length: usize = seen.header("content-length").parse().unwrap_or(0);
     while buffer.len() < length {
         read_more(stream, buffer).await?;
@@ -246,11 +289,19 @@
         );
         return stream.write_all(text.as_bytes()).await.ok();
     }
-    state.ran.borrow_mut().push(seen);
+    let chained = seen.path.starts_with(CHAIN_PREFIX).then(|| state.chained.borrow().clone()).flatten();
+    let deadline = seen.header("quillhatch-deadline-ms").to_owned();
+    state.ran.borrow_mut().push(Seen { at: Instant::now(), ..seen });
     state.running.set(state.running.get() + 1);
     state.most_running.set(state.most_running.get().max(state.running.get()));
     let _working = Working(Rc::clone(state));
-    let body = format!("the answer to {id}");
+    let body = answer_body(&id);
+    if let Some(chained) = chained {
+        if !call_chained(&chained, stream, &id, &deadline).await {
+            let text = good(&id, &body).replacen("200 OK", "500 X", 1);
+            return stream.write_all(text.as_bytes()).await.ok();
+        }
+    }
     match habit {
         Habit::Good => stream.write_all(good(&id, &body).as_bytes()).await.ok(),
         Habit::Long(length) => stream.write_all(good(&id, &"x".repeat(length)).as_bytes()).await.ok(),
@@ -302,6 +353,26 @@
     }
 }
 
+/// The body of a target's answer to the request with this identity.
+pub fn answer_body(id: &str) -> String {
+    format!("the answer to {id}")
+}
+
+/// Makes the call that belongs to a running request, from the target's own address; says whether it was served.
+async fn call_chained(chained: &ChainedCall, stream: &TcpStream, id: &str, deadline: &str) -> bool {
+    let (Ok(own), Ok(deadline)) = (stream.local_addr(), deadline.parse::<u64>()) else { return false };
+    let Some(mut caller) = Caller::connect_from(own.ip(), chained.outbound).await else { return false };
+    let id = chained_id(id);
+    caller.send(&request("GET", &chained.host, &chained.path, &id, deadline, "")).await;
+    let answer = caller.answer_within(Duration::from_millis(deadline)).await;
+    answer.is_some_and(|answer| answer.status == 200 && answer.body == answer_body(&id).as_bytes())
+}
+
+/// The identity of the call that a target makes for the request `id`.
+pub fn chained_id(id: &str) -> String {
+    format!("{id}-chained")
+}
+
 struct Working(Rc<State>);
 
 impl Drop for Working {
