--- a/crates/mesh/src/parents.rs
+++ b/crates/mesh/src/parents.rs
@@ -27,6 +27,8 @@
     pub priority: u8,
     /// The position of the call that entered the graph among those of its importance; lower ones are served first.
     pub position: u8,
+    /// Whether the call, or one above it, is sent to a target once more. Whatever is called below it arrives once more too.
+    pub is_repeat: bool,
 }
 
 /// Who makes a call.
--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -4,14 +4,19 @@
 //! and a part of the slack, so the bound holds without a message, in a partition too. The slack is not handed out again
 //! before a whole window has passed, and a process that has just started has none of it: it can't know what the process
 //! before it has spent.
+//!
+//! A repeat high in a chain of calls brings every call below it once more. Each hop tells whether its call is such a one, and
+//! the node that sends it on takes it off its own budget. So the repeats that reach any depth are at most the greater of what
+//! arrives from above and the share that may be spent there, and they don't add up from level to level.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use quillhatch_types::Timestamp;
 
-/// The part of the allowed share that is spent; the rest is left for repeats below a repeated call.
-const SPENT_PART: f64 = 0.5;
+/// The part of the allowed share that is spent; the rest is left for what nodes can't know of each other: windows that begin
+/// at other moments, and calls below a repeated one that are not matched with it.
+const SPENT_PART: f64 = 0.75;
 /// Windows are counted in this many pieces.
 const PIECES: u32 = 10;
 
@@ -43,14 +48,24 @@
         self.current(now).calls += 1;
     }
 
+    /// Counts a call of the service that arrives once more since a call above it was repeated. It can't be refused for that
+    /// without wasting the work above it, so it is taken off what may be repeated here.
+    pub fn inherited(&mut self, now: Timestamp) {
+        self.current(now).repeats += 1;
+    }
+
+    /// The repeats in the current window, inherited ones included.
+    pub fn repeats(&self) -> u32 {
+        self.pieces.iter().map(|piece| piece.repeats).sum()
+    }
+
     /// Spends one repeat if the budget has it.
     pub fn try_repeat(&mut self, now: Timestamp) -> bool {
         let ratio = self.ratio * SPENT_PART;
         let slack = if now.since(self.started) >= self.piece * PIECES { self.slack } else { 0.0 };
         self.current(now);
         let calls: u32 = self.pieces.iter().map(|piece| piece.calls).sum();
-        let repeats: u32 = self.pieces.iter().map(|piece| piece.repeats).sum();
-        if f64::from(repeats + 1) > ratio * f64::from(calls) + slack {
+        if f64::from(self.repeats() + 1) > ratio * f64::from(calls) + slack {
             return false;
         }
         self.current(now).repeats += 1;
--- /dev/null
+++ b/crates/quillhatch/tests/soak.rs
@@ -0,0 +1,23 @@
+//! A short soak of the built program without faults: planned work must break nothing.
+
+use std::path::Path;
+use std::time::Duration;
+
+use quillhatch_soak::run::{make_folder, run, SoakOptions};
+
+#[test]
+fn planned_work_breaks_no_promise() {
+    let seed = 7;
+    let folder = make_folder(&std::env::temp_dir(), seed).expect("a folder");
+    let options = SoakOptions {
+        program: Path::new(env!("CARGO_BIN_EXE_quillhatch")).to_owned(),
+        folder: folder.clone(),
+        seed,
+        time: Duration::from_secs(8),
+        has_faults: false,
+    };
+    let report = run(&options).expect("the machines start");
+    assert!(report.record.calls.len() > 500, "{} calls", report.record.calls.len());
+    assert_eq!(report.violations, []);
+    std::fs::remove_dir_all(folder).expect("its own folder");
+}
--- a/crates/sidecar/src/edge/entry.rs
+++ b/crates/sidecar/src/edge/entry.rs
@@ -38,8 +38,8 @@
 pub(super) fn lineage_of(node: &Node, route: &Route, origin: &Origin, id: &str) -> Lineage {
     match origin {
         Origin::Parent(_, lineage) => lineage.clone(),
-        Origin::Target => Lineage { priority: likely_priority(node, route), position: position(id) },
-        Origin::Caller => Lineage { priority: route.priority, position: position(id) },
+        Origin::Target => Lineage { priority: likely_priority(node, route), position: position(id), is_repeat: false },
+        Origin::Caller => Lineage { priority: route.priority, position: position(id), is_repeat: false },
     }
 }
 
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -31,8 +31,9 @@
     let Some(service) = service else {
         return refuse(node, &call.id, "no-destination", NO_DESTINATION_PAUSE, call.arrived);
     };
-    node.count_call(&service);
+    node.count_call(&service, call.lineage.is_repeat);
     let offer_until = call.arrived + call.route.objective.mul_f64(super::attempt::UNOFFERED_PART);
+    let mut call = call;
     let mut body = Some(body);
     let mut tried: Vec<TargetId> = Vec::new();
     let (mut full, mut may_have_run, mut runs) = (0, false, 0);
@@ -104,6 +105,7 @@
                 if !node.try_repeat(&service) {
                     return give_up(node, &call, may_have_run, "rejected", tried.len());
                 }
+                call.lineage.is_repeat = true;
                 Counters::add(&node.counters.repeats);
             }
             Attempt::Broken(why) => {
@@ -116,6 +118,7 @@
                 if !may_repeat || !node.try_repeat(&service) {
                     return give_up(node, &call, true, "broken", tried.len());
                 }
+                call.lineage.is_repeat = true;
                 Counters::add(&node.counters.repeats);
             }
             Attempt::Late => return give_up(node, &call, true, "late", tried.len()),
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -130,7 +130,7 @@
     if !present_target::takes(node, &call.expected) {
         return Err(Refusal::Closed);
     }
-    let Lineage { priority, position } = forwarded.lineage;
+    let Lineage { priority, position, .. } = forwarded.lineage;
     // In the order of arrival while all that arrives can be served.
     let position = if node.pressure.borrow().level() < SAME_ROOTS_BELOW { position } else { 0 };
     let rank = Rank { priority, is_root: forwarded.is_root, position };
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -48,16 +48,18 @@
 impl Forwarded {
     /// The header's text.
     pub fn encode(&self) -> String {
-        let Lineage { priority, position } = self.lineage;
-        let (is_root, patience) = (u8::from(self.is_root), self.patience.as_millis());
-        format!("{is_root};{priority};{position};{patience};{}", self.reach.encode())
+        let Lineage { priority, position, is_repeat } = self.lineage;
+        let (is_root, is_repeat) = (u8::from(self.is_root), u8::from(is_repeat));
+        let patience = self.patience.as_millis();
+        format!("{is_root};{priority};{position};{is_repeat};{patience};{}", self.reach.encode())
     }
 
     /// Reads the header's text.
     pub fn decode(text: &str) -> Option<Self> {
         let mut parts = text.split(';');
         let is_root = parts.next()? == "1";
-        let lineage = Lineage { priority: parts.next()?.parse().ok()?, position: parts.next()?.parse().ok()? };
+        let (priority, position) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+        let lineage = Lineage { priority, position, is_repeat: parts.next()? == "1" };
         let patience = Duration::from_millis(parts.next()?.parse().ok()?);
         let reach = Reach::decode(parts.next()?)?;
         Some(Forwarded { is_root, lineage, patience, reach })
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -221,9 +221,9 @@
         self.with_budget(service, RetryBudget::try_repeat)
     }
 
-    /// Counts a call of a service for the budget of repeats.
-    pub fn count_call(&self, service: &Arc<str>) {
-        self.with_budget(service, RetryBudget::call);
+    /// Counts a call of a service for the budget of repeats; one below a repeated call is a repeat itself.
+    pub fn count_call(&self, service: &Arc<str>, is_repeat: bool) {
+        self.with_budget(service, if is_repeat { RetryBudget::inherited } else { RetryBudget::call });
     }
 
     fn with_budget<T>(&self, service: &Arc<str>, action: impl FnOnce(&mut RetryBudget, Timestamp) -> T) -> T {
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use quillhatch_sidecar::node::Node;
 use support::caller::{call, request, Caller};
 use support::store::StandInStore;
-use support::target::Habit;
+use support::target::{ChainedCall, Habit};
 use support::{eventually, run, Machine};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
@@ -362,3 +363,44 @@
         assert_eq!(caller.answer().await.expect("an answer").status, 200);
     });
 }
+
+#[test]
+fn calls_below_a_repeated_one_are_taken_off_the_budget_of_their_service() {
+    run(async {
+        let store = StandInStore::start().await;
+        let rule = |name: &str, service: &str| {
+            format!(
+                r#"{{"name":"{name}","kind":"safe","aim_s":1,"priority":1,"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":2,"max_attempts":2}}}}"#
+            )
+        };
+        store.configure(&format!(
+            r#"{{"version":"r3","listeners":[{{"host":"{HOST}","rules":[{},{}]}}],"clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#,
+            rule("chain", "alpha"),
+            rule("read", "beta")
+        ));
+        let beta = Machine::start(&store, "beta", 8).await;
+        let alphas = [Machine::start(&store, "alpha", 8).await, Machine::start(&store, "alpha", 8).await];
+        for alpha in &alphas {
+            let call = ChainedCall { outbound: alpha.outbound(), host: HOST.to_owned(), path: "/read/x".to_owned() };
+            alpha.target.chain(call);
+            eventually("all are listed", || alpha.node().targets.borrow().len() == 3).await;
+        }
+        eventually("all are listed", || beta.node().targets.borrow().len() == 3).await;
+        let chain = |id: &str| request("GET", HOST, "/chain/x", id, 3000, "");
+        for number in 0..16 {
+            let answer = call(beta.outbound(), &chain(&format!("good-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200);
+        }
+        let counted = || {
+            let repeats = |node: &Node| node.budgets.borrow().get("beta").map_or(0, |budget| budget.repeats());
+            alphas.iter().map(|alpha| repeats(alpha.node())).sum::<u32>()
+        };
+        assert_eq!(counted(), 0);
+        alphas.iter().for_each(|alpha| alpha.target.set_habit(Habit::Lost));
+        assert_eq!(call(beta.outbound(), &chain("twice")).await.expect("an answer").status, 502);
+        assert_eq!(counted(), 1, "the call below the second attempt");
+        let below =
+            beta.target.ran().iter().filter(|seen| seen.header("quillhatch-request-id") == "twice-chained").count();
+        assert_eq!(below, 2);
+    });
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -142,26 +142,23 @@
     (run.caller_service != caller).then(|| format!("{} came from {caller}, said to be {}", run.id, run.caller_service))
 }
 
-/// Windows in which a service got more repeats than the budget allows. A call made below a repeated one is a repeat too,
-/// as it carries the same id.
+/// Windows in which a service got more repeats than the budget allows. A call made below a repeated one is a repeat too, as
+/// it carries the same id.
 fn over_budget(record: &SoakRecord) -> Vec<Violation> {
     let mut found = Vec::new();
     for service in SERVICES {
         let mut runs: Vec<&RunRecord> =
             record.runs.iter().filter(|run| MachineAddrs::service_of(run.machine) == service).collect();
         runs.sort_by_key(|run| run.at);
+        let requests = request_times(record, service, &runs);
         let mut seen: HashSet<&str> = HashSet::new();
-        let marked: Vec<(Instant, bool)> = runs.iter().map(|run| (run.at, !seen.insert(&run.id))).collect();
-        for (first, (begin, _)) in marked.iter().enumerate() {
-            let window = marked[first..].iter().take_while(|(at, _)| at.duration_since(*begin) < RETRY_WINDOW);
-            let (repeats, all) =
-                window.fold((0, 0), |(repeats, all), (_, repeat)| (repeats + usize::from(*repeat), all + 1));
-            let allowed = RETRY_RATIO * (all - repeats) as f64 + RETRY_SLACK;
-            if repeats as f64 > allowed {
-                found.push(broken(
-                    Promise::RetryBudget,
-                    format!("{service} got {repeats} repeats of {all} in a window"),
-                ));
+        let repeats: Vec<Instant> = runs.iter().filter(|run| !seen.insert(&run.id)).map(|run| run.at).collect();
+        for begin in &repeats {
+            let arrived = count_between(&repeats, *begin, *begin + RETRY_WINDOW);
+            let asked = most_requests(&requests, *begin);
+            if arrived as f64 > RETRY_RATIO * asked as f64 + RETRY_SLACK {
+                let what = format!("{service} got {arrived} repeats in a window, of {asked} requests");
+                found.push(broken(Promise::RetryBudget, what));
                 break;
             }
         }
@@ -169,6 +166,33 @@
     found
 }
 
+/// When the requests for a service were made, in order: those of callers when they were sent, whether they arrived or not,
+/// and the others when they arrived first.
+fn request_times(record: &SoakRecord, service: &str, runs: &[&RunRecord]) -> Vec<Instant> {
+    let of_callers = record.calls.iter().filter(|call| call.kind.service() == Some(service));
+    let mut times: HashMap<&str, Instant> = of_callers.map(|call| (call.id.as_str(), call.sent)).collect();
+    for run in runs {
+        times.entry(&run.id).or_insert(run.at);
+    }
+    let mut times: Vec<Instant> = times.into_values().collect();
+    times.sort();
+    times
+}
+
+/// The requests of the window from `begin`, of the one before it or of the one half a window before it, whichever has most.
+fn most_requests(requests: &[Instant], begin: Instant) -> usize {
+    let mut most = 0;
+    for earlier in [Duration::ZERO, RETRY_WINDOW / 2, RETRY_WINDOW] {
+        let Some(from) = begin.checked_sub(earlier) else { continue };
+        most = most.max(count_between(requests, from, from + RETRY_WINDOW));
+    }
+    most
+}
+
+fn count_between(times: &[Instant], from: Instant, until: Instant) -> usize {
+    times.partition_point(|time| *time < until) - times.partition_point(|time| *time < from)
+}
+
 /// The promises that hold for machines that no fault has struck lately.
 pub fn in_calm(record: &SoakRecord) -> Vec<Violation> {
     let mut found = Vec::new();
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,171 @@
+//! Each promise is found broken on a record in which it is, and on nothing else.
+
+use std::time::{Duration, Instant};
+
+use quillhatch_soak::checks::{all, Promise};
+use quillhatch_soak::layout::{RouteKind, SLOTS};
+use quillhatch_soak::record::{
+    CallEnd, CallRecord, ConfigWrite, Disturbance, DrainSpan, RunRecord, SoakRecord, StopSpan,
+};
+use test_case::test_case;
+
+/// Machines by the service of their target.
+const ALPHA: usize = 0;
+const BETA: usize = 1;
+const GAMMA: usize = 2;
+
+/// A soak of some seconds in which all went well.
+struct Story {
+    record: SoakRecord,
+    begin: Instant,
+}
+
+impl Story {
+    fn new() -> Self {
+        let begin = Instant::now();
+        let mut story = Story { record: SoakRecord::default(), begin };
+        story.record.configs.push(ConfigWrite { moving: "beta", acked: begin });
+        for number in 0..40 {
+            let at = 5_000 + number * 20;
+            story.call(&format!("read-{number}"), RouteKind::Read, at, ok());
+            story.run(&format!("read-{number}"), RouteKind::Read, BETA, at + 5);
+        }
+        story.call("pay", RouteKind::Pay, 6_000, ok());
+        story.run("pay", RouteKind::Pay, GAMMA, 6_010);
+        story.call("chain", RouteKind::Chain, 6_000, ok());
+        story.run("chain", RouteKind::Chain, ALPHA, 6_010);
+        story.run("chain-chained", RouteKind::Read, BETA, 6_020);
+        story.record.runs.last_mut().expect("a run").caller_service = "alpha".to_owned();
+        story
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.begin + Duration::from_millis(ms)
+    }
+
+    fn call(&mut self, id: &str, kind: RouteKind, sent_ms: u64, end: CallEnd) {
+        let (sent, ended) = (self.at(sent_ms), self.at(sent_ms + 400));
+        self.record.calls.push(CallRecord { id: id.to_owned(), kind, machine: ALPHA, sent, ended, end });
+    }
+
+    fn run(&mut self, id: &str, kind: RouteKind, machine: usize, ms: u64) {
+        let request = (kind.method().to_owned(), kind.path().to_owned(), kind.body().to_owned());
+        let caller_service = "alpha".to_owned();
+        self.record.runs.push(RunRecord { id: id.to_owned(), machine, at: self.at(ms), request, caller_service });
+    }
+
+    fn disturb(&mut self, from_ms: u64, until_ms: u64) {
+        let (from, until) = (self.at(from_ms), self.at(until_ms));
+        self.record.disturbances.push(Disturbance { machine: None, from, until });
+    }
+
+    fn broken(&self) -> Vec<Promise> {
+        let mut broken: Vec<Promise> = all(&self.record).into_iter().map(|violation| violation.promise).collect();
+        broken.sort();
+        broken.dedup();
+        broken
+    }
+}
+
+fn ok() -> CallEnd {
+    CallEnd::Answered { status: 200, is_own: true }
+}
+
+fn status(status: u16) -> CallEnd {
+    CallEnd::Answered { status, is_own: true }
+}
+
+#[test]
+fn a_soak_in_which_all_went_well_breaks_nothing() {
+    assert_eq!(Story::new().broken(), []);
+}
+
+#[test_case(Promise::OwnAnswer, |story| story.call("x", RouteKind::Read, 6_000, CallEnd::Answered { status: 200, is_own: false }))]
+#[test_case(Promise::AsSent, |story| story.run("nobody-sent", RouteKind::Read, BETA, 6_000))]
+#[test_case(Promise::AsSent, |story| story.record.runs[0].request.1 = "/read/y".to_owned())]
+#[test_case(Promise::AsSent, |story| story.record.runs[0].caller_service = "beta".to_owned())]
+#[test_case(Promise::Once, |story| story.run("pay", RouteKind::Pay, GAMMA, 6_500))]
+#[test_case(Promise::Routed, |story| story.record.runs[0].machine = GAMMA)]
+#[test_case(Promise::Slots, |story| story.record.most_running = SLOTS + 1)]
+#[test_case(Promise::Uncut, |story| story.call("x", RouteKind::Read, 6_000, CallEnd::Cut))]
+#[test_case(Promise::Uncut, |story| story.call("x", RouteKind::Read, 6_000, CallEnd::Silent))]
+fn a_broken_promise_is_found(promise: Promise, breaks: fn(&mut Story)) {
+    let mut story = Story::new();
+    breaks(&mut story);
+    assert_eq!(story.broken(), [promise]);
+}
+
+#[test]
+fn a_refused_request_that_ran_is_found() {
+    let mut story = Story::new();
+    story.call("refused", RouteKind::Pay, 6_000, status(503));
+    story.run("refused", RouteKind::Pay, GAMMA, 6_700);
+    assert_eq!(story.broken(), [Promise::NotRun]);
+}
+
+#[test]
+fn repeats_beyond_the_budget_are_found() {
+    let mut story = Story::new();
+    // 41 requests and the slack allow 63.2.
+    for number in 0..64 {
+        story.run(&format!("read-{}", number % 40), RouteKind::Read, BETA, 6_500);
+    }
+    assert_eq!(story.broken(), [Promise::RetryBudget]);
+    story.record.runs.pop();
+    assert_eq!(story.broken(), []);
+}
+
+#[test]
+fn calls_that_are_not_served_in_calm_are_found() {
+    let mut story = Story::new();
+    for number in 0..4 {
+        story.call(&format!("x-{number}"), RouteKind::Read, 6_000, status(503));
+    }
+    assert_eq!(story.broken(), [Promise::Served]);
+    story.disturb(5_900, 5_950);
+    assert_eq!(story.broken(), [], "faults excuse it for a while");
+}
+
+#[test]
+fn a_cut_while_faults_last_is_not_held_against_anybody() {
+    let mut story = Story::new();
+    story.call("x", RouteKind::Read, 6_000, CallEnd::Cut);
+    story.disturb(5_000, 5_100);
+    assert_eq!(story.broken(), []);
+}
+
+#[test]
+fn an_old_configuration_is_found_after_its_time() {
+    let mut story = Story::new();
+    let acked = story.at(6_000);
+    story.record.configs.push(ConfigWrite { moving: "gamma", acked });
+    story.call("soon", RouteKind::Moving, 8_000, ok());
+    story.run("soon", RouteKind::Moving, BETA, 8_010);
+    assert_eq!(story.broken(), []);
+    story.call("late", RouteKind::Moving, 8_600, ok());
+    story.run("late", RouteKind::Moving, BETA, 8_610);
+    assert_eq!(story.broken(), [Promise::InForce]);
+}
+
+#[test]
+fn work_for_a_draining_target_is_found_after_its_time() {
+    let mut story = Story::new();
+    let (acked, until) = (story.at(4_000), story.at(20_000));
+    story.record.drains.push(DrainSpan { machine: BETA, acked, until });
+    assert_eq!(story.broken(), []);
+    story.call("late", RouteKind::Read, 6_600, ok());
+    story.run("late", RouteKind::Read, BETA, 6_610);
+    assert_eq!(story.broken(), [Promise::Drained]);
+}
+
+#[test]
+fn callers_that_come_to_a_process_which_was_asked_to_stop_are_not_counted() {
+    let mut story = Story::new();
+    for number in 0..10 {
+        story.call(&format!("x-{number}"), RouteKind::Read, 6_000, CallEnd::Unreached);
+    }
+    assert_eq!(story.broken(), [Promise::Served]);
+    let asked = story.at(5_900);
+    story.record.stops.push(StopSpan { machine: ALPHA, asked, grace: Duration::from_secs(6) });
+    assert_eq!(story.broken(), []);
+}
