Mesh: targets whose machines are cut off from the store are kept when their entries run out; silent connections to the store are probed

Two of three targets of events were out for up to 2 s each while they served. Change: a target whose entry vanishes without having said that it drains, while its node tells in the hop header that it can't read the store, is kept until 4 s after the last such word; one that has left the list less than 3 s before its node tells so is listed again. A cut off node keeps its own target. So that a cut is noticed before three heartbeats are over, connections to the store are probed each second (no call, so no price).

--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets of all services, as the platform's store lists them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -45,12 +45,22 @@
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
     superseded: HashSet<TargetId>,
     doubtful: HashMap<TargetId, Timestamp>,
+    /// When the nodes of these machines have last said that they can't read the store.
+    cut_off: HashMap<IpAddr, Timestamp>,
+    /// Targets that were taken off the list a moment ago, and when.
+    left_lately: VecDeque<(Timestamp, Arc<Target>)>,
 }
 
 /// The share of all targets that must vanish at once for the list to be doubted.
 const DOUBTED_FROM: f64 = 0.3;
 /// The fewest targets that must vanish at once for the list to be doubted.
 const DOUBTED_COUNT: usize = 2;
+/// For how long the word of a node that it can't read the store is taken to hold.
+const CUT_OFF_HOLDS: Duration = Duration::from_secs(2);
+/// For how long a target is kept after its node's last such word: its next own word, and what the list lags.
+const KEPT_AFTER_CUT: Duration = Duration::from_secs(4);
+/// For how long it is remembered which targets have left the list.
+const LEFT_LATELY: Duration = Duration::from_secs(3);
 
 impl TargetTable {
     /// Takes the targets in `gone` off the list; if they are so many that the list itself is in doubt, only after `doubt`.
@@ -61,14 +71,64 @@
         let listed = gone.iter().filter(|id| self.by_id.contains_key(*id)).count();
         let is_doubted = listed >= DOUBTED_COUNT && listed as f64 >= DOUBTED_FROM * self.by_id.len() as f64;
         for id in gone {
-            if !is_doubted || doubt.is_zero() {
+            let Some(target) = self.by_id.get(id).cloned() else {
                 self.remove(id);
-            } else if self.by_id.contains_key(id) {
+                continue;
+            };
+            if !target.announcement.draining && self.is_cut_off(&target, now) {
+                self.doubtful.insert(id.clone(), now + KEPT_AFTER_CUT);
+                continue;
+            }
+            if is_doubted && !doubt.is_zero() {
                 self.doubtful.entry(id.clone()).or_insert(now + doubt);
+                continue;
+            }
+            self.remove(id);
+            if !target.announcement.draining {
+                self.left_lately.push_back((now, target));
             }
         }
     }
 
+    /// Takes the word of a machine's node whether it can read the platform's store.
+    ///
+    /// A machine that is cut off from the store can't renew the entry of its target, nor take it away, so the entry runs out
+    /// while the target serves. Its target is kept, or listed again if it has left the list a moment ago, for as long as the
+    /// node says so and a while longer.
+    pub fn heard_of(&mut self, machine: IpAddr, is_cut_off: bool, now: Timestamp) {
+        if !is_cut_off {
+            if !self.cut_off.is_empty() {
+                self.cut_off.remove(&machine);
+            }
+            return;
+        }
+        self.cut_off.insert(machine, now);
+        while self.left_lately.front().is_some_and(|(left, _)| now.since(*left) > LEFT_LATELY) {
+            self.left_lately.pop_front();
+        }
+        for (left, target) in std::mem::take(&mut self.left_lately) {
+            if target.announcement.address.ip() != machine {
+                self.left_lately.push_back((left, target));
+                continue;
+            }
+            if self.at_address(target.announcement.address).next().is_none() {
+                self.update(target.id.clone(), target.announcement.clone(), now);
+                self.doubtful.insert(target.id.clone(), now + KEPT_AFTER_CUT);
+            }
+        }
+        for (id, until) in &mut self.doubtful {
+            let is_there = self.by_id.get(id).is_some_and(|target| target.announcement.address.ip() == machine);
+            if is_there {
+                *until = now + KEPT_AFTER_CUT;
+            }
+        }
+    }
+
+    fn is_cut_off(&self, target: &Target, now: Timestamp) -> bool {
+        let said = self.cut_off.get(&target.announcement.address.ip());
+        said.is_some_and(|said| now.since(*said) <= CUT_OFF_HOLDS)
+    }
+
     /// Takes the targets off the list whose time of doubt is over; says whether there were any.
     pub fn drop_doubtful(&mut self, now: Timestamp) -> bool {
         let over: Vec<TargetId> =
--- a/crates/mesh/tests/decisions.rs
+++ b/crates/mesh/tests/decisions.rs
@@ -406,6 +406,38 @@
     assert!(balance.choose(&[], &[], "here", Timestamp::ZERO, &mut random).is_none());
 }
 
+#[test]
+fn a_target_whose_machine_is_cut_off_from_the_store_is_kept_when_its_entry_runs_out() {
+    let mut targets = TargetTable::default();
+    let ids: Vec<Arc<str>> = (0..4).map(|number| Arc::from(format!("t{number}"))).collect();
+    let machine = |number: usize| format!("10.0.0.{number}").parse().expect("an address");
+    for (number, id) in ids.iter().enumerate() {
+        targets.update(id.clone(), announcement("alpha", &format!("10.0.0.{number}:80"), "here"), Timestamp::ZERO);
+    }
+    let drain = Duration::from_secs(1);
+    targets.heard_of(machine(0), true, milliseconds(1_000));
+    targets.vanish(&ids[..1], drain, milliseconds(2_000));
+    assert_eq!(targets.len(), 4, "its node says that it is cut off");
+    targets.heard_of(machine(0), true, milliseconds(5_000));
+    assert!(!targets.drop_doubtful(milliseconds(8_999)), "and says so again");
+    assert!(targets.drop_doubtful(milliseconds(9_000)), "nothing more is heard of it");
+
+    targets.heard_of(machine(1), true, milliseconds(9_000));
+    targets.heard_of(machine(1), false, milliseconds(9_500));
+    targets.vanish(&ids[1..2], drain, milliseconds(9_600));
+    assert_eq!(targets.len(), 2, "its node reads the store again, and the entry is gone");
+
+    targets.vanish(&ids[2..3], drain, milliseconds(10_000));
+    assert_eq!(targets.len(), 1);
+    targets.heard_of(machine(2), true, milliseconds(12_000));
+    assert_eq!(targets.len(), 2, "its node was found to be cut off a little later");
+    targets.heard_of(machine(3), true, milliseconds(12_000));
+    let draining = Announcement { draining: true, ..announcement("alpha", "10.0.0.3:80", "here") };
+    targets.update(ids[3].clone(), draining, milliseconds(12_100));
+    targets.vanish(&ids[3..], drain, milliseconds(12_200));
+    assert_eq!(targets.len(), 1, "it had said that it leaves");
+}
+
 #[test]
 fn a_list_that_loses_many_targets_at_once_is_doubted_for_a_while() {
     let mut targets = TargetTable::default();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -140,14 +140,22 @@
             keep: Duration::from_secs(20),
             unacknowledged: Duration::from_millis(1500),
             heeds_keep_alive: false,
+            probe: None,
         };
         let target = PoolRules {
             connect_timeout: Duration::from_secs(1),
             keep: Duration::from_secs(3),
             unacknowledged: Duration::from_secs(5),
             heeds_keep_alive: true,
+            probe: None,
+        };
+        // A watch says nothing for a long time, and a cut must be noticed before the entries of targets run out.
+        let store = PoolRules {
+            connect_timeout: Duration::from_secs(1),
+            keep: Duration::from_secs(8),
+            probe: Some(Duration::from_secs(1)),
+            ..peers
         };
-        let store = PoolRules { connect_timeout: Duration::from_secs(1), keep: Duration::from_secs(8), ..peers };
         Rc::new(Node {
             settings,
             configuration: RefCell::default(),
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, CONNECTION};
 use hyper::{Request, Response};
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
@@ -32,6 +33,8 @@
     pub unacknowledged: Duration,
     /// Whether a connection's peer may tell how long to keep it.
     pub heeds_keep_alive: bool,
+    /// How often a connection on which nothing is said is probed, if at all.
+    pub probe: Option<Duration>,
 }
 
 /// Why there is no answer.
@@ -152,7 +155,12 @@
         let stream =
             connecting.map_err(|_| failed("timed out".to_owned()))?.map_err(|error| failed(error.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(self.rules.unacknowledged));
+        let socket = socket2::SockRef::from(&stream);
+        let _ = socket.set_tcp_user_timeout(Some(self.rules.unacknowledged));
+        if let Some(probe) = self.rules.probe {
+            let _ =
+                socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(probe).with_interval(probe).with_retries(2));
+        }
         let (sender, connection) = handshake(TokioIo::new(stream)).await.map_err(|error| failed(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
             // An error of the connection reaches whoever waits for an answer on it.
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -46,6 +46,7 @@
 /// If it reaches further than this node's own, the watch on the store may hang, and its reader is told. If it reaches less
 /// far and the other one is cut off from the store, it is handed this node's view.
 pub fn heard(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
+    note_cuts(node, peer, reach);
     if reach.revision > node.revision.get().max(node.heard_revision.get()) {
         node.heard_revision.set(reach.revision);
         node.later_change.notify_one();
@@ -53,6 +54,19 @@
     hand_over_if_needed(node, peer, reach);
 }
 
+/// Lets the list of targets know which machines can't read the store, this one too.
+fn note_cuts(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
+    let now = node.now();
+    let own = node.settings.local_target.ip();
+    let mut targets = node.targets.borrow_mut();
+    let doubted = targets.next_doubt();
+    targets.heard_of(peer, reach.is_cut_off, now);
+    targets.heard_of(own, own_reach(node).is_cut_off, now);
+    if doubted != targets.next_doubt() {
+        node.doubt_changed.notify_one();
+    }
+}
+
 fn hand_over_if_needed(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
     if !reach.is_cut_off || reach.revision >= node.revision.get() {
         return;
@@ -134,6 +148,7 @@
     let (now, count) = (node.now(), targets.len());
     {
         let mut table = node.targets.borrow_mut();
+        table.heard_of(node.settings.local_target.ip(), true, now);
         let listed: HashSet<Arc<str>> = targets.iter().map(|(id, _)| id.clone()).collect();
         let missing = table.missing_from(&listed);
         table.vanish(&missing, Duration::ZERO, now);
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -368,6 +368,44 @@
     });
 }
 
+#[test]
+fn a_target_whose_machine_is_cut_off_from_the_store_serves_on_when_its_entry_runs_out() {
+    // Found on the users' bench: two of three targets of a service left the list while they served.
+    run(async {
+        let store = StandInStore::start().await;
+        store.configure(&document(5, "alpha"));
+        let beta = Machine::start(&store, "beta", 8).await;
+        let cut = store.another_address().await;
+        let alpha = Machine::start(&cut, "alpha", 8).await;
+        eventually("both are listed at beta", || beta.node().targets.borrow().len() == 2).await;
+        cut.set_mode(Mode::Silent);
+        eventually("alpha is cut off", || {
+            let reach = quillhatch_sidecar::views::own_reach(alpha.node());
+            reach.is_cut_off
+        })
+        .await;
+        assert_eq!(call(beta.outbound(), &read("before")).await.expect("an answer").status, 200);
+        store.unlist(&alpha.target.id());
+        let begun = Instant::now();
+        for number in 0.. {
+            if begun.elapsed() > Duration::from_secs(6) {
+                break;
+            }
+            let answer = call(beta.outbound(), &read(&format!("call-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200, "after {:?}", begun.elapsed());
+            sleep(Duration::from_millis(50)).await;
+        }
+        // The cut is over, and the target has written its entry again.
+        store.list(&alpha.target, "ready");
+        cut.set_mode(Mode::Normal);
+        sleep(Duration::from_millis(4500)).await;
+        assert_eq!(call(beta.outbound(), &read("healed")).await.expect("an answer").status, 200);
+        // A target that leaves while its machine reads the store is left.
+        store.unlist(&alpha.target.id());
+        eventually("it is left", || beta.node().targets.borrow().len() == 1).await;
+    });
+}
+
 #[test]
 fn targets_whose_entries_ran_out_while_the_store_was_down_are_kept_until_they_are_listed_again() {
     // Found on the users' bench: when the store came back it listed one of twelve targets.
