--- a/crates/mesh/src/pressure.rs
+++ b/crates/mesh/src/pressure.rs
@@ -75,10 +75,15 @@
     }
 }
 
-/// The weight of one report in the level of a route.
+/// The least weight of one report in the level of a route.
 const REPORT_GAIN: f64 = 0.2;
-/// The time after which a level without reports has returned half way to one.
-const REPORT_MEMORY: Duration = Duration::from_millis(700);
+/// The time in which reports replace two thirds of what was known before, however few they are.
+const REPORT_TIME: Duration = Duration::from_millis(250);
+/// For how long a level holds without a report. A level passes several nodes on its way to where calls enter, and each of them
+/// would take a part of a shortage away if it faded between two reports.
+const REPORT_HOLDS: Duration = Duration::from_millis(300);
+/// The time after that in which a level without reports has returned half way to one.
+const REPORT_MEMORY: Duration = Duration::from_millis(350);
 
 /// The levels of routes, as their targets' gates have told them.
 #[derive(Clone, Debug, Default)]
@@ -90,13 +95,17 @@
     /// Takes the level that came with an answer to a call of `route`.
     pub fn report(&mut self, route: &Arc<str>, level: f64, now: Timestamp) {
         let current = self.level(route, now);
-        self.levels.insert(route.clone(), (current + REPORT_GAIN * (level - current), now));
+        let gain = self.age(route, now).map_or(REPORT_GAIN, |age| {
+            let replaced = 1.0 - (-age.as_secs_f64() / REPORT_TIME.as_secs_f64()).exp();
+            replaced.max(REPORT_GAIN)
+        });
+        self.levels.insert(route.clone(), (current + gain * (level - current), now));
     }
 
     /// The share of a route's calls that its targets can serve.
     pub fn level(&self, route: &str, now: Timestamp) -> f64 {
         let Some((level, reported)) = self.levels.get(route) else { return 1.0 };
-        let age = now.since(*reported).as_secs_f64() / REPORT_MEMORY.as_secs_f64();
+        let age = now.since(*reported).saturating_sub(REPORT_HOLDS).as_secs_f64() / REPORT_MEMORY.as_secs_f64();
         1.0 - (1.0 - level) * 0.5_f64.powf(age)
     }
 
--- a/crates/mesh/tests/decisions.rs
+++ b/crates/mesh/tests/decisions.rs
@@ -256,6 +256,23 @@
     assert!((levels.level("other", milliseconds(50)) - 1.0).abs() < f64::EPSILON);
 }
 
+/// The shortage of a service deep in the graph passes nodes that hear of it only some times a second.
+#[test]
+fn a_shortage_reaches_where_calls_enter_undiminished_though_reports_are_few() {
+    let route: Arc<str> = Arc::from("deep");
+    let mut hops = vec![RouteLevels::default(); 3];
+    for report in 0..16 {
+        let now = milliseconds(report * 125);
+        let mut level = 0.1;
+        for hop in &mut hops {
+            hop.report(&route, level, now);
+            level = hop.level(&route, now + Duration::from_millis(120));
+        }
+    }
+    let entry = hops[2].level(&route, milliseconds(16 * 125));
+    assert!(entry < 0.2, "{entry}");
+}
+
 #[test]
 fn the_least_important_and_repeats_are_refused_first_and_none_starves() {
     let probability =
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -123,6 +123,9 @@
         store.configure(&document(6));
         eventually("version 6", || beta.node().configuration.borrow().version() == 6).await;
         assert_eq!(one("configuration", "\"version\":6")["taken"], true);
+        let later = quillhatch_sidecar::hop::Reach { revision: 1_000_000, is_cut_off: false };
+        quillhatch_sidecar::views::heard(beta.node(), beta.address.into(), later);
+        eventually("the watch is renewed", || !lines_of("watch-renewed", "\"heard\":1000000").is_empty()).await;
         store.configure("{");
         eventually("the broken one is told", || !lines_of("configuration-unusable", "").is_empty()).await;
         store.set_mode(Mode::Silent);
