--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -404,3 +404,23 @@
         assert_eq!(below, 2);
     });
 }
+
+#[test_case(1_000; "sent whole")]
+#[test_case(90_000; "passed on as it comes")]
+fn a_target_that_answers_before_it_has_read_the_body_gets_no_other_bytes_in_its_place(length: usize) {
+    run(async move {
+        let (_store, alpha, beta) = two_machines().await;
+        alpha.target.set_habit(Habit::Early);
+        for number in 0..3 {
+            let body = "b".repeat(length - number);
+            let text = request("POST", HOST, "/pay/", &format!("early-{number}"), 5000, &body);
+            let answer = call(beta.outbound(), &text).await.expect("an answer");
+            assert_eq!((answer.status, answer.body), (200, format!("the answer to early-{number}").into_bytes()));
+        }
+        alpha.target.set_habit(Habit::Good);
+        assert_eq!(call(beta.outbound(), &pay("after")).await.expect("an answer").status, 200);
+        let read = alpha.target.read_late();
+        assert!(read.iter().all(|body| body.iter().all(|byte| *byte == b'b')), "foreign bytes in a body");
+        assert_eq!(alpha.target.arrivals(), 4);
+    });
+}
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -193,6 +193,20 @@
     });
 }
 
+#[test]
+fn a_list_of_several_pages_is_read_whole() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.set_page(1);
+        store.configure(&document(5, "alpha"));
+        let alpha = Machine::start(&store, "alpha", 8).await;
+        let beta = Machine::start(&store, "beta", 8).await;
+        let gamma = Machine::start(&store, "alpha", 8).await;
+        eventually("all pages are read", || gamma.node().targets.borrow().len() == 3).await;
+        drop((alpha, beta));
+    });
+}
+
 #[test]
 fn a_node_that_hears_of_a_newer_configuration_looks_at_once() {
     run(async {
--- a/crates/standins/src/mesh/store.rs
+++ b/crates/standins/src/mesh/store.rs
@@ -39,6 +39,7 @@
 struct State {
     items: RefCell<BTreeMap<String, Item>>,
     revision: Cell<u64>,
+    page_items: Cell<usize>,
     calls: RefCell<Vec<String>>,
     changed: Notify,
 }
@@ -58,6 +59,7 @@
         let state = Rc::new(State {
             items: RefCell::default(),
             revision: Cell::new(1),
+            page_items: Cell::new(usize::MAX),
             calls: RefCell::default(),
             changed: Notify::new(),
         });
@@ -89,6 +91,11 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Lists at most so many items in one answer from now on.
+    pub fn set_page(&self, items: usize) {
+        self.state.page_items.set(items);
+    }
+
     /// The calls so far.
     pub fn calls(&self) -> usize {
         self.state.calls.borrow().len()
@@ -180,9 +187,13 @@
     let prefix = query("prefix").unwrap_or_default();
     if path.starts_with("/kv-range") {
         let items = state.items.borrow();
-        let found = items.iter().filter(|(key, item)| key.starts_with(prefix) && item.value.is_some());
-        let items: Vec<String> = found.map(|(key, item)| describe(key, item)).collect();
-        return (200, format!(r#"{{"items":[{}],"more":false,"at":{at}}}"#, items.join(",")));
+        let after = query("after").unwrap_or_default();
+        let wanted = |key: &str| key.starts_with(prefix) && key > after;
+        let mut found = items.iter().filter(|(key, item)| wanted(key) && item.value.is_some());
+        let page: Vec<String> =
+            found.by_ref().take(state.page_items.get()).map(|(key, item)| describe(key, item)).collect();
+        let more = found.next().is_some();
+        return (200, format!(r#"{{"items":[{}],"more":{more},"at":{at}}}"#, page.join(",")));
     }
     let after: u64 = query("after").and_then(|text| text.parse().ok()).unwrap_or(0);
     let wait = query("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
--- a/crates/standins/src/mesh/target.rs
+++ b/crates/standins/src/mesh/target.rs
@@ -41,6 +41,8 @@
     Sheds,
     /// With 200 and the word that the connection is about to close.
     Closing,
+    /// With 200 before it has read the body of the request, which it reads afterwards.
+    Early,
 }
 
 /// A request as a target got it.
@@ -91,6 +93,7 @@
     connections: Cell<usize>,
     probes: Cell<usize>,
     chained: RefCell<Option<ChainedCall>>,
+    read_late: RefCell<Vec<Vec<u8>>>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
@@ -126,6 +129,7 @@
             connections: Cell::new(0),
             probes: Cell::new(0),
             chained: RefCell::default(),
+            read_late: RefCell::default(),
             tasks: RefCell::default(),
         });
         let served = Rc::clone(&state);
@@ -207,6 +211,11 @@
         self.state.connections.get()
     }
 
+    /// The bodies that it has read whole after their answers.
+    pub fn read_late(&self) -> Vec<Vec<u8>> {
+        self.state.read_late.borrow().clone()
+    }
+
     /// The questions about its health.
     pub fn probes(&self) -> usize {
         self.state.probes.get()
@@ -216,14 +225,24 @@
 async fn serve(mut stream: TcpStream, state: Rc<State>) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
-    while let Some(seen) = read_request(&mut stream, &mut buffer).await {
-        if answer(&mut stream, &state, seen).await.is_none() {
+    while let Some(mut seen) = read_head(&mut stream, &mut buffer).await {
+        let is_early = state.habit.get() == Habit::Early;
+        if !is_early && read_body(&mut stream, &mut buffer, &mut seen).await.is_none() {
             return;
         }
+        if answer(&mut stream, &state, &seen).await.is_none() {
+            return;
+        }
+        if is_early && read_body(&mut stream, &mut buffer, &mut seen).await.is_none() {
+            return;
+        }
+        if is_early {
+            state.read_late.borrow_mut().push(seen.body);
+        }
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
+async fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
     let end = loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             break end;
@@ -239,13 +258,16 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_owned(), value.trim().to_owned()))
         .collect();
-    let mut seen = Seen { at: Instant::now(), method, path, headers, body: Vec::new() };
+    Some(Seen { at: Instant::now(), method, path, headers, body: Vec::new() })
+}
+
+async fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, seen: &mut Seen) -> Option<()> {
     let length: usize = seen.header("content-length").parse().unwrap_or(0);
     while buffer.len() < length {
         read_more(stream, buffer).await?;
     }
     seen.body = buffer.drain(..length).collect();
-    Some(seen)
+    Some(())
 }
 
 async fn read_more(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
@@ -266,7 +288,7 @@
     )
 }
 
-async fn answer(stream: &mut TcpStream, state: &Rc<State>, seen: Seen) -> Option<()> {
+async fn answer(stream: &mut TcpStream, state: &Rc<State>, seen: &Seen) -> Option<()> {
     let instance = state.id.borrow().clone();
     if seen.path == "/health" {
         state.probes.set(state.probes.get() + 1);
@@ -291,7 +313,7 @@
     }
     let chained = seen.path.starts_with(CHAIN_PREFIX).then(|| state.chained.borrow().clone()).flatten();
     let deadline = seen.header("quillhatch-deadline-ms").to_owned();
-    state.ran.borrow_mut().push(Seen { at: Instant::now(), ..seen });
+    state.ran.borrow_mut().push(Seen { at: Instant::now(), ..seen.clone() });
     state.running.set(state.running.get() + 1);
     state.most_running.set(state.most_running.get().max(state.running.get()));
     let _working = Working(Rc::clone(state));
@@ -303,7 +325,7 @@
         }
     }
     match habit {
-        Habit::Good => stream.write_all(good(&id, &body).as_bytes()).await.ok(),
+        Habit::Good | Habit::Early => stream.write_all(good(&id, &body).as_bytes()).await.ok(),
         Habit::Long(length) => stream.write_all(good(&id, &"x".repeat(length)).as_bytes()).await.ok(),
         Habit::Failing => {
             let text = good(&id, &body).replacen("200 OK", "500 X", 1);
