--- a/crates/standins/src/mesh/target.rs
+++ b/crates/standins/src/mesh/target/serve.rs
@@ -1,228 +1,17 @@
-//! A stand-in for a target, with the habits that the platform's pages describe.
+//! How a target reads requests and answers them, byte by byte.
 
-use std::cell::{Cell, RefCell};
-use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use super::caller::{request, Caller};
+use super::{answer_body, chained_id, ChainedCall, Habit, Seen, State, CHAIN_PREFIX};
+use crate::mesh::caller::{request, Caller};
 
-/// How a target answers one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Habit {
-    /// With 200 and its signature.
-    Good,
-    /// With 200 and a body of so many bytes.
-    Long(usize),
-    /// With 500 and its signature.
-    Failing,
-    /// With 200, after the request has run for so long.
-    Slow(Duration),
-    /// With 200, and with a second answer to the same request right behind it.
-    Surplus,
-    /// With an answer that belongs to another request.
-    Foreign,
-    /// With half of its body, and then the end of the connection.
-    BreaksOff,
-    /// Without a length; the connection ends with the body.
-    Unframed,
-    /// With 200 but without its signature.
-    Unsigned,
-    /// With bytes that are no answer.
-    Garbage,
-    /// Not at all: the connection ends after the request has run.
-    Lost,
-    /// With 503 and the word that it has not run.
-    Sheds,
-    /// With 200 and the word that the connection is about to close.
-    Closing,
-    /// With 200 before it has read the body of the request, which it reads afterwards.
-    Early,
-}
-
-/// A request as a target got it.
-#[derive(Clone, Debug)]
-pub struct Seen {
-    /// When it began to work on it.
-    pub at: Instant,
-    /// The request's method.
-    pub method: String,
-    /// The request's path.
-    pub path: String,
-    /// The request's headers in order.
-    pub headers: Vec<(String, String)>,
-    /// The request's body.
-    pub body: Vec<u8>,
-}
-
-/// A call that a target makes while it runs a request whose path begins with [`CHAIN_PREFIX`].
-#[derive(Clone, Debug)]
-pub struct ChainedCall {
-    /// Where its machine's node takes calls.
-    pub outbound: SocketAddr,
-    /// The host that it names.
-    pub host: String,
-    /// The path that it asks for.
-    pub path: String,
-}
-
-/// The beginning of the paths whose requests make a call of their own.
-pub const CHAIN_PREFIX: &str = "/chain/";
-
-impl Seen {
-    /// A header's value, empty if there is none.
-    pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
-        found.map_or("", |(_, value)| value)
-    }
-}
-
-struct State {
-    id: RefCell<String>,
-    habit: Cell<Habit>,
-    ran: RefCell<Vec<Seen>>,
-    arrivals: Cell<usize>,
-    running: Cell<usize>,
-    most_running: Cell<usize>,
-    abandoned: Cell<usize>,
-    connections: Cell<usize>,
-    probes: Cell<usize>,
-    chained: RefCell<Option<ChainedCall>>,
-    read_late: RefCell<Vec<Vec<u8>>>,
-    tasks: RefCell<Vec<AbortHandle>>,
-}
-
-/// The target.
-pub struct StandInTarget {
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// The service that it serves.
-    pub service: String,
-    /// The requests that it says it works on at a time.
-    pub slots: u32,
-    state: Rc<State>,
-}
-
-impl StandInTarget {
-    /// Starts a target on `machine`.
-    pub async fn start(machine: Ipv4Addr, service: &str, slots: u32) -> Self {
-        Self::start_at((machine, 0).into(), service, slots).await
-    }
-
-    /// Starts a target at an address.
-    pub async fn start_at(address: SocketAddr, service: &str, slots: u32) -> Self {
-        let listener = TcpListener::bind(address).await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let state = Rc::new(State {
-            id: RefCell::new(format!("i-{:08x}", rand::random::<u32>())),
-            habit: Cell::new(Habit::Good),
-            ran: RefCell::default(),
-            arrivals: Cell::new(0),
-            running: Cell::new(0),
-            most_running: Cell::new(0),
-            abandoned: Cell::new(0),
-            connections: Cell::new(0),
-            probes: Cell::new(0),
-            chained: RefCell::default(),
-            read_late: RefCell::default(),
-            tasks: RefCell::default(),
-        });
-        let served = Rc::clone(&state);
-        let accepting = spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                served.connections.set(served.connections.get() + 1);
-                let task = spawn_local(serve(stream, Rc::clone(&served)));
-                served.tasks.borrow_mut().push(task.abort_handle());
-            }
-        });
-        state.tasks.borrow_mut().push(accepting.abort_handle());
-        StandInTarget { address, service: service.to_owned(), slots, state }
-    }
-
-    /// Its identity.
-    pub fn id(&self) -> String {
-        self.state.id.borrow().clone()
-    }
-
-    /// Changes how it answers from now on.
-    pub fn set_habit(&self, habit: Habit) {
-        self.state.habit.set(habit);
-    }
-
-    /// Makes a call of its own for requests whose path begins with [`CHAIN_PREFIX`].
-    pub fn chain(&self, call: ChainedCall) {
-        *self.state.chained.borrow_mut() = Some(call);
-    }
-
-    /// Takes what was recorded of the requests that it has begun to work on since the last time.
-    pub fn take_ran(&self) -> Vec<Seen> {
-        std::mem::take(&mut *self.state.ran.borrow_mut())
-    }
-
-    /// Starts again at the same address: a new identity, all connections gone.
-    pub fn restart(&self) {
-        let mut tasks = self.state.tasks.borrow_mut();
-        for connection in tasks.drain(1..) {
-            connection.abort();
-        }
-        *self.state.id.borrow_mut() = format!("i-{:08x}", rand::random::<u32>());
-        self.state.running.set(0);
-    }
-
-    /// Ends: nothing listens at its address any more.
-    pub fn end(&self) {
-        for task in self.state.tasks.borrow_mut().drain(..) {
-            task.abort();
-        }
-    }
-
-    /// The requests that it has begun to work on.
-    pub fn ran(&self) -> Vec<Seen> {
-        self.state.ran.borrow().clone()
-    }
-
-    /// The requests that reached it, whether they ran or not.
-    pub fn arrivals(&self) -> usize {
-        self.state.arrivals.get()
-    }
-
-    /// The requests that it works on.
-    pub fn running(&self) -> usize {
-        self.state.running.get()
-    }
-
-    /// The most requests that it has worked on at a time.
-    pub fn most_running(&self) -> usize {
-        self.state.most_running.get()
-    }
-
-    /// The requests whose connection closed while it worked on them.
-    pub fn abandoned(&self) -> usize {
-        self.state.abandoned.get()
-    }
-
-    /// The connections made to it.
-    pub fn connections(&self) -> usize {
-        self.state.connections.get()
-    }
-
-    /// The bodies that it has read whole after their answers.
-    pub fn read_late(&self) -> Vec<Vec<u8>> {
-        self.state.read_late.borrow().clone()
-    }
-
-    /// The questions about its health.
-    pub fn probes(&self) -> usize {
-        self.state.probes.get()
-    }
-}
-
-async fn serve(mut stream: TcpStream, state: Rc<State>) {
+/// Serves the requests of one connection, one after another.
+pub(super) async fn serve(mut stream: TcpStream, state: Rc<State>) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Some(mut seen) = read_head(&mut stream, &mut buffer).await {
@@ -375,11 +164,6 @@
     }
 }
 
-/// The body of a target's answer to the request with this identity.
-pub fn answer_body(id: &str) -> String {
-    format!("the answer to {id}")
-}
-
 /// Makes the call that belongs to a running request, from the target's own address; says whether it was served.
 async fn call_chained(chained: &ChainedCall, stream: &TcpStream, id: &str, deadline: &str) -> bool {
     let (Ok(own), Ok(deadline)) = (stream.local_addr(), deadline.parse::<u64>()) else { return false };
@@ -390,11 +174,6 @@
     answer.is_some_and(|answer| answer.status == 200 && answer.body == answer_body(&id).as_bytes())
 }
 
-/// The identity of the call that a target makes for the request `id`.
-pub fn chained_id(id: &str) -> String {
-    format!("{id}-chained")
-}
-
 struct Working(Rc<State>);
 
 impl Drop for Working {
