Sidecar: connections of bursts end soon, and none is kept while descriptors are short

Every edge kept the connections of its bursts for 20 s, 64 edges towards each of five gates, and the gate never closed one. Calls lay unaccepted until their callers had left. Ruled out: waiting in the queue (its patience ends 1.2 s after arrival), the question who the target is (400 ms). Change: connections between nodes are kept for 3 s after their last use (the last one given back is used first, so only those that a burst needed end); when more than half of the descriptors that the settings name are held by connections that were taken, answers carry Connection: close. Figures: the two tests fail without (connections stay; no close).

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -24,6 +24,8 @@
     pub metrics: Option<(SocketAddr, String)>,
     /// Where the platform's store is.
     pub store: SocketAddr,
+    /// The descriptors that the process may hold.
+    pub descriptors: usize,
     /// The bounds in force.
     pub bounds: Bounds,
 }
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -104,6 +104,8 @@
     pub ending: watch::Receiver<bool>,
     /// The number of open connections.
     pub open: Rc<Cell<usize>>,
+    /// The number of open connections from which they end after their current answer.
+    pub most_kept: usize,
     /// Whether callers are led away: their connections end once nothing waits on them.
     pub leading_away: Rc<Cell<bool>>,
     /// Whether requests that wait behind another on their connection are begun early.
@@ -159,6 +161,7 @@
     let active = Rc::new(Cell::new(0_usize));
     let early = Rc::new(EarlyCalls::default());
     let leading_away = Rc::clone(&connections.leading_away);
+    let (open, most_kept) = (Rc::clone(&connections.open), connections.most_kept);
     let service = {
         let (handler, active, early) = (handler.clone(), Rc::clone(&active), Rc::clone(&early));
         let io = io.clone();
@@ -167,6 +170,7 @@
             let is_ambiguous = io.is_ambiguous();
             let done = Countdown(Rc::clone(&active));
             let (handler, early, leading_away) = (handler.clone(), Rc::clone(&early), Rc::clone(&leading_away));
+            let open = Rc::clone(&open);
             async move {
                 let (parts, body) = request.into_parts();
                 let mut response = match early.take(&parts).await {
@@ -175,7 +179,8 @@
                     None => handler(parts, Some(body), peer).await,
                 };
                 // Requests that were begun early are answered before the connection ends.
-                if leading_away.get() && early.is_empty() {
+                let ends = leading_away.get() || open.get() > most_kept;
+                if ends && early.is_empty() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 drop(done);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -137,7 +137,9 @@
         let now = Timestamp::ZERO;
         let peers = PoolRules {
             connect_timeout: Duration::from_millis(600),
-            keep: Duration::from_secs(20),
+            // The last one given back is used first, so that those that only a burst needed end soon: each holds a
+            // descriptor at both ends.
+            keep: Duration::from_secs(3),
             unacknowledged: Duration::from_millis(1500),
             heeds_keep_alive: false,
             probe: None,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -42,7 +42,10 @@
 const STOP_CHECK: Duration = Duration::from_millis(50);
 /// How often unused connections are looked through.
 const SWEEP: Duration = Duration::from_secs(2);
-/// The bounds on other nodes. They keep connections for 20 s, so none is closed while it may still be used.
+/// The descriptors that are left for files and the like. Half of the others may be held by connections that were taken, the
+/// rest is for those that this node makes.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// The bounds on other nodes. They keep connections for 3 s, so none is closed while it may still be used.
 const PEER_LIMITS: CallerLimits = CallerLimits {
     header_bytes: 128 * 1024,
     body_bytes: u64::MAX,
@@ -151,6 +154,7 @@
         limits: Rc::new(move || for_limits.current_configuration().map(|in_force| in_force.limits).unwrap_or_default()),
         ending,
         open: Rc::clone(&open),
+        most_kept: settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2,
         leading_away: Rc::clone(&leading_away),
         begins_early: true,
     };
@@ -197,6 +201,11 @@
 }
 
 impl Running {
+    /// The connections of callers and of other nodes that are open.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+
     /// Leads callers away, finishes what was begun, and ends. Returns the calls that are still unfinished, which the end of
     /// the process cuts.
     pub async fn stop(mut self) -> usize {
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -4,11 +4,12 @@
 
 use std::time::Duration;
 
+use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_sidecar::node::Node;
 use support::caller::{call, request, Caller};
 use support::store::StandInStore;
 use support::target::{ChainedCall, Habit};
-use support::{eventually, run, Machine};
+use support::{eventually, run, Machine, OUTBOUND};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
 
@@ -424,3 +425,59 @@
         assert_eq!(alpha.target.arrivals(), 4);
     });
 }
+
+#[test]
+fn connections_that_only_a_burst_needed_end_soon() {
+    // Found on the users' bench: a gate whose callers kept the connections of their bursts ran out of descriptors, and calls
+    // lay unaccepted until their callers had left.
+    run(async {
+        let (_store, alpha, beta) = two_machines().await;
+        alpha.target.set_habit(Habit::Slow(Duration::from_millis(150)));
+        let before = alpha.sidecar.open_connections();
+        let mut callers = Vec::new();
+        for number in 0..12 {
+            let mut caller = Caller::connect(beta.outbound()).await;
+            caller.send(&read(&format!("burst-{number}"))).await;
+            callers.push(caller);
+        }
+        for caller in &mut callers {
+            caller.answer().await.expect("an answer");
+        }
+        alpha.target.set_habit(Habit::Good);
+        assert!(alpha.sidecar.open_connections() > before + 3);
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(6) {
+            assert_eq!(call(beta.outbound(), &read("steady")).await.expect("an answer").status, 200);
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert!(alpha.sidecar.open_connections() <= before + 2, "{}", alpha.sidecar.open_connections());
+    });
+}
+
+#[test]
+fn answers_end_their_connections_while_descriptors_are_short() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.configure(&document(1));
+        let alpha = Machine::start(&store, "alpha", 4).await;
+        let address = support::machine();
+        let settings = SidecarSettings {
+            descriptors: 204,
+            ..support::settings(address, "beta", (address, 1).into(), store.address)
+        };
+        let beta =
+            quillhatch_sidecar::run::start(Node::new(settings, Default::default())).expect("its addresses are free");
+        eventually("beta is ready", || beta.node.is_ready() && beta.node.targets.borrow().len() == 1).await;
+        let to = (address, OUTBOUND).into();
+        let mut callers = Vec::new();
+        for number in 0..3 {
+            let mut caller = Caller::connect(to).await;
+            caller.send(&read(&format!("call-{number}"))).await;
+            let answer = caller.answer().await.expect("an answer");
+            let closes = answer.header("connection") == "close";
+            assert_eq!((answer.status, closes), (200, number == 2));
+            callers.push(caller);
+        }
+        drop(alpha);
+    });
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -75,6 +75,7 @@
         ready: at(READY),
         metrics: Some((at(METRICS), "/metrics".to_owned())),
         store,
+        descriptors: 4096,
         bounds: BOUNDS,
     }
 }
