--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -160,17 +160,19 @@
     let watched = io.clone();
     let active = Rc::new(Cell::new(0_usize));
     let early = Rc::new(EarlyCalls::default());
+    let is_closing = Rc::new(Cell::new(false));
     let leading_away = Rc::clone(&connections.leading_away);
     let (open, most_kept) = (Rc::clone(&connections.open), connections.most_kept);
     let service = {
         let (handler, active, early) = (handler.clone(), Rc::clone(&active), Rc::clone(&early));
+        let is_closing = Rc::clone(&is_closing);
         let io = io.clone();
         service_fn(move |request: Request<Incoming>| {
             active.set(active.get() + 1);
             let is_ambiguous = io.is_ambiguous();
             let done = Countdown(Rc::clone(&active));
             let (handler, early, leading_away) = (handler.clone(), Rc::clone(&early), Rc::clone(&leading_away));
-            let open = Rc::clone(&open);
+            let (open, is_closing) = (Rc::clone(&open), Rc::clone(&is_closing));
             async move {
                 let (parts, body) = request.into_parts();
                 let mut response = match early.take(&parts).await {
@@ -181,6 +183,7 @@
                 // Requests that were begun early are answered before the connection ends.
                 let ends = leading_away.get() || open.get() > most_kept;
                 if ends && early.is_empty() {
+                    is_closing.set(true);
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 drop(done);
@@ -205,7 +208,9 @@
             if watched.poll_ended(context).is_ready() {
                 return Poll::Ready(());
             }
-            begin_early(&watched, &early, active.get(), &connections, &handler, peer);
+            if !is_closing.get() {
+                begin_early(&watched, &early, active.get(), &connections, &handler, peer);
+            }
             connection.as_mut().poll(context).map(|_| ())
         });
         tokio::select! {
