--- a/crates/group/tests/network/mod.rs
+++ b/crates/group/tests/network/mod.rs
@@ -15,6 +15,9 @@
 
 use record::Record;
 
+/// How often something may be due at one moment of the virtual clock; more means that a node asks to be woken at once for ever.
+const MOST_ROUNDS_AT_ONCE: u32 = 10_000;
+
 /// Chances and delays of the links.
 #[derive(Clone, Debug)]
 pub struct Links {
@@ -278,7 +281,10 @@
 
     pub fn run_for(&mut self, span: Duration) {
         let end = self.now + span;
+        let mut rounds_at_once = 0;
         while let Some(next) = self.next_event().filter(|next| *next <= end) {
+            rounds_at_once = if next > self.now { 0 } else { rounds_at_once + 1 };
+            assert!(rounds_at_once < MOST_ROUNDS_AT_ONCE, "a node is due again and again at {:?}", self.now);
             self.now = self.now.max(next);
             self.deliver_due();
             self.tick_due();
