Mesh: a target is kept after a cut only until its machine must keep the bound on drains again; a node that has just started is not taken to be cut off

Change: only a node that has read the store before counts as cut off; a target is kept for 2.9 s (was 4) from its node's last word (was: from the vanishing). The test's times follow the constant, and it checks the second.

--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -57,8 +57,9 @@
 const DOUBTED_COUNT: usize = 2;
 /// For how long the word of a node that it can't read the store is taken to hold.
 const CUT_OFF_HOLDS: Duration = Duration::from_secs(2);
-/// For how long a target is kept after its node's last such word: its next own word, and what the list lags.
-const KEPT_AFTER_CUT: Duration = Duration::from_secs(4);
+/// For how long a target is kept after its node's last such word: its next own word, and what the list lags. Shorter than the
+/// time after a cut from which a machine must keep the bound on drains again (3 s).
+const KEPT_AFTER_CUT: Duration = Duration::from_millis(2900);
 /// For how long it is remembered which targets have left the list.
 const LEFT_LATELY: Duration = Duration::from_secs(3);
 
@@ -75,8 +76,8 @@
                 self.remove(id);
                 continue;
             };
-            if !target.announcement.draining && self.is_cut_off(&target, now) {
-                self.doubtful.insert(id.clone(), now + KEPT_AFTER_CUT);
+            if let Some(said) = self.said_cut_off(&target, now).filter(|_| !target.announcement.draining) {
+                self.doubtful.insert(id.clone(), said + KEPT_AFTER_CUT);
                 continue;
             }
             if is_doubted && !doubt.is_zero() {
@@ -124,9 +125,10 @@
         }
     }
 
-    fn is_cut_off(&self, target: &Target, now: Timestamp) -> bool {
-        let said = self.cut_off.get(&target.announcement.address.ip());
-        said.is_some_and(|said| now.since(*said) <= CUT_OFF_HOLDS)
+    /// When the target's node said last that it can't read the store, if that holds still.
+    fn said_cut_off(&self, target: &Target, now: Timestamp) -> Option<Timestamp> {
+        let said = self.cut_off.get(&target.announcement.address.ip()).copied();
+        said.filter(|said| now.since(*said) <= CUT_OFF_HOLDS)
     }
 
     /// Takes the targets off the list whose time of doubt is over; says whether there were any.
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -37,14 +37,20 @@
     targets.vanish(&ids[..1], drain, milliseconds(2_000));
     assert_eq!(targets.len(), 4, "its node says that it is cut off");
     targets.heard_of(machine(0), true, milliseconds(5_000));
-    assert!(!targets.drop_doubtful(milliseconds(8_999)), "and says so again");
-    assert!(targets.drop_doubtful(milliseconds(9_000)), "nothing more is heard of it");
+    assert!(!targets.drop_doubtful(milliseconds(7_899)), "and says so again");
+    assert!(targets.drop_doubtful(milliseconds(7_900)), "nothing more is heard of it");
 
     targets.heard_of(machine(1), true, milliseconds(9_000));
     targets.heard_of(machine(1), false, milliseconds(9_500));
     targets.vanish(&ids[1..2], drain, milliseconds(9_600));
     assert_eq!(targets.len(), 2, "its node reads the store again, and the entry is gone");
 
+    targets.heard_of(machine(2), true, milliseconds(9_700));
+    targets.vanish(&ids[2..3], drain, milliseconds(11_600));
+    assert_eq!(targets.next_doubt(), Some(milliseconds(12_600)), "counted from its node's last word");
+    assert!(targets.drop_doubtful(milliseconds(12_600)));
+    targets.update(ids[2].clone(), announcement("alpha", "10.0.0.2:80", "here"), milliseconds(9_800));
+    targets.heard_of(machine(2), false, milliseconds(9_900));
     targets.vanish(&ids[2..3], drain, milliseconds(10_000));
     assert_eq!(targets.len(), 1);
     targets.heard_of(machine(2), true, milliseconds(12_000));
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -54,14 +54,20 @@
     hand_over_if_needed(node, peer, reach);
 }
 
+/// Whether a node is cut off from the store that it has read before. One that has just started says that it is cut off too,
+/// which tells nothing of its machine.
+fn has_lost_the_store(reach: Reach) -> bool {
+    reach.is_cut_off && reach.revision > 0
+}
+
 /// Lets the list of targets know which machines can't read the store, this one too.
 fn note_cuts(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
     let now = node.now();
     let own = node.settings.local_target.ip();
     let mut targets = node.targets.borrow_mut();
     let doubted = targets.next_doubt();
-    targets.heard_of(peer, reach.is_cut_off, now);
-    targets.heard_of(own, own_reach(node).is_cut_off, now);
+    targets.heard_of(peer, has_lost_the_store(reach), now);
+    targets.heard_of(own, has_lost_the_store(own_reach(node)), now);
     if doubted != targets.next_doubt() {
         node.doubt_changed.notify_one();
     }
