--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses a part of this.
 
-pub use quillhatch_standins::mesh::{caller, store, target};
+pub use quillhatch_platform_standins::{caller, store, target};
 
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use quillhatch_standins::mesh::target::chained_id;
+use quillhatch_platform_standins::target::chained_id;
 
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
 use crate::record::{CallEnd, CallRecord, RunRecord, SoakRecord};
@@ -110,7 +110,11 @@
             found.push(broken(Promise::AsSent, what));
         }
         let service = MachineAddrs::service_of(run.machine);
-        if kind.service().is_some_and(|own| own != service) || !SERVICES.contains(&service) {
+        let is_routed = match kind.service() {
+            Some(own) => own == service,
+            None => record.configs.iter().any(|config| config.moving == service),
+        };
+        if !is_routed {
             found.push(broken(Promise::Routed, format!("{} ran at {service}", run.id)));
         }
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use quillhatch_standins::mesh::store::Mode;
-use quillhatch_standins::mesh::target::Habit;
+use quillhatch_platform_standins::store::Mode;
+use quillhatch_platform_standins::target::Habit;
 use rand::Rng;
 use rustix::process::Signal;
 use tokio::time::sleep;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -7,9 +7,9 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use quillhatch_standins::mesh::settings::{settings_document, MachineSettings};
-use quillhatch_standins::mesh::store::StandInStore;
-use quillhatch_standins::mesh::target::{ChainedCall, Habit, StandInTarget};
+use quillhatch_platform_standins::settings::{settings_document, MachineSettings, SETTINGS_VARIABLE};
+use quillhatch_platform_standins::store::StandInStore;
+use quillhatch_platform_standins::target::{ChainedCall, Habit, StandInTarget};
 use rustix::process::{kill_process, Pid, Signal};
 
 use crate::layout::{MachineAddrs, RouteKind, HOST, SLOTS};
@@ -96,7 +96,7 @@
         }
         let child = Command::new(&self.program)
             .arg("sidecar")
-            .env("QUILLHATCH_CONFIG", &self.settings)
+            .env(SETTINGS_VARIABLE, &self.settings)
             .stdin(Stdio::null())
             .stdout(self.log.try_clone()?)
             .stderr(self.log.try_clone()?)
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -116,15 +116,6 @@
 }
 
 impl SoakRecord {
-    /// Whether a machine was without disturbance from `settle` before `from` until `until`.
-    pub fn is_calm(&self, machine: usize, settle: Duration, from: Instant, until: Instant) -> bool {
-        let strikes = |disturbance: &Disturbance| disturbance.machine.is_none_or(|struck| struck == machine);
-        !self
-            .disturbances
-            .iter()
-            .any(|disturbance| strikes(disturbance) && disturbance.from <= until && disturbance.until + settle >= from)
-    }
-
     /// Whether all machines were without disturbance from `settle` before `from` until `until`.
     pub fn is_all_calm(&self, settle: Duration, from: Instant, until: Instant) -> bool {
         !self.disturbances.iter().any(|disturbance| disturbance.from <= until && disturbance.until + settle >= from)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use quillhatch_standins::mesh::caller::Caller;
-use quillhatch_standins::mesh::store::StandInStore;
-use quillhatch_standins::mesh::target::Seen;
+use quillhatch_platform_standins::caller::Caller;
+use quillhatch_platform_standins::store::StandInStore;
+use quillhatch_platform_standins::target::Seen;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use quillhatch_standins::mesh::caller::{request, Answer, Caller};
-use quillhatch_standins::mesh::target::answer_body;
+use quillhatch_platform_standins::caller::{request, Answer, Caller};
+use quillhatch_platform_standins::target::answer_body;
 use rand::Rng;
 use rand_pcg::Pcg64;
 use tokio::time::sleep;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -86,6 +86,11 @@
 #[test_case(Promise::AsSent, |story| story.record.runs[0].caller_service = "beta".to_owned())]
 #[test_case(Promise::Once, |story| story.run("pay", RouteKind::Pay, GAMMA, 6_500))]
 #[test_case(Promise::Routed, |story| story.record.runs[0].machine = GAMMA)]
+#[test_case(Promise::Routed, |story| {
+    story.call("x", RouteKind::Moving, 6_000, status(500));
+    story.run("x", RouteKind::Moving, GAMMA, 6_010);
+    story.disturb(5_900, 6_100);
+})]
 #[test_case(Promise::Slots, |story| story.record.most_running = SLOTS + 1)]
 #[test_case(Promise::Uncut, |story| story.call("x", RouteKind::Read, 6_000, CallEnd::Cut))]
 #[test_case(Promise::Uncut, |story| story.call("x", RouteKind::Read, 6_000, CallEnd::Silent))]
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,5 @@
 pub mod backend;
 pub mod content;
 pub mod load;
-pub mod mesh;
 pub mod platform;
 pub mod server;
