--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -4,46 +4,15 @@
 
 use std::time::Duration;
 
-use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_sidecar::node::Node;
 use support::caller::{call, request, Caller};
+use support::limits::{pay, read, two_machines, HOST};
 use support::store::StandInStore;
 use support::target::{ChainedCall, Habit};
-use support::{eventually, run, Machine, OUTBOUND};
+use support::{eventually, run, Machine};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
 
-const HOST: &str = "shop.example";
-
-fn document(version: u32) -> String {
-    format!(
-        r#"{{"version":"r{version}","limits":{{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_s":3,"idle_timeout_s":15}},
-        "listeners":[{{"host":"{HOST}","rules":[
-          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}},
-          {{"name":"read-deep","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/deep/"}},"action":{{"service":"beta","timeout_s":1,"max_attempts":2}}}},
-          {{"name":"pay","kind":"unsafe","aim_s":1,"priority":0,"match":{{"prefix":"/pay/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}}]}}],
-        "clusters":[{{"name":"alpha","health_path":"/health","max_connections":100}},{{"name":"beta","health_path":"/health","max_connections":100}}]}}"#
-    )
-}
-
-fn read(id: &str) -> String {
-    request("GET", HOST, "/read/x?q=1", id, 5000, "")
-}
-
-fn pay(id: &str) -> String {
-    request("POST", HOST, "/pay/", id, 5000, "amount=7")
-}
-
-/// A store, a target of `alpha` and one of `beta`; calls enter at the machine of `beta`.
-async fn two_machines() -> (StandInStore, Machine, Machine) {
-    let store = StandInStore::start().await;
-    store.configure(&document(1));
-    let alpha = Machine::start(&store, "alpha", 4).await;
-    let beta = Machine::start(&store, "beta", 4).await;
-    eventually("both are listed at beta", || beta.node().targets.borrow().len() == 2).await;
-    (store, alpha, beta)
-}
-
 #[test]
 fn a_call_reaches_its_target_unaltered() {
     run(async {
@@ -142,21 +111,6 @@
     });
 }
 
-#[test_case(10)]
-#[test_case(70_000; "longer than what is kept")]
-#[test_case(3_000_000; "much longer")]
-fn answers_of_any_length_come_whole_and_keep_connections(length: usize) {
-    run(async move {
-        let (_store, alpha, beta) = two_machines().await;
-        alpha.target.set_habit(Habit::Long(length));
-        for id in ["one", "two", "three"] {
-            let answer = call(beta.outbound(), &read(id)).await.expect("an answer");
-            assert_eq!((answer.status, answer.body.len()), (200, length));
-        }
-        assert_eq!(alpha.target.connections(), 1, "the connection to the target is used again");
-    });
-}
-
 #[test]
 fn a_targets_own_failure_goes_back_unchanged() {
     run(async {
@@ -180,45 +134,6 @@
     });
 }
 
-#[test]
-fn requests_behind_another_begin_at_once_and_are_answered_in_order() {
-    run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        alpha.target.set_habit(Habit::Slow(Duration::from_millis(300)));
-        let mut caller = Caller::connect(beta.outbound()).await;
-        let begun = Instant::now();
-        caller.send(&read("one")).await;
-        sleep(Duration::from_millis(20)).await;
-        caller.send(&(read("two") + &read("three"))).await;
-        for id in ["one", "two", "three"] {
-            let answer = caller.answer().await.expect("an answer");
-            assert_eq!(answer.body, format!("the answer to {id}").as_bytes());
-        }
-        assert!(
-            begun.elapsed() < Duration::from_millis(600),
-            "one after the other takes 900 ms: {:?}",
-            begun.elapsed()
-        );
-        assert_eq!(alpha.target.ran().len(), 3);
-    });
-}
-
-#[test]
-fn a_caller_that_leaves_ends_the_work_of_all_its_requests() {
-    run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        alpha.target.set_habit(Habit::Slow(Duration::from_secs(5)));
-        let mut caller = Caller::connect(beta.outbound()).await;
-        caller.send(&(read("one") + &read("two"))).await;
-        eventually("both run", || alpha.target.running() == 2).await;
-        drop(caller);
-        let left = Instant::now();
-        eventually("the target is told", || alpha.target.abandoned() == 2).await;
-        assert!(left.elapsed() < Duration::from_millis(500));
-        eventually("no slot is held", || alpha.node().gate.borrow().load().running == 0).await;
-    });
-}
-
 #[test]
 fn a_call_is_answered_at_its_routes_time() {
     run(async {
@@ -265,18 +180,6 @@
     });
 }
 
-#[test]
-fn connections_of_targets_that_say_close_are_not_used_again() {
-    run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        alpha.target.set_habit(Habit::Closing);
-        for id in ["one", "two", "three"] {
-            assert_eq!(call(beta.outbound(), &pay(id)).await.expect("an answer").status, 200);
-        }
-        assert_eq!(alpha.target.ran().len(), 3);
-    });
-}
-
 #[test]
 fn a_call_that_may_be_repeated_leaves_a_silent_node() {
     run(async {
@@ -339,32 +242,6 @@
     });
 }
 
-#[test]
-fn a_head_that_does_not_come_is_a_408() {
-    run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        let mut caller = Caller::connect(beta.outbound()).await;
-        caller.send("GET /read/x HTTP/1.1\r\nHost: ").await;
-        let answer = caller.answer().await.expect("an answer");
-        assert_eq!((answer.status, answer.header("connection")), (408, "close"));
-        assert_eq!(caller.answer().await, None);
-        assert_eq!(alpha.target.arrivals(), 0);
-    });
-}
-
-#[test]
-fn a_resting_connection_is_kept_for_the_configured_time() {
-    run(async {
-        let (_store, _alpha, beta) = two_machines().await;
-        let mut caller = Caller::connect(beta.outbound()).await;
-        caller.send(&read("one")).await;
-        caller.answer().await.expect("an answer");
-        sleep(Duration::from_secs(5)).await;
-        caller.send(&read("two")).await;
-        assert_eq!(caller.answer().await.expect("an answer").status, 200);
-    });
-}
-
 #[test]
 fn calls_below_a_repeated_one_are_taken_off_the_budget_of_their_service() {
     run(async {
@@ -425,59 +302,3 @@
         assert_eq!(alpha.target.arrivals(), 4);
     });
 }
-
-#[test]
-fn connections_that_only_a_burst_needed_end_soon() {
-    // Found on the users' bench: a gate whose callers kept the connections of their bursts ran out of descriptors, and calls
-    // lay unaccepted until their callers had left.
-    run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        alpha.target.set_habit(Habit::Slow(Duration::from_millis(150)));
-        let before = alpha.sidecar.open_connections();
-        let mut callers = Vec::new();
-        for number in 0..12 {
-            let mut caller = Caller::connect(beta.outbound()).await;
-            caller.send(&read(&format!("burst-{number}"))).await;
-            callers.push(caller);
-        }
-        for caller in &mut callers {
-            caller.answer().await.expect("an answer");
-        }
-        alpha.target.set_habit(Habit::Good);
-        assert!(alpha.sidecar.open_connections() > before + 3);
-        let begun = Instant::now();
-        while begun.elapsed() < Duration::from_secs(6) {
-            assert_eq!(call(beta.outbound(), &read("steady")).await.expect("an answer").status, 200);
-            sleep(Duration::from_millis(100)).await;
-        }
-        assert!(alpha.sidecar.open_connections() <= before + 2, "{}", alpha.sidecar.open_connections());
-    });
-}
-
-#[test]
-fn answers_end_their_connections_while_descriptors_are_short() {
-    run(async {
-        let store = StandInStore::start().await;
-        store.configure(&document(1));
-        let alpha = Machine::start(&store, "alpha", 4).await;
-        let address = support::machine();
-        let settings = SidecarSettings {
-            descriptors: 204,
-            ..support::settings(address, "beta", (address, 1).into(), store.address)
-        };
-        let beta =
-            quillhatch_sidecar::run::start(Node::new(settings, Default::default())).expect("its addresses are free");
-        eventually("beta is ready", || beta.node.is_ready() && beta.node.targets.borrow().len() == 1).await;
-        let to = (address, OUTBOUND).into();
-        let mut callers = Vec::new();
-        for number in 0..3 {
-            let mut caller = Caller::connect(to).await;
-            caller.send(&read(&format!("call-{number}"))).await;
-            let answer = caller.answer().await.expect("an answer");
-            let closes = answer.header("connection") == "close";
-            assert_eq!((answer.status, closes), (200, number == 2));
-            callers.push(caller);
-        }
-        drop(alpha);
-    });
-}
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -4,35 +4,13 @@
 
 use std::time::Duration;
 
-use support::caller::{call, request};
+use support::caller::call;
+use support::shop::{document, read, two_machines};
 use support::store::{Mode, StandInStore};
 use support::target::Habit;
 use support::{eventually, machine, run, start_sidecar, Machine, OUTBOUND};
 use tokio::time::sleep;
 
-const HOST: &str = "shop.example";
-
-fn document(version: u32, service: &str) -> String {
-    format!(
-        r#"{{"version":"r{version}","listeners":[{{"host":"{HOST}","rules":[
-          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":1,"max_attempts":2}}}}]}}],
-        "clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#
-    )
-}
-
-fn read(id: &str) -> String {
-    request("GET", HOST, "/read/x", id, 5000, "")
-}
-
-async fn two_machines() -> (StandInStore, Machine, Machine) {
-    let store = StandInStore::start().await;
-    store.configure(&document(5, "alpha"));
-    let alpha = Machine::start(&store, "alpha", 8).await;
-    let beta = Machine::start(&store, "beta", 8).await;
-    eventually("both are listed at beta", || beta.node().targets.borrow().len() == 2).await;
-    (store, alpha, beta)
-}
-
 #[test]
 fn a_newer_configuration_comes_into_force_and_an_older_or_broken_one_does_not() {
     run(async {
--- a/crates/sidecar/tests/store.rs
+++ b/crates/sidecar/tests/store.rs
@@ -5,35 +5,13 @@
 use std::time::Duration;
 
 use quillhatch_platform::store::Change;
-use support::caller::{call, request};
+use support::caller::call;
+use support::shop::{document, read, two_machines};
 use support::store::{Mode, StandInStore};
 use support::{eventually, run, start_sidecar, Machine, OUTBOUND};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
 
-const HOST: &str = "shop.example";
-
-fn document(version: u32, service: &str) -> String {
-    format!(
-        r#"{{"version":"r{version}","listeners":[{{"host":"{HOST}","rules":[
-          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":1,"max_attempts":2}}}}]}}],
-        "clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#
-    )
-}
-
-fn read(id: &str) -> String {
-    request("GET", HOST, "/read/x", id, 5000, "")
-}
-
-async fn two_machines() -> (StandInStore, Machine, Machine) {
-    let store = StandInStore::start().await;
-    store.configure(&document(5, "alpha"));
-    let alpha = Machine::start(&store, "alpha", 8).await;
-    let beta = Machine::start(&store, "beta", 8).await;
-    eventually("both are listed at beta", || beta.node().targets.borrow().len() == 2).await;
-    (store, alpha, beta)
-}
-
 #[test_case(Mode::Status(429))]
 #[test_case(Mode::Status(503))]
 #[test_case(Mode::Silent)]
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code)] // Each test file uses a part of this.
 
+pub mod limits;
+pub mod shop;
+
 pub use quillhatch_platform_standins::{caller, store, target};
 
 use std::future::Future;
--- /dev/null
+++ b/crates/sidecar/tests/support/shop.rs
@@ -0,0 +1,32 @@
+//! A host with one route, and a machine of each of two services.
+
+use super::caller::request;
+use super::store::StandInStore;
+use super::{eventually, Machine};
+
+/// The host of the route.
+pub const HOST: &str = "shop.example";
+
+/// A configuration in which the route is served by `service`.
+pub fn document(version: u32, service: &str) -> String {
+    format!(
+        r#"{{"version":"r{version}","listeners":[{{"host":"{HOST}","rules":[
+          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":1,"max_attempts":2}}}}]}}],
+        "clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#
+    )
+}
+
+/// A request of the route.
+pub fn read(id: &str) -> String {
+    request("GET", HOST, "/read/x", id, 5000, "")
+}
+
+/// A store, and a machine of alpha and one of beta.
+pub async fn two_machines() -> (StandInStore, Machine, Machine) {
+    let store = StandInStore::start().await;
+    store.configure(&document(5, "alpha"));
+    let alpha = Machine::start(&store, "alpha", 8).await;
+    let beta = Machine::start(&store, "beta", 8).await;
+    eventually("both are listed at beta", || beta.node().targets.borrow().len() == 2).await;
+    (store, alpha, beta)
+}
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use quillhatch_platform_standins::configuration::{configuration_document, DocumentRoute};
 use rand::Rng;
 
 /// The host of all routes.
@@ -87,23 +88,14 @@
 
 /// The configuration of a version, in which [`RouteKind::Moving`] is served by `moving`.
 pub fn document(version: u64, moving: &str) -> String {
-    let rule = |name: &str, kind: &str, service: &str, priority: u32| {
-        format!(
-            r#"{{"name":"{name}","kind":"{kind}","aim_s":1,"priority":{priority},"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":2,"max_attempts":2}}}}"#
-        )
-    };
-    let rules = [
-        rule("read", "safe", "beta", 2),
-        rule("pay", "unsafe", "gamma", 0),
-        rule("chain", "safe", "alpha", 1),
-        rule("moving", "safe", moving, 2),
+    let route = |name, kind, service, priority| DocumentRoute { name, kind, service, priority, timeout_s: 2 };
+    let routes = [
+        route("read", "safe", "beta", 2),
+        route("pay", "unsafe", "gamma", 0),
+        route("chain", "safe", "alpha", 1),
+        route("moving", "safe", moving, 2),
     ];
-    let clusters = SERVICES.map(|service| format!(r#"{{"name":"{service}","health_path":"/health"}}"#));
-    format!(
-        r#"{{"version":"r{version}","listeners":[{{"host":"{HOST}","rules":[{}]}}],"clusters":[{}]}}"#,
-        rules.join(","),
-        clusters.join(",")
-    )
+    configuration_document(version, HOST, &routes, &SERVICES)
 }
 
 /// The addresses of one machine.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -251,8 +251,8 @@
 }
 
 fn run_record(machine: usize, seen: Seen) -> RunRecord {
-    let id = seen.header("quillhatch-request-id").to_owned();
-    let caller_service = seen.header("quillhatch-caller-service").to_owned();
+    let id = seen.id().to_owned();
+    let caller_service = seen.caller_service().to_owned();
     let body = String::from_utf8_lossy(&seen.body).into_owned();
     RunRecord { id, machine, at: seen.at, request: (seen.method, seen.path, body), caller_service }
 }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -4,8 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use quillhatch_platform_standins::caller::{request, Answer, Caller};
-use quillhatch_platform_standins::target::answer_body;
+use quillhatch_platform_standins::caller::{request, Caller};
 use rand::Rng;
 use rand_pcg::Pcg64;
 use tokio::time::sleep;
@@ -77,7 +76,7 @@
             self.note(kind, id, sent, end);
             return None;
         };
-        let end = CallEnd::Answered { status: answer.status, is_own: is_own(&answer, &id) };
+        let end = CallEnd::Answered { status: answer.status, is_own: answer.is_own(&id) };
         self.note(kind, id, sent, end);
         let closes = answer.header("connection").eq_ignore_ascii_case("close");
         (!closes && self.random.gen_bool(KEPT_SHARE)).then_some(caller)
@@ -89,13 +88,3 @@
         self.record.borrow_mut().calls.push(call);
     }
 }
-
-/// Whether an answer belongs to the request `id`; a success must be whole and carry the target's signature.
-fn is_own(answer: &Answer, id: &str) -> bool {
-    let answered = answer.header("quillhatch-request-id");
-    if answer.status != 200 {
-        return answered.is_empty() || answered == id;
-    }
-    let signature = format!("stamp-{id}");
-    answered == id && answer.header("quillhatch-server-stamp") == signature && answer.body == answer_body(id).as_bytes()
-}
