Mesh: doubt about many vanished targets ends within the bound on drains also when changes were gathered; lists of what left and of cuts stay small

Cause (review): many targets that vanish in one answer were kept for the bound less 0.7 s, and the answer may now come 0.7 s late, so nothing was left of the bound; targets that left and machines that were cut off were remembered until the next cut; a function was public for a test only. Change: the times stand with the bounds in mesh (gather at most 0.35 of the least bound; doubt = drain - gather - 0.5 s: 0.8 s at 2 s, was 1.3); old entries are forgotten when new ones come. The stand-in store answers a watch with each change as it was written, so that the test of a target told of and gone in one answer goes over sockets.

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -46,3 +46,22 @@
     /// Repeats that all nodes together may make beyond the share, for each service.
     pub retry_slack: f64,
 }
+
+/// The share of the time in which a change must have its effect for which others are gathered while they keep coming.
+const LONGEST_GATHER_PART: f64 = 0.35;
+/// What is left of that time for an answer of the store and for the node's own work.
+const CHANGE_RESERVE: Duration = Duration::from_millis(500);
+
+impl Bounds {
+    /// The longest time for which changes are gathered while they keep coming.
+    pub fn longest_gather(&self) -> Duration {
+        self.drain.min(self.apply).mul_f64(LONGEST_GATHER_PART)
+    }
+
+    /// For how long targets are kept that vanished together with many, without known trouble of the store.
+    ///
+    /// They may be gone for good, so this ends within the bound on drains, also for changes that were gathered.
+    pub fn longest_doubt(&self) -> Duration {
+        self.drain.saturating_sub(self.longest_gather() + CHANGE_RESERVE)
+    }
+}
--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -86,6 +86,7 @@
             }
             self.remove(id);
             if !target.announcement.draining {
+                self.forget_left(now);
                 self.left_lately.push_back((now, target));
             }
         }
@@ -103,10 +104,10 @@
             }
             return;
         }
-        self.cut_off.insert(machine, now);
-        while self.left_lately.front().is_some_and(|(left, _)| now.since(*left) > LEFT_LATELY) {
-            self.left_lately.pop_front();
+        if self.cut_off.insert(machine, now).is_none() {
+            self.cut_off.retain(|_, said| now.since(*said) <= CUT_OFF_HOLDS);
         }
+        self.forget_left(now);
         for (left, target) in std::mem::take(&mut self.left_lately) {
             if target.announcement.address.ip() != machine {
                 self.left_lately.push_back((left, target));
@@ -125,6 +126,13 @@
         }
     }
 
+    /// Forgets what has left the list too long ago.
+    fn forget_left(&mut self, now: Timestamp) {
+        while self.left_lately.front().is_some_and(|(left, _)| now.since(*left) > LEFT_LATELY) {
+            self.left_lately.pop_front();
+        }
+    }
+
     /// When the target's node said last that it can't read the store, if that holds still.
     fn said_cut_off(&self, target: &Target, now: Timestamp) -> Option<Timestamp> {
         let said = self.cut_off.get(&target.announcement.address.ip()).copied();
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -4,9 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{announcement, milliseconds};
+use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::targets::{Announcement, TargetTable};
 use quillhatch_types::Timestamp;
+use test_case::test_case;
+
+use crate::{announcement, milliseconds};
 
 #[test]
 fn a_target_that_follows_another_takes_its_place_for_good() {
@@ -80,3 +83,22 @@
     assert!(targets.drop_doubtful(milliseconds(4_000)));
     assert_eq!((targets.len(), targets.next_doubt()), (1, None), "the one that was heard of again stays");
 }
+
+#[test_case(2.0, 2.0)]
+#[test_case(2.5, 2.5)]
+#[test_case(1.0, 2.0)]
+#[test_case(0.5, 0.5; "bounds too short for any doubt")]
+fn doubt_about_many_targets_ends_within_the_bound_on_drains(drain_s: f64, apply_s: f64) {
+    let (drain, apply) = (Duration::from_secs_f64(drain_s), Duration::from_secs_f64(apply_s));
+    let bounds = Bounds {
+        stop_grace: Duration::from_secs(6),
+        drain,
+        apply,
+        retry_ratio: 0.2,
+        retry_window: Duration::from_secs(10),
+        retry_slack: 55.0,
+    };
+    assert!(bounds.longest_gather() < drain.min(apply) / 2);
+    let all = bounds.longest_gather() + bounds.longest_doubt();
+    assert!(all + Duration::from_millis(500) <= drain || bounds.longest_doubt().is_zero(), "{all:?} of {drain:?}");
+}
--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -31,8 +31,6 @@
 const WATCH_ALLOWANCE: Duration = Duration::from_millis(1500);
 /// After a change, more are gathered for so long before the store is asked for them.
 const SHORTEST_GATHER: Duration = Duration::from_millis(300);
-/// The share of the time in which a change must have its effect for which others are gathered while they keep coming.
-const LONGEST_GATHER_PART: f64 = 0.35;
 /// The pause between changes from which the next one counts as the first again.
 const CALM: Duration = Duration::from_millis(600);
 /// How long the store is asked to wait by a watch that takes the place of one which hangs.
@@ -45,8 +43,6 @@
 const HANGING_AFTER: Duration = Duration::from_millis(900);
 /// For how long targets are kept that a list lacks after trouble of the store: two of their words, and what the list lags.
 const DOUBT_AFTER_TROUBLE: Duration = Duration::from_secs(4);
-/// How much sooner than it must be left a target is left that has vanished together with many.
-const DRAIN_RESERVE: Duration = Duration::from_millis(700);
 /// The pause after the first failure in a row; it doubles.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause after failures in a row.
@@ -153,7 +149,7 @@
 }
 
 async fn watch(node: &Rc<Node>, mut revision: u64) -> StoreError {
-    let longest_gather = node.settings.bounds.drain.min(node.settings.bounds.apply).mul_f64(LONGEST_GATHER_PART);
+    let longest_gather = node.settings.bounds.longest_gather();
     let mut gather = SHORTEST_GATHER;
     let mut patience = (WATCH_WAIT, WATCH_ALLOWANCE);
     loop {
@@ -221,7 +217,7 @@
 }
 
 /// Takes over changes in the order in which the store tells them.
-pub fn apply(node: &Node, changes: Vec<Change>) {
+fn apply(node: &Node, changes: Vec<Change>) {
     // One answer may tell of a target and of its end: its last word counts.
     let mut gone: Vec<Arc<str>> = Vec::new();
     for change in &changes {
@@ -254,9 +250,7 @@
             }
         }
     }
-    // Shorter than the time in which a gone target must be left.
-    let doubt = node.settings.bounds.drain.saturating_sub(DRAIN_RESERVE);
-    node.targets.borrow_mut().vanish(&gone, doubt, node.now());
+    node.targets.borrow_mut().vanish(&gone, node.settings.bounds.longest_doubt(), node.now());
     node.doubt_changed.notify_one();
 }
 
--- a/crates/sidecar/tests/store.rs
+++ b/crates/sidecar/tests/store.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use quillhatch_platform::store::Change;
 use support::caller::call;
 use support::shop::{document, read, two_machines};
 use support::store::{Mode, StandInStore};
@@ -238,11 +237,15 @@
 fn a_target_that_is_told_of_and_gone_in_one_answer_is_gone() {
     // Found on the users' bench: changes of one target that were gathered listed it again.
     run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        let id: std::sync::Arc<str> = alpha.target.id().into();
-        let announcement = beta.node().targets.borrow().get(&id).expect("listed").announcement.clone();
-        let told = [Change::Target(id.clone(), announcement), Change::TargetGone(id.clone())];
-        quillhatch_sidecar::store::apply(beta.node(), told.to_vec());
-        assert!(beta.node().targets.borrow().get(&id).is_none());
+        let (store, alpha, beta) = two_machines().await;
+        sleep(Duration::from_millis(1500)).await;
+        store.configure(&document(6, "alpha"));
+        eventually("the first change is taken", || beta.node().configuration.borrow().version() == 6).await;
+        // Beta gathers what follows.
+        store.list(&alpha.target, "ready");
+        store.unlist(&alpha.target.id());
+        store.configure(&document(7, "alpha"));
+        eventually("the others are taken", || beta.node().configuration.borrow().version() == 7).await;
+        assert!(beta.node().targets.borrow().get(&alpha.target.id()).is_none());
     });
 }
