Sidecar: the line of a gone target says again whether it is kept

Cause (review): since the line was written before it was known whether the target is kept, and the field was left out. Change: the lines are written after the list was changed.

--- a/crates/sidecar/src/store.rs
+++ b/crates/sidecar/src/store.rs
@@ -245,13 +245,15 @@
                 node.targets.borrow_mut().update(id, announcement, node.now());
             }
             Change::UnusableTarget(id) => node.log(&format!("\"event\":\"target-unusable\",\"target\":\"{id}\"")),
-            Change::TargetGone(id) => {
-                node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\""));
-            }
+            Change::TargetGone(_) => {}
         }
     }
     node.targets.borrow_mut().vanish(&gone, node.settings.bounds.longest_doubt(), node.now());
     node.doubt_changed.notify_one();
+    for id in gone {
+        let kept = node.targets.borrow().get(&id).is_some();
+        node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\",\"kept_for_now\":{kept}"));
+    }
 }
 
 /// Takes doubtful targets off the list when their time is over.
