Sidecar: a stop delivers answers that wait behind one which is read slowly

Cause: at the end of a stop every connection was told to end after its current answer. Calls of requests behind it that had been begun early, and had run, were dropped though they were passed on, if the first answer was still being read (their handlers are over, so the stop no longer counts them). Ruled out: the loss on the way of calls that hyper has not come to; these are not passed on and are sent again. Change: a connection with such calls is left to its last answer, which carries 'Connection: close'.

--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -218,7 +218,11 @@
             () = connection_or_end => break,
             _ = ending.changed(), if !is_ending => {
                 is_ending = true;
-                connection.as_mut().graceful_shutdown();
+                // Calls that were begun early have been passed on and are owed an answer; the last of these answers ends
+                // the connection.
+                if early.is_empty() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             () = &mut rest_check => {
                 let limits = (connections.limits)();
--- a/crates/sidecar/tests/stops.rs
+++ b/crates/sidecar/tests/stops.rs
@@ -89,3 +89,24 @@
         assert!(served > 50, "{served} served, {refused} refused");
     });
 }
+
+#[test]
+fn a_stop_delivers_the_answers_that_wait_behind_one_which_is_read_slowly() {
+    run(async {
+        // More than the buffers of a connection hold.
+        const LENGTH: usize = 12_000_000;
+        let (_store, alpha, beta) = two_machines().await;
+        alpha.target.set_habit(Habit::Long(LENGTH));
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&[read("one"), read("two"), read("three")].concat()).await;
+        eventually("all run", || alpha.target.ran().len() == 3).await;
+        let stopping = tokio::task::spawn_local(beta.sidecar.stop());
+        // Past the time for which callers are led away, when connections that rest are ended.
+        sleep(Duration::from_millis(3000)).await;
+        for id in ["one", "two", "three"] {
+            let answer = caller.answer().await.unwrap_or_else(|| panic!("the answer to {id} is cut off"));
+            assert_eq!((answer.status, answer.body.len()), (200, LENGTH), "{id}");
+        }
+        stopping.await.expect("it stops");
+    });
+}
