Sidecar: a call that still waited for a connection when its time was over has not run, and is told so

Cause: an edge or a gate that gave up waiting took the call to have been sent, so a caller got 504 for a call that had reached no target, and one that may run only once could not be sent again. The same for a call whose gate still asked its target who it is. Change: the pool notes when a request is handed to a connection; until then giving up means not run (503 with when to come back). The gate waits for the target's identity no longer than the call has time. Ruled out: connections that were made and then died; there the request may have run, and 502 or 504 stands.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -20,7 +20,7 @@
 use crate::body::Body;
 use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::Node;
-use crate::pool::{ExchangeError, Lease};
+use crate::pool::{ExchangeError, Lease, SentFlag};
 use crate::presence;
 use crate::relay::relay_answer;
 use crate::views;
@@ -88,8 +88,11 @@
     let address = SocketAddr::new(target.announcement.address.ip(), node.settings.inbound.port());
     node.balance.borrow_mut().sent(&target.id);
     let in_flight = InFlight { node, target: &target.id };
-    let exchange = node.peers.exchange(address, request);
+    let sent = SentFlag::default();
+    let exchange = node.peers.exchange_noting(address, request, &sent);
     let (response, lease) = match exchange_while_present(node, call, target, begun, exchange).await {
+        // It still waited for a connection, so no target has seen it.
+        Exchanged::Late | Exchanged::Silent if !sent.is_set() => return Attempt::NotRun("no connection in time"),
         Exchanged::Late => {
             let now = node.now();
             node.balance.borrow_mut().late(&target.id, &call.route.name, now.since(begun), now);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -21,7 +21,7 @@
 use crate::headers::{remove_connection_headers, text};
 use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::Node;
-use crate::pool::ExchangeError;
+use crate::pool::{ExchangeError, SentFlag};
 use crate::presence::PRESENCE_PATH;
 use crate::present_target;
 use crate::relay::{relay_answer, relay_answer_holding};
@@ -182,9 +182,15 @@
     let request = Request::from_parts(parts, body);
     let told = Duration::from_millis(left.as_millis() as u64);
     slot.begin(node.now() + told, lineage);
-    let exchange = node.target.exchange(node.settings.local_target, request);
+    let sent = SentFlag::default();
+    let exchange = node.target.exchange_noting(node.settings.local_target, request, &sent);
     let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, exchange).await;
     let (response, lease) = match exchange {
+        // It still waited for a connection, so the target has not seen it.
+        Err(_) if !sent.is_set() => {
+            present_target::out_of_reach(node);
+            return Err((Outcome::Closed, "no connection in time".to_owned()));
+        }
         Err(_) => return Err((Outcome::Late, "no answer in time".to_owned())),
         Ok(Err(ExchangeError::NotSent(why))) => {
             present_target::out_of_reach(node);
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -126,7 +126,10 @@
     forwarded: &Forwarded,
     now: Timestamp,
 ) -> Result<Slot, Refusal> {
-    present_target::verify(node).await;
+    // The edge takes a call for lost whose gate says nothing until its time is over.
+    if tokio::time::timeout(now.until(call.deadline), present_target::verify(node)).await.is_err() {
+        return Err(Refusal::Full);
+    }
     if !present_target::takes(node, &call.expected) {
         return Err(Refusal::Closed);
     }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -1,6 +1,6 @@
 //! Kept connections to targets, other nodes and the store; each carries one request at a time.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,6 +48,17 @@
     NoAnswer(String),
 }
 
+/// Whether a request was handed to a connection; until then nothing of it has left this node.
+#[derive(Debug, Default)]
+pub struct SentFlag(Cell<bool>);
+
+impl SentFlag {
+    /// Whether the request may have arrived at its peer.
+    pub fn is_set(&self) -> bool {
+        self.0.get()
+    }
+}
+
 struct Guard(AbortHandle);
 
 impl Drop for Guard {
@@ -105,9 +116,24 @@
         self: &Rc<Self>,
         address: SocketAddr,
         request: Request<Body>,
+    ) -> Result<(Response<Incoming>, Lease), ExchangeError> {
+        self.exchange_noting(address, request, &SentFlag::default()).await
+    }
+
+    /// As [`Pool::exchange`]; `sent` tells whoever gives up waiting whether the request may have arrived.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request may have arrived.
+    pub async fn exchange_noting(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        request: Request<Body>,
+        sent: &SentFlag,
     ) -> Result<(Response<Incoming>, Lease), ExchangeError> {
         let mut request = request;
         loop {
+            sent.0.set(false);
             let (mut sender, guard, is_kept) = match self.take(address) {
                 Some(idle) => (idle.sender, idle.guard, true),
                 None => {
@@ -121,6 +147,7 @@
                 }
                 return Err(ExchangeError::NotSent(error.to_string()));
             }
+            sent.0.set(true);
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let keep = self.keep_for(response.headers());
--- a/crates/sidecar/tests/connections.rs
+++ b/crates/sidecar/tests/connections.rs
@@ -6,11 +6,11 @@
 
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_sidecar::node::Node;
-use support::caller::{call, Caller};
-use support::limits::{document, pay, read, two_machines};
+use support::caller::{call, request, Caller};
+use support::limits::{document, pay, read, two_machines, HOST};
 use support::store::StandInStore;
 use support::target::Habit;
-use support::{eventually, run, Machine, OUTBOUND};
+use support::{eventually, run, FullListener, Machine, OUTBOUND};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
 
@@ -161,3 +161,53 @@
         drop(alpha);
     });
 }
+
+/// The time that is left to a call which a connection would take longer to make.
+const SHORT_MS: u64 = 300;
+
+#[test]
+fn a_call_whose_node_takes_no_connection_in_time_has_not_run() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        let unreached = FullListener::start((support::machine(), alpha.inbound().port()).into()).await;
+        store.unlist(&alpha.target.id());
+        let entry = format!(
+            r#"{{"service":"alpha","address":"{}:9","zone":"zone-a","slots":4,"state":"ready","cold_remaining_s":0,"seq":1}}"#,
+            unreached.address.ip()
+        );
+        store.write("servers/i-unreached", Some(&entry));
+        eventually("the list changes", || beta.node().targets.borrow().get("i-unreached").is_some()).await;
+        eventually("alpha has left", || beta.node().targets.borrow().get(&alpha.target.id()).is_none()).await;
+        let answer = call(beta.outbound(), &request("GET", HOST, "/read/x", "one", SHORT_MS, "")).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 503);
+        assert_ne!(answer.header("retry-after"), "", "the caller is told when to come back");
+    });
+}
+
+#[test]
+fn a_call_whose_target_takes_no_connection_in_time_has_not_run() {
+    run(async {
+        let (_store, alpha, beta) = two_machines().await;
+        assert_eq!(call(beta.outbound(), &pay("known")).await.expect("an answer").status, 200);
+        let address = alpha.target.address;
+        alpha.target.end();
+        let _full = FullListener::start(address).await;
+        let answer = call(beta.outbound(), &request("POST", HOST, "/pay/", "one", SHORT_MS, "amount=7")).await;
+        assert_eq!(answer.expect("an answer").status, 503);
+    });
+}
+
+#[test]
+fn a_call_that_waits_for_its_targets_identity_has_not_run_when_its_time_is_over() {
+    run(async {
+        let (_store, alpha, beta) = two_machines().await;
+        assert_eq!(call(beta.outbound(), &pay("known")).await.expect("an answer").status, 200);
+        let address = alpha.target.address;
+        alpha.target.end();
+        let _full = FullListener::start(address).await;
+        quillhatch_sidecar::present_target::out_of_reach(alpha.node());
+        let answer = call(beta.outbound(), &request("POST", HOST, "/pay/", "one", SHORT_MS, "amount=7")).await;
+        assert_eq!(answer.expect("an answer").status, 503);
+    });
+}
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use quillhatch_sidecar::run::{start, Running};
 use store::StandInStore;
 use target::StandInTarget;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::LocalOptions;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -132,3 +133,33 @@
     let node = Node::new(settings(machine, service, target, store), Default::default());
     start(node).expect("the sidecar's addresses are free")
 }
+
+/// An address at which connections are neither accepted nor refused, since its queue of new ones is full.
+pub struct FullListener {
+    pub address: SocketAddr,
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl FullListener {
+    /// Listens at `address` and fills the queue.
+    pub async fn start(address: SocketAddr) -> Self {
+        let begun = Instant::now();
+        let listener = loop {
+            let socket = TcpSocket::new_v4().expect("a socket");
+            socket.set_reuseaddr(true).expect("an option that is known");
+            match socket.bind(address).and_then(|()| socket.listen(1)) {
+                Ok(listener) => break listener,
+                // Whoever listened there before has not ended yet.
+                Err(_) if begun.elapsed() < Duration::from_secs(1) => sleep(Duration::from_millis(5)).await,
+                Err(error) => panic!("{address}: {error}"),
+            }
+        };
+        let address = listener.local_addr().expect("an address");
+        let mut queued = Vec::new();
+        while let Ok(Ok(stream)) = timeout(Duration::from_millis(100), TcpStream::connect(address)).await {
+            queued.push(stream);
+        }
+        FullListener { address, _listener: listener, _queued: queued }
+    }
+}
