Store: list and watch, resumed after outages; some nodes renew their watches often, so that a hang of all of them is noticed

After an outage every watch hung on an open, silent connection; a node learns of a missed change from the revisions that others tell, and nobody had any. Change: mesh::store_reader decides what is read next: a copy that may lag at the start (its watch brings the rest before callers are let in), after an outage the changes from where the view stands, everything only after a 410 or another node's view. A node with a view pauses up to half of contact_s between failures. The node with the least hash of each zone and the three least of all renew their watch after 0.4 of contact_s; a watch that misses what others tell for 0.4 s (0.9) is renewed. Changes are gathered up to 0.45 (0.35) of the least bound. Missing targets are kept 2 s after an outage of 0.5 s or more, whatever their number and whatever their machines tell. The version in the hop header had no reader left and is gone. store.rs is split. The soak throttles processes by a quota and resets connections of the store. Figures: when_all_watches_hang_at_once_a_change_is_still_in_force_in_time, after_an_outage_only_the_changes_are_read and the tests of what is kept fail before.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod retry_budget;
 pub mod routing;
 pub mod settings;
+pub mod store_reader;
 pub mod targets;
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -39,6 +39,8 @@
     pub drain: Duration,
     /// Within this time after it was written a configuration is in force.
     pub apply: Duration,
+    /// After this time with a path to the store, a machine that had none must keep all bounds again.
+    pub contact: Duration,
     /// Repeats may be at most this share of the calls of a service.
     pub retry_ratio: f64,
     /// The window over which repeats are counted.
@@ -48,7 +50,7 @@
 }
 
 /// The share of the time in which a change must have its effect for which others are gathered while they keep coming.
-const LONGEST_GATHER_PART: f64 = 0.35;
+const LONGEST_GATHER_PART: f64 = 0.45;
 /// What is left of that time for an answer of the store and for the node's own work.
 const CHANGE_RESERVE: Duration = Duration::from_millis(500);
 
--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -44,13 +44,36 @@
     by_id: HashMap<TargetId, Arc<Target>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
     superseded: HashSet<TargetId>,
-    doubtful: HashMap<TargetId, Timestamp>,
+    /// Targets whose registrations are missing and that are kept for now.
+    doubtful: HashMap<TargetId, Grace>,
     /// When the nodes of these machines have last said that they can't read the store.
     cut_off: HashMap<IpAddr, Timestamp>,
     /// Targets that were taken off the list a moment ago, and when.
     left_lately: VecDeque<(Timestamp, Arc<Target>)>,
 }
 
+/// Why a target is kept whose registration is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Missing {
+    /// Many vanished at once, or its machine can't read the store and so can't renew the registration.
+    Unexplained,
+    /// It ran out in an outage of the store, after which it must come back by itself.
+    AfterOutage,
+}
+
+/// For how long a target is kept whose registration is missing.
+#[derive(Clone, Copy, Debug)]
+struct Grace {
+    until: Timestamp,
+    why: Missing,
+}
+
+impl Grace {
+    fn unexplained(until: Timestamp) -> Self {
+        Grace { until, why: Missing::Unexplained }
+    }
+}
+
 /// The share of all targets that must vanish at once for the list to be doubted.
 const DOUBTED_FROM: f64 = 0.3;
 /// The fewest targets that must vanish at once for the list to be doubted.
@@ -71,24 +94,45 @@
     pub fn vanish(&mut self, gone: &[TargetId], doubt: Duration, now: Timestamp) {
         let listed = gone.iter().filter(|id| self.by_id.contains_key(*id)).count();
         let is_doubted = listed >= DOUBTED_COUNT && listed as f64 >= DOUBTED_FROM * self.by_id.len() as f64;
+        let grace = (is_doubted && !doubt.is_zero()).then(|| Grace::unexplained(now + doubt));
         for id in gone {
-            let Some(target) = self.by_id.get(id).cloned() else {
-                self.remove(id);
-                continue;
-            };
-            if let Some(said) = self.said_cut_off(&target, now).filter(|_| !target.announcement.draining) {
-                self.doubtful.insert(id.clone(), said + KEPT_AFTER_CUT);
-                continue;
-            }
-            if is_doubted && !doubt.is_zero() {
-                self.doubtful.entry(id.clone()).or_insert(now + doubt);
-                continue;
+            let target = self.by_id.get(id).filter(|target| !target.announcement.draining);
+            let said = target.and_then(|target| self.said_cut_off(target, now));
+            match said {
+                Some(said) => {
+                    self.doubtful.insert(id.clone(), Grace::unexplained(said + KEPT_AFTER_CUT));
+                }
+                None => self.take_off(id, grace, now),
             }
+        }
+    }
+
+    /// Takes targets off the list whose registrations are missing after an outage of the platform's store; those that had not
+    /// announced that they drain only at `until`, unless they are registered again by then.
+    ///
+    /// What their machines tell of being cut off does not matter: in an outage all are.
+    pub fn vanish_after_outage(&mut self, missing: &[TargetId], until: Timestamp, now: Timestamp) {
+        for id in missing {
+            let is_draining = self.by_id.get(id).is_some_and(|target| target.announcement.draining);
+            let grace = (until > now && !is_draining).then_some(Grace { until, why: Missing::AfterOutage });
+            self.take_off(id, grace, now);
+        }
+    }
+
+    /// Takes one target off the list, or keeps it for a while if there is a `grace`.
+    fn take_off(&mut self, id: &TargetId, grace: Option<Grace>, now: Timestamp) {
+        let Some(target) = self.by_id.get(id).cloned() else {
             self.remove(id);
-            if !target.announcement.draining {
-                self.forget_left(now);
-                self.left_lately.push_back((now, target));
-            }
+            return;
+        };
+        if let Some(grace) = grace {
+            self.doubtful.entry(id.clone()).or_insert(grace);
+            return;
+        }
+        self.remove(id);
+        if !target.announcement.draining {
+            self.forget_left(now);
+            self.left_lately.push_back((now, target));
         }
     }
 
@@ -115,13 +159,13 @@
             }
             if self.at_address(target.announcement.address).next().is_none() {
                 self.update(target.id.clone(), target.announcement.clone(), now);
-                self.doubtful.insert(target.id.clone(), now + KEPT_AFTER_CUT);
+                self.doubtful.insert(target.id.clone(), Grace::unexplained(now + KEPT_AFTER_CUT));
             }
         }
-        for (id, until) in &mut self.doubtful {
+        for (id, grace) in &mut self.doubtful {
             let is_there = self.by_id.get(id).is_some_and(|target| target.announcement.address.ip() == machine);
-            if is_there {
-                *until = now + KEPT_AFTER_CUT;
+            if is_there && grace.why == Missing::Unexplained {
+                grace.until = now + KEPT_AFTER_CUT;
             }
         }
     }
@@ -142,7 +186,7 @@
     /// Takes the targets off the list whose time of doubt is over; says whether there were any.
     pub fn drop_doubtful(&mut self, now: Timestamp) -> bool {
         let over: Vec<TargetId> =
-            self.doubtful.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+            self.doubtful.iter().filter(|(_, grace)| grace.until <= now).map(|(id, _)| id.clone()).collect();
         for id in &over {
             self.remove(id);
         }
@@ -151,7 +195,7 @@
 
     /// When the next time of doubt is over.
     pub fn next_doubt(&self) -> Option<Timestamp> {
-        self.doubtful.values().min().copied()
+        self.doubtful.values().map(|grace| grace.until).min()
     }
 
     /// The listed targets whose identity is not in `listed`.
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod pressure;
 mod retry_budget;
 mod routing;
+mod store_reader;
 mod targets;
 
 use std::sync::Arc;
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -84,6 +84,30 @@
     assert_eq!((targets.len(), targets.next_doubt()), (1, None), "the one that was heard of again stays");
 }
 
+#[test]
+fn a_target_that_is_missing_after_an_outage_is_kept_for_the_time_in_which_it_may_register_again() {
+    let mut targets = TargetTable::default();
+    let ids: Vec<Arc<str>> = (0..20).map(|number| Arc::from(format!("t{number}"))).collect();
+    for (number, id) in ids.iter().enumerate() {
+        targets.update(id.clone(), announcement("alpha", &format!("10.0.0.{number}:80"), "here"), Timestamp::ZERO);
+    }
+    let until = milliseconds(12_000);
+    targets.vanish_after_outage(&ids[..2], until, milliseconds(10_000));
+    assert_eq!(targets.len(), 20, "two of twenty are kept too");
+    targets.heard_of("10.0.0.1".parse().expect("an address"), true, milliseconds(11_500));
+    targets.update(ids[0].clone(), announcement("alpha", "10.0.0.0:80", "here"), milliseconds(11_000));
+    assert!(!targets.drop_doubtful(milliseconds(11_999)));
+    assert!(targets.drop_doubtful(until), "the one that did not register again has left");
+    assert!(targets.get("t0").is_some() && targets.get("t1").is_none());
+
+    let draining = Announcement { draining: true, ..announcement("alpha", "10.0.0.3:80", "here") };
+    targets.update(ids[3].clone(), draining, milliseconds(13_000));
+    targets.vanish_after_outage(&ids[3..4], milliseconds(16_000), milliseconds(14_000));
+    assert!(targets.get("t3").is_none(), "it had announced that it leaves");
+    targets.vanish_after_outage(&ids[4..5], milliseconds(16_000), milliseconds(16_001));
+    assert!(targets.get("t4").is_none(), "the time is over");
+}
+
 #[test_case(2.0, 2.0)]
 #[test_case(2.5, 2.5)]
 #[test_case(1.0, 2.0)]
@@ -94,6 +118,7 @@
         stop_grace: Duration::from_secs(6),
         drain,
         apply,
+        contact: Duration::from_secs(3),
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 55.0,
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -111,10 +111,6 @@
         node.levels.borrow_mut().report(&call.route.name, report.level, now);
     }
     node.parents.borrow_mut().told(&call.route.name, report.is_called_by_targets);
-    if report.version > node.heard_version.get().max(node.configuration.borrow().version()) {
-        node.heard_version.set(report.version);
-        node.behind.notify_one();
-    }
     views::heard(node, target.announcement.address.ip(), report.reach);
     let follows = report.present.as_ref().is_some_and(|present| {
         let mut targets = node.targets.borrow_mut();
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -129,7 +129,6 @@
         let level = node.levels.borrow().least(graph.called_by(route), now);
         level
     });
-    let version = node.configuration.borrow().version();
     let present = match outcome {
         Outcome::Closed | Outcome::Rejected => {
             present_target::present(node).filter(|present| present.id != call.expected)
@@ -139,15 +138,8 @@
     let services = node.current_configuration().map_or(0, |configuration| configuration.services.len());
     let is_called_by_targets =
         call.route.as_ref().is_some_and(|route| node.callers.borrow().is_called_by_targets(route, services));
-    let report = Report {
-        outcome,
-        load,
-        level: own.min(called),
-        is_called_by_targets,
-        version,
-        reach: views::own_reach(node),
-        present,
-    };
+    let report =
+        Report { outcome, load, level: own.min(called), is_called_by_targets, reach: views::own_reach(node), present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -128,8 +128,6 @@
     pub level: f64,
     /// Whether only targets call the route.
     pub is_called_by_targets: bool,
-    /// The version of the configuration at the gate.
-    pub version: u64,
     /// How far the gate's view of the store reaches.
     pub reach: Reach,
     /// The target beside the gate, told where the call was for another one.
@@ -152,8 +150,7 @@
         let level = (self.level * 1000.0).round() as u32;
         let inner = u8::from(self.is_called_by_targets);
         let letter = self.outcome.letter();
-        let mut text =
-            format!("{letter};{running};{limit};{waiting};{level};{inner};{};{}", self.version, self.reach.encode());
+        let mut text = format!("{letter};{running};{limit};{waiting};{level};{inner};{}", self.reach.encode());
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -168,12 +165,11 @@
         let load = Load { running: number()? as u32, limit: number()? as u32, waiting: number()? as u32 };
         let level = number()? as f64 / 1000.0;
         let is_called_by_targets = number()? == 1;
-        let version = number()?;
         let reach = Reach::decode(parts.next()?)?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, level, is_called_by_targets, version, reach, present })
+        Some(Report { outcome, load, level, is_called_by_targets, reach, present })
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,6 +16,7 @@
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
 use quillhatch_mesh::settings::SidecarSettings;
+use quillhatch_mesh::store_reader::StoreReader;
 use quillhatch_mesh::targets::{TargetId, TargetTable};
 use quillhatch_types::Timestamp;
 use rand::SeedableRng;
@@ -105,10 +106,6 @@
     pub counters: Counters,
     /// Wakes whoever waits for the gate's next expiry to change.
     pub gate_changed: Notify,
-    /// The newest version of the configuration that another node has told of.
-    pub heard_version: Cell<u64>,
-    /// Wakes the reader of the store when another node has told of a newer version.
-    pub behind: Notify,
     /// The latest revision of the store at which the view of another node stands.
     pub heard_revision: Cell<u64>,
     /// Wakes the reader of the store when another node has told of a later revision.
@@ -117,6 +114,10 @@
     pub doubt_changed: Notify,
     /// The revision of the store at which this node's view stands; zero if it has none.
     pub revision: Cell<u64>,
+    /// What is read of the store next.
+    pub store_reader: RefCell<StoreReader>,
+    /// Until when targets whose registrations ran out in the last outage of the store may be registered again.
+    pub registered_again_by: Cell<Timestamp>,
     /// Since when the store can't be read.
     pub store_lost: Cell<Option<Timestamp>>,
     /// What is known of the presence of other nodes.
@@ -187,12 +188,12 @@
             random: RefCell::new(Pcg64::from_entropy()),
             counters: Counters::default(),
             gate_changed: Notify::new(),
-            heard_version: Cell::new(0),
-            behind: Notify::new(),
             heard_revision: Cell::new(0),
             later_change: Notify::new(),
             doubt_changed: Notify::new(),
             revision: Cell::new(0),
+            store_reader: RefCell::default(),
+            registered_again_by: Cell::new(now),
             store_lost: Cell::new(Some(now)),
             presences: RefCell::default(),
             asking_presence: KeyedLock::default(),
--- /dev/null
+++ b/crates/sidecar/src/store/apply.rs
@@ -0,0 +1,108 @@
+//! Takes what was read of the store over into the node's view.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_mesh::store_reader::{may_have_lapsed, REGISTERED_AGAIN_WITHIN};
+use quillhatch_platform::store::Change;
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::present_target;
+
+/// The store was read, and the view stands at `revision`.
+pub(super) fn reached(node: &Node, revision: u64) {
+    node.revision.set(revision);
+    node.store_reader.borrow_mut().reached(revision);
+    let Some(since) = node.store_lost.take() else { return };
+    let now = node.now();
+    let outage = now.since(since);
+    if may_have_lapsed(outage) {
+        node.registered_again_by.set(now + REGISTERED_AGAIN_WITHIN);
+    }
+    node.log(&format!("\"event\":\"store-reached\",\"revision\":{revision},\"lost_ms\":{}", outage.as_millis()));
+}
+
+/// Takes over changes in the order in which the store tells them.
+pub(super) fn apply(node: &Node, changes: Vec<Change>) {
+    // One answer may tell of a target and of its end: its last word counts.
+    let mut gone: Vec<Arc<str>> = Vec::new();
+    for change in &changes {
+        match change {
+            Change::Target(id, _) => gone.retain(|former| former != id),
+            Change::TargetGone(id) => gone.push(id.clone()),
+            _ => {}
+        }
+    }
+    for change in changes {
+        match change {
+            Change::Configuration(offered) => {
+                let version = offered.version;
+                let taken = node.configuration.borrow_mut().offer(offered);
+                node.log(&format!("\"event\":\"configuration\",\"version\":{version},\"taken\":{taken}"));
+            }
+            Change::UnusableConfiguration(error) => {
+                node.log(&format!("\"event\":\"configuration-unusable\",\"why\":{:?}", error.to_string()));
+            }
+            Change::Target(id, announcement) => {
+                node.log(&format!(
+                    "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{}",
+                    announcement.service, announcement.address, announcement.draining
+                ));
+                node.targets.borrow_mut().update(id, announcement, node.now());
+            }
+            Change::UnusableTarget(id) => node.log(&format!("\"event\":\"target-unusable\",\"target\":\"{id}\"")),
+            Change::TargetGone(_) => {}
+        }
+    }
+    vanish(node, &gone);
+    for id in gone {
+        let kept = node.targets.borrow().get(&id).is_some();
+        node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\",\"kept_for_now\":{kept}"));
+    }
+}
+
+/// Takes targets off the list that the store holds no longer. Registrations that may have run out while the store was away
+/// are waited for a while.
+pub(super) fn vanish(node: &Node, gone: &[Arc<str>]) {
+    let (now, until) = (node.now(), node.registered_again_by.get());
+    let mut targets = node.targets.borrow_mut();
+    if until > now {
+        targets.vanish_after_outage(gone, until, now);
+    } else {
+        targets.vanish(gone, node.settings.bounds.longest_doubt(), now);
+    }
+    drop(targets);
+    node.doubt_changed.notify_one();
+}
+
+/// Takes doubtful targets off the list when their time is over.
+pub async fn drop_doubtful(node: Rc<Node>) {
+    loop {
+        let next = node.targets.borrow().next_doubt();
+        match next {
+            None => node.doubt_changed.notified().await,
+            Some(until) => {
+                let wait = node.now().until(until) + Duration::from_millis(1);
+                tokio::select! {
+                    () = sleep(wait) => {}
+                    () = node.doubt_changed.notified() => {}
+                }
+            }
+        }
+        let now = node.now();
+        let dropped = node.targets.borrow_mut().drop_doubtful(now);
+        if dropped {
+            changed(&node);
+        }
+    }
+}
+
+/// Lets the gate and the balance follow the list of targets.
+pub(super) fn changed(node: &Rc<Node>) {
+    let targets = node.targets.borrow();
+    node.balance.borrow_mut().retain(|id| targets.get(id).is_some());
+    drop(targets);
+    present_target::follow_list(node);
+}
--- /dev/null
+++ b/crates/sidecar/src/store/client.rs
@@ -0,0 +1,61 @@
+//! Single calls of the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::Display;
+use http_body_util::BodyExt;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use quillhatch_platform::store::{AnswerError, Page};
+use tokio::time::timeout;
+
+use crate::body::Body;
+use crate::counters::Counters;
+use crate::node::Node;
+use crate::pool::ExchangeError;
+
+/// Why the store could not be read.
+#[derive(Debug, Display)]
+pub(super) enum StoreError {
+    /// There was no whole answer.
+    #[display("{_0}")]
+    Exchange(ExchangeError),
+    /// There was no answer in time.
+    #[display("no answer in time")]
+    TimedOut,
+    /// The store refused the call.
+    #[display("status {_0}")]
+    Status(StatusCode),
+    /// The answer can't be understood.
+    #[display("{_0}")]
+    Answer(AnswerError),
+    /// Another node's view was taken while the call was on its way, and the answer may be older.
+    #[display("the view of another node was taken meanwhile")]
+    ViewReplaced,
+}
+
+/// Asks the store for `path` and reads its answer with `read`.
+pub(super) async fn get(
+    node: &Rc<Node>,
+    path: &str,
+    longest: Duration,
+    read: impl Fn(&[u8]) -> Result<Page, AnswerError>,
+) -> Result<Page, StoreError> {
+    Counters::add(&node.counters.store_requests);
+    let address = node.settings.store;
+    let request = Request::get(path).header(HOST, address.to_string()).body(Body::empty());
+    let request = request.expect("the path and the host are made of plain characters");
+    let exchange = async {
+        let (response, lease) = node.store.exchange(address, request).await.map_err(StoreError::Exchange)?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let bytes = body.map_err(|error| StoreError::Exchange(ExchangeError::NoAnswer(error.to_string())))?.to_bytes();
+        lease.keep();
+        if status != StatusCode::OK {
+            return Err(StoreError::Status(status));
+        }
+        read(&bytes).map_err(StoreError::Answer)
+    };
+    timeout(longest, exchange).await.unwrap_or(Err(StoreError::TimedOut))
+}
--- /dev/null
+++ b/crates/sidecar/src/store/mod.rs
@@ -0,0 +1,202 @@
+//! Follows the platform's store: reads everything once, then waits for changes, and goes on where it stood after an outage.
+//!
+//! What is read when is decided by [`StoreReader`](quillhatch_mesh::store_reader::StoreReader).
+
+mod apply;
+mod client;
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use quillhatch_mesh::store_reader::{watch_wait, NextRead};
+use quillhatch_platform::store::{
+    configuration_path, read_item, read_page, targets_path, watch_path, Change, Freshness, Page,
+};
+use rand::Rng;
+use tokio::time::sleep;
+
+use crate::counters::Counters;
+use crate::node::Node;
+pub use apply::drop_doubtful;
+use apply::{apply, changed, reached, vanish};
+use client::{get, StoreError};
+
+/// How long a plain read may take.
+const READ_TIMEOUT: Duration = Duration::from_millis(1500);
+/// What an answer may take beyond the time that the store was asked to wait: many times what it takes, also where links are
+/// slow.
+const WATCH_ALLOWANCE: Duration = Duration::from_millis(600);
+/// How long the store is asked to wait by a watch that is to show soon whether the store can be read: after an outage, and in
+/// place of one that hangs.
+const PROBING_WAIT: Duration = Duration::from_millis(200);
+/// For how long the view of another node may reach further before the watch is taken to hang; a watch that does not hang is
+/// answered at once, and within 0.3 s by a store that is slow.
+const HANGING_AFTER: Duration = Duration::from_millis(400);
+/// How long the first watch may take to bring what a lagging copy lacked. If it says nothing for so long there is nothing: the
+/// store answers in some milliseconds.
+const CAUGHT_UP_AFTER: Duration = Duration::from_millis(150);
+
+/// Follows the store until the process ends.
+pub async fn follow(node: Rc<Node>) {
+    loop {
+        let error = follow_until_lost(&node).await;
+        if matches!(error, StoreError::ViewReplaced) {
+            continue;
+        }
+        lost(&node, &error);
+        if matches!(error, StoreError::Status(StatusCode::GONE)) {
+            node.store_reader.borrow_mut().history_lost();
+            continue;
+        }
+        let has_view = node.revision.get() > 0;
+        let longest = node.store_reader.borrow_mut().failed(has_view, &node.settings.bounds);
+        let pause = node.random.borrow_mut().gen_range(longest / 2..longest);
+        sleep(pause).await;
+    }
+}
+
+async fn follow_until_lost(node: &Rc<Node>) -> StoreError {
+    let next = node.store_reader.borrow().next();
+    let read = match next {
+        NextRead::Changes { .. } => Ok(()),
+        NextRead::Everything => read_all(node, Freshness::Current).await,
+        NextRead::LaggingCopy => read_all(node, Freshness::MayLag).await,
+    };
+    match read {
+        Ok(()) => watch(node).await,
+        Err(error) => error,
+    }
+}
+
+fn lost(node: &Node, error: &StoreError) {
+    Counters::add(&node.counters.store_failures);
+    if node.store_lost.get().is_none() {
+        node.store_lost.set(Some(node.now()));
+    }
+    node.log(&format!("\"event\":\"store-lost\",\"why\":{:?}", error.to_string()));
+}
+
+/// Reads the configuration and all targets.
+async fn read_all(node: &Rc<Node>, freshness: Freshness) -> Result<(), StoreError> {
+    let views_taken = node.store_reader.borrow().views_taken();
+    let mut listed: HashSet<Arc<str>> = HashSet::new();
+    let mut after = String::new();
+    let mut pages = Vec::new();
+    loop {
+        let page = get(node, &targets_path(&after, freshness), READ_TIMEOUT, read_page).await?;
+        for change in &page.changes {
+            if let Change::Target(id, _) | Change::UnusableTarget(id) = change {
+                listed.insert(id.clone());
+            }
+        }
+        after.clone_from(&page.last_key);
+        let more = page.more;
+        pages.push(page);
+        if !more {
+            break;
+        }
+    }
+    pages.extend(read_configuration(node, freshness).await?);
+    if node.store_reader.borrow().views_taken() != views_taken {
+        return Err(StoreError::ViewReplaced);
+    }
+    // The pages are no snapshot: whatever changed after the least of their revisions may be missing in one of them.
+    let revision = pages.iter().map(|page| page.revision).min().unwrap_or_default();
+    reached(node, revision);
+    for page in pages {
+        apply(node, page.changes);
+    }
+    let missing = node.targets.borrow().missing_from(&listed);
+    vanish(node, &missing);
+    node.targets.borrow_mut().forget_superseded(&listed);
+    node.log(&format!(
+        "\"event\":\"store-read\",\"revision\":{revision},\"version\":{},\"targets\":{},\"missing\":{}",
+        node.configuration.borrow().version(),
+        listed.len(),
+        missing.len()
+    ));
+    match freshness {
+        Freshness::Current => node.targets_known.set(true),
+        Freshness::MayLag => {
+            tokio::task::spawn_local(caught_up(Rc::clone(node)));
+        }
+    }
+    changed(node);
+    Ok(())
+}
+
+/// Reads the configuration; none if the store holds none yet.
+async fn read_configuration(node: &Rc<Node>, freshness: Freshness) -> Result<Option<Page>, StoreError> {
+    match get(node, &configuration_path(freshness), READ_TIMEOUT, read_item).await {
+        Ok(page) => Ok(Some(page)),
+        Err(StoreError::Status(StatusCode::NOT_FOUND)) if freshness == Freshness::MayLag => {
+            // The copy doesn't say how old this is, so the watch might begin after the first configuration.
+            Box::pin(read_configuration(node, Freshness::Current)).await
+        }
+        Err(StoreError::Status(StatusCode::NOT_FOUND)) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
+/// Lets callers in once the watch has had the time to bring what a lagging copy lacked.
+async fn caught_up(node: Rc<Node>) {
+    sleep(CAUGHT_UP_AFTER).await;
+    node.targets_known.set(true);
+    changed(&node);
+}
+
+/// Follows the changes until a call fails.
+async fn watch(node: &Rc<Node>) -> StoreError {
+    let own = node.settings.local_target.ip();
+    let mut is_probing = node.store_lost.get().is_some();
+    loop {
+        let NextRead::Changes { after } = node.store_reader.borrow().next() else { return StoreError::ViewReplaced };
+        let wait = match std::mem::take(&mut is_probing) {
+            true => PROBING_WAIT,
+            false => watch_wait(own, &node.targets.borrow(), &node.settings.bounds),
+        };
+        let path = watch_path(after, wait);
+        let views_taken = node.store_reader.borrow().views_taken();
+        let begun = node.now();
+        let page = tokio::select! {
+            page = get(node, &path, wait + WATCH_ALLOWANCE, read_page) => page,
+            heard = hanging_for_long(node) => {
+                node.log(&format!("\"event\":\"watch-renewed\",\"revision\":{after},\"heard\":{heard}"));
+                is_probing = true;
+                continue;
+            }
+        };
+        let page = match page {
+            Ok(page) => page,
+            Err(error) => return error,
+        };
+        if node.store_reader.borrow().views_taken() != views_taken {
+            return StoreError::ViewReplaced;
+        }
+        reached(node, page.revision);
+        if page.changes.is_empty() {
+            continue;
+        }
+        apply(node, page.changes);
+        changed(node);
+        let waited = node.now().since(begun);
+        let gather = node.store_reader.borrow_mut().changed(waited, &node.settings.bounds);
+        sleep(gather).await;
+    }
+}
+
+/// Ends once the views of other nodes have reached further than this node's for longer than changes are on their way;
+/// returns how far. For each revision that others tell it ends once.
+async fn hanging_for_long(node: &Node) -> u64 {
+    loop {
+        node.later_change.notified().await;
+        sleep(HANGING_AFTER).await;
+        let heard = node.heard_revision.get();
+        if heard > node.revision.get() {
+            return heard;
+        }
+    }
+}
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -149,6 +149,7 @@
         return Ok(false);
     }
     node.revision.set(view.revision);
+    node.store_reader.borrow_mut().view_replaced();
     let version = configuration.version;
     let taken = node.configuration.borrow_mut().offer(configuration);
     let (now, count) = (node.now(), targets.len());
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -14,6 +14,11 @@
 use crate::proxy::LinkState;
 use crate::record::Disturbance;
 
+/// The period over which a throttled process has its quota, as the platform's pages tell it.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+/// The part of the period in which a throttled process runs: the least share of a core that the platform's machines have (0.4).
+const QUOTA_RUNS: Duration = Duration::from_millis(40);
+
 /// What is done to a machine.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FaultKind {
@@ -29,6 +34,8 @@
     LinkSilent,
     /// Its process stands still.
     Freeze,
+    /// Its process gets a quota of processor time: it runs, then stands still for the rest of each tenth of a second.
+    Throttle,
     /// Its process is killed and started again.
     Kill,
     /// Its target starts again under a new identity.
@@ -47,6 +54,8 @@
     StoreSilent,
     /// The store turns it away.
     StoreBusy,
+    /// The store resets its connections.
+    StoreResets,
     /// Its watches hang.
     StoreDeaf,
     /// Its watches are told that history is gone.
@@ -59,13 +68,14 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 19] = [
+    pub const ALL: [FaultKind; 21] = [
         FaultKind::LinkDelay,
         FaultKind::LinkReset,
         FaultKind::HoldRequests,
         FaultKind::HoldAnswers,
         FaultKind::LinkSilent,
         FaultKind::Freeze,
+        FaultKind::Throttle,
         FaultKind::Kill,
         FaultKind::TargetRestart,
         FaultKind::TargetLoses,
@@ -75,6 +85,7 @@
         FaultKind::TargetSheds,
         FaultKind::StoreSilent,
         FaultKind::StoreBusy,
+        FaultKind::StoreResets,
         FaultKind::StoreDeaf,
         FaultKind::StoreForgetful,
         FaultKind::StoreSilentToAll,
@@ -100,7 +111,10 @@
     for touched in touched(kind, machines, struck) {
         begin(kind, touched);
     }
-    sleep(span).await;
+    match kind {
+        FaultKind::Throttle => throttle(machine, span).await,
+        _ => sleep(span).await,
+    }
     for touched in touched(kind, machines, struck) {
         end(kind, touched);
     }
@@ -110,6 +124,17 @@
     Disturbance { machine: (!kind.strikes_all()).then_some(struck), from, until: Instant::now() }
 }
 
+/// Lets a process run for a part of each period only.
+async fn throttle(machine: &SoakMachine, span: Duration) {
+    let end = Instant::now() + span;
+    while Instant::now() < end {
+        sleep(QUOTA_RUNS).await;
+        machine.signal(Signal::STOP);
+        sleep(QUOTA_PERIOD - QUOTA_RUNS).await;
+        machine.signal(Signal::CONT);
+    }
+}
+
 fn touched(kind: FaultKind, machines: &[Rc<SoakMachine>], struck: usize) -> impl Iterator<Item = &Rc<SoakMachine>> {
     let all = kind.strikes_all();
     machines.iter().enumerate().filter(move |(number, _)| all || *number == struck).map(|(_, machine)| machine)
@@ -137,6 +162,8 @@
         FaultKind::TargetSheds => machine.target.set_habit(Habit::Sheds),
         FaultKind::StoreSilent | FaultKind::StoreSilentToAll => machine.store.set_mode(Mode::Silent),
         FaultKind::StoreBusy => machine.store.set_mode(Mode::Status(503)),
+        FaultKind::StoreResets => machine.store.set_mode(Mode::Reset),
+        FaultKind::Throttle => {}
         FaultKind::StoreDeaf => machine.store.set_mode(Mode::Deaf),
         FaultKind::StoreForgetful => machine.store.set_mode(Mode::Forgetful),
     }
@@ -150,7 +177,7 @@
         FaultKind::LinkReset => machine.link.reset(),
         FaultKind::Freeze => machine.signal(Signal::CONT),
         FaultKind::Kill | FaultKind::KillAll => machine.start_process().expect("the program that ran before starts"),
-        FaultKind::TargetRestart => {}
+        FaultKind::TargetRestart | FaultKind::Throttle => {}
         FaultKind::TargetLoses
         | FaultKind::TargetGarbage
         | FaultKind::TargetBreaksOff
@@ -158,6 +185,7 @@
         | FaultKind::TargetSheds => machine.heal_target(),
         FaultKind::StoreSilent
         | FaultKind::StoreBusy
+        | FaultKind::StoreResets
         | FaultKind::StoreDeaf
         | FaultKind::StoreForgetful
         | FaultKind::StoreSilentToAll => machine.store.set_mode(Mode::Normal),
