--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -111,13 +111,13 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<Arc<Target>> {
-        let is_open = |target: &&Arc<Target>| !target.announcement.draining && !tried.contains(&target.id);
+        let is_open = |target: &&Arc<Target>| !target.registration.draining && !tried.contains(&target.id);
         // Of a large service some targets are looked at, beginning at a random place; of a small one all.
         let begin = random.gen_range(0..targets.len().max(1));
         let (before, from) = targets.split_at(begin.min(targets.len()));
         let open = from.iter().chain(before).filter(is_open);
-        let near = open.clone().filter(|target| *target.announcement.zone == *zone).take(LOOKED_AT);
-        let far = open.filter(|target| *target.announcement.zone != *zone).take(LOOKED_AT);
+        let near = open.clone().filter(|target| *target.registration.zone == *zone).take(LOOKED_AT);
+        let far = open.filter(|target| *target.registration.zone != *zone).take(LOOKED_AT);
         let costed = near.chain(far).map(|target| {
             let avoided = self.views.get(&target.id).is_some_and(|view| view.avoided_until > now);
             (avoided, self.cost(target, zone, now) * random.gen_range(1.0..1.0 + VARIATION), target)
@@ -130,9 +130,9 @@
         let view = self.views.get(&target.id);
         let speed = view.map_or(UNKNOWN_SPEED, |view| remembered_speed(view, now));
         let cold = if target.cold_until > now { COLD_FACTOR } else { 1.0 };
-        let utilization = view.map_or(0.0, |view| utilization(view, target.announcement.slots, now));
+        let utilization = view.map_or(0.0, |view| utilization(view, target.registration.slots, now));
         let busy = BUSY_COST * ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).max(0.0);
-        let distance = if *target.announcement.zone == *zone { 0.0 } else { OTHER_ZONE_COST };
+        let distance = if *target.registration.zone == *zone { 0.0 } else { OTHER_ZONE_COST };
         speed * cold * (1.0 + busy) + distance
     }
 
@@ -186,7 +186,7 @@
     }
 
     /// Notes that a target's gate is there.
-    pub fn heard_of(&mut self, target: &TargetId, now: Timestamp) {
+    pub fn answered_presence(&mut self, target: &TargetId, now: Timestamp) {
         self.views.entry(target.clone()).or_default().heard = now;
     }
 
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -35,7 +35,7 @@
 pub struct Bounds {
     /// The longest time between the request to stop and the end of the process.
     pub stop_grace: Duration,
-    /// Within this time after an announcement a leaving target gets no new calls.
+    /// Within this time after an registration a leaving target gets no new calls.
     pub drain: Duration,
     /// Within this time after it was written a configuration is in force.
     pub apply: Duration,
@@ -60,10 +60,10 @@
         self.drain.min(self.apply).mul_f64(LONGEST_GATHER_PART)
     }
 
-    /// For how long targets are kept that vanished together with many, without known trouble of the store.
+    /// For how long targets are kept that were gone together with many, without a known outage of the store.
     ///
     /// They may be gone for good, so this ends within the bound on drains, also for changes that were gathered.
-    pub fn longest_doubt(&self) -> Duration {
+    pub fn longest_grace(&self) -> Duration {
         self.drain.saturating_sub(self.longest_gather() + CHANGE_RESERVE)
     }
 }
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -132,10 +132,10 @@
     let mut least_of_zone: HashMap<&str, (u64, IpAddr)> = HashMap::new();
     let mut all = Vec::with_capacity(targets.len());
     for target in targets.iter() {
-        let ip = target.announcement.address.ip();
+        let ip = target.registration.address.ip();
         let place = (place_of(ip), ip);
         all.push(place);
-        let least = least_of_zone.entry(&target.announcement.zone).or_insert(place);
+        let least = least_of_zone.entry(&target.registration.zone).or_insert(place);
         *least = place.min(*least);
     }
     all.sort_unstable();
--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -10,9 +10,9 @@
 /// Identifies one start of a target; a target that starts again has a new one.
 pub type TargetId = Arc<str>;
 
-/// What a target says of itself.
+/// The registration of a target in the platform's store.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Announcement {
+pub struct Registration {
     /// The service that it serves.
     pub service: Arc<str>,
     /// Where it listens; its node listens at the same IP address.
@@ -32,8 +32,8 @@
 pub struct Target {
     /// Its identity.
     pub id: TargetId,
-    /// What it says of itself.
-    pub announcement: Announcement,
+    /// Its registration.
+    pub registration: Registration,
     /// Until when it is slow after its start.
     pub cold_until: Timestamp,
 }
@@ -45,17 +45,17 @@
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
     superseded: HashSet<TargetId>,
     /// Targets whose registrations are missing and that are kept for now.
-    doubtful: HashMap<TargetId, Grace>,
-    /// When the nodes of these machines have last said that they can't read the store.
+    graces: HashMap<TargetId, Grace>,
+    /// When the nodes of these machines last reported that they can't read the store.
     cut_off: HashMap<IpAddr, Timestamp>,
-    /// Targets that were taken off the list a moment ago, and when.
-    left_lately: VecDeque<(Timestamp, Arc<Target>)>,
+    /// Targets that were removed a moment ago, and when.
+    recently_removed: VecDeque<(Timestamp, Arc<Target>)>,
 }
 
 /// Why a target is kept whose registration is missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Missing {
-    /// Many vanished at once, or its machine can't read the store and so can't renew the registration.
+    /// Many were gone at once, or its machine can't read the store and so can't renew the registration.
     Unexplained,
     /// It ran out in an outage of the store, after which it must come back by itself.
     AfterOutage,
@@ -74,33 +74,33 @@
     }
 }
 
-/// The share of all targets that must vanish at once for the list to be doubted.
-const DOUBTED_FROM: f64 = 0.3;
-/// The fewest targets that must vanish at once for the list to be doubted.
-const DOUBTED_COUNT: usize = 2;
-/// For how long the word of a node that it can't read the store is taken to hold.
-const CUT_OFF_HOLDS: Duration = Duration::from_secs(2);
-/// For how long a target is kept after its node's last such word: its next own word, and what the list lags. Shorter than the
-/// time after a cut from which a machine must keep the bound on drains again (3 s).
+/// The share of all targets that must be gone at once for the report to be suspicious.
+const SUSPICIOUS_SHARE: f64 = 0.3;
+/// The fewest targets that must be gone at once for the report to be suspicious.
+const SUSPICIOUS_COUNT: usize = 2;
+/// For how long a node's report that it can't read the store holds.
+const CUT_OFF_REPORT_HOLDS: Duration = Duration::from_secs(2);
+/// For how long a target is kept after its node's last such report: one heartbeat of the target, and the lag of the list.
+/// Shorter than the time after a cut from which a machine must keep the bound on drains again (3 s).
 const KEPT_AFTER_CUT: Duration = Duration::from_millis(2900);
-/// For how long it is remembered which targets have left the list.
-const LEFT_LATELY: Duration = Duration::from_secs(3);
+/// For how long removed targets are remembered.
+const REMEMBERED_FOR: Duration = Duration::from_secs(3);
 
 impl TargetTable {
-    /// Takes the targets in `gone` off the list; if they are so many that the list itself is in doubt, only after `doubt`.
+    /// Takes the targets in `gone` off the list; if they are suspiciously many, only after `grace`.
     ///
-    /// Entries run out while the platform's store is in trouble, though their targets serve, and come back with the next word
-    /// of each target.
-    pub fn vanish(&mut self, gone: &[TargetId], doubt: Duration, now: Timestamp) {
+    /// Registrations lapse while the platform's store is in trouble, though their targets serve, and come back with the next
+    /// heartbeat of each target.
+    pub fn remove_reported(&mut self, gone: &[TargetId], grace: Duration, now: Timestamp) {
         let listed = gone.iter().filter(|id| self.by_id.contains_key(*id)).count();
-        let is_doubted = listed >= DOUBTED_COUNT && listed as f64 >= DOUBTED_FROM * self.by_id.len() as f64;
-        let grace = (is_doubted && !doubt.is_zero()).then(|| Grace::unexplained(now + doubt));
+        let is_suspicious = listed >= SUSPICIOUS_COUNT && listed as f64 >= SUSPICIOUS_SHARE * self.by_id.len() as f64;
+        let grace = (is_suspicious && !grace.is_zero()).then(|| Grace::unexplained(now + grace));
         for id in gone {
-            let target = self.by_id.get(id).filter(|target| !target.announcement.draining);
-            let said = target.and_then(|target| self.said_cut_off(target, now));
+            let target = self.by_id.get(id).filter(|target| !target.registration.draining);
+            let said = target.and_then(|target| self.last_cut_off_report(target, now));
             match said {
                 Some(said) => {
-                    self.doubtful.insert(id.clone(), Grace::unexplained(said + KEPT_AFTER_CUT));
+                    self.graces.insert(id.clone(), Grace::unexplained(said + KEPT_AFTER_CUT));
                 }
                 None => self.take_off(id, grace, now),
             }
@@ -110,10 +110,10 @@
     /// Takes targets off the list whose registrations are missing after an outage of the platform's store; those that had not
     /// announced that they drain only at `until`, unless they are registered again by then.
     ///
-    /// What their machines tell of being cut off does not matter: in an outage all are.
-    pub fn vanish_after_outage(&mut self, missing: &[TargetId], until: Timestamp, now: Timestamp) {
+    /// Whether their machines report that they are cut off does not matter: in an outage all are.
+    pub fn remove_after_outage(&mut self, missing: &[TargetId], until: Timestamp, now: Timestamp) {
         for id in missing {
-            let is_draining = self.by_id.get(id).is_some_and(|target| target.announcement.draining);
+            let is_draining = self.by_id.get(id).is_some_and(|target| target.registration.draining);
             let grace = (until > now && !is_draining).then_some(Grace { until, why: Missing::AfterOutage });
             self.take_off(id, grace, now);
         }
@@ -126,22 +126,22 @@
             return;
         };
         if let Some(grace) = grace {
-            self.doubtful.entry(id.clone()).or_insert(grace);
+            self.graces.entry(id.clone()).or_insert(grace);
             return;
         }
         self.remove(id);
-        if !target.announcement.draining {
-            self.forget_left(now);
-            self.left_lately.push_back((now, target));
+        if !target.registration.draining {
+            self.forget_removed(now);
+            self.recently_removed.push_back((now, target));
         }
     }
 
-    /// Takes the word of a machine's node whether it can read the platform's store.
+    /// Takes the report of a machine's node whether it can read the platform's store.
     ///
-    /// A machine that is cut off from the store can't renew the entry of its target, nor take it away, so the entry runs out
-    /// while the target serves. Its target is kept, or listed again if it has left the list a moment ago, for as long as the
-    /// node says so and a while longer.
-    pub fn heard_of(&mut self, machine: IpAddr, is_cut_off: bool, now: Timestamp) {
+    /// A target whose machine is cut off from the store can't renew its registration, nor withdraw it, so the registration
+    /// lapses while the target serves. The target is kept, or listed again if it was removed a moment ago, for as long as the
+    /// node reports so and a while longer.
+    pub fn report_store_access(&mut self, machine: IpAddr, is_cut_off: bool, now: Timestamp) {
         if !is_cut_off {
             if !self.cut_off.is_empty() {
                 self.cut_off.remove(&machine);
@@ -149,53 +149,53 @@
             return;
         }
         if self.cut_off.insert(machine, now).is_none() {
-            self.cut_off.retain(|_, said| now.since(*said) <= CUT_OFF_HOLDS);
+            self.cut_off.retain(|_, said| now.since(*said) <= CUT_OFF_REPORT_HOLDS);
         }
-        self.forget_left(now);
-        for (left, target) in std::mem::take(&mut self.left_lately) {
-            if target.announcement.address.ip() != machine {
-                self.left_lately.push_back((left, target));
+        self.forget_removed(now);
+        for (left, target) in std::mem::take(&mut self.recently_removed) {
+            if target.registration.address.ip() != machine {
+                self.recently_removed.push_back((left, target));
                 continue;
             }
-            if self.at_address(target.announcement.address).next().is_none() {
-                self.update(target.id.clone(), target.announcement.clone(), now);
-                self.doubtful.insert(target.id.clone(), Grace::unexplained(now + KEPT_AFTER_CUT));
+            if self.at_address(target.registration.address).next().is_none() {
+                self.update(target.id.clone(), target.registration.clone(), now);
+                self.graces.insert(target.id.clone(), Grace::unexplained(now + KEPT_AFTER_CUT));
             }
         }
-        for (id, grace) in &mut self.doubtful {
-            let is_there = self.by_id.get(id).is_some_and(|target| target.announcement.address.ip() == machine);
+        for (id, grace) in &mut self.graces {
+            let is_there = self.by_id.get(id).is_some_and(|target| target.registration.address.ip() == machine);
             if is_there && grace.why == Missing::Unexplained {
                 grace.until = now + KEPT_AFTER_CUT;
             }
         }
     }
 
-    /// Forgets what has left the list too long ago.
-    fn forget_left(&mut self, now: Timestamp) {
-        while self.left_lately.front().is_some_and(|(left, _)| now.since(*left) > LEFT_LATELY) {
-            self.left_lately.pop_front();
+    /// Forgets the targets that were removed too long ago.
+    fn forget_removed(&mut self, now: Timestamp) {
+        while self.recently_removed.front().is_some_and(|(left, _)| now.since(*left) > REMEMBERED_FOR) {
+            self.recently_removed.pop_front();
         }
     }
 
-    /// When the target's node said last that it can't read the store, if that holds still.
-    fn said_cut_off(&self, target: &Target, now: Timestamp) -> Option<Timestamp> {
-        let said = self.cut_off.get(&target.announcement.address.ip()).copied();
-        said.filter(|said| now.since(*said) <= CUT_OFF_HOLDS)
+    /// When the target's node last reported that it can't read the store, if the report still holds.
+    fn last_cut_off_report(&self, target: &Target, now: Timestamp) -> Option<Timestamp> {
+        let said = self.cut_off.get(&target.registration.address.ip()).copied();
+        said.filter(|said| now.since(*said) <= CUT_OFF_REPORT_HOLDS)
     }
 
-    /// Takes the targets off the list whose time of doubt is over; says whether there were any.
-    pub fn drop_doubtful(&mut self, now: Timestamp) -> bool {
+    /// Takes the targets off the list whose grace period is over; returns whether there were any.
+    pub fn drop_expired(&mut self, now: Timestamp) -> bool {
         let over: Vec<TargetId> =
-            self.doubtful.iter().filter(|(_, grace)| grace.until <= now).map(|(id, _)| id.clone()).collect();
+            self.graces.iter().filter(|(_, grace)| grace.until <= now).map(|(id, _)| id.clone()).collect();
         for id in &over {
             self.remove(id);
         }
         !over.is_empty()
     }
 
-    /// When the next time of doubt is over.
-    pub fn next_doubt(&self) -> Option<Timestamp> {
-        self.doubtful.values().map(|grace| grace.until).min()
+    /// When the next grace period is over.
+    pub fn next_grace_end(&self) -> Option<Timestamp> {
+        self.graces.values().map(|grace| grace.until).min()
     }
 
     /// The listed targets whose identity is not in `listed`.
@@ -203,15 +203,15 @@
         self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect()
     }
 
-    /// Lists a target, or takes what a listed one says now. A target that was found to be followed by another is left out.
-    pub fn update(&mut self, id: TargetId, announcement: Announcement, now: Timestamp) {
+    /// Lists a target, or replaces the registration of a listed one. A target that was found to be followed by another is left out.
+    pub fn update(&mut self, id: TargetId, registration: Registration, now: Timestamp) {
         if self.superseded.contains(&id) {
             return;
         }
         self.unlist(&id);
-        let cold_until = now + announcement.cold_for;
-        let target = Arc::new(Target { id: id.clone(), announcement, cold_until });
-        let service = target.announcement.service.clone();
+        let cold_until = now + registration.cold_for;
+        let target = Arc::new(Target { id: id.clone(), registration, cold_until });
+        let service = target.registration.service.clone();
         self.by_service.entry(service).or_default().push(target.clone());
         self.by_id.insert(id, target);
     }
@@ -221,13 +221,13 @@
     /// Does nothing if `former` is not listed, or if another service has taken the address.
     pub fn succeed(&mut self, former: &str, present: TargetId, service: &str, now: Timestamp) {
         let Some(target) = self.by_id.get(former).cloned() else { return };
-        if *target.id == *present || *target.announcement.service != *service {
+        if *target.id == *present || *target.registration.service != *service {
             return;
         }
         self.unlist(former);
         self.superseded.insert(target.id.clone());
         if !self.by_id.contains_key(&present) {
-            self.update(present, Announcement { draining: false, ..target.announcement.clone() }, now);
+            self.update(present, Registration { draining: false, ..target.registration.clone() }, now);
         }
     }
 
@@ -238,9 +238,9 @@
     }
 
     fn unlist(&mut self, id: &str) {
-        self.doubtful.remove(id);
+        self.graces.remove(id);
         let Some(gone) = self.by_id.remove(id) else { return };
-        if let Some(members) = self.by_service.get_mut(&gone.announcement.service) {
+        if let Some(members) = self.by_service.get_mut(&gone.registration.service) {
             members.retain(|member| member.id != gone.id);
         }
     }
@@ -262,12 +262,12 @@
 
     /// The targets listed at an address; an address may be listed twice while one target follows another.
     pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Arc<Target>> {
-        self.by_id.values().filter(move |target| target.announcement.address == address)
+        self.by_id.values().filter(move |target| target.registration.address == address)
     }
 
     /// The addresses of the machines that hold a target, each once.
     pub fn machines(&self) -> Vec<IpAddr> {
-        let mut machines: Vec<IpAddr> = self.by_id.values().map(|target| target.announcement.address.ip()).collect();
+        let mut machines: Vec<IpAddr> = self.by_id.values().map(|target| target.registration.address.ip()).collect();
         machines.sort();
         machines.dedup();
         machines
--- a/crates/mesh/tests/decisions/balance.rs
+++ b/crates/mesh/tests/decisions/balance.rs
@@ -86,3 +86,35 @@
     assert_eq!(picks, 0);
     assert!(balance.suspicion_after(&read) < Duration::from_millis(500), "the route's own time stays as it was");
 }
+
+#[test]
+fn a_target_that_joins_a_large_service_gets_calls_from_other_machines_within_seconds() {
+    // 95 edges send a service of 34 targets in five zones 2.5 calls a second each, less than one in ten seconds to each target.
+    const EDGES: u64 = 95;
+    const CALLS_OF_AN_EDGE: u64 = 10;
+    let zone = |number: u64| format!("zone-{}", number % 5);
+    let mut targets: Vec<_> = (0..34).map(|number| target(&format!("t{number}"), &zone(number))).collect();
+    let read: Arc<str> = Arc::from("read");
+    let mut random = Pcg64::seed_from_u64(6);
+    let mut balances = vec![Balance::default(); EDGES as usize];
+    let mut calls_of = |targets: &[Arc<_>], balances: &mut [Balance], from: u64| {
+        let mut callers_of_joined = 0;
+        for (edge, balance) in balances.iter_mut().enumerate() {
+            let mut called = false;
+            for call in 0..CALLS_OF_AN_EDGE {
+                let now = milliseconds(from + call * 400);
+                let chosen = balance.choose(targets, &[], &zone(edge as u64), now, &mut random).expect("a target");
+                balance.answered(&chosen.id, &read, Duration::from_millis(200), now);
+                called |= *chosen.id == *"joined";
+            }
+            callers_of_joined += usize::from(called);
+        }
+        callers_of_joined
+    };
+    for round in 0..5 {
+        calls_of(&targets, &mut balances, round * 4_000);
+    }
+    targets.push(target("joined", "zone-0"));
+    let callers = calls_of(&targets, &mut balances, 20_000);
+    assert!(callers >= 10, "{callers} machines in four seconds");
+}
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::configuration::{Destination, Repeatability, Route};
-use quillhatch_mesh::targets::{Announcement, Target};
+use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_types::Timestamp;
 
 fn milliseconds(count: u64) -> Timestamp {
@@ -36,8 +36,8 @@
     })
 }
 
-fn announcement(service: &str, address: &str, zone: &str) -> Announcement {
-    Announcement {
+fn registration(service: &str, address: &str, zone: &str) -> Registration {
+    Registration {
         service: Arc::from(service),
         address: address.parse().expect("an address"),
         zone: Arc::from(zone),
@@ -48,6 +48,6 @@
 }
 
 fn target(id: &str, zone: &str) -> Arc<Target> {
-    let announcement = announcement("alpha", "10.0.0.1:80", zone);
-    Arc::new(Target { id: Arc::from(id), announcement, cold_until: Timestamp::ZERO })
+    let registration = registration("alpha", "10.0.0.1:80", zone);
+    Arc::new(Target { id: Arc::from(id), registration, cold_until: Timestamp::ZERO })
 }
--- a/crates/mesh/tests/decisions/store_reader.rs
+++ b/crates/mesh/tests/decisions/store_reader.rs
@@ -8,7 +8,7 @@
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
-use crate::announcement;
+use crate::registration;
 
 const BOUNDS: Bounds = Bounds {
     stop_grace: Duration::from_secs(6),
@@ -98,7 +98,7 @@
     for zone in 0..zones {
         for number in 0..each {
             let address = format!("10.{zone}.{}.{}:80", number / 250, number % 250);
-            let listed = announcement("alpha", &address, &format!("zone-{zone}"));
+            let listed = registration("alpha", &address, &format!("zone-{zone}"));
             machines.push((zone, listed.address.ip()));
             targets.update(format!("t{zone}-{number}").as_str().into(), listed, Timestamp::ZERO);
         }
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::targets::{Announcement, TargetTable};
+use quillhatch_mesh::targets::{Registration, TargetTable};
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
-use crate::{announcement, milliseconds};
+use crate::{milliseconds, registration};
 
 #[test]
 fn a_target_that_follows_another_takes_its_place_for_good() {
     let mut targets = TargetTable::default();
     let (former, present): (Arc<str>, Arc<str>) = (Arc::from("former"), Arc::from("present"));
-    let listed = announcement("alpha", "10.0.0.1:80", "here");
+    let listed = registration("alpha", "10.0.0.1:80", "here");
     targets.update(former.clone(), listed.clone(), Timestamp::ZERO);
     targets.succeed("former", present.clone(), "beta", Timestamp::ZERO);
     assert!(targets.get("former").is_some(), "another service has taken the address");
@@ -33,55 +33,55 @@
     let ids: Vec<Arc<str>> = (0..4).map(|number| Arc::from(format!("t{number}"))).collect();
     let machine = |number: usize| format!("10.0.0.{number}").parse().expect("an address");
     for (number, id) in ids.iter().enumerate() {
-        targets.update(id.clone(), announcement("alpha", &format!("10.0.0.{number}:80"), "here"), Timestamp::ZERO);
+        targets.update(id.clone(), registration("alpha", &format!("10.0.0.{number}:80"), "here"), Timestamp::ZERO);
     }
     let drain = Duration::from_secs(1);
-    targets.heard_of(machine(0), true, milliseconds(1_000));
-    targets.vanish(&ids[..1], drain, milliseconds(2_000));
+    targets.report_store_access(machine(0), true, milliseconds(1_000));
+    targets.remove_reported(&ids[..1], drain, milliseconds(2_000));
     assert_eq!(targets.len(), 4, "its node says that it is cut off");
-    targets.heard_of(machine(0), true, milliseconds(5_000));
-    assert!(!targets.drop_doubtful(milliseconds(7_899)), "and says so again");
-    assert!(targets.drop_doubtful(milliseconds(7_900)), "nothing more is heard of it");
+    targets.report_store_access(machine(0), true, milliseconds(5_000));
+    assert!(!targets.drop_expired(milliseconds(7_899)), "and says so again");
+    assert!(targets.drop_expired(milliseconds(7_900)), "nothing more is heard of it");
 
-    targets.heard_of(machine(1), true, milliseconds(9_000));
-    targets.heard_of(machine(1), false, milliseconds(9_500));
-    targets.vanish(&ids[1..2], drain, milliseconds(9_600));
+    targets.report_store_access(machine(1), true, milliseconds(9_000));
+    targets.report_store_access(machine(1), false, milliseconds(9_500));
+    targets.remove_reported(&ids[1..2], drain, milliseconds(9_600));
     assert_eq!(targets.len(), 2, "its node reads the store again, and the entry is gone");
 
-    targets.heard_of(machine(2), true, milliseconds(9_700));
-    targets.vanish(&ids[2..3], drain, milliseconds(11_600));
-    assert_eq!(targets.next_doubt(), Some(milliseconds(12_600)), "counted from its node's last word");
-    assert!(targets.drop_doubtful(milliseconds(12_600)));
-    targets.update(ids[2].clone(), announcement("alpha", "10.0.0.2:80", "here"), milliseconds(9_800));
-    targets.heard_of(machine(2), false, milliseconds(9_900));
-    targets.vanish(&ids[2..3], drain, milliseconds(10_000));
+    targets.report_store_access(machine(2), true, milliseconds(9_700));
+    targets.remove_reported(&ids[2..3], drain, milliseconds(11_600));
+    assert_eq!(targets.next_grace_end(), Some(milliseconds(12_600)), "counted from its node's last word");
+    assert!(targets.drop_expired(milliseconds(12_600)));
+    targets.update(ids[2].clone(), registration("alpha", "10.0.0.2:80", "here"), milliseconds(9_800));
+    targets.report_store_access(machine(2), false, milliseconds(9_900));
+    targets.remove_reported(&ids[2..3], drain, milliseconds(10_000));
     assert_eq!(targets.len(), 1);
-    targets.heard_of(machine(2), true, milliseconds(12_000));
+    targets.report_store_access(machine(2), true, milliseconds(12_000));
     assert_eq!(targets.len(), 2, "its node was found to be cut off a little later");
-    targets.heard_of(machine(3), true, milliseconds(12_000));
-    let draining = Announcement { draining: true, ..announcement("alpha", "10.0.0.3:80", "here") };
+    targets.report_store_access(machine(3), true, milliseconds(12_000));
+    let draining = Registration { draining: true, ..registration("alpha", "10.0.0.3:80", "here") };
     targets.update(ids[3].clone(), draining, milliseconds(12_100));
-    targets.vanish(&ids[3..], drain, milliseconds(12_200));
+    targets.remove_reported(&ids[3..], drain, milliseconds(12_200));
     assert_eq!(targets.len(), 1, "it had said that it leaves");
 }
 
 #[test]
-fn a_list_that_loses_many_targets_at_once_is_doubted_for_a_while() {
+fn targets_that_are_gone_together_with_many_are_kept_for_a_grace_period() {
     let mut targets = TargetTable::default();
     let ids: Vec<Arc<str>> = (0..10).map(|number| Arc::from(format!("t{number}"))).collect();
-    let listed = announcement("alpha", "10.0.0.1:80", "here");
+    let listed = registration("alpha", "10.0.0.1:80", "here");
     for id in &ids {
         targets.update(id.clone(), listed.clone(), Timestamp::ZERO);
     }
-    let doubt = Duration::from_secs(4);
-    targets.vanish(&ids[..2], doubt, Timestamp::ZERO);
+    let grace = Duration::from_secs(4);
+    targets.remove_reported(&ids[..2], grace, Timestamp::ZERO);
     assert_eq!(targets.len(), 8, "two of ten are believed at once");
-    targets.vanish(&ids[2..], doubt, Timestamp::ZERO);
-    assert_eq!((targets.len(), targets.next_doubt()), (8, Some(milliseconds(4_000))));
+    targets.remove_reported(&ids[2..], grace, Timestamp::ZERO);
+    assert_eq!((targets.len(), targets.next_grace_end()), (8, Some(milliseconds(4_000))));
     targets.update(ids[2].clone(), listed, milliseconds(1_000));
-    assert!(!targets.drop_doubtful(milliseconds(3_999)));
-    assert!(targets.drop_doubtful(milliseconds(4_000)));
-    assert_eq!((targets.len(), targets.next_doubt()), (1, None), "the one that was heard of again stays");
+    assert!(!targets.drop_expired(milliseconds(3_999)));
+    assert!(targets.drop_expired(milliseconds(4_000)));
+    assert_eq!((targets.len(), targets.next_grace_end()), (1, None), "the one that was heard of again stays");
 }
 
 #[test]
@@ -89,30 +89,30 @@
     let mut targets = TargetTable::default();
     let ids: Vec<Arc<str>> = (0..20).map(|number| Arc::from(format!("t{number}"))).collect();
     for (number, id) in ids.iter().enumerate() {
-        targets.update(id.clone(), announcement("alpha", &format!("10.0.0.{number}:80"), "here"), Timestamp::ZERO);
+        targets.update(id.clone(), registration("alpha", &format!("10.0.0.{number}:80"), "here"), Timestamp::ZERO);
     }
     let until = milliseconds(12_000);
-    targets.vanish_after_outage(&ids[..2], until, milliseconds(10_000));
+    targets.remove_after_outage(&ids[..2], until, milliseconds(10_000));
     assert_eq!(targets.len(), 20, "two of twenty are kept too");
-    targets.heard_of("10.0.0.1".parse().expect("an address"), true, milliseconds(11_500));
-    targets.update(ids[0].clone(), announcement("alpha", "10.0.0.0:80", "here"), milliseconds(11_000));
-    assert!(!targets.drop_doubtful(milliseconds(11_999)));
-    assert!(targets.drop_doubtful(until), "the one that did not register again has left");
+    targets.report_store_access("10.0.0.1".parse().expect("an address"), true, milliseconds(11_500));
+    targets.update(ids[0].clone(), registration("alpha", "10.0.0.0:80", "here"), milliseconds(11_000));
+    assert!(!targets.drop_expired(milliseconds(11_999)));
+    assert!(targets.drop_expired(until), "the one that did not register again has left");
     assert!(targets.get("t0").is_some() && targets.get("t1").is_none());
 
-    let draining = Announcement { draining: true, ..announcement("alpha", "10.0.0.3:80", "here") };
+    let draining = Registration { draining: true, ..registration("alpha", "10.0.0.3:80", "here") };
     targets.update(ids[3].clone(), draining, milliseconds(13_000));
-    targets.vanish_after_outage(&ids[3..4], milliseconds(16_000), milliseconds(14_000));
+    targets.remove_after_outage(&ids[3..4], milliseconds(16_000), milliseconds(14_000));
     assert!(targets.get("t3").is_none(), "it had announced that it leaves");
-    targets.vanish_after_outage(&ids[4..5], milliseconds(16_000), milliseconds(16_001));
+    targets.remove_after_outage(&ids[4..5], milliseconds(16_000), milliseconds(16_001));
     assert!(targets.get("t4").is_none(), "the time is over");
 }
 
 #[test_case(2.0, 2.0)]
 #[test_case(2.5, 2.5)]
 #[test_case(1.0, 2.0)]
-#[test_case(0.5, 0.5; "bounds too short for any doubt")]
-fn doubt_about_many_targets_ends_within_the_bound_on_drains(drain_s: f64, apply_s: f64) {
+#[test_case(0.5, 0.5; "bounds too short for any grace")]
+fn the_grace_of_many_targets_ends_within_the_bound_on_drains(drain_s: f64, apply_s: f64) {
     let (drain, apply) = (Duration::from_secs_f64(drain_s), Duration::from_secs_f64(apply_s));
     let bounds = Bounds {
         stop_grace: Duration::from_secs(6),
@@ -124,6 +124,6 @@
         retry_slack: 55.0,
     };
     assert!(bounds.longest_gather() < drain.min(apply) / 2);
-    let all = bounds.longest_gather() + bounds.longest_doubt();
-    assert!(all + Duration::from_millis(500) <= drain || bounds.longest_doubt().is_zero(), "{all:?} of {drain:?}");
+    let all = bounds.longest_gather() + bounds.longest_grace();
+    assert!(all + Duration::from_millis(500) <= drain || bounds.longest_grace().is_zero(), "{all:?} of {drain:?}");
 }
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -85,7 +85,7 @@
         let Ok(value) = HeaderValue::from_str(&value) else { return Attempt::NotRun("unfit header") };
         request.headers_mut().insert(name, value);
     }
-    let address = SocketAddr::new(target.announcement.address.ip(), node.settings.inbound.port());
+    let address = SocketAddr::new(target.registration.address.ip(), node.settings.inbound.port());
     node.balance.borrow_mut().sent(&target.id);
     let in_flight = InFlight { node, target: &target.id };
     let sent = SentFlag::default();
@@ -111,7 +111,7 @@
         node.levels.borrow_mut().report(&call.route.name, report.level, now);
     }
     node.parents.borrow_mut().told(&call.route.name, report.is_called_by_targets);
-    views::heard(node, target.announcement.address.ip(), report.reach);
+    views::heard(node, target.registration.address.ip(), report.reach);
     let follows = report.present.as_ref().is_some_and(|present| {
         let mut targets = node.targets.borrow_mut();
         targets.succeed(&target.id, Arc::from(present.id.as_str()), &present.service, now);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -110,8 +110,8 @@
     pub heard_revision: Cell<u64>,
     /// Wakes the reader of the store when another node has told of a later revision.
     pub later_change: Notify,
-    /// Wakes whoever takes doubtful targets off the list.
-    pub doubt_changed: Notify,
+    /// Wakes whoever removes targets whose grace period is over.
+    pub grace_changed: Notify,
     /// The revision of the store at which this node's view stands; zero if it has none.
     pub revision: Cell<u64>,
     /// What is read of the store next.
@@ -190,7 +190,7 @@
             gate_changed: Notify::new(),
             heard_revision: Cell::new(0),
             later_change: Notify::new(),
-            doubt_changed: Notify::new(),
+            grace_changed: Notify::new(),
             revision: Cell::new(0),
             store_reader: RefCell::default(),
             registered_again_by: Cell::new(now),
--- a/crates/sidecar/src/presence.rs
+++ b/crates/sidecar/src/presence.rs
@@ -35,7 +35,7 @@
 
 /// Whether the node beside `target`, of which nothing was heard since `since`, is there.
 pub async fn is_there(node: &Rc<Node>, target: &Target, since: Timestamp) -> bool {
-    let peer = target.announcement.address.ip();
+    let peer = target.registration.address.ip();
     let _asking = node.asking_presence.lock(peer).await;
     if node.balance.borrow().heard(&target.id) > since {
         return true;
@@ -48,7 +48,7 @@
     let presence = Presence { asked: node.now(), is_there };
     node.presences.borrow_mut().insert(peer, presence);
     if is_there {
-        node.balance.borrow_mut().heard_of(&target.id, presence.asked);
+        node.balance.borrow_mut().answered_presence(&target.id, presence.asked);
     } else {
         node.log(&format!("\"event\":\"node-silent\",\"peer\":\"{peer}\",\"target\":\"{}\"", target.id));
         node.balance.borrow_mut().silent(&target.id, node.now());
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -23,7 +23,7 @@
 /// The target beside this node, if it is known and takes calls.
 pub fn present(node: &Node) -> Option<PresentTarget> {
     let id = node.present.borrow().clone()?;
-    let is_draining = node.targets.borrow().get(&id).is_some_and(|target| target.announcement.draining);
+    let is_draining = node.targets.borrow().get(&id).is_some_and(|target| target.registration.draining);
     (!is_draining).then(|| PresentTarget { id: id.to_string(), service: node.settings.service.clone() })
 }
 
@@ -32,7 +32,7 @@
     let targets = node.targets.borrow();
     let listed = targets.get(expected);
     if node.present.borrow().as_deref() == Some(expected) {
-        return !listed.is_some_and(|target| target.announcement.draining);
+        return !listed.is_some_and(|target| target.registration.draining);
     }
     if node.present_verified.get() {
         return false;
@@ -41,7 +41,7 @@
         return node.present.borrow().is_none();
     }
     listed.is_some_and(|target| {
-        !target.announcement.draining && target.announcement.address == node.settings.local_target
+        !target.registration.draining && target.registration.address == node.settings.local_target
     })
 }
 
@@ -105,15 +105,15 @@
         Some(id) => targets.get(id).cloned(),
         None => targets
             .at_address(node.settings.local_target)
-            .filter(|target| !target.announcement.draining && *target.announcement.service == *node.settings.service)
+            .filter(|target| !target.registration.draining && *target.registration.service == *node.settings.service)
             .max_by_key(|target| target.cold_until)
             .cloned(),
     };
     drop(targets);
     if let Some(target) = &listed {
-        node.gate.borrow_mut().set_slots(target.announcement.slots);
+        node.gate.borrow_mut().set_slots(target.registration.slots);
     }
-    let is_leaving = listed.as_ref().is_some_and(|target| target.announcement.draining);
+    let is_leaving = listed.as_ref().is_some_and(|target| target.registration.draining);
     // A target that is not listed yet may be told of before; one that was listed and is not has left.
     let has_left = listed.is_none() && told.as_ref().is_none_or(|id| node.seen_listed.borrow().as_ref() == Some(id));
     if let Some(target) = &listed {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -189,7 +189,7 @@
         }));
     }
     tasks.spawn_local(store::follow(Rc::clone(&node)));
-    tasks.spawn_local(store::drop_doubtful(Rc::clone(&node)));
+    tasks.spawn_local(store::drop_expired(Rc::clone(&node)));
     tasks.spawn_local(dismiss_expired(Rc::clone(&node)));
     tasks.spawn_local(sweep(Rc::clone(&node)));
     node.log(&format!(
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -45,54 +45,54 @@
             Change::UnusableConfiguration(error) => {
                 node.log(&format!("\"event\":\"configuration-unusable\",\"why\":{:?}", error.to_string()));
             }
-            Change::Target(id, announcement) => {
+            Change::Target(id, registration) => {
                 node.log(&format!(
                     "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{}",
-                    announcement.service, announcement.address, announcement.draining
+                    registration.service, registration.address, registration.draining
                 ));
-                node.targets.borrow_mut().update(id, announcement, node.now());
+                node.targets.borrow_mut().update(id, registration, node.now());
             }
             Change::UnusableTarget(id) => node.log(&format!("\"event\":\"target-unusable\",\"target\":\"{id}\"")),
             Change::TargetGone(_) => {}
         }
     }
-    vanish(node, &gone);
+    remove_gone(node, &gone);
     for id in gone {
         let kept = node.targets.borrow().get(&id).is_some();
         node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\",\"kept_for_now\":{kept}"));
     }
 }
 
-/// Takes targets off the list that the store holds no longer. Registrations that may have run out while the store was away
-/// are waited for a while.
-pub(super) fn vanish(node: &Node, gone: &[Arc<str>]) {
+/// Takes targets off the list whose registrations are gone. Those that may have lapsed while the store was away are waited
+/// for.
+pub(super) fn remove_gone(node: &Node, gone: &[Arc<str>]) {
     let (now, until) = (node.now(), node.registered_again_by.get());
     let mut targets = node.targets.borrow_mut();
     if until > now {
-        targets.vanish_after_outage(gone, until, now);
+        targets.remove_after_outage(gone, until, now);
     } else {
-        targets.vanish(gone, node.settings.bounds.longest_doubt(), now);
+        targets.remove_reported(gone, node.settings.bounds.longest_grace(), now);
     }
     drop(targets);
-    node.doubt_changed.notify_one();
+    node.grace_changed.notify_one();
 }
 
-/// Takes doubtful targets off the list when their time is over.
-pub async fn drop_doubtful(node: Rc<Node>) {
+/// Removes targets when their grace periods are over.
+pub async fn drop_expired(node: Rc<Node>) {
     loop {
-        let next = node.targets.borrow().next_doubt();
+        let next = node.targets.borrow().next_grace_end();
         match next {
-            None => node.doubt_changed.notified().await,
+            None => node.grace_changed.notified().await,
             Some(until) => {
                 let wait = node.now().until(until) + Duration::from_millis(1);
                 tokio::select! {
                     () = sleep(wait) => {}
-                    () = node.doubt_changed.notified() => {}
+                    () = node.grace_changed.notified() => {}
                 }
             }
         }
         let now = node.now();
-        let dropped = node.targets.borrow_mut().drop_doubtful(now);
+        let dropped = node.targets.borrow_mut().drop_expired(now);
         if dropped {
             changed(&node);
         }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -20,8 +20,8 @@
 
 use crate::counters::Counters;
 use crate::node::Node;
-pub use apply::drop_doubtful;
-use apply::{apply, changed, reached, vanish};
+pub use apply::drop_expired;
+use apply::{apply, changed, reached, remove_gone};
 use client::{get, StoreError};
 
 /// How long a plain read may take.
@@ -110,7 +110,7 @@
         apply(node, page.changes);
     }
     let missing = node.targets.borrow().missing_from(&listed);
-    vanish(node, &missing);
+    remove_gone(node, &missing);
     node.targets.borrow_mut().forget_superseded(&listed);
     node.log(&format!(
         "\"event\":\"store-read\",\"revision\":{revision},\"version\":{},\"targets\":{},\"missing\":{}",
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use quillhatch_mesh::targets::Announcement;
+use quillhatch_mesh::targets::Registration;
 use quillhatch_messages::generated::view::{ListedTarget, View};
 use quillhatch_messages::{decode, encode};
 use quillhatch_platform::configuration::read_configuration;
@@ -65,11 +65,11 @@
     let now = node.now();
     let own = node.settings.local_target.ip();
     let mut targets = node.targets.borrow_mut();
-    let doubted = targets.next_doubt();
-    targets.heard_of(peer, has_lost_the_store(reach), now);
-    targets.heard_of(own, has_lost_the_store(own_reach(node)), now);
-    if doubted != targets.next_doubt() {
-        node.doubt_changed.notify_one();
+    let grace_end = targets.next_grace_end();
+    targets.report_store_access(peer, has_lost_the_store(reach), now);
+    targets.report_store_access(own, has_lost_the_store(own_reach(node)), now);
+    if grace_end != targets.next_grace_end() {
+        node.grace_changed.notify_one();
     }
 }
 
@@ -115,11 +115,11 @@
     let targets = node.targets.borrow();
     let listed = targets.iter().map(|target| ListedTarget {
         id: target.id.to_string(),
-        service: target.announcement.service.to_string(),
-        address: target.announcement.address.to_string(),
-        zone: target.announcement.zone.to_string(),
-        slots: target.announcement.slots,
-        draining: target.announcement.draining,
+        service: target.registration.service.to_string(),
+        address: target.registration.address.to_string(),
+        zone: target.registration.zone.to_string(),
+        slots: target.registration.slots,
+        draining: target.registration.draining,
         cold_ms: now.until(target.cold_until).as_millis() as u32,
     });
     let targets = listed.collect();
@@ -143,7 +143,7 @@
     let Read::Whole(bytes) = read_up_to(body.ok_or(())?, LARGEST_VIEW).await.map_err(|_| ())? else { return Err(()) };
     let view: View = decode(&bytes).map_err(|_| ())?;
     let configuration = read_configuration(&view.configuration).map_err(|_| ())?;
-    let targets: Vec<(Arc<str>, Announcement)> = view.targets.iter().filter_map(announcement).collect();
+    let targets: Vec<(Arc<str>, Registration)> = view.targets.iter().filter_map(registration).collect();
     // What was read of the store meanwhile goes before it.
     if !own_reach(node).is_cut_off || view.revision <= node.revision.get() {
         return Ok(false);
@@ -155,12 +155,12 @@
     let (now, count) = (node.now(), targets.len());
     {
         let mut table = node.targets.borrow_mut();
-        table.heard_of(node.settings.local_target.ip(), true, now);
+        table.report_store_access(node.settings.local_target.ip(), true, now);
         let listed: HashSet<Arc<str>> = targets.iter().map(|(id, _)| id.clone()).collect();
         let missing = table.missing_from(&listed);
-        table.vanish(&missing, Duration::ZERO, now);
-        for (id, announcement) in targets {
-            table.update(id, announcement, now);
+        table.remove_reported(&missing, Duration::ZERO, now);
+        for (id, registration) in targets {
+            table.update(id, registration, now);
         }
     }
     node.targets_known.set(true);
@@ -172,8 +172,8 @@
     Ok(true)
 }
 
-fn announcement(listed: &ListedTarget) -> Option<(Arc<str>, Announcement)> {
-    let announcement = Announcement {
+fn registration(listed: &ListedTarget) -> Option<(Arc<str>, Registration)> {
+    let registration = Registration {
         service: Arc::from(listed.service.as_str()),
         address: listed.address.parse().ok()?,
         zone: Arc::from(listed.zone.as_str()),
@@ -181,5 +181,5 @@
         draining: listed.draining,
         cold_for: Duration::from_millis(u64::from(listed.cold_ms)),
     };
-    Some((Arc::from(listed.id.as_str()), announcement))
+    Some((Arc::from(listed.id.as_str()), registration))
 }
--- a/crates/sidecar/tests/store.rs
+++ b/crates/sidecar/tests/store.rs
@@ -86,7 +86,7 @@
         store.list(&beta.target, "draining");
         let begun = Instant::now();
         eventually("alpha knows", || {
-            alpha.node().targets.borrow().get(&beta.target.id()).unwrap().announcement.draining
+            alpha.node().targets.borrow().get(&beta.target.id()).unwrap().registration.draining
         })
         .await;
         // The connection of the watch stays silent; a new one is answered.
--- a/crates/sidecar/tests/turned_away.rs
+++ b/crates/sidecar/tests/turned_away.rs
@@ -69,7 +69,7 @@
         fleet.serve_until("configuration", longest, is_in_force).await;
         fleet.store.list(&fleet.gamma.target, "draining");
         let gamma = fleet.gamma.target.id();
-        let is_known = || alpha.targets.borrow().get(&gamma).is_none_or(|target| target.announcement.draining);
+        let is_known = || alpha.targets.borrow().get(&gamma).is_none_or(|target| target.registration.draining);
         fleet.serve_until("drain", longest, is_known).await;
         fleet.turned_away.set_mode(Mode::Normal);
         eventually("it reads the store again", || alpha.store_lost.get().is_none()).await;
@@ -109,7 +109,7 @@
         let (alpha, beta) = (&fleet.alpha, &fleet.beta);
         fleet.store.list(&alpha.target, "draining");
         let id = alpha.target.id();
-        let knows = |machine: &Machine| machine.node().targets.borrow().get(&id).unwrap().announcement.draining;
+        let knows = |machine: &Machine| machine.node().targets.borrow().get(&id).unwrap().registration.draining;
         eventually("all know", || knows(alpha) && knows(beta) && knows(&fleet.gamma)).await;
         alpha.target.take_ran();
         for store in [&fleet.store, &fleet.turned_away] {
