Store: one listing reads everything; changes are always gathered for 0.45 of the bound

Change: the listing has the empty prefix, so configuration and targets come together, each page with its revision; a lagging copy can't miss the first configuration. The gathering has one length. Dead calls of the adapter are gone.

--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -49,21 +49,22 @@
     pub retry_slack: f64,
 }
 
-/// The share of the time in which a change must have its effect for which others are gathered while they keep coming.
-const LONGEST_GATHER_PART: f64 = 0.45;
+/// The share of the time in which a change must have its effect for which others are gathered: less than half, so that it is
+/// known in time also if one answer of the store is lost.
+const GATHER_PART: f64 = 0.45;
 /// What is left of that time for an answer of the store and for the node's own work.
 const CHANGE_RESERVE: Duration = Duration::from_millis(500);
 
 impl Bounds {
-    /// The longest time for which changes are gathered while they keep coming.
-    pub fn longest_gather(&self) -> Duration {
-        self.drain.min(self.apply).mul_f64(LONGEST_GATHER_PART)
+    /// For how long changes are gathered after one has come.
+    pub fn gather(&self) -> Duration {
+        self.drain.min(self.apply).mul_f64(GATHER_PART)
     }
 
     /// For how long targets are kept that were gone together with many, without a known outage of the store.
     ///
     /// They may be gone for good, so this ends within the bound on drains, also for changes that were gathered.
     pub fn longest_grace(&self) -> Duration {
-        self.drain.saturating_sub(self.longest_gather() + CHANGE_RESERVE)
+        self.drain.saturating_sub(self.gather() + CHANGE_RESERVE)
     }
 }
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -20,10 +20,6 @@
 /// The longest pause of a node with a view, as a part of the time after which a machine that reaches the store again must keep
 /// all bounds: the store is read at least once in that time.
 const LONGEST_PAUSE_PART: f64 = 0.5;
-/// After a change, more are gathered for so long before the store is asked for them.
-const SHORTEST_GATHER: Duration = Duration::from_millis(300);
-/// The pause between changes from which the next one counts as the first again.
-const CALM: Duration = Duration::from_millis(600);
 /// An outage of the store in which registrations may have run out. A shorter one is a call or two that failed; a longer one may
 /// have begun some time before it was noticed.
 const OUTAGE_FROM: Duration = Duration::from_millis(500);
@@ -61,12 +57,11 @@
     next: NextRead,
     views_taken: u64,
     failures: u32,
-    gather: Duration,
 }
 
 impl Default for StoreReader {
     fn default() -> Self {
-        StoreReader { next: NextRead::LaggingCopy, views_taken: 0, failures: 0, gather: SHORTEST_GATHER }
+        StoreReader { next: NextRead::LaggingCopy, views_taken: 0, failures: 0 }
     }
 }
 
@@ -105,13 +100,6 @@
         let longest = if has_view { bounds.contact.mul_f64(LONGEST_PAUSE_PART) } else { LONGEST_PAUSE_UNKNOWING };
         doubled.min(longest)
     }
-
-    /// A change came after `waited`. Returns for how long more are gathered.
-    pub fn changed(&mut self, waited: Duration, bounds: &Bounds) -> Duration {
-        let is_calm = waited >= CALM;
-        self.gather = if is_calm { SHORTEST_GATHER } else { (self.gather * 2).min(bounds.longest_gather()) };
-        self.gather
-    }
 }
 
 /// How long the store is asked to wait for a change by the node on `machine`.
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -12,9 +12,7 @@
 
 use hyper::StatusCode;
 use quillhatch_mesh::store_reader::{watch_wait, NextRead};
-use quillhatch_platform::store::{
-    configuration_path, read_item, read_page, targets_path, watch_path, Change, Freshness, Page,
-};
+use quillhatch_platform::store::{listing_path, read_page, watch_path, Change, Freshness};
 use rand::Rng;
 use tokio::time::sleep;
 
@@ -86,7 +84,7 @@
     let mut after = String::new();
     let mut pages = Vec::new();
     loop {
-        let page = get(node, &targets_path(&after, freshness), READ_TIMEOUT, read_page).await?;
+        let page = get(node, &listing_path(&after, freshness), READ_TIMEOUT, read_page).await?;
         for change in &page.changes {
             if let Change::Target(id, _) | Change::UnusableTarget(id) = change {
                 listed.insert(id.clone());
@@ -99,7 +97,6 @@
             break;
         }
     }
-    pages.extend(read_configuration(node, freshness).await?);
     if node.store_reader.borrow().views_taken() != views_taken {
         return Err(StoreError::ViewReplaced);
     }
@@ -128,19 +125,6 @@
     Ok(())
 }
 
-/// Reads the configuration; none if the store holds none yet.
-async fn read_configuration(node: &Rc<Node>, freshness: Freshness) -> Result<Option<Page>, StoreError> {
-    match get(node, &configuration_path(freshness), READ_TIMEOUT, read_item).await {
-        Ok(page) => Ok(Some(page)),
-        Err(StoreError::Status(StatusCode::NOT_FOUND)) if freshness == Freshness::MayLag => {
-            // The copy doesn't say how old this is, so the watch might begin after the first configuration.
-            Box::pin(read_configuration(node, Freshness::Current)).await
-        }
-        Err(StoreError::Status(StatusCode::NOT_FOUND)) => Ok(None),
-        Err(error) => Err(error),
-    }
-}
-
 /// Lets callers in once the watch has had the time to bring what a lagging copy lacked.
 async fn caught_up(node: Rc<Node>) {
     sleep(CAUGHT_UP_AFTER).await;
@@ -160,7 +144,6 @@
         };
         let path = watch_path(after, wait);
         let views_taken = node.store_reader.borrow().views_taken();
-        let begun = node.now();
         let page = tokio::select! {
             page = get(node, &path, wait + WATCH_ALLOWANCE, read_page) => page,
             heard = hanging_for_long(node) => {
@@ -182,9 +165,9 @@
         }
         apply(node, page.changes);
         changed(node);
-        let waited = node.now().since(begun);
-        let gather = node.store_reader.borrow_mut().changed(waited, &node.settings.bounds);
-        sleep(gather).await;
+        // Where one change is, more follow; each answer has its price. A change that comes while none was gathered is known at
+        // once, since the watch waits for it.
+        sleep(node.settings.bounds.gather()).await;
     }
 }
 
