Edge: a call of a target leaves a slow target for another while there is time

Two fifths of a service's targets worked twelve times as long, so their calls ended with the route's time and their parents failed with them; each of 95 edges found out for itself. Ruled out: a full service (levels near one, 'full' once), lost answers (5 to 25 'broken' a second). Change: a repeatable call that a target makes is sent to a second target once it is overdue, if its service has room, there is time left and the budget of repeats has it. edge/run.rs is split: what became of a call so far has a type. Figures: a_call_of_a_target_leaves_a_slow_target_for_another_while_there_is_time fails without.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -32,6 +32,12 @@
 /// The part of its objective for which a call may go without being offered to a target.
 pub(super) const UNOFFERED_PART: f64 = 0.22;
 
+/// The level of a route from which its service is not short of room: then a call takes long because of its target, and one more
+/// attempt does not add to an overload.
+const ROOM_FROM: f64 = 0.95;
+/// The mean times of a route that must be left for a slow attempt to be left for another.
+const TIMES_LEFT: u32 = 2;
+
 /// How one attempt ended.
 pub(super) enum Attempt {
     /// The target's answer.
@@ -46,6 +52,8 @@
     Rejected,
     /// It may have run, and there is no answer.
     Broken(String),
+    /// It was left while its target works on it, since the target is slow and another one may answer in time.
+    Left,
     /// Its time is over.
     Late,
 }
@@ -61,8 +69,15 @@
     }
 }
 
-/// Sends a call to a target and waits for what becomes of it.
-pub(super) async fn attempt(node: &Rc<Node>, call: &Call, target: &Target, body: Body) -> Attempt {
+/// Sends a call to a target and waits for what becomes of it. `may_leave` decides whether another target is tried while a slow
+/// one still works on the call.
+pub(super) async fn attempt(
+    node: &Rc<Node>,
+    call: &Call,
+    target: &Target,
+    body: Body,
+    may_leave: impl FnOnce() -> bool,
+) -> Attempt {
     let begun = node.now();
     let left = begun.until(call.deadline);
     let mut request = Request::new(body);
@@ -90,7 +105,7 @@
     let in_flight = InFlight { node, target: &target.id };
     let sent = SentFlag::default();
     let exchange = node.peers.exchange_noting(address, request, &sent);
-    let (response, lease) = match exchange_while_present(node, call, target, begun, exchange).await {
+    let (response, lease) = match exchange_while_present(node, call, target, begun, exchange, may_leave).await {
         // It still waited for a connection, so no target has seen it.
         Exchanged::Late | Exchanged::Silent if !sent.is_set() => return Attempt::NotRun("no connection in time"),
         Exchanged::Late => {
@@ -98,6 +113,11 @@
             node.balance.borrow_mut().late(&target.id, &call.route.name, now.since(begun), now);
             return Attempt::Late;
         }
+        Exchanged::Left => {
+            let now = node.now();
+            node.balance.borrow_mut().late(&target.id, &call.route.name, now.since(begun), now);
+            return Attempt::Left;
+        }
         Exchanged::Silent => return Attempt::Broken("the node is silent".to_owned()),
         Exchanged::Failed(ExchangeError::NotSent(_)) => return Attempt::NotRun("unreachable"),
         Exchanged::Failed(ExchangeError::NoAnswer(why)) => return Attempt::Broken(why),
@@ -163,6 +183,8 @@
     Late,
     /// The node is not there; only told of calls that may be repeated.
     Silent,
+    /// The node is there and takes long; only told of calls that may be repeated.
+    Left,
 }
 
 impl From<Result<(Response<Incoming>, Lease), ExchangeError>> for Exchanged {
@@ -174,13 +196,25 @@
     }
 }
 
-/// Waits for an exchange until the call's deadline, or until its node turns out not to be there.
+/// Whether a call that takes long at its target is better sent to another one: it is made by a target, whose own call fails with
+/// it, its service has room, and there is time left.
+pub(super) fn is_worth_leaving(node: &Node, call: &Call) -> bool {
+    let now = node.now();
+    let Some(mean) = node.balance.borrow().route_time(&call.route.name) else { return false };
+    call.is_inner
+        && node.levels.borrow().level(&call.route.name, now) >= ROOM_FROM
+        && now.until(call.deadline) >= mean * TIMES_LEFT
+}
+
+/// Waits for an exchange until the call's deadline, or until its node turns out not to be there, or to be so slow that the call
+/// is left.
 async fn exchange_while_present(
     node: &Rc<Node>,
     call: &Call,
     target: &Target,
     begun: Timestamp,
     exchange: impl Future<Output = Result<(Response<Incoming>, Lease), ExchangeError>>,
+    may_leave: impl FnOnce() -> bool,
 ) -> Exchanged {
     let mut exchange = pin!(exchange);
     let until_end = |node: &Node| node.now().until(call.deadline) + DEADLINE_ALLOWANCE;
@@ -194,6 +228,9 @@
             result = &mut exchange => return result.into(),
             is_there = presence::is_there(node, target, begun) => if !is_there { return Exchanged::Silent },
         }
+        if may_leave() {
+            return Exchanged::Left;
+        }
     }
     match tokio::time::timeout(until_end(node), exchange).await {
         Ok(result) => result.into(),
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -1,6 +1,7 @@
 //! Sends a call to one target after another until there is an answer or nothing more to try.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Response;
@@ -8,8 +9,8 @@
 use quillhatch_mesh::routing::choose_service;
 use quillhatch_mesh::targets::{Target, TargetId};
 
-use super::answers::{give_up, refuse};
-use super::attempt::{attempt, Attempt};
+use super::answers::{self, refuse};
+use super::attempt::{attempt, is_worth_leaving, Attempt};
 use super::Call;
 use crate::body::Body;
 use crate::counters::Counters;
@@ -25,6 +26,28 @@
 /// When a caller is told to come back whose route has no service with a share.
 const NO_DESTINATION_PAUSE: Duration = Duration::from_millis(300);
 
+/// What has become of a call so far.
+#[derive(Default)]
+struct Progress {
+    /// The targets that were tried.
+    tried: Vec<TargetId>,
+    /// The gates that had no room.
+    full: usize,
+    /// The attempts that may have run.
+    runs: u32,
+}
+
+impl Progress {
+    fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Whether the call may be sent to one more target after an attempt that may have run.
+    fn may_run_again(&self, call: &Call) -> bool {
+        call.route.repeatability == Repeatability::Repeatable && self.runs < call.route.maximum_attempts
+    }
+}
+
 /// Brings back the answer to a call.
 pub(super) async fn run(node: &Rc<Node>, call: Call, body: Body) -> Response<Body> {
     let service = choose_service(&call.route, &mut *node.random.borrow_mut()).cloned();
@@ -35,97 +58,125 @@
     let offer_until = call.arrived + call.route.objective.mul_f64(super::attempt::UNOFFERED_PART);
     let mut call = call;
     let mut body = Some(body);
-    let mut tried: Vec<TargetId> = Vec::new();
-    let (mut full, mut may_have_run, mut runs) = (0, false, 0);
+    let mut progress = Progress::default();
+    let give_up = |call: &Call, progress: &Progress, why| {
+        answers::give_up(node, call, progress.may_have_run(), why, progress.tried.len())
+    };
     loop {
         let now = node.now();
-        let left = now.until(call.deadline);
-        if left < SHORTEST_TIME {
-            let why = if may_have_run { "late" } else { "late-not-run" };
-            return give_up(node, &call, may_have_run, why, tried.len());
+        if now.until(call.deadline) < SHORTEST_TIME {
+            let why = if progress.may_have_run() { "late" } else { "late-not-run" };
+            return give_up(&call, &progress, why);
         }
-        let chosen = {
-            let targets = node.targets.borrow();
-            let members = targets.of_service(&service);
-            let mut random = node.random.borrow_mut();
-            node.balance.borrow().choose(members, &tried, &node.settings.zone, now, &mut *random)
-        };
-        let Some(target) = chosen else {
-            if full == 0 && now < offer_until && !may_have_run {
+        let Some(target) = choose_target(node, &service, &progress.tried) else {
+            if progress.full == 0 && now < offer_until && !progress.may_have_run() {
                 tokio::time::sleep(UNREACHABLE_PAUSE).await;
-                tried.clear();
+                progress.tried.clear();
                 continue;
             }
             node.levels.borrow_mut().report(&call.route.name, 0.0, now);
-            return give_up(node, &call, may_have_run, "no-target", tried.len());
+            return give_up(&call, &progress, "no-target");
         };
         let runs_once = call.route.repeatability == Repeatability::AtMostOnce;
         if runs_once && !presence::is_there_now(node, &target).await {
             node.log_failure(|| attempt_line(&call, &target, "silent, not sent"));
-            tried.push(target.id.clone());
+            progress.tried.push(target.id.clone());
             continue;
         }
         let Some(sent) = body.as_ref().and_then(Body::copy_if_whole).or_else(|| body.take()) else {
-            return give_up(node, &call, may_have_run, "body-gone", tried.len());
+            return give_up(&call, &progress, "body-gone");
         };
-        match attempt(node, &call, &target, sent).await {
+        let may_leave = || {
+            let can_be_sent_again = body.is_some() && progress.runs == 0 && call.route.maximum_attempts > 1;
+            can_be_sent_again
+                && has_other_target(node, &service, &target, &progress.tried)
+                && is_worth_leaving(node, &call)
+                && node.try_repeat(&service)
+        };
+        let ended = attempt(node, &call, &target, sent, may_leave).await;
+        progress.tried.push(target.id.clone());
+        match ended {
             Attempt::Answer(response) => {
-                let took = node.now().since(call.arrived);
-                node.counters.edge_ended("answered", took);
-                let status = response.status().as_u16();
-                let line = || {
-                    format!(
-                        "\"event\":\"answered\",\"id\":{:?},\"route\":\"{}\",\"target\":\"{}\",\"status\":{status},\"ms\":{},\"tried\":{}",
-                        call.id, call.route.name, target.id, took.as_millis(), tried.len() + 1
-                    )
-                };
-                if status < 400 {
-                    node.log_success(line)
-                } else {
-                    node.log_failure(line)
-                }
+                note_answer(node, &call, &target, &response, progress.tried.len());
                 return *response;
             }
             Attempt::Full => {
-                full += 1;
-                tried.push(target.id.clone());
-                if full >= MOST_FULL_GATES {
-                    return give_up(node, &call, may_have_run, "full", tried.len());
+                progress.full += 1;
+                if progress.full >= MOST_FULL_GATES {
+                    return give_up(&call, &progress, "full");
                 }
             }
             Attempt::NotRun(why) => {
                 node.log_failure(|| attempt_line(&call, &target, why));
                 node.balance.borrow_mut().refused(&target.id, node.now());
-                tried.push(target.id.clone());
             }
-            Attempt::Followed => tried.push(target.id.clone()),
+            Attempt::Followed => {}
             Attempt::Rejected => {
                 node.log_failure(|| attempt_line(&call, &target, "rejected"));
-                tried.push(target.id.clone());
                 if !node.try_repeat(&service) {
-                    return give_up(node, &call, may_have_run, "rejected", tried.len());
+                    return give_up(&call, &progress, "rejected");
                 }
-                call.lineage.is_repeat = true;
-                Counters::add(&node.counters.repeats);
+                note_repeat(node, &mut call);
             }
             Attempt::Broken(why) => {
                 node.log_failure(|| attempt_line(&call, &target, &why));
-                may_have_run = true;
-                runs += 1;
-                tried.push(target.id.clone());
-                let may_repeat =
-                    call.route.repeatability == Repeatability::Repeatable && runs < call.route.maximum_attempts;
-                if !may_repeat || !node.try_repeat(&service) {
-                    return give_up(node, &call, true, "broken", tried.len());
+                progress.runs += 1;
+                if !progress.may_run_again(&call) || !node.try_repeat(&service) {
+                    return give_up(&call, &progress, "broken");
                 }
-                call.lineage.is_repeat = true;
-                Counters::add(&node.counters.repeats);
+                note_repeat(node, &mut call);
+            }
+            Attempt::Left => {
+                // Its repeat was spent when it was left.
+                node.log_failure(|| attempt_line(&call, &target, "slow, left for another"));
+                progress.runs += 1;
+                note_repeat(node, &mut call);
+            }
+            Attempt::Late => {
+                progress.runs += 1;
+                return give_up(&call, &progress, "late");
             }
-            Attempt::Late => return give_up(node, &call, true, "late", tried.len()),
         }
     }
 }
 
+fn choose_target(node: &Node, service: &str, tried: &[TargetId]) -> Option<Arc<Target>> {
+    let targets = node.targets.borrow();
+    let members = targets.of_service(service);
+    let mut random = node.random.borrow_mut();
+    node.balance.borrow().choose(members, tried, &node.settings.zone, node.now(), &mut *random)
+}
+
+/// Whether the service has a target besides this one that was not tried yet.
+fn has_other_target(node: &Node, service: &str, target: &Target, tried: &[TargetId]) -> bool {
+    let targets = node.targets.borrow();
+    let open = targets.of_service(service).iter().filter(|other| !other.registration.draining);
+    open.filter(|other| other.id != target.id).any(|other| !tried.contains(&other.id))
+}
+
+/// The call is sent to a target once more; whatever is called below it is a repeat too.
+fn note_repeat(node: &Node, call: &mut Call) {
+    call.lineage.is_repeat = true;
+    Counters::add(&node.counters.repeats);
+}
+
+fn note_answer(node: &Node, call: &Call, target: &Target, response: &Response<Body>, tried: usize) {
+    let took = node.now().since(call.arrived);
+    node.counters.edge_ended("answered", took);
+    let status = response.status().as_u16();
+    let line = || {
+        format!(
+            "\"event\":\"answered\",\"id\":{:?},\"route\":\"{}\",\"target\":\"{}\",\"status\":{status},\"ms\":{},\"tried\":{tried}",
+            call.id, call.route.name, target.id, took.as_millis()
+        )
+    };
+    if status < 400 {
+        node.log_success(line)
+    } else {
+        node.log_failure(line)
+    }
+}
+
 fn attempt_line(call: &Call, target: &Target, why: &str) -> String {
     format!(
         "\"event\":\"attempt-failed\",\"id\":{:?},\"route\":\"{}\",\"target\":\"{}\",\"why\":{why:?}",
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -285,6 +285,45 @@
     });
 }
 
+#[test]
+fn a_call_of_a_target_leaves_a_slow_target_for_another_while_there_is_time() {
+    // Found on the users' bench: each edge found out by itself which targets were slow, with two failed calls and their parents.
+    run(async {
+        let store = StandInStore::start().await;
+        let rule = |name: &str, service: &str| {
+            format!(
+                r#"{{"name":"{name}","kind":"safe","aim_s":1,"match":{{"prefix":"/{name}/"}},"action":{{"service":"{service}","timeout_s":2,"max_attempts":2}}}}"#
+            )
+        };
+        store.configure(&format!(
+            r#"{{"version":"r3","listeners":[{{"host":"{HOST}","rules":[{},{}]}}],"clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#,
+            rule("chain", "alpha"),
+            rule("read", "beta")
+        ));
+        let betas = [Machine::start(&store, "beta", 8).await, Machine::start(&store, "beta", 8).await];
+        let alpha = Machine::start(&store, "alpha", 8).await;
+        alpha.target.chain(ChainedCall {
+            outbound: alpha.outbound(),
+            host: HOST.to_owned(),
+            path: "/read/x".to_owned(),
+        });
+        eventually("all are listed", || betas[0].node().targets.borrow().len() == 3).await;
+        let chain = |id: &str| request("GET", HOST, "/chain/x", id, 3000, "");
+        for number in 0..40 {
+            let answer = call(betas[0].outbound(), &chain(&format!("good-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200);
+        }
+        betas[0].target.set_habit(Habit::Slow(Duration::from_secs(4)));
+        let begun = Instant::now();
+        for number in 0..20 {
+            let answer = call(betas[0].outbound(), &chain(&format!("slow-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200, "call {number} after {:?}", begun.elapsed());
+        }
+        assert!(betas[0].target.abandoned() > 0, "the slow target was tried");
+        assert!(betas[0].target.abandoned() <= 8, "and is avoided then: {}", betas[0].target.abandoned());
+    });
+}
+
 #[test_case(1_000; "sent whole")]
 #[test_case(90_000; "passed on as it comes")]
 fn a_target_that_answers_before_it_has_read_the_body_gets_no_other_bytes_in_its_place(length: usize) {
