Store: changes that can't be read, or are refused for good, lead to a whole read

Cause (review of the diff): after a failure the same changes are asked for again; an answer that can't be understood, or a refusal such as 400, would have been met again and again. Change: only what may pass (no answer, 5xx, 429) counts as an outage; after anything else everything is read anew. Figures: a_store_whose_changes_cannot_be_read_is_read_anew fails before.

--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -35,6 +35,17 @@
     ViewReplaced,
 }
 
+impl StoreError {
+    /// Whether the same call may succeed later. Else the changes asked for are not to be had, and everything is read anew.
+    pub(super) fn is_outage(&self) -> bool {
+        match self {
+            StoreError::Exchange(_) | StoreError::TimedOut => true,
+            StoreError::Status(status) => status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS,
+            StoreError::Answer(_) | StoreError::ViewReplaced => false,
+        }
+    }
+}
+
 /// Asks the store for `path` and reads its answer with `read`.
 pub(super) async fn get(
     node: &Rc<Node>,
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -45,8 +45,10 @@
             continue;
         }
         lost(&node, &error);
-        if matches!(error, StoreError::Status(StatusCode::GONE)) {
+        if !error.is_outage() {
             node.store_reader.borrow_mut().history_lost();
+        }
+        if matches!(error, StoreError::Status(StatusCode::GONE)) {
             continue;
         }
         let has_view = node.revision.get() > 0;
--- a/crates/sidecar/tests/store.rs
+++ b/crates/sidecar/tests/store.rs
@@ -286,6 +286,18 @@
     });
 }
 
+#[test]
+fn a_store_whose_changes_cannot_be_read_is_read_anew() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        store.set_mode(Mode::Garbled);
+        sleep(Duration::from_millis(100)).await;
+        store.configure(&document(6, "alpha"));
+        eventually("beta has it", || beta.node().configuration.borrow().version() == 6).await;
+        drop(alpha);
+    });
+}
+
 #[test]
 fn after_an_outage_only_the_changes_are_read() {
     run(async {
