Targets: what the list brings is a reason to ask the target once, not with each call

At half of the gates the former one seemed to be the later one, so each call asked its target who it is, one after another, and the answer was overruled by the list. Ruled out: the store's reader (its loops wait for answers), the nodes' processors (2 s at most). Change: what is read together is listed at one moment; a gate asks its target only if the list has brought another one since the target told its identity. Figures: a_target_is_asked_once_when_the_list_holds_another_one_at_its_address fails before (20 questions for 20 calls).

--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -62,6 +62,8 @@
     pub seen_listed: RefCell<Option<TargetId>>,
     /// Whether the target beside this node has told its identity since it was last out of reach.
     pub present_verified: Cell<bool>,
+    /// When it last told it. What the list brought before that is not a reason to ask again.
+    pub present_told_at: Cell<Timestamp>,
     /// Held while the target is asked for its identity.
     pub verifying: tokio::sync::Mutex<()>,
     /// Whether the list of targets was read at least once.
@@ -166,6 +168,7 @@
             present: RefCell::default(),
             seen_listed: RefCell::default(),
             present_verified: Cell::new(false),
+            present_told_at: Cell::new(now),
             verifying: tokio::sync::Mutex::default(),
             targets_known: Cell::new(false),
             balance: RefCell::default(),
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -81,6 +81,7 @@
 /// Takes note of who the target says that it is.
 pub fn learn(node: &Rc<Node>, id: &str) {
     node.present_verified.set(true);
+    node.present_told_at.set(node.now());
     let former = node.present.borrow().clone();
     if former.as_deref() == Some(id) {
         return;
@@ -98,12 +99,14 @@
     node.present_verified.set(false);
 }
 
-/// Whether the list holds a target at this machine's address that came after the one that the gate stands before.
+/// Whether the list has brought a target at this machine's address since the target told its identity, and after the one that
+/// the gate stands before.
 fn has_successor(node: &Node, targets: &TargetTable) -> bool {
     let present = node.present.borrow();
     let Some(known) = present.as_ref().and_then(|id| targets.get(id)) else { return false };
     let mut others = targets.at_address(node.settings.local_target).filter(|other| other.id != known.id);
-    others.any(|other| other.listed_at > known.listed_at && *other.registration.service == *node.settings.service)
+    let since = known.listed_at.max(node.present_told_at.get());
+    others.any(|other| other.listed_at > since && *other.registration.service == *node.settings.service)
 }
 
 /// Lets the gate follow the list of targets.
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -6,6 +6,7 @@
 
 use quillhatch_mesh::store_reader::{may_have_lapsed, REGISTERED_AGAIN_WITHIN};
 use quillhatch_platform::store::Change;
+use quillhatch_types::Timestamp;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -24,8 +25,8 @@
     node.log(&format!("\"event\":\"store-reached\",\"revision\":{revision},\"lost_ms\":{}", outage.as_millis()));
 }
 
-/// Takes over changes in the order in which the store tells them.
-pub(super) fn apply(node: &Node, changes: Vec<Change>) {
+/// Takes over changes in the order in which the store tells them. What is read together is listed at one moment, `now`.
+pub(super) fn apply(node: &Node, changes: Vec<Change>, now: Timestamp) {
     // One answer may tell of a target and of its end: its last word counts.
     let mut gone: Vec<Arc<str>> = Vec::new();
     for change in &changes {
@@ -50,7 +51,7 @@
                     "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{}",
                     registration.service, registration.address, registration.draining
                 ));
-                node.targets.borrow_mut().update(id, registration, node.now());
+                node.targets.borrow_mut().update(id, registration, now);
             }
             Change::UnusableTarget(id) => node.log(&format!("\"event\":\"target-unusable\",\"target\":\"{id}\"")),
             Change::TargetGone(_) => {}
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -105,8 +105,9 @@
     // The pages are no snapshot: whatever changed after the least of their revisions may be missing in one of them.
     let revision = pages.iter().map(|page| page.revision).min().unwrap_or_default();
     reached(node, revision);
+    let now = node.now();
     for page in pages {
-        apply(node, page.changes);
+        apply(node, page.changes, now);
     }
     let missing = node.targets.borrow().missing_from(&listed);
     remove_gone(node, &missing);
@@ -165,7 +166,7 @@
         if page.changes.is_empty() {
             continue;
         }
-        apply(node, page.changes);
+        apply(node, page.changes, node.now());
         changed(node);
         // Where one change is, more follow; each answer has its price. A change that comes while none was gathered is known at
         // once, since the watch waits for it.
--- a/crates/sidecar/tests/changes.rs
+++ b/crates/sidecar/tests/changes.rs
@@ -132,6 +132,27 @@
     });
 }
 
+#[test]
+fn a_target_is_asked_once_when_the_list_holds_another_one_at_its_address() {
+    // Found on the users' bench after all machines had lost power: former and present targets were listed together, and each
+    // call asked the target who it is.
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        let other = format!(
+            r#"{{"service":"alpha","address":"{}","zone":"zone-a","version":"v1","slots":8,"state":"ready","cold_remaining_s":0,"seq":1}}"#,
+            alpha.target.address
+        );
+        store.write("servers/i-another", Some(&other));
+        eventually("alpha knows it", || alpha.node().targets.borrow().get("i-another").is_some()).await;
+        let before = alpha.target.probes();
+        for number in 0..20 {
+            let answer = call(beta.outbound(), &read(&format!("call-{number}"))).await.expect("an answer");
+            assert_eq!(answer.status, 200);
+        }
+        assert!(alpha.target.probes() - before <= 1, "{} questions", alpha.target.probes() - before);
+    });
+}
+
 #[test]
 fn a_target_that_refuses_everything_is_left_out_for_a_moment() {
     // Found by the soak: a target that refuses at once is quick, and each refusal took one from the budget of repeats.
