Stand-ins: a server takes its free port itself

The stand-in looked for a free port, let it go, and rocket bound it later; another process had taken it in between, and whoever connected to that port was taken for a start. Ruled out: a fault of the group (it never formed since a back end of the test did not listen). Change: rocket binds port zero and tells the port at liftoff, as the operators' listener does; a failure to bind is an error of the start. The race itself was not reproduced; it can't arise any more. Only test support changed.

--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,18 +1,22 @@
 //! Starts and stops a rocket server on a loopback port.
 
 use std::net::{IpAddr, SocketAddr};
+use std::sync::{Mutex, PoisonError};
 
 use derive_more::{Display, Error, From};
 use rocket::config::{Config, LogLevel, Shutdown as ShutdownConfig};
+use rocket::fairing::AdHoc;
 use rocket::{Build, Rocket, Shutdown};
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 /// Why a server did not start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
-    /// The address could not be bound.
-    #[display("cannot listen: {_0}")]
-    Listen(std::io::Error),
+    /// It stopped before it listened.
+    #[display("it stopped while starting")]
+    #[from(skip)]
+    Stopped,
     /// Rocket refused the set-up or could not bind.
     #[display("cannot start the server: {_0}")]
     Rocket(Box<rocket::Error>),
@@ -32,7 +36,6 @@
 ///
 /// Returns why the server did not start.
 pub async fn start(rocket: Rocket<Build>, address: SocketAddr) -> Result<RunningServer, StartError> {
-    let address = free_address(address)?;
     let shutdown =
         ShutdownConfig { ctrlc: false, signals: Default::default(), grace: 0, mercy: 0, ..Default::default() };
     let config = Config {
@@ -44,38 +47,31 @@
         shutdown,
         ..Config::default()
     };
-    let rocket = rocket.configure(config).ignite().await.map_err(Box::new)?;
+    // Rocket takes a free port itself: one that was looked for before may be taken by another process meanwhile.
+    let (listening, bound) = oneshot::channel();
+    let listening = Mutex::new(Some(listening));
+    let liftoff = AdHoc::on_liftoff("listening", move |rocket| {
+        let address = SocketAddr::new(rocket.config().address, rocket.config().port);
+        if let Some(listening) = listening.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            // The starter waits for it, unless it was dropped.
+            let _ = listening.send(address);
+        }
+        Box::pin(async {})
+    });
+    let rocket = rocket.configure(config).attach(liftoff).ignite().await.map_err(Box::new)?;
     let shutdown = rocket.shutdown();
+    let mut launched = Box::pin(rocket.launch());
+    let address = tokio::select! {
+        address = bound => address.map_err(|_| StartError::Stopped)?,
+        ended = &mut launched => return Err(ended.err().map_or(StartError::Stopped, |error| Box::new(error).into())),
+    };
     let task = tokio::spawn(async move {
-        // A failure to bind shows as a refused connection at once; see `wait_until_listening`.
-        let _ = rocket.launch().await;
+        // It ends when it is stopped, with whatever was open.
+        let _ = launched.await;
     });
-    wait_until_listening(address).await?;
     Ok(RunningServer { address, shutdown, task })
 }
 
-fn free_address(address: SocketAddr) -> Result<SocketAddr, std::io::Error> {
-    if address.port() != 0 {
-        return Ok(address);
-    }
-    std::net::TcpListener::bind(address)?.local_addr()
-}
-
-const START_ATTEMPTS: u32 = 200;
-const START_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
-
-async fn wait_until_listening(address: SocketAddr) -> Result<(), std::io::Error> {
-    let mut last = std::io::Error::from(std::io::ErrorKind::NotConnected);
-    for _ in 0..START_ATTEMPTS {
-        match tokio::net::TcpStream::connect(address).await {
-            Ok(_) => return Ok(()),
-            Err(error) => last = error,
-        }
-        tokio::time::sleep(START_PAUSE).await;
-    }
-    Err(last)
-}
-
 impl RunningServer {
     /// Stops the server at once: open connections are cut, as when its machine fails.
     pub async fn stop(self) {
