--- a/crates/sidecar/tests/connections.rs
+++ b/crates/sidecar/tests/connections.rs
@@ -185,28 +185,18 @@
     });
 }
 
-#[test]
-fn a_call_whose_target_takes_no_connection_in_time_has_not_run() {
-    run(async {
-        let (_store, alpha, beta) = two_machines().await;
-        assert_eq!(call(beta.outbound(), &pay("known")).await.expect("an answer").status, 200);
-        let address = alpha.target.address;
-        alpha.target.end();
-        let _full = FullListener::start(address).await;
-        let answer = call(beta.outbound(), &request("POST", HOST, "/pay/", "one", SHORT_MS, "amount=7")).await;
-        assert_eq!(answer.expect("an answer").status, 503);
-    });
-}
-
-#[test]
-fn a_call_that_waits_for_its_targets_identity_has_not_run_when_its_time_is_over() {
-    run(async {
+#[test_case(true; "its identity is known")]
+#[test_case(false; "it is to be asked who it is")]
+fn a_call_whose_target_takes_no_connection_in_time_has_not_run(is_known: bool) {
+    run(async move {
         let (_store, alpha, beta) = two_machines().await;
         assert_eq!(call(beta.outbound(), &pay("known")).await.expect("an answer").status, 200);
         let address = alpha.target.address;
         alpha.target.end();
         let _full = FullListener::start(address).await;
-        quillhatch_sidecar::present_target::out_of_reach(alpha.node());
+        if !is_known {
+            quillhatch_sidecar::present_target::out_of_reach(alpha.node());
+        }
         let answer = call(beta.outbound(), &request("POST", HOST, "/pay/", "one", SHORT_MS, "amount=7")).await;
         assert_eq!(answer.expect("an answer").status, 503);
     });
