Calls of targets are told from those of callers by the gates; a call with its route's own time inherits from parents that have as much

On the third customer's deployment a target gives its calls 2.5, 2 and 0.7 s at most, so most deadlines are the calls' own. Ruled out: ids of calls begin with those of their parents there, but no page promises it, and it stays unused. Change: who calls a route is what its gates have seen of the services' machines that call it (callers enter at all of them), also where two services call it; calls of other routes are callers'. A call with less time than the most seen on its route is matched by deadline; one with the most inherits the importance that weighs most among running calls with as much time left, and repeats by their share.

--- a/crates/mesh/src/demand.rs
+++ b/crates/mesh/src/demand.rs
@@ -81,11 +81,9 @@
         }
     }
 
-    /// The route that is likeliest to be the one whose running calls make a call of `called`.
-    pub fn likely_parent(&self, called: &str) -> Option<&Arc<str>> {
-        let running = self.parents.iter().filter(|(_, parent)| parent.running > 0);
-        let weight = |parent: &Parent| f64::from(parent.running) * parent.rate(called);
-        running.max_by(|one, other| weight(one.1).total_cmp(&weight(other.1))).map(|(route, _)| route)
+    /// How often a running call of `parent` makes a call of `called`, each second.
+    pub fn rate(&self, parent: &str, called: &str) -> f64 {
+        self.parents.get(parent).map_or(PRIOR_RATE, |parent| parent.rate(called))
     }
 
     /// The routes that calls of `route` call.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod balance;
+pub mod callers;
 pub mod configuration;
 pub mod demand;
 pub mod gate;
--- a/crates/mesh/src/parents.rs
+++ b/crates/mesh/src/parents.rs
@@ -1,24 +1,29 @@
 //! For which of its running calls a target makes a call of its own.
 //!
-//! A target's calls come from the same address as those of callers on its machine, and name no parent. Two things tell them
-//! apart. A call ends with its parent's deadline, so one whose deadline is that of a call that runs at the target is taken to
-//! be made for it. And callers enter at every machine, whatever its service, while a route that only targets call is used
-//! from the machines of their services alone; the gate that serves a route sees that ([`CallerShares`]).
+//! A target's calls come from the same address as those of callers on its machine, and name no parent. Whether only targets call
+//! a route is reported by the gates that serve it ([`CalledBy`]). A call of such a route ends with its parent's deadline, unless the
+//! parent has more time left than the target ever gives a call of that route:
+//!
+//! - A call with less time than the most that was seen on its route has its parent's deadline, so its parent is the running call
+//!   with that deadline.
+//! - A call with the most that was seen says only that its parent has at least as much time left. It inherits the importance
+//!   that weighs most among the running calls with so much time, by how often calls of their routes call this one.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use quillhatch_types::Timestamp;
 
+use crate::callers::CalledBy;
+
 /// How much earlier than its parent's the deadline of a call may seem: deadlines travel in whole milliseconds.
 const EARLIER: Duration = Duration::from_millis(3);
 /// How much later it may seem: the call spends some time on its way and in this node.
 const LATER: Duration = Duration::from_millis(8);
-/// The weight of one call in the share of a route's calls that were matched.
-const SHARE_GAIN: f64 = 0.03;
-/// The share of matched calls from which a route is taken to be called by targets.
-const CALLED_BY_TARGETS_FROM: f64 = 0.3;
+/// By how much less than the most time that was seen a call must have for its parent's deadline to be its own: whole
+/// milliseconds, and the time between the parent's look at the clock and the call.
+const OWN_TIME_MARGIN: Duration = Duration::from_millis(5);
 
 /// What a call inherits from the call for which it is made.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,15 +36,24 @@
     pub is_repeat: bool,
 }
 
+/// What is likely of a call whose parent is one of several.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Likely {
+    /// The importance that weighs most among the possible parents.
+    pub priority: u8,
+    /// The share of repeated calls among them.
+    pub repeated_share: f64,
+}
+
 /// Who makes a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Origin {
     /// A caller: the call enters the graph here.
     Caller,
     /// The target beside this node, for a call of this route.
     Parent(Arc<str>, Lineage),
-    /// The target beside this node, for a call that is not known.
-    Target,
+    /// The target beside this node, for one of several calls; `None` if none of those that run fits.
+    Target(Option<Likely>),
 }
 
 /// Identifies a running call.
@@ -49,17 +63,23 @@
     sequence: u64,
 }
 
-/// The calls that run at the target, by the deadline that it was told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Weight {
+    all: f64,
+    repeated: f64,
+}
+
+/// The calls that run at the target, by the deadline that it was given.
 #[derive(Clone, Debug, Default)]
 pub struct Parents {
     running: BTreeMap<RunningCall, (Arc<str>, Lineage)>,
     next_sequence: u64,
-    matched_shares: HashMap<Arc<str>, f64>,
-    called_by_targets: HashSet<Arc<str>>,
+    called_by: HashMap<Arc<str>, CalledBy>,
+    longest: HashMap<Arc<str>, Duration>,
 }
 
 impl Parents {
-    /// A call of `route` goes to the target, which was told to end it at `deadline`.
+    /// A call of `route` goes to the target, which was given until `deadline`.
     pub fn started(&mut self, deadline: Timestamp, route: Arc<str>, lineage: Lineage) -> RunningCall {
         let call = RunningCall { deadline, sequence: self.next_sequence };
         self.next_sequence += 1;
@@ -72,74 +92,61 @@
         self.running.remove(&call);
     }
 
-    /// Who makes a call of `route` that ends at `deadline`, which came from the target's address.
-    pub fn origin(&mut self, route: &Arc<str>, deadline: Timestamp) -> Origin {
-        let parent = self.nearest(deadline).cloned();
-        let share = self.matched_shares.entry(route.clone()).or_default();
-        *share += SHARE_GAIN * (f64::from(u8::from(parent.is_some())) - *share);
-        let is_called_by_targets = *share >= CALLED_BY_TARGETS_FROM || self.called_by_targets.contains(route);
-        match parent {
-            Some((parent, lineage)) if parent != *route => Origin::Parent(parent, lineage),
-            _ if is_called_by_targets => Origin::Target,
-            _ => Origin::Caller,
+    /// Who makes a call of `route` that came from the target's address and has `time` left. `rate` tells how often calls of a
+    /// route make calls of this one.
+    pub fn origin(
+        &mut self,
+        route: &Arc<str>,
+        time: Duration,
+        now: Timestamp,
+        rate: impl Fn(&Arc<str>) -> f64,
+    ) -> Origin {
+        if self.called_by.get(route) != Some(&CalledBy::Targets) {
+            return Origin::Caller;
         }
+        let longest = self.longest.entry(route.clone()).or_default();
+        *longest = time.max(*longest);
+        if time + OWN_TIME_MARGIN < *longest {
+            if let Some((parent, lineage)) = self.nearest(route, now + time) {
+                return Origin::Parent(parent.clone(), lineage.clone());
+            }
+        }
+        Origin::Target(self.likely(route, now + time, rate))
     }
 
     /// Takes what the gates that serve a route have seen of its callers.
-    pub fn told(&mut self, route: &Arc<str>, is_called_by_targets: bool) {
-        if !is_called_by_targets {
-            self.called_by_targets.remove(route);
-        } else if !self.called_by_targets.contains(route) {
-            self.called_by_targets.insert(route.clone());
+    pub fn report(&mut self, route: &Arc<str>, called_by: CalledBy) {
+        if called_by == CalledBy::Unknown || self.called_by.get(route) == Some(&called_by) {
+            return;
         }
+        self.called_by.insert(route.clone(), called_by);
     }
 
-    /// The importance of the running calls of a route, if any runs.
-    pub fn priority_of(&self, route: &str) -> Option<u8> {
-        self.running.values().find(|(running, _)| **running == *route).map(|(_, lineage)| lineage.priority)
-    }
-
-    fn nearest(&self, deadline: Timestamp) -> Option<&(Arc<str>, Lineage)> {
+    fn nearest(&self, route: &str, deadline: Timestamp) -> Option<&(Arc<str>, Lineage)> {
         let from = RunningCall { deadline: deadline - LATER, sequence: 0 };
         let to = RunningCall { deadline: deadline + EARLIER, sequence: u64::MAX };
         let distance = |call: &RunningCall| call.deadline.0.abs_diff(deadline.0);
-        self.running.range(from..=to).min_by_key(|(call, _)| distance(call)).map(|(_, parent)| parent)
+        let others = self.running.range(from..=to).filter(|(_, (parent, _))| **parent != *route);
+        others.min_by_key(|(call, _)| distance(call)).map(|(_, parent)| parent)
     }
-}
-
-/// The calls of a route that must be seen before its callers are judged.
-const CALLS_NEEDED: f64 = 12.0;
-/// The share of one service in the calls of a route from which only its targets are taken to call it.
-const ONE_SERVICE_FROM: f64 = 0.9;
-/// The calls after which older ones count half.
-const CALLS_REMEMBERED: f64 = 400.0;
-
-/// From which services' machines the calls of each route come, as the gate that serves them sees it.
-#[derive(Clone, Debug, Default)]
-pub struct CallerShares {
-    by_route: HashMap<Arc<str>, HashMap<Arc<str>, f64>>,
-}
 
-impl CallerShares {
-    /// Counts a call of a route that entered at a machine of a service.
-    pub fn count(&mut self, route: &Arc<str>, caller: &str) {
-        let callers = self.by_route.entry(route.clone()).or_default();
-        match callers.get_mut(caller) {
-            Some(calls) => *calls += 1.0,
-            None => {
-                callers.insert(Arc::from(caller), 1.0);
+    fn likely(&self, route: &str, deadline: Timestamp, rate: impl Fn(&Arc<str>) -> f64) -> Option<Likely> {
+        let from = RunningCall { deadline: deadline - LATER, sequence: 0 };
+        let mut rates: HashMap<&str, f64> = HashMap::new();
+        let mut weights: BTreeMap<u8, Weight> = BTreeMap::new();
+        for (parent, lineage) in self.running.range(from..).map(|(_, parent)| parent) {
+            if **parent == *route {
+                continue;
             }
+            let rate = *rates.entry(parent).or_insert_with(|| rate(parent));
+            let weight = weights.entry(lineage.priority).or_default();
+            weight.all += rate;
+            weight.repeated += if lineage.is_repeat { rate } else { 0.0 };
         }
-        if callers.values().sum::<f64>() > CALLS_REMEMBERED {
-            callers.values_mut().for_each(|calls| *calls /= 2.0);
-        }
-    }
-
-    /// Whether only targets call a route, judged by its callers among `services` services.
-    pub fn is_called_by_targets(&self, route: &str, services: usize) -> bool {
-        let Some(callers) = self.by_route.get(route) else { return false };
-        let total: f64 = callers.values().sum();
-        let most = callers.values().fold(0.0, |most: f64, calls| most.max(*calls));
-        services > 1 && total >= CALLS_NEEDED && most >= ONE_SERVICE_FROM * total
+        let total: f64 = weights.values().map(|weight| weight.all).sum();
+        let repeated: f64 = weights.values().map(|weight| weight.repeated).sum();
+        let (priority, _) = weights.iter().max_by(|one, other| one.1.all.total_cmp(&other.1.all))?;
+        let repeated_share = if total > 0.0 { repeated / total } else { 0.0 };
+        Some(Likely { priority: *priority, repeated_share })
     }
 }
--- a/crates/mesh/tests/decisions/graph.rs
+++ b/crates/mesh/tests/decisions/graph.rs
@@ -1,10 +1,12 @@
 //! Which calls belong to which.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::milliseconds;
+use quillhatch_mesh::callers::{CalledBy, CallerShares};
 use quillhatch_mesh::demand::CallGraph;
-use quillhatch_mesh::parents::{CallerShares, Lineage, Origin, Parents};
+use quillhatch_mesh::parents::{Likely, Lineage, Origin, Parents};
 use quillhatch_types::Timestamp;
 
 #[test]
@@ -29,47 +31,106 @@
     assert_eq!(graph.called_by("leaf").count(), 0);
 }
 
+const PARENT_TIME: Duration = Duration::from_secs(5);
+const CALLED_TIME: Duration = Duration::from_millis(700);
+
+fn lineage(priority: u8, position: u8) -> Lineage {
+    Lineage { priority, position, is_repeat: false }
+}
+
+/// Two routes, the second of which only targets call, with at most [`CALLED_TIME`].
+fn parents_of_called() -> (Arc<str>, Arc<str>, Parents) {
+    let (parent, called): (Arc<str>, Arc<str>) = (Arc::from("parent"), Arc::from("called"));
+    let mut parents = Parents::default();
+    parents.report(&called, CalledBy::Targets);
+    parents.origin(&called, CALLED_TIME, Timestamp::ZERO, |_| 1.0);
+    (parent, called, parents)
+}
+
 #[test]
 fn a_call_with_the_deadline_of_a_running_one_is_made_for_it() {
-    let names: [Arc<str>; 3] = ["parent", "called", "other"].map(Arc::from);
-    let [parent, called, other] = &names;
-    let lineage = |position| Lineage { priority: 0, position, is_repeat: false };
-    let mut parents = Parents::default();
-    let first = parents.started(milliseconds(1_000), parent.clone(), lineage(1));
-    parents.started(milliseconds(1_020), parent.clone(), lineage(2));
-    assert_eq!(parents.origin(called, milliseconds(1_001)), Origin::Parent(parent.clone(), lineage(1)));
-    assert_eq!(parents.origin(called, milliseconds(1_019)), Origin::Parent(parent.clone(), lineage(2)));
-    assert_eq!(parents.origin(other, milliseconds(5_000)), Origin::Caller);
+    let (parent, called, mut parents) = parents_of_called();
+    let first = parents.started(milliseconds(1_000), parent.clone(), lineage(0, 1));
+    parents.started(milliseconds(1_020), parent.clone(), lineage(0, 2));
+    let mut origin = |time| parents.origin(&called, Duration::from_millis(time), milliseconds(500), |_| 1.0);
+    assert_eq!(origin(501), Origin::Parent(parent.clone(), lineage(0, 1)));
+    assert_eq!(origin(519), Origin::Parent(parent.clone(), lineage(0, 2)));
+    assert_eq!(origin(600), Origin::Target(None), "no running call has so much time left");
     parents.ended(first);
-    assert_eq!(parents.origin(other, milliseconds(1_001)), Origin::Caller);
+    let after = parents.origin(&called, Duration::from_millis(501), milliseconds(500), |_| 1.0);
+    assert_eq!(after, Origin::Target(Some(Likely { priority: 0, repeated_share: 0.0 })));
 }
 
+/// Parents of the greatest importance that have less time than a target gives its calls at most, among many others that have more.
 #[test]
-fn a_route_that_targets_call_is_known_also_where_its_own_deadline_is_shorter() {
-    let (parent, called): (Arc<str>, Arc<str>) = (Arc::from("parent"), Arc::from("called"));
+fn a_call_with_its_routes_own_time_inherits_from_parents_that_have_as_much() {
+    let (parent, called, mut parents) = parents_of_called();
+    let short: Arc<str> = Arc::from("short");
+    for number in 0_u8..40 {
+        parents.started(milliseconds(600 + u64::from(number)), short.clone(), lineage(0, number));
+    }
+    for number in 0_u8..10 {
+        parents.started(milliseconds(4_000 + u64::from(number)), parent.clone(), lineage(2, number));
+    }
+    let own = parents.origin(&called, CALLED_TIME, milliseconds(100), |_| 1.0);
+    assert_eq!(own, Origin::Target(Some(Likely { priority: 2, repeated_share: 0.0 })));
+    let matched = parents.origin(&called, Duration::from_millis(515), milliseconds(100), |_| 1.0);
+    assert!(matches!(matched, Origin::Parent(route, Lineage { priority: 0, .. }) if *route == *short));
+}
+
+#[test]
+fn a_call_inherits_from_the_routes_that_call_it() {
+    let (parent, called, mut parents) = parents_of_called();
+    let leaf: Arc<str> = Arc::from("leaf");
+    for number in 0_u8..30 {
+        parents.started(milliseconds(4_000), leaf.clone(), lineage(0, number));
+    }
+    let repeated = Lineage { is_repeat: true, ..lineage(2, 1) };
+    parents.started(milliseconds(4_000), parent.clone(), lineage(2, 1));
+    parents.started(milliseconds(4_000), parent.clone(), repeated);
+    let rate = |route: &Arc<str>| if *route == parent { 10.0 } else { 0.05 };
+    let Origin::Target(Some(likely)) = parents.origin(&called, CALLED_TIME, milliseconds(100), rate) else {
+        panic!("it was made by the target")
+    };
+    assert_eq!(likely.priority, 2);
+    assert!((likely.repeated_share - 0.5).abs() < 0.05, "{}", likely.repeated_share);
+}
+
+/// Calls of a route that enters at all machines have the time of running calls of the same route all the while.
+#[test]
+fn calls_of_callers_are_not_taken_for_calls_of_the_target() {
+    let route: Arc<str> = Arc::from("entered");
+    let other: Arc<str> = Arc::from("other");
     let mut parents = Parents::default();
-    parents.started(milliseconds(1_000), parent, Lineage { priority: 0, position: 1, is_repeat: false });
-    assert_eq!(parents.origin(&called, milliseconds(700)), Origin::Caller);
-    for _ in 0..40 {
-        parents.origin(&called, milliseconds(1_000));
+    parents.report(&route, CalledBy::Callers);
+    for number in 0_u8..200 {
+        let now = milliseconds(u64::from(number));
+        parents.started(now + PARENT_TIME, route.clone(), lineage(2, number));
+        parents.started(now + PARENT_TIME, other.clone(), lineage(2, number));
+        assert_eq!(parents.origin(&route, PARENT_TIME, now, |_| 1.0), Origin::Caller);
+        assert_eq!(parents.origin(&other, PARENT_TIME, now, |_| 1.0), Origin::Caller, "nothing is known of it");
     }
-    assert_eq!(parents.origin(&called, milliseconds(700)), Origin::Target);
 }
 
 #[test]
-fn a_route_that_only_the_machines_of_one_service_use_is_called_by_targets() {
-    let (inner, outer): (Arc<str>, Arc<str>) = (Arc::from("inner"), Arc::from("outer"));
+fn a_route_that_some_services_machines_never_use_is_called_by_targets() {
+    let routes: [Arc<str>; 3] = ["inner", "inner of two", "outer"].map(Arc::from);
+    let [inner, inner_of_two, outer] = &routes;
     let mut shares = CallerShares::default();
-    for number in 0..1_000 {
-        shares.count(&inner, "alpha");
-        shares.count(&outer, ["alpha", "beta", "gamma"][number % 3]);
+    let third = |_: &str| 1.0 / 3.0;
+    assert_eq!(shares.called_by("inner", third), CalledBy::Unknown);
+    let services = ["alpha", "beta", "gamma"];
+    for number in 0..999 {
+        shares.count(inner, if number == 500 { "beta" } else { "alpha" });
+        shares.count(inner_of_two, services[number % 2]);
+        shares.count(outer, services[number % 3]);
     }
-    assert!(shares.is_called_by_targets("inner", 3));
-    assert!(!shares.is_called_by_targets("outer", 3));
-    assert!(!shares.is_called_by_targets("inner", 1), "with one service there is nothing to tell them apart");
-    let mut parents = Parents::default();
-    parents.told(&inner, true);
-    assert_eq!(parents.origin(&inner, milliseconds(700)), Origin::Target);
-    parents.told(&inner, false);
-    assert_eq!(parents.origin(&inner, milliseconds(700)), Origin::Caller);
+    assert_eq!(shares.called_by("inner", third), CalledBy::Targets);
+    assert_eq!(shares.called_by("inner of two", third), CalledBy::Targets);
+    assert_eq!(shares.called_by("outer", third), CalledBy::Callers);
+    assert_eq!(
+        shares.called_by("inner", |_| 1.0),
+        CalledBy::Callers,
+        "one service leaves nothing to tell them apart by"
+    );
 }
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -130,7 +130,7 @@
     if matches!(report.outcome, Outcome::Answered | Outcome::Full) {
         node.levels.borrow_mut().report(&call.route.name, report.level, now);
     }
-    node.parents.borrow_mut().told(&call.route.name, report.is_called_by_targets);
+    node.parents.borrow_mut().report(&call.route.name, report.called_by);
     views::heard(node, target.registration.address.ip(), report.reach);
     let follows = report.present.as_ref().is_some_and(|present| {
         let mut targets = node.targets.borrow_mut();
--- a/crates/sidecar/src/edge/entry.rs
+++ b/crates/sidecar/src/edge/entry.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
@@ -25,10 +26,14 @@
         return Origin::Caller;
     }
     let Some(given) = given else { return Origin::Caller };
-    let origin = node.parents.borrow_mut().origin(&route.name, now + given);
+    let origin = {
+        let graph = node.graph.borrow();
+        let rate = |parent: &Arc<str>| graph.rate(parent, &route.name);
+        node.parents.borrow_mut().origin(&route.name, given, now, rate)
+    };
     match &origin {
         Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, Some(parent), now),
-        Origin::Target => node.graph.borrow_mut().called(&route.name, None, now),
+        Origin::Target(_) => node.graph.borrow_mut().called(&route.name, None, now),
         Origin::Caller => {}
     }
     origin
@@ -38,18 +43,15 @@
 pub(super) fn lineage_of(node: &Node, route: &Route, origin: &Origin, id: &str) -> Lineage {
     match origin {
         Origin::Parent(_, lineage) => lineage.clone(),
-        Origin::Target => Lineage { priority: likely_priority(node, route), position: position(id), is_repeat: false },
+        Origin::Target(likely) => Lineage {
+            priority: likely.map_or(route.priority, |likely| likely.priority),
+            position: position(id),
+            is_repeat: likely.is_some_and(|likely| node.random.borrow_mut().gen_bool(likely.repeated_share.min(1.0))),
+        },
         Origin::Caller => Lineage { priority: route.priority, position: position(id), is_repeat: false },
     }
 }
 
-/// The importance that a call of this node's target inherits where its parent is not known for sure.
-fn likely_priority(node: &Node, route: &Route) -> u8 {
-    let graph = node.graph.borrow();
-    let inherited = graph.likely_parent(&route.name).and_then(|parent| node.parents.borrow().priority_of(parent));
-    inherited.unwrap_or(route.priority)
-}
-
 /// The position of a call that enters the graph, drawn from its identity.
 fn position(id: &str) -> u8 {
     let mut hasher = DefaultHasher::new();
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -11,6 +11,7 @@
 use hyper::header::{HeaderValue, CONTENT_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
+use quillhatch_mesh::callers::CalledBy;
 use quillhatch_mesh::gate::Refusal;
 use quillhatch_mesh::parents::Lineage;
 use quillhatch_mesh::routing::find_route;
@@ -135,11 +136,12 @@
         }
         _ => None,
     };
-    let services = node.current_configuration().map_or(0, |configuration| configuration.services.len());
-    let is_called_by_targets =
-        call.route.as_ref().is_some_and(|route| node.callers.borrow().is_called_by_targets(route, services));
-    let report =
-        Report { outcome, load, level: own.min(called), is_called_by_targets, reach: views::own_reach(node), present };
+    let called_by = call.route.as_ref().map_or(CalledBy::Unknown, |route| {
+        let targets = node.targets.borrow();
+        let all = targets.len().max(1) as f64;
+        node.callers.borrow().called_by(route, |service| targets.of_service(service).len() as f64 / all)
+    });
+    let report = Report { outcome, load, level: own.min(called), called_by, reach: views::own_reach(node), present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -6,6 +6,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use quillhatch_mesh::callers::CalledBy;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 
@@ -126,8 +127,8 @@
     pub load: Load,
     /// The share of the route's calls that can be served.
     pub level: f64,
-    /// Whether only targets call the route.
-    pub is_called_by_targets: bool,
+    /// Who calls the route.
+    pub called_by: CalledBy,
     /// How far the gate's view of the store reaches.
     pub reach: Reach,
     /// The target beside the gate, told where the call was for another one.
@@ -143,14 +144,30 @@
     pub service: String,
 }
 
+fn encode_called_by(called_by: CalledBy) -> u8 {
+    match called_by {
+        CalledBy::Unknown => 0,
+        CalledBy::Targets => 1,
+        CalledBy::Callers => 2,
+    }
+}
+
+fn decode_called_by(number: u64) -> CalledBy {
+    match number {
+        1 => CalledBy::Targets,
+        2 => CalledBy::Callers,
+        _ => CalledBy::Unknown,
+    }
+}
+
 impl Report {
     /// The header's text.
     pub fn encode(&self) -> String {
         let Load { running, limit, waiting } = self.load;
         let level = (self.level * 1000.0).round() as u32;
-        let inner = u8::from(self.is_called_by_targets);
+        let called_by = encode_called_by(self.called_by);
         let letter = self.outcome.letter();
-        let mut text = format!("{letter};{running};{limit};{waiting};{level};{inner};{}", self.reach.encode());
+        let mut text = format!("{letter};{running};{limit};{waiting};{level};{called_by};{}", self.reach.encode());
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -164,12 +181,12 @@
         let mut number = || parts.next()?.parse::<u64>().ok();
         let load = Load { running: number()? as u32, limit: number()? as u32, waiting: number()? as u32 };
         let level = number()? as f64 / 1000.0;
-        let is_called_by_targets = number()? == 1;
+        let called_by = decode_called_by(number()?);
         let reach = Reach::decode(parts.next()?)?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, level, is_called_by_targets, reach, present })
+        Some(Report { outcome, load, level, called_by, reach, present })
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -8,10 +8,11 @@
 use std::time::{Duration, Instant};
 
 use quillhatch_mesh::balance::Balance;
+use quillhatch_mesh::callers::CallerShares;
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::Gate;
-use quillhatch_mesh::parents::{CallerShares, Parents};
+use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::pressure::{Pressure, RouteLevels};
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use quillhatch_mesh::callers::CalledBy;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 use quillhatch_sidecar::counters::Counters;
@@ -30,7 +31,7 @@
                 outcome,
                 load: Load { running: 3, limit: 36, waiting: 144 },
                 level: 0.125,
-                is_called_by_targets: true,
+                called_by: CalledBy::Targets,
                 reach: Reach { revision: 0, is_cut_off: false },
                 present,
             };
