Entry: the cut of the order of importance is computed from demand and capacity at the gates

Cause: the level of a gate followed the wait of those in its queue. Calls whose patience ended counted for nothing, so it stayed near 0.7 where half fitted; it was smoothed at each hop and faded to open between two reports, so lookups (three hops away) saw 0.9 where gates had 0.7 and calls of rank 0 (two hops) 0.7; links of the graph of calls were missed, since calls that could not be matched went to the route with the highest rate; and it swung with a period of 3 to 4 s between full queues and idle slots. Change: each call carries the share with which calls like its root were let in, so a gate knows what would arrive with nothing refused (Horvitz-Thompson), by rank; the cut over (rank, share) that its slots' time allows follows at once. Demand that a lower cut further down keeps away is not counted; calls that do not come since others were refused are made up for. Calls are shared out only among running ones with enough time left.

--- a/crates/mesh/src/callers.rs
+++ b/crates/mesh/src/callers.rs
@@ -18,54 +18,85 @@
     Callers,
 }
 
-/// The calls that must be expected from the machines of services that make none, before only targets are taken to call a
-/// route: with so many, chance leaves none at all in one case of 160,000.
-const CALLS_MISSED: f64 = 12.0;
+/// The calls that must be expected from the machines of services that make none, before only targets are taken to call a route: with so
+/// many, chance leaves none at all in one case of 150.
+const CALLS_MISSED: f64 = 5.0;
+/// The calls that must be expected from one service's machines for the service to be missed.
+const CALLS_EXPECTED: f64 = 4.0;
 /// The share of the calls expected from a service's machines below which the service is taken not to call the route. Some calls
 /// come from everywhere, such as those that try a route out.
 const STRAY_PART: f64 = 0.1;
 /// The calls after which older ones count half.
 const CALLS_REMEMBERED: f64 = 400.0;
+/// The calls after which a route is judged anew.
+const JUDGED_EVERY: u32 = 8;
+
+/// The calls of one route.
+#[derive(Clone, Debug, Default)]
+struct RouteCallers {
+    by_service: HashMap<Arc<str>, f64>,
+    total: f64,
+    unjudged: u32,
+    judged: CalledBy,
+}
+
+impl RouteCallers {
+    fn judge<'a>(&self, services: impl Iterator<Item = (&'a Arc<str>, f64)>) -> CalledBy {
+        let (mut missed, mut unsure) = (0.0, 0.0);
+        for (service, machine_share) in services {
+            let expected = self.total * machine_share;
+            let seen = self.by_service.get(service).copied().unwrap_or(0.0);
+            if seen >= STRAY_PART * expected && seen > 0.0 {
+                continue;
+            }
+            let kind = if expected >= CALLS_EXPECTED { &mut missed } else { &mut unsure };
+            *kind += expected;
+        }
+        if missed >= CALLS_MISSED {
+            CalledBy::Targets
+        } else if missed + unsure > STRAY_PART * self.total {
+            CalledBy::Unknown
+        } else {
+            CalledBy::Callers
+        }
+    }
+}
 
 /// From which services' machines the calls of each route come, as the gate that serves them sees it.
 #[derive(Clone, Debug, Default)]
 pub struct CallerShares {
-    by_route: HashMap<Arc<str>, HashMap<Arc<str>, f64>>,
+    by_route: HashMap<Arc<str>, RouteCallers>,
 }
 
 impl CallerShares {
     /// Counts a call of a route that entered at a machine of a service.
     pub fn count(&mut self, route: &Arc<str>, caller: &str) {
         let callers = self.by_route.entry(route.clone()).or_default();
-        match callers.get_mut(caller) {
+        match callers.by_service.get_mut(caller) {
             Some(calls) => *calls += 1.0,
             None => {
-                callers.insert(Arc::from(caller), 1.0);
+                callers.by_service.insert(Arc::from(caller), 1.0);
             }
         }
-        if callers.values().sum::<f64>() > CALLS_REMEMBERED {
-            callers.values_mut().for_each(|calls| *calls /= 2.0);
+        callers.total += 1.0;
+        callers.unjudged += 1;
+        if callers.total > CALLS_REMEMBERED {
+            callers.total /= 2.0;
+            callers.by_service.values_mut().for_each(|calls| *calls /= 2.0);
         }
     }
 
-    /// Who calls a route, if `machine_share` is the share of all machines that belong to a service.
-    pub fn called_by(&self, route: &str, machine_share: impl Fn(&str) -> f64) -> CalledBy {
-        let Some(callers) = self.by_route.get(route) else { return CalledBy::Unknown };
-        let total: f64 = callers.values().sum();
-        if total < CALLS_MISSED {
-            return CalledBy::Unknown;
-        }
-        let mut covered = 0.0;
-        for (service, calls) in callers {
-            let share = machine_share(service);
-            if *calls >= STRAY_PART * share * total {
-                covered += share;
-            }
-        }
-        if total * (1.0 - covered) >= CALLS_MISSED {
-            CalledBy::Targets
-        } else {
-            CalledBy::Callers
+    /// Who calls a route, judged by all services, each with its share of all machines.
+    pub fn called_by<'a, I: Iterator<Item = (&'a Arc<str>, f64)>>(
+        &mut self,
+        route: &str,
+        services: impl FnOnce() -> I,
+    ) -> CalledBy {
+        let Some(callers) = self.by_route.get_mut(route) else { return CalledBy::Unknown };
+        if callers.unjudged >= JUDGED_EVERY {
+            callers.unjudged = 0;
+            callers.judged = callers.judge(services());
         }
+        callers.judged
     }
 }
--- /dev/null
+++ b/crates/mesh/src/capacity.rs
@@ -0,0 +1,172 @@
+//! What is asked of a target, against what its slots can do, and the cut that follows from both.
+//!
+//! Each call carries the share with which calls like its root were let in. A call that was one of ten stands for ten, so what
+//! arrives tells how much would arrive if nothing were refused at entry (the Horvitz-Thompson estimator), whatever cut was in force
+//! when it entered. The cut is computed from that and needs no controller that tries higher and lower ones: a cut that takes a second
+//! to reach the entries does not swing. Calls whose route is cut lower for want of another service, further down, count only with the
+//! share that will arrive: slots that they can't use are left to others. A root fails with the first of its calls that is refused, and
+//! the calls that it would have made after that don't arrive; so what arrives is divided by the share that was not refused.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_types::Timestamp;
+
+use crate::cut::{Cut, LEAST_SHARE};
+use crate::gate::Load;
+
+/// The time over which demand is measured: some dozens of calls at a gate with a hundred calls a second.
+const MEASURED_OVER: f64 = 0.5;
+/// The time in which calls that wait are to be worked off besides those that arrive.
+const WORKED_OFF_IN: f64 = 0.5;
+/// The share of the slots' time that may be asked for. With some dozens of slots little waits up to here.
+const USED_PART: f64 = 0.92;
+/// The least part of the slots' time that is shared out, however many calls wait.
+const LEAST_PART: f64 = 0.05;
+/// The least weight of one call in the time that calls of its route hold a slot.
+const TIME_GAIN: f64 = 0.02;
+/// The greatest share of refused calls that is made up for.
+const MOST_REFUSED: f64 = 0.8;
+/// The calls that must have been seen for the share of refused ones to be believed wholly.
+const REFUSED_AMONG: f64 = 10.0;
+
+/// Calls of targets with one priority, fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Begun {
+    arrived: f64,
+    refused: f64,
+}
+
+impl Begun {
+    /// The share that was not refused.
+    fn taken(self) -> f64 {
+        1.0 - (self.refused / self.arrived.max(REFUSED_AMONG)).clamp(0.0, MOST_REFUSED)
+    }
+}
+
+/// The time for which calls of a route hold a slot.
+#[derive(Clone, Copy, Debug)]
+struct HeldTime {
+    seconds: f64,
+    measured: Timestamp,
+}
+
+/// Demand and capacity of one gate's target.
+#[derive(Clone, Debug)]
+pub struct CapacityMeter {
+    held: HashMap<Arc<str>, HeldTime>,
+    mean: f64,
+    /// Seconds of slots that were asked for, by route and priority; fading.
+    asked: HashMap<Arc<str>, BTreeMap<u8, f64>>,
+    /// Calls for which work was already done, by priority.
+    begun: BTreeMap<u8, Begun>,
+    faded: Timestamp,
+    started: Option<Timestamp>,
+}
+
+impl CapacityMeter {
+    /// A meter that has seen nothing.
+    pub fn new(now: Timestamp) -> Self {
+        CapacityMeter {
+            held: HashMap::new(),
+            mean: 0.0,
+            asked: HashMap::new(),
+            begun: BTreeMap::new(),
+            faded: now,
+            started: None,
+        }
+    }
+
+    /// A call arrives whose root was let in with `admitted_share` of those like it.
+    pub fn arrived(&mut self, route: &Arc<str>, priority: u8, admitted_share: f64, now: Timestamp) {
+        self.fade(now);
+        let Some(held) = self.held.get(route) else { return };
+        self.started.get_or_insert(now);
+        let asked = self.asked.entry(route.clone()).or_default().entry(priority).or_default();
+        *asked += held.seconds / admitted_share.clamp(LEAST_SHARE, 1.0);
+    }
+
+    /// A call that a target makes arrives.
+    pub fn begun_arrived(&mut self, priority: u8) {
+        self.begun.entry(priority).or_default().arrived += 1.0;
+    }
+
+    /// A call that a target makes was refused for want of a slot.
+    pub fn begun_refused(&mut self, priority: u8) {
+        self.begun.entry(priority).or_default().refused += 1.0;
+    }
+
+    /// A call has held its slot for `time`.
+    pub fn held(&mut self, route: &Arc<str>, time: Duration, now: Timestamp) {
+        let seconds = time.as_secs_f64();
+        let held = self.held.entry(route.clone()).or_insert(HeldTime { seconds, measured: now });
+        let replaced = 1.0 - (-now.since(held.measured).as_secs_f64() / MEASURED_OVER).exp();
+        held.seconds += replaced.max(TIME_GAIN) * (seconds - held.seconds);
+        held.measured = now;
+        if self.mean == 0.0 {
+            self.mean = seconds;
+        }
+        self.mean += TIME_GAIN * (seconds - self.mean);
+    }
+
+    /// The slots that are asked for at a time, by priority, if of the calls of each route those above `cut_of` it arrive.
+    pub fn demand(&mut self, priorities: u32, cut_of: impl Fn(&str) -> Cut, now: Timestamp) -> Vec<f64> {
+        self.fade(now);
+        let span = self.measured_span(now);
+        let mut demand = vec![0.0; priorities as usize];
+        for (route, asked) in &self.asked {
+            let cut = cut_of(route);
+            for (priority, seconds) in asked {
+                let Some(slots) = demand.get_mut(usize::from(*priority)) else { continue };
+                let taken = self.begun.get(priority).map_or(1.0, |begun| begun.taken());
+                *slots += seconds * cut.admitted_share(*priority, priorities) / taken / span;
+            }
+        }
+        demand
+    }
+
+    /// The cut with which the target can serve what arrives, if `priorities` are in use and calls of each route below `cut_of` it do
+    /// not arrive.
+    pub fn cut(&mut self, load: Load, priorities: u32, cut_of: impl Fn(&str) -> Cut, now: Timestamp) -> Cut {
+        let by_priority = self.demand(priorities, cut_of, now);
+        let demand: f64 = by_priority.iter().sum();
+        let slots = f64::from(load.limit);
+        let waiting = f64::from(load.waiting) * self.mean / WORKED_OFF_IN;
+        let capacity = (slots * USED_PART - waiting).max(slots * LEAST_PART);
+        if demand <= capacity {
+            return Cut::OPEN;
+        }
+        let mut left = capacity - LEAST_SHARE * demand;
+        let mut let_in = 0.0;
+        for asked in by_priority {
+            let asked = (1.0 - LEAST_SHARE) * asked;
+            if asked > left {
+                let_in += (left / asked).max(0.0);
+                break;
+            }
+            left -= asked;
+            let_in += 1.0;
+        }
+        Cut::after(let_in / f64::from(priorities.max(1)))
+    }
+
+    fn measured_span(&self, now: Timestamp) -> f64 {
+        let age = self.started.map_or(0.0, |started| now.since(started).as_secs_f64());
+        MEASURED_OVER * (1.0 - (-age.max(0.05) / MEASURED_OVER).exp())
+    }
+
+    fn fade(&mut self, now: Timestamp) {
+        let elapsed = now.since(self.faded).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        self.faded = now;
+        let kept = (-elapsed / MEASURED_OVER).exp();
+        self.asked.values_mut().flat_map(BTreeMap::values_mut).for_each(|asked| *asked *= kept);
+        for begun in self.begun.values_mut() {
+            begun.arrived *= kept;
+            begun.refused *= kept;
+        }
+    }
+}
--- a/crates/mesh/src/configuration.rs
+++ b/crates/mesh/src/configuration.rs
@@ -92,9 +92,10 @@
 }
 
 impl Configuration {
-    /// The number of the least important priority in use.
-    pub fn least_priority(&self) -> u8 {
-        self.hosts.values().flatten().map(|route| route.priority).max().unwrap_or(0)
+    /// How many priorities are in use, counted from the greatest to the least important one.
+    pub fn priorities(&self) -> u32 {
+        let least = self.hosts.values().flatten().map(|route| route.priority).max();
+        u32::from(least.unwrap_or(0)) + 1
     }
 }
 
--- a/crates/mesh/src/demand.rs
+++ b/crates/mesh/src/demand.rs
@@ -1,8 +1,8 @@
 //! Learns which routes the calls of a route call in turn.
 //!
-//! Where it is not known for which of its running calls a target makes one of its own, the call is shared out among the routes that
-//! run at that moment, by how many of them run and by how often calls of the route were made before; the shares settle on the
-//! true ones, since routes that never call also run while nothing is called.
+//! Where it is not known for which of its running calls a target makes one of its own, the call is shared out among the routes of
+//! those that it may be for ([`crate::parents`]), by how many of them run and by how often calls of the route were made before; the
+//! shares settle on the true ones, since routes that never call also run while nothing is called.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -63,21 +63,17 @@
         }
     }
 
-    /// The target makes a call of route `called`, for a call of route `parent` if that is known.
-    pub fn called(&mut self, called: &Arc<str>, parent: Option<&str>, now: Timestamp) {
+    /// The target makes a call of route `called` for a call of one of these routes, with the likelihood of each.
+    pub fn called<'a>(
+        &mut self,
+        called: &Arc<str>,
+        parents: impl IntoIterator<Item = (&'a Arc<str>, f64)>,
+        now: Timestamp,
+    ) {
         self.advance(now);
-        if let Some(parent) = parent.and_then(|parent| self.parents.get_mut(parent)) {
-            *parent.calls.entry(called.clone()).or_default() += 1.0;
-            return;
-        }
-        let weight = |parent: &Parent| f64::from(parent.running) * parent.rate(called);
-        let total: f64 = self.parents.values().map(weight).sum();
-        if total <= 0.0 {
-            return;
-        }
-        for parent in self.parents.values_mut().filter(|parent| parent.running > 0) {
-            let share = f64::from(parent.running) * parent.rate(called) / total;
-            *parent.calls.entry(called.clone()).or_default() += share;
+        for (route, likelihood) in parents {
+            let Some(parent) = self.parents.get_mut(route) else { continue };
+            *parent.calls.entry(called.clone()).or_default() += likelihood;
         }
     }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,14 +4,14 @@
 //! caller owns. A sidecar has an **edge**, which takes calls from callers and from its own target, and a **gate**, which
 //! stands before its own target; no agreement between nodes is needed for either.
 
-pub mod admission;
 pub mod balance;
 pub mod callers;
+pub mod capacity;
 pub mod configuration;
+pub mod cut;
 pub mod demand;
 pub mod gate;
 pub mod parents;
-pub mod pressure;
 pub mod queue;
 pub mod retry_budget;
 pub mod routing;
--- a/crates/mesh/src/parents.rs
+++ b/crates/mesh/src/parents.rs
@@ -1,7 +1,8 @@
 //! For which of its running calls a target makes a call of its own.
 //!
 //! A target's calls come from the same address as those of callers on its machine, and name no parent. Whether only targets call
-//! a route is reported by the gates that serve it ([`CalledBy`]). A call of such a route ends with its parent's deadline, unless the
+//! a route is reported by the gates that serve it ([`CalledBy`]); until they know, a call with the deadline of a running one is taken to
+//! be made for it. A call of a route that only targets call ends with its parent's deadline, unless the
 //! parent has more time left than the target ever gives a call of that route:
 //!
 //! - A call with less time than the most that was seen on its route has its parent's deadline, so its parent is the running call
@@ -34,15 +35,24 @@
     pub position: u8,
     /// Whether the call, or one above it, is sent to a target once more. Whatever is called below it arrives once more too.
     pub is_repeat: bool,
+    /// Of a thousand calls like the one that entered the graph, how many were let in.
+    pub admitted_permille: u16,
 }
 
+/// All calls were let in.
+pub const ALL_ADMITTED: u16 = 1000;
+
 /// What is likely of a call whose parent is one of several.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Likely {
+    /// The routes of the possible parents, with the likelihood of each.
+    pub routes: Vec<(Arc<str>, f64)>,
     /// The importance that weighs most among the possible parents.
     pub priority: u8,
     /// The share of repeated calls among them.
     pub repeated_share: f64,
+    /// Of a thousand calls like their roots, how many were let in.
+    pub admitted_permille: u16,
 }
 
 /// Who makes a call.
@@ -67,6 +77,8 @@
 struct Weight {
     all: f64,
     repeated: f64,
+    /// The calls for which they stand.
+    asked: f64,
 }
 
 /// The calls that run at the target, by the deadline that it was given.
@@ -101,8 +113,14 @@
         now: Timestamp,
         rate: impl Fn(&Arc<str>) -> f64,
     ) -> Origin {
-        if self.called_by.get(route) != Some(&CalledBy::Targets) {
-            return Origin::Caller;
+        match self.called_by.get(route).copied().unwrap_or_default() {
+            CalledBy::Callers => return Origin::Caller,
+            CalledBy::Unknown => {
+                let parent = self.nearest(route, now + time);
+                return parent
+                    .map_or(Origin::Caller, |(parent, lineage)| Origin::Parent(parent.clone(), lineage.clone()));
+            }
+            CalledBy::Targets => {}
         }
         let longest = self.longest.entry(route.clone()).or_default();
         *longest = time.max(*longest);
@@ -132,21 +150,30 @@
 
     fn likely(&self, route: &str, deadline: Timestamp, rate: impl Fn(&Arc<str>) -> f64) -> Option<Likely> {
         let from = RunningCall { deadline: deadline - LATER, sequence: 0 };
-        let mut rates: HashMap<&str, f64> = HashMap::new();
+        // Each route with the rate of its calls, and with the weight of all its possible parents.
+        let mut routes: BTreeMap<&Arc<str>, (f64, f64)> = BTreeMap::new();
         let mut weights: BTreeMap<u8, Weight> = BTreeMap::new();
         for (parent, lineage) in self.running.range(from..).map(|(_, parent)| parent) {
             if **parent == *route {
                 continue;
             }
-            let rate = *rates.entry(parent).or_insert_with(|| rate(parent));
+            let (rate, sum) = routes.entry(parent).or_insert_with(|| (rate(parent), 0.0));
+            let rate = *rate;
+            *sum += rate;
             let weight = weights.entry(lineage.priority).or_default();
             weight.all += rate;
             weight.repeated += if lineage.is_repeat { rate } else { 0.0 };
+            weight.asked += rate * f64::from(ALL_ADMITTED) / f64::from(lineage.admitted_permille.max(1));
         }
         let total: f64 = weights.values().map(|weight| weight.all).sum();
         let repeated: f64 = weights.values().map(|weight| weight.repeated).sum();
-        let (priority, _) = weights.iter().max_by(|one, other| one.1.all.total_cmp(&other.1.all))?;
+        let (priority, weight) = weights.iter().max_by(|one, other| one.1.all.total_cmp(&other.1.all))?;
         let repeated_share = if total > 0.0 { repeated / total } else { 0.0 };
-        Some(Likely { priority: *priority, repeated_share })
+        let admitted = if weight.asked > 0.0 { weight.all / weight.asked } else { 1.0 };
+        let admitted_permille = (admitted * f64::from(ALL_ADMITTED)).round() as u16;
+        let likelihood =
+            |(route, (_, sum)): (&Arc<str>, (f64, f64))| (route.clone(), sum / total.max(f64::MIN_POSITIVE));
+        let routes = routes.into_iter().map(likelihood).collect();
+        Some(Likely { routes, priority: *priority, repeated_share, admitted_permille })
     }
 }
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -9,11 +9,11 @@
 pub struct Rank {
     /// The importance of the call that entered the graph; 0 is the greatest.
     pub priority: u8,
-    /// Whether the call enters the graph here; calls of a running parent go first, since work was already done for them.
-    pub is_root: bool,
     /// The position of the call that entered the graph; all nodes serve the same ones first, so that little work is done for
     /// calls that are refused further down.
     pub position: u8,
+    /// Whether the call enters the graph here; calls of a running parent go first, since work was already done for them.
+    pub is_root: bool,
 }
 
 /// Identifies a waiting call.
--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -286,6 +286,12 @@
         self.by_id.values().filter(move |target| target.registration.address == address)
     }
 
+    /// The services with their shares of all targets.
+    pub fn machine_shares(&self) -> impl Iterator<Item = (&Arc<str>, f64)> {
+        let all = self.by_id.len().max(1) as f64;
+        self.by_service.iter().map(move |(service, members)| (service, members.len() as f64 / all))
+    }
+
     /// The addresses of the machines that hold a target, each once.
     pub fn machines(&self) -> Vec<IpAddr> {
         let mut machines: Vec<IpAddr> = self.by_id.values().map(|target| target.registration.address.ip()).collect();
--- /dev/null
+++ b/crates/mesh/tests/decisions/capacity.rs
@@ -0,0 +1,105 @@
+//! Demand, capacity, and the cut that follows.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::milliseconds;
+use quillhatch_mesh::capacity::CapacityMeter;
+use quillhatch_mesh::cut::{Cut, LEAST_SHARE};
+use quillhatch_mesh::gate::Load;
+use quillhatch_types::Timestamp;
+use test_case::test_case;
+
+const PRIORITIES: u32 = 3;
+const FULL: Load = Load { running: 20, limit: 20, waiting: 0 };
+/// How long a call holds its slot.
+const HELD: Duration = Duration::from_millis(20);
+
+/// Calls that arrive at a rate, of those of a priority that were let in with a share.
+struct Stream<'a> {
+    route: &'a Arc<str>,
+    priority: u8,
+    each_second: u32,
+    share: f64,
+}
+
+/// A meter at which the streams arrive for two seconds, 100 steps a second.
+fn meter_of(streams: &[Stream<'_>]) -> CapacityMeter {
+    let mut meter = CapacityMeter::new(Timestamp::ZERO);
+    for stream in streams {
+        meter.held(stream.route, HELD, Timestamp::ZERO);
+    }
+    let mut due = vec![0.0; streams.len()];
+    for step in 0..200 {
+        for (stream, due) in streams.iter().zip(&mut due) {
+            *due += f64::from(stream.each_second) * stream.share / 100.0;
+            while *due >= 1.0 {
+                meter.arrived(stream.route, stream.priority, stream.share, milliseconds(step * 10));
+                *due -= 1.0;
+            }
+        }
+    }
+    meter
+}
+
+fn cut(meter: &mut CapacityMeter, load: Load) -> f64 {
+    meter.cut(load, PRIORITIES, |_| Cut::OPEN, milliseconds(2_000)).share() * f64::from(PRIORITIES)
+}
+
+/// Work of the greatest importance takes 12 of 20 slots, the rest asks for 16.
+#[test_case(1.0; "nothing was refused yet")]
+#[test_case(0.4; "as much was refused as must be")]
+#[test_case(0.1; "too much was refused")]
+fn the_cut_follows_from_demand_whatever_cut_was_in_force(share: f64) {
+    let route: Arc<str> = Arc::from("read");
+    let first = Stream { route: &route, priority: 0, each_second: 600, share: 1.0 };
+    let last = Stream { route: &route, priority: 2, each_second: 800, share };
+    let cut = cut(&mut meter_of(&[first, last]), FULL);
+    assert!((2.2..2.5).contains(&cut), "the greatest whole, of the rest a good third: {cut}");
+}
+
+#[test]
+fn nothing_is_cut_while_all_of_it_fits() {
+    let route: Arc<str> = Arc::from("read");
+    let mut meter = meter_of(&[Stream { route: &route, priority: 2, each_second: 800, share: 1.0 }]);
+    assert!((cut(&mut meter, FULL) - f64::from(PRIORITIES)).abs() < f64::EPSILON);
+    let behind = Load { waiting: 200, ..FULL };
+    assert!(cut(&mut meter, behind) < 2.8, "what waits is to be worked off as well");
+}
+
+#[test]
+fn the_most_important_are_shared_out_if_they_alone_are_too_many() {
+    let route: Arc<str> = Arc::from("read");
+    let first = Stream { route: &route, priority: 0, each_second: 2_000, share: 1.0 };
+    let last = Stream { route: &route, priority: 2, each_second: 800, share: LEAST_SHARE };
+    let cut = cut(&mut meter_of(&[first, last]), FULL);
+    assert!((0.3..0.6).contains(&cut), "{cut}");
+}
+
+/// Roots of which every second fails with its first refused call leave out the calls that they would have made after it.
+#[test]
+fn calls_that_do_not_come_since_others_were_refused_are_made_up_for() {
+    let route: Arc<str> = Arc::from("read");
+    let stream = || Stream { route: &route, priority: 2, each_second: 800, share: 1.0 };
+    let mut meter = meter_of(&[stream()]);
+    for number in 0..400 {
+        meter.begun_arrived(2);
+        if number % 2 == 0 {
+            meter.begun_refused(2);
+        }
+    }
+    let cut = cut(&mut meter, FULL);
+    assert!((2.4..2.8).contains(&cut), "twice what arrives is asked for: {cut}");
+}
+
+/// Calls that another service's cut keeps away leave their slots to others.
+#[test]
+fn what_another_cut_keeps_away_counts_only_with_the_share_that_comes() {
+    let routes: [Arc<str>; 2] = ["parent of a scarce one", "other"].map(Arc::from);
+    let parent = Stream { route: &routes[0], priority: 2, each_second: 2_000, share: LEAST_SHARE };
+    let other = Stream { route: &routes[1], priority: 2, each_second: 700, share: 1.0 };
+    let mut meter = meter_of(&[parent, other]);
+    let cut_of = |route: &str| if route == &*routes[0] { Cut::after(0.5) } else { Cut::OPEN };
+    assert!(meter.cut(FULL, PRIORITIES, cut_of, milliseconds(2_000)).is_open());
+    assert!(!meter.cut(FULL, PRIORITIES, |_| Cut::OPEN, milliseconds(2_000)).is_open());
+}
--- a/crates/mesh/tests/decisions/gate.rs
+++ b/crates/mesh/tests/decisions/gate.rs
@@ -8,7 +8,7 @@
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
-const CALL_OF_A_TARGET: Rank = Rank { is_root: false, priority: 0, position: 200 };
+const CALL_OF_A_TARGET: Rank = Rank { is_root: false, priority: 0, position: 0 };
 
 const IMPORTANT_ROOT: Rank = Rank { is_root: true, priority: 0, position: 0 };
 
@@ -48,6 +48,21 @@
     assert_eq!(gate.load(), Load { running: 4, limit: 4, waiting: 0 });
 }
 
+/// In a shortage all gates serve the same roots first, whether their calls enter here or are made by targets.
+#[test]
+fn of_one_importance_the_lower_positions_go_first() {
+    let mut gate = full_gate();
+    let late = waits(&mut gate, Rank { position: 200, ..CALL_OF_A_TARGET });
+    let root = waits(&mut gate, Rank { position: 100, ..IMPORTANT_ROOT });
+    let early = waits(&mut gate, Rank { position: 100, ..CALL_OF_A_TARGET });
+    let mut order = Vec::new();
+    for _ in 0..3 {
+        gate.finish();
+        order.extend(gate.admit_next());
+    }
+    assert_eq!(order, [early, root, late]);
+}
+
 #[test]
 fn a_full_queue_gives_the_place_of_the_least_important() {
     let mut gate = full_gate();
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -1,9 +1,11 @@
 //! Decisions one by one, a module for each subject.
 
 mod balance;
+mod capacity;
+mod cut;
 mod gate;
 mod graph;
-mod pressure;
+
 mod retry_budget;
 mod routing;
 mod store_reader;
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -32,7 +32,7 @@
 /// The part of its objective for which a call may go without being offered to a target.
 pub(super) const UNOFFERED_PART: f64 = 0.22;
 
-/// The level of a route from which its service is not short of room: then a call takes long because of its target, and one more
+/// The cut of a route from which its service is not short of room: then a call takes long because of its target, and one more
 /// attempt does not add to an overload.
 const ROOM_FROM: f64 = 0.95;
 /// The mean times of a route that must be left for a slow attempt to be left for another.
@@ -128,7 +128,7 @@
     let now = node.now();
     node.balance.borrow_mut().reported(&target.id, report.load, now);
     if matches!(report.outcome, Outcome::Answered | Outcome::Full) {
-        node.levels.borrow_mut().report(&call.route.name, report.level, now);
+        node.cuts.borrow_mut().report(&call.route.name, report.cut, now);
     }
     node.parents.borrow_mut().report(&call.route.name, report.called_by);
     views::heard(node, target.registration.address.ip(), report.reach);
@@ -202,7 +202,7 @@
     let now = node.now();
     let Some(mean) = node.balance.borrow().route_time(&call.route.name) else { return false };
     call.is_inner
-        && node.levels.borrow().level(&call.route.name, now) >= ROOM_FROM
+        && node.cuts.borrow().cut(&call.route.name, now).share() >= ROOM_FROM
         && now.until(call.deadline) >= mean * TIMES_LEFT
 }
 
--- a/crates/sidecar/src/edge/entry.rs
+++ b/crates/sidecar/src/edge/entry.rs
@@ -8,18 +8,14 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::http::request::Parts;
 use hyper::StatusCode;
-use quillhatch_mesh::admission::{admission_probability, Entrant};
 use quillhatch_mesh::configuration::{Configuration, Route};
-use quillhatch_mesh::parents::{Lineage, Origin};
+use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
 use rand::Rng;
 
 use crate::node::Node;
 
-/// The share of the longest deadline of a route below which a caller is taken to ask again.
-const REPEAT_BELOW: f64 = 0.97;
-
 /// Who makes a call; a call of this node's target is noted in the graph of calls.
 pub(super) fn origin(node: &Node, route: &Route, peer: SocketAddr, given: Option<Duration>, now: Timestamp) -> Origin {
     if peer.ip() != node.settings.local_target.ip() {
@@ -32,9 +28,12 @@
         node.parents.borrow_mut().origin(&route.name, given, now, rate)
     };
     match &origin {
-        Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, Some(parent), now),
-        Origin::Target(_) => node.graph.borrow_mut().called(&route.name, None, now),
-        Origin::Caller => {}
+        Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, [(parent, 1.0)], now),
+        Origin::Target(Some(likely)) => {
+            let parents = likely.routes.iter().map(|(parent, likelihood)| (parent, *likelihood));
+            node.graph.borrow_mut().called(&route.name, parents, now);
+        }
+        Origin::Target(None) | Origin::Caller => {}
     }
     origin
 }
@@ -44,11 +43,19 @@
     match origin {
         Origin::Parent(_, lineage) => lineage.clone(),
         Origin::Target(likely) => Lineage {
-            priority: likely.map_or(route.priority, |likely| likely.priority),
+            priority: likely.as_ref().map_or(route.priority, |likely| likely.priority),
+            position: position(id),
+            is_repeat: likely
+                .as_ref()
+                .is_some_and(|likely| node.random.borrow_mut().gen_bool(likely.repeated_share.min(1.0))),
+            admitted_permille: likely.as_ref().map_or(ALL_ADMITTED, |likely| likely.admitted_permille),
+        },
+        Origin::Caller => Lineage {
+            priority: route.priority,
             position: position(id),
-            is_repeat: likely.is_some_and(|likely| node.random.borrow_mut().gen_bool(likely.repeated_share.min(1.0))),
+            is_repeat: false,
+            admitted_permille: ALL_ADMITTED,
         },
-        Origin::Caller => Lineage { priority: route.priority, position: position(id), is_repeat: false },
     }
 }
 
@@ -59,28 +66,15 @@
     hasher.finish() as u8
 }
 
-/// The level that refused a call which enters the graph here, if it is refused.
-pub(super) fn refused_at_entry(
-    node: &Node,
-    configuration: &Configuration,
-    route: &Route,
-    lineage: &Lineage,
-    given: Option<Duration>,
-    now: Timestamp,
-) -> Option<f64> {
-    let is_repeat = given.is_some_and(|given| {
-        let mut longest = node.longest_deadlines.borrow_mut();
-        let longest = longest.entry(route.name.clone()).or_default();
-        *longest = given.max(*longest);
-        given < longest.mul_f64(REPEAT_BELOW)
-    });
-    let level = node.levels.borrow().level(&route.name, now);
-    if level >= 0.999 {
-        return None;
-    }
-    let unimportance = f64::from(route.priority) / f64::from(configuration.least_priority().max(1));
-    let probability = admission_probability(Entrant { level, unimportance, is_repeat });
-    (f64::from(lineage.position) / 256.0 >= probability).then_some(level)
+/// The share of calls like this one that enter the graph here.
+pub(super) fn admitted_share(node: &Node, configuration: &Configuration, route: &Route, now: Timestamp) -> f64 {
+    node.cuts.borrow().cut(&route.name, now).admitted_share(route.priority, configuration.priorities())
+}
+
+/// Whether a call that enters the graph here is refused. The same ones are let in everywhere and all the while, as long as the
+/// share does not change.
+pub(super) fn is_refused(lineage: &Lineage, share: f64) -> bool {
+    f64::from(lineage.position) / 256.0 >= share
 }
 
 /// When a caller that was refused at entry is told to come back.
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -16,7 +16,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
 use quillhatch_mesh::configuration::Route;
-use quillhatch_mesh::parents::{Lineage, Origin};
+use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_mesh::routing::find_route;
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
@@ -26,7 +26,7 @@
 use crate::hop::HOP;
 use crate::node::Node;
 use answers::{own_answer, refuse};
-use entry::{entry_retry_after, lineage_of, malformed, origin, refused_at_entry};
+use entry::{admitted_share, entry_retry_after, is_refused, lineage_of, malformed, origin};
 
 /// The largest request that is kept to be sent again, in bytes.
 const KEPT_REQUEST_BYTES: usize = 64 * 1024;
@@ -95,7 +95,7 @@
         text(&parts.headers, headers::DEADLINE_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
     let time = given.map_or(route.timeout, |given| given.min(route.timeout));
     let origin = origin(node, &route, peer, given, arrived);
-    let lineage = lineage_of(node, &route, &origin, &id);
+    let mut lineage = lineage_of(node, &route, &origin, &id);
     let is_inner = origin != Origin::Caller;
     if !is_inner && node.refuses_callers.get() {
         node.log_failure(|| {
@@ -104,14 +104,16 @@
         return refuse(node, &id, "stopping", STOPPING_PAUSE, arrived);
     }
     if !is_inner {
-        if let Some(level) = refused_at_entry(node, &configuration, &route, &lineage, given, arrived) {
+        let share = admitted_share(node, &configuration, &route, arrived);
+        lineage.admitted_permille = (share * f64::from(ALL_ADMITTED)).round() as u16;
+        if is_refused(&lineage, share) {
             let version = configuration.version;
             node.log_failure(|| {
                 let name = &route.name;
-                let age = node.levels.borrow().age(name, arrived).unwrap_or_default().as_millis();
+                let age = node.cuts.borrow().age(name, arrived).unwrap_or_default().as_millis();
                 let position = lineage.position;
                 format!(
-                    "\"event\":\"refused\",\"id\":{id:?},\"route\":\"{name}\",\"level\":{level:.3},\"level_age_ms\":{age},\"position\":{position},\"version\":{version}"
+                    "\"event\":\"refused\",\"id\":{id:?},\"route\":\"{name}\",\"share\":{share:.3},\"share_age_ms\":{age},\"position\":{position},\"version\":{version}"
                 )
             });
             return refuse(node, &id, "shed", entry_retry_after(node), arrived);
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -6,6 +6,7 @@
 
 use hyper::Response;
 use quillhatch_mesh::configuration::Repeatability;
+use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::routing::choose_service;
 use quillhatch_mesh::targets::{Target, TargetId};
 
@@ -74,7 +75,7 @@
                 progress.tried.clear();
                 continue;
             }
-            node.levels.borrow_mut().report(&call.route.name, 0.0, now);
+            node.cuts.borrow_mut().report(&call.route.name, Cut::after(0.0), now);
             return give_up(&call, &progress, "no-target");
         };
         let runs_once = call.route.repeatability == Repeatability::AtMostOnce;
@@ -102,7 +103,8 @@
             }
             Attempt::Full => {
                 progress.full += 1;
-                if progress.full >= MOST_FULL_GATES {
+                // Where the whole service is short of room, the others have none either.
+                if progress.full >= MOST_FULL_GATES || !has_room(node, &call) {
                     return give_up(&call, &progress, "full");
                 }
             }
@@ -156,6 +158,11 @@
     open.filter(|other| other.id != target.id).any(|other| !tried.contains(&other.id))
 }
 
+/// Whether the services that calls of this route need are not short of room.
+fn has_room(node: &Node, call: &Call) -> bool {
+    node.cuts.borrow().cut(&call.route.name, node.now()).is_open()
+}
+
 /// The call is sent to a target once more; whatever is called below it is a repeat too.
 fn note_repeat(node: &Node, call: &mut Call) {
     call.lineage.is_repeat = true;
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -12,6 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::callers::CalledBy;
+use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::gate::Refusal;
 use quillhatch_mesh::parents::Lineage;
 use quillhatch_mesh::routing::find_route;
@@ -120,16 +121,7 @@
 fn report(node: &Node, call: &Call, outcome: Outcome, response: &mut Response<Body>) {
     let now = node.now();
     let load = node.gate.borrow().load();
-    let own = {
-        let mut pressure = node.pressure.borrow_mut();
-        pressure.observe(load, now);
-        pressure.level()
-    };
-    let called = call.route.as_ref().map_or(1.0, |route| {
-        let graph = node.graph.borrow();
-        let level = node.levels.borrow().least(graph.called_by(route), now);
-        level
-    });
+    let called = call.route.as_ref().map_or(Cut::OPEN, |route| node.called_cut(route, now));
     let present = match outcome {
         Outcome::Closed | Outcome::Rejected => {
             present_target::present(node).filter(|present| present.id != call.expected)
@@ -138,10 +130,10 @@
     };
     let called_by = call.route.as_ref().map_or(CalledBy::Unknown, |route| {
         let targets = node.targets.borrow();
-        let all = targets.len().max(1) as f64;
-        node.callers.borrow().called_by(route, |service| targets.of_service(service).len() as f64 / all)
+        node.callers.borrow_mut().called_by(route, || targets.machine_shares())
     });
-    let report = Report { outcome, load, level: own.min(called), called_by, reach: views::own_reach(node), present };
+    let report =
+        Report { outcome, load, cut: node.own_cut().lower(called), called_by, reach: views::own_reach(node), present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use quillhatch_mesh::gate::{Arrival, Refusal};
-use quillhatch_mesh::parents::{Lineage, RunningCall};
+use quillhatch_mesh::parents::{Lineage, RunningCall, ALL_ADMITTED};
 use quillhatch_mesh::queue::{Rank, Ticket};
 use quillhatch_types::Timestamp;
 use tokio::sync::oneshot;
@@ -14,9 +14,6 @@
 use crate::node::{Admitted, Node};
 use crate::present_target;
 
-/// The level below which all gates serve the same roots first.
-const SAME_ROOTS_BELOW: f64 = 0.9;
-
 /// A slot of the target; given back when dropped.
 pub struct Slot {
     node: Rc<Node>,
@@ -45,7 +42,9 @@
     fn drop(&mut self) {
         if let Some(running) = self.running.take() {
             let held = self.node.now().since(self.since);
-            self.node.pressure.borrow_mut().held(held);
+            if let Some(route) = &self.route {
+                self.node.capacity.borrow_mut().held(route, held, self.node.now());
+            }
             self.node.parents.borrow_mut().ended(running);
         }
         if let Some(route) = &self.route {
@@ -119,6 +118,13 @@
     }
 }
 
+/// A call of a target that is refused for want of room fails its parent, so the calls that this one would make later don't come.
+fn note_refusal(node: &Node, forwarded: &Forwarded, refusal: Refusal) {
+    if refusal == Refusal::Full && !forwarded.is_root {
+        node.capacity.borrow_mut().begun_refused(forwarded.lineage.priority);
+    }
+}
+
 /// Waits for a slot.
 pub(super) async fn admit(
     node: &Rc<Node>,
@@ -133,9 +139,17 @@
     if !present_target::takes(node, &call.expected) {
         return Err(Refusal::Closed);
     }
-    let Lineage { priority, position, .. } = forwarded.lineage;
+    let Lineage { priority, position, admitted_permille, .. } = forwarded.lineage;
+    if let Some(route) = &call.route {
+        let share = f64::from(admitted_permille) / f64::from(ALL_ADMITTED);
+        let mut capacity = node.capacity.borrow_mut();
+        capacity.arrived(route, priority, share, now);
+        if !forwarded.is_root {
+            capacity.begun_arrived(priority);
+        }
+    }
     // In the order of arrival while all that arrives can be served.
-    let position = if node.pressure.borrow().level() < SAME_ROOTS_BELOW { position } else { 0 };
+    let position = if node.own_cut().is_open() { 0 } else { position };
     let rank = Rank { priority, is_root: forwarded.is_root, position };
     let (arrival, displaced) = node.gate.borrow_mut().arrive(rank, forwarded.patience, now);
     if let Some(ticket) = displaced {
@@ -143,15 +157,18 @@
     }
     match arrival {
         Arrival::Runs => Ok(Slot::new(node, call.route.clone())),
-        Arrival::Refused(refusal) => Err(refusal),
+        Arrival::Refused(refusal) => {
+            note_refusal(node, forwarded, refusal);
+            Err(refusal)
+        }
         Arrival::Waits(ticket) => {
             let (sender, receiver) = oneshot::channel();
             node.waiting.borrow_mut().insert(ticket, sender);
-            node.pressure.borrow_mut().observe(node.gate.borrow().load(), now);
             node.gate_changed.notify_one();
             if !(Waiting { node, ticket, receiver }).admitted().await {
-                let closed = node.gate.borrow().is_closed();
-                return Err(if closed { Refusal::Closed } else { Refusal::Full });
+                let refusal = if node.gate.borrow().is_closed() { Refusal::Closed } else { Refusal::Full };
+                note_refusal(node, forwarded, refusal);
+                return Err(refusal);
             }
             let slot = Slot::new(node, call.route.clone());
             if present_target::takes(node, &call.expected) {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -7,12 +7,16 @@
 use std::time::Duration;
 
 use quillhatch_mesh::callers::CalledBy;
+use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 
 /// The name of the header.
 pub const HOP: &str = "quillhatch-hop";
 
+/// The steps in which a cut is told: fine enough for any number of priorities.
+const CUT_STEPS: f64 = 10_000.0;
+
 /// How far a node's view of the platform's store reaches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach {
@@ -49,10 +53,11 @@
 impl Forwarded {
     /// The header's text.
     pub fn encode(&self) -> String {
-        let Lineage { priority, position, is_repeat } = self.lineage;
+        let Lineage { priority, position, is_repeat, admitted_permille } = self.lineage;
         let (is_root, is_repeat) = (u8::from(self.is_root), u8::from(is_repeat));
         let patience = self.patience.as_millis();
-        format!("{is_root};{priority};{position};{is_repeat};{patience};{}", self.reach.encode())
+        let reach = self.reach.encode();
+        format!("{is_root};{priority};{position};{is_repeat};{admitted_permille};{patience};{reach}")
     }
 
     /// Reads the header's text.
@@ -60,7 +65,8 @@
         let mut parts = text.split(';');
         let is_root = parts.next()? == "1";
         let (priority, position) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
-        let lineage = Lineage { priority, position, is_repeat: parts.next()? == "1" };
+        let (is_repeat, admitted_permille) = (parts.next()? == "1", parts.next()?.parse().ok()?);
+        let lineage = Lineage { priority, position, is_repeat, admitted_permille };
         let patience = Duration::from_millis(parts.next()?.parse().ok()?);
         let reach = Reach::decode(parts.next()?)?;
         Some(Forwarded { is_root, lineage, patience, reach })
@@ -125,8 +131,8 @@
     pub outcome: Outcome,
     /// The gate's load.
     pub load: Load,
-    /// The share of the route's calls that can be served.
-    pub level: f64,
+    /// Where the route's calls are to be cut where they enter.
+    pub cut: Cut,
     /// Who calls the route.
     pub called_by: CalledBy,
     /// How far the gate's view of the store reaches.
@@ -164,10 +170,10 @@
     /// The header's text.
     pub fn encode(&self) -> String {
         let Load { running, limit, waiting } = self.load;
-        let level = (self.level * 1000.0).round() as u32;
+        let cut = (self.cut.share() * CUT_STEPS).round() as u32;
         let called_by = encode_called_by(self.called_by);
         let letter = self.outcome.letter();
-        let mut text = format!("{letter};{running};{limit};{waiting};{level};{called_by};{}", self.reach.encode());
+        let mut text = format!("{letter};{running};{limit};{waiting};{cut};{called_by};{}", self.reach.encode());
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -180,13 +186,13 @@
         let outcome = Outcome::of(parts.next()?)?;
         let mut number = || parts.next()?.parse::<u64>().ok();
         let load = Load { running: number()? as u32, limit: number()? as u32, waiting: number()? as u32 };
-        let level = number()? as f64 / 1000.0;
+        let cut = Cut::after(number()? as f64 / CUT_STEPS);
         let called_by = decode_called_by(number()?);
         let reach = Reach::decode(parts.next()?)?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, level, called_by, reach, present })
+        Some(Report { outcome, load, cut, called_by, reach, present })
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -9,11 +9,12 @@
 
 use quillhatch_mesh::balance::Balance;
 use quillhatch_mesh::callers::CallerShares;
+use quillhatch_mesh::capacity::CapacityMeter;
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
+use quillhatch_mesh::cut::{Cut, RouteCuts};
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::Gate;
 use quillhatch_mesh::parents::Parents;
-use quillhatch_mesh::pressure::{Pressure, RouteLevels};
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
 use quillhatch_mesh::settings::SidecarSettings;
@@ -71,8 +72,8 @@
     pub targets_known: Cell<bool>,
     /// What is known of other targets.
     pub balance: RefCell<Balance>,
-    /// The levels of routes.
-    pub levels: RefCell<RouteLevels>,
+    /// Where the calls of routes are cut.
+    pub cuts: RefCell<RouteCuts>,
     /// Which routes the calls of a route call.
     pub graph: RefCell<CallGraph>,
     /// The calls that run at this node's target.
@@ -81,14 +82,12 @@
     pub callers: RefCell<CallerShares>,
     /// The gate before this node's target.
     pub gate: RefCell<Gate>,
-    /// The gate's own level.
-    pub pressure: RefCell<Pressure>,
+    /// What is asked of this node's target.
+    pub capacity: RefCell<CapacityMeter>,
     /// Calls that wait at the gate.
     pub waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admitted>>>,
     /// Repeats by service.
     pub budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
-    /// The longest time that callers of each route give; shorter ones come from callers that ask again.
-    pub longest_deadlines: RefCell<HashMap<Arc<str>, Duration>>,
     /// Connections to other nodes.
     pub peers: Rc<Pool>,
     /// Connections to this node's target.
@@ -173,15 +172,14 @@
             verifying: tokio::sync::Mutex::default(),
             targets_known: Cell::new(false),
             balance: RefCell::default(),
-            levels: RefCell::default(),
+            cuts: RefCell::default(),
             graph: RefCell::new(CallGraph::new(now)),
             parents: RefCell::default(),
             callers: RefCell::default(),
             gate: RefCell::new(Gate::new(FALLBACK_SLOTS)),
-            pressure: RefCell::new(Pressure::new(now)),
+            capacity: RefCell::new(CapacityMeter::new(now)),
             waiting: RefCell::default(),
             budgets: RefCell::default(),
-            longest_deadlines: RefCell::default(),
             peers: Pool::new(peers),
             target: Pool::new(target),
             store: Pool::new(store),
@@ -219,6 +217,19 @@
         self.configuration.borrow().current().cloned()
     }
 
+    /// The cut with which this node's target can serve what arrives.
+    pub fn own_cut(&self) -> Cut {
+        let priorities = self.current_configuration().map_or(1, |configuration| configuration.priorities());
+        let load = self.gate.borrow().load();
+        let now = self.now();
+        self.capacity.borrow_mut().cut(load, priorities, |route| self.called_cut(route, now), now)
+    }
+
+    /// The lowest cut of the routes that calls of `route` call.
+    pub fn called_cut(&self, route: &str, now: Timestamp) -> Cut {
+        self.cuts.borrow().lowest(self.graph.borrow().called_by(route), now)
+    }
+
     /// Whether the node can serve callers.
     pub fn is_ready(&self) -> bool {
         self.stage.get() == Stage::Serving
@@ -261,7 +272,7 @@
             ("gate_running", f64::from(load.running)),
             ("gate_limit", f64::from(load.limit)),
             ("gate_waiting", f64::from(load.waiting)),
-            ("gate_level", self.pressure.borrow().level()),
+            ("gate_cut", self.own_cut().share()),
             ("edge_running", self.edge_calls.get() as f64),
             ("ready", f64::from(u8::from(self.is_ready()))),
         ];
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use quillhatch_mesh::cut::Cut;
 use support::caller::{call, request};
 use support::store::{Mode, StandInStore};
 use support::target::Habit;
@@ -97,17 +98,17 @@
         assert!(lines_of("given-up", "load-").iter().any(|line| line["may_have_run"] == false));
         for route in ["read"] {
             for _ in 0..200 {
-                beta.node().levels.borrow_mut().report(&route.into(), 0.0, beta.node().now());
+                beta.node().cuts.borrow_mut().report(&route.into(), Cut::after(0.0), beta.node().now());
             }
         }
         let mut number = 0;
         while lines_of("refused", "shed-").is_empty() {
             call(beta.outbound(), &read(&format!("shed-{number}"))).await;
             number += 1;
-            assert!(number < 50, "a level of zero refuses most calls");
+            assert!(number < 50, "a cut at zero refuses most calls");
         }
         let refused = one("refused", "shed-");
-        for field in ["level", "level_age_ms", "position", "version", "route"] {
+        for field in ["share", "share_age_ms", "position", "version", "route"] {
             assert!(!refused[field].is_null(), "{field} of {refused}");
         }
 
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::callers::CalledBy;
+use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 use quillhatch_sidecar::counters::Counters;
@@ -15,7 +16,7 @@
 fn what_an_edge_tells_a_gate_is_read_as_it_was_written() {
     let forwarded = Forwarded {
         is_root: true,
-        lineage: Lineage { priority: 2, position: 255, is_repeat: true },
+        lineage: Lineage { priority: 2, position: 255, is_repeat: true, admitted_permille: 250 },
         patience: Duration::from_millis(330),
         reach: Reach { revision: 77, is_cut_off: true },
     };
@@ -30,7 +31,7 @@
             let report = Report {
                 outcome,
                 load: Load { running: 3, limit: 36, waiting: 144 },
-                level: 0.125,
+                cut: Cut::after(0.125),
                 called_by: CalledBy::Targets,
                 reach: Reach { revision: 0, is_cut_off: false },
                 present,
