Balance: a call stays in its zone as long as its objective allows; all of the slots' time is shared out

Change: staying may cost 0.15 of the objective, at most two mean times; a busy target is left as before.

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -12,12 +12,21 @@
 
 /// The targets of the own zone, and of the others together, that are looked at for one attempt.
 const LOOKED_AT: usize = 12;
-/// What an attempt in another zone costs besides its time, as a share of the mean time of its route.
-const OTHER_ZONE_COST: f64 = 0.15;
+/// The part of a call's objective that staying in the own zone may cost. A call has several hops, and an answer that comes sooner
+/// than its objective is worth no more, while bytes between zones are paid for.
+const LOCALITY_PART: f64 = 0.15;
+/// What an attempt in another zone costs besides its time, as a multiple of the mean time of its route: at least the way there and back,
+/// and no more than a target of the own zone that works at a third of the usual speed.
+const OTHER_ZONE_COSTS: (f64, f64) = (0.15, 2.0);
 /// The utilization from which waiting is expected at a target.
 const BUSY_FROM: f64 = 0.7;
 /// How much a target at full utilization costs more than an idle one, as a share of the mean time.
 const BUSY_COST: f64 = 2.0;
+/// What a failed attempt costs, as a multiple of the mean time of its route: the call is lost or done again, and the work above it too. A
+/// target that fails a tenth of its calls is as good as one that takes twice the time, and takes what the others can't.
+const FAILURE_COST: f64 = 10.0;
+/// The time after which the health of a target that is not used is half forgotten, so that it is tried again.
+const HEALTH_MEMORY: Duration = Duration::from_millis(1500);
 /// The weight of one answer in the measured speed of its target.
 const SPEED_GAIN: f64 = 0.05;
 /// The weight of one answer in the mean time of its route.
@@ -54,7 +63,8 @@
     speed_at: Timestamp,
     answers: u32,
     load: Load,
-    load_at: Timestamp,
+    health: f64,
+    reported_at: Timestamp,
     avoided_until: Timestamp,
     failures: u32,
     heard: Timestamp,
@@ -68,7 +78,8 @@
             speed_at: Timestamp::ZERO,
             answers: 0,
             load: Load::default(),
-            load_at: Timestamp::ZERO,
+            health: 1.0,
+            reported_at: Timestamp::ZERO,
             avoided_until: Timestamp::ZERO,
             failures: 0,
             heard: Timestamp::ZERO,
@@ -76,6 +87,15 @@
     }
 }
 
+/// From where a call is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    /// The own zone.
+    pub zone: &'a str,
+    /// What an attempt in another zone costs besides its time, as a multiple of the mean time of the call's route.
+    pub other_zone_cost: f64,
+}
+
 /// The mean time of a route's calls.
 #[derive(Clone, Copy, Debug, Default)]
 struct RouteTime {
@@ -107,10 +127,11 @@
         &self,
         targets: &[Arc<Target>],
         tried: &[TargetId],
-        zone: &str,
+        place: Place<'_>,
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<Arc<Target>> {
+        let zone = place.zone;
         let is_open = |target: &&Arc<Target>| !target.registration.draining && !tried.contains(&target.id);
         // Of a large service some targets are looked at, beginning at a random place; of a small one all.
         let begin = random.gen_range(0..targets.len().max(1));
@@ -120,20 +141,29 @@
         let far = open.filter(|target| *target.registration.zone != *zone).take(LOOKED_AT);
         let costed = near.chain(far).map(|target| {
             let avoided = self.views.get(&target.id).is_some_and(|view| view.avoided_until > now);
-            (avoided, self.cost(target, zone, now) * random.gen_range(1.0..1.0 + VARIATION), target)
+            (avoided, self.cost(target, place, now) * random.gen_range(1.0..1.0 + VARIATION), target)
         });
         let best = costed.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
         best.map(|(_, _, target)| target.clone())
     }
 
-    fn cost(&self, target: &Target, zone: &str, now: Timestamp) -> f64 {
+    fn cost(&self, target: &Target, place: Place<'_>, now: Timestamp) -> f64 {
         let view = self.views.get(&target.id);
         let speed = view.map_or(UNKNOWN_SPEED, |view| remembered_speed(view, now));
         let cold = if target.cold_until > now { COLD_FACTOR } else { 1.0 };
         let utilization = view.map_or(0.0, |view| utilization(view, target.registration.slots, now));
         let busy = BUSY_COST * ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).max(0.0);
-        let distance = if *target.registration.zone == *zone { 0.0 } else { OTHER_ZONE_COST };
-        speed * cold * (1.0 + busy) + distance
+        let distance = if *target.registration.zone == *place.zone { 0.0 } else { place.other_zone_cost };
+        let failures = FAILURE_COST * (1.0 - view.map_or(1.0, |view| remembered_health(view, now)));
+        speed * cold * (1.0 + busy) + distance + failures
+    }
+
+    /// The place from which a call of `route` with this objective is sent.
+    pub fn place<'a>(&self, zone: &'a str, route: &str, objective: Duration) -> Place<'a> {
+        let (least, most) = OTHER_ZONE_COSTS;
+        let mean = self.route_time(route).unwrap_or(UNKNOWN_TIME).as_secs_f64();
+        let borne = LOCALITY_PART * objective.as_secs_f64() / mean.max(1e-3);
+        Place { zone, other_zone_cost: borne.clamp(least, most) }
     }
 
     /// Notes that an attempt goes to a target.
@@ -177,11 +207,12 @@
         view.speed_at = now;
     }
 
-    /// Takes the load that a target's gate has told.
-    pub fn reported(&mut self, target: &TargetId, load: Load, now: Timestamp) {
+    /// Takes the load that a target's gate has reported, and the share of the target's answers that are good.
+    pub fn reported(&mut self, target: &TargetId, load: Load, health: f64, now: Timestamp) {
         let view = self.views.entry(target.clone()).or_default();
         view.load = load;
-        view.load_at = now;
+        view.health = health;
+        view.reported_at = now;
         view.heard = now;
     }
 
@@ -233,8 +264,13 @@
     1.0 + (view.speed - 1.0) * 0.5_f64.powf(age)
 }
 
+fn remembered_health(view: &TargetView, now: Timestamp) -> f64 {
+    let age = now.since(view.reported_at).as_secs_f64() / HEALTH_MEMORY.as_secs_f64();
+    1.0 - (1.0 - view.health) * 0.5_f64.powf(age)
+}
+
 fn utilization(view: &TargetView, slots: u32, now: Timestamp) -> f64 {
-    let age = now.since(view.load_at).as_secs_f64() / LOAD_MEMORY.as_secs_f64();
+    let age = now.since(view.reported_at).as_secs_f64() / LOAD_MEMORY.as_secs_f64();
     let reported = view.load.utilization() * (1.0 - age).max(0.0);
     let own = f64::from(view.in_flight) / f64::from(slots.max(1));
     reported.max(own)
--- a/crates/mesh/src/capacity.rs
+++ b/crates/mesh/src/capacity.rs
@@ -18,10 +18,11 @@
 
 /// The time over which demand is measured: some dozens of calls at a gate with a hundred calls a second.
 const MEASURED_OVER: f64 = 0.5;
-/// The time in which calls that wait are to be worked off besides those that arrive.
-const WORKED_OFF_IN: f64 = 0.5;
-/// The share of the slots' time that may be asked for. With some dozens of slots little waits up to here.
-const USED_PART: f64 = 0.92;
+/// The time in which calls that wait are to be worked off besides those that arrive. One waiting call a slot takes a few hundredths of
+/// the slots' time away, so a queue stays short.
+const WORKED_OFF_IN: f64 = 0.25;
+/// The share of the slots' time that may be asked for. What waits is taken off it, so the whole may be shared out.
+const USED_PART: f64 = 1.0;
 /// The least part of the slots' time that is shared out, however many calls wait.
 const LEAST_PART: f64 = 0.05;
 /// The least weight of one call in the time that calls of its route hold a slot.
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cut;
 pub mod demand;
 pub mod gate;
+pub mod health;
 pub mod parents;
 pub mod queue;
 pub mod retry_budget;
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod cut;
 mod gate;
 mod graph;
+mod health;
 
 mod retry_budget;
 mod routing;
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -126,7 +126,7 @@
     let report = response.headers().get(HOP).and_then(|value| value.to_str().ok()).and_then(Report::decode);
     let Some(report) = report else { return Attempt::Broken("an answer without a report".to_owned()) };
     let now = node.now();
-    node.balance.borrow_mut().reported(&target.id, report.load, now);
+    node.balance.borrow_mut().reported(&target.id, report.load, report.health, now);
     if matches!(report.outcome, Outcome::Answered | Outcome::Full) {
         node.cuts.borrow_mut().report(&call.route.name, report.cut, now);
     }
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -140,5 +140,9 @@
     let deadline = arrived + time;
     let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, arrived, deadline };
     let _root = (!is_inner).then(|| Counted::new(&node.root_calls));
-    run::run(node, call, body).await
+    let response = run::run(node, call, body).await;
+    if is_inner && response.status().is_server_error() {
+        node.health.borrow_mut().call_failed(node.now());
+    }
+    response
 }
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -69,7 +69,7 @@
             let why = if progress.may_have_run() { "late" } else { "late-not-run" };
             return give_up(&call, &progress, why);
         }
-        let Some(target) = choose_target(node, &service, &progress.tried) else {
+        let Some(target) = choose_target(node, &call, &service, &progress.tried) else {
             if progress.full == 0 && now < offer_until && !progress.may_have_run() {
                 tokio::time::sleep(UNREACHABLE_PAUSE).await;
                 progress.tried.clear();
@@ -144,11 +144,13 @@
     }
 }
 
-fn choose_target(node: &Node, service: &str, tried: &[TargetId]) -> Option<Arc<Target>> {
+fn choose_target(node: &Node, call: &Call, service: &str, tried: &[TargetId]) -> Option<Arc<Target>> {
     let targets = node.targets.borrow();
     let members = targets.of_service(service);
     let mut random = node.random.borrow_mut();
-    node.balance.borrow().choose(members, tried, &node.settings.zone, node.now(), &mut *random)
+    let balance = node.balance.borrow();
+    let place = balance.place(&node.settings.zone, &call.route.name, call.route.objective);
+    balance.choose(members, tried, place, node.now(), &mut *random)
 }
 
 /// Whether the service has a target besides this one that was not tried yet.
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -77,6 +77,7 @@
         Ok(slot) => run(&node, &call, parts, body, slot, forwarded.lineage).await,
         Err(refusal) => Err((outcome_of(refusal), "not admitted".to_owned())),
     };
+    note_health(&node, &outcome);
     match outcome {
         Ok(mut response) => {
             node.counters.gate_ended("answered");
@@ -107,6 +108,19 @@
     }
 }
 
+/// Counts whether the target gave a good answer. One that is late may be late for the calls that it made.
+fn note_health(node: &Node, outcome: &Result<Response<Body>, Failure>) {
+    let now = node.now();
+    let mut health = node.health.borrow_mut();
+    match outcome {
+        Ok(response) if response.status() == StatusCode::GATEWAY_TIMEOUT => {}
+        Ok(response) if response.status().is_server_error() => health.error(now),
+        Ok(_) => health.good(now),
+        Err((Outcome::Rejected | Outcome::Broken, _)) => health.bad(now),
+        Err(_) => {}
+    }
+}
+
 fn log_failure(node: &Node, call: &Call, outcome: Outcome, why: &str, arrived: Timestamp) {
     node.log_failure(|| {
         let load = node.gate.borrow().load();
@@ -132,8 +146,16 @@
         let targets = node.targets.borrow();
         node.callers.borrow_mut().called_by(route, || targets.machine_shares())
     });
-    let report =
-        Report { outcome, load, cut: node.own_cut().lower(called), called_by, reach: views::own_reach(node), present };
+    let health = node.health.borrow_mut().share(now);
+    let report = Report {
+        outcome,
+        load,
+        cut: node.own_cut().lower(called),
+        health,
+        called_by,
+        reach: views::own_reach(node),
+        present,
+    };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -16,6 +16,8 @@
 
 /// The steps in which a cut is told: fine enough for any number of priorities.
 const CUT_STEPS: f64 = 10_000.0;
+/// The steps in which the share of good answers is told.
+const HEALTH_STEPS: f64 = 100.0;
 
 /// How far a node's view of the platform's store reaches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +135,8 @@
     pub load: Load,
     /// Where the route's calls are to be cut where they enter.
     pub cut: Cut,
+    /// The share of the target's answers that are good.
+    pub health: f64,
     /// Who calls the route.
     pub called_by: CalledBy,
     /// How far the gate's view of the store reaches.
@@ -171,9 +175,11 @@
     pub fn encode(&self) -> String {
         let Load { running, limit, waiting } = self.load;
         let cut = (self.cut.share() * CUT_STEPS).round() as u32;
+        let health = (self.health * HEALTH_STEPS).round() as u32;
         let called_by = encode_called_by(self.called_by);
         let letter = self.outcome.letter();
-        let mut text = format!("{letter};{running};{limit};{waiting};{cut};{called_by};{}", self.reach.encode());
+        let mut text =
+            format!("{letter};{running};{limit};{waiting};{cut};{health};{called_by};{}", self.reach.encode());
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -187,12 +193,13 @@
         let mut number = || parts.next()?.parse::<u64>().ok();
         let load = Load { running: number()? as u32, limit: number()? as u32, waiting: number()? as u32 };
         let cut = Cut::after(number()? as f64 / CUT_STEPS);
+        let health = number()? as f64 / HEALTH_STEPS;
         let called_by = decode_called_by(number()?);
         let reach = Reach::decode(parts.next()?)?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, cut, called_by, reach, present })
+        Some(Report { outcome, load, cut, health, called_by, reach, present })
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,6 +14,7 @@
 use quillhatch_mesh::cut::{Cut, RouteCuts};
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::Gate;
+use quillhatch_mesh::health::AnswerHealth;
 use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
@@ -84,6 +85,8 @@
     pub gate: RefCell<Gate>,
     /// What is asked of this node's target.
     pub capacity: RefCell<CapacityMeter>,
+    /// Whether this node's target gives good answers.
+    pub health: RefCell<AnswerHealth>,
     /// Calls that wait at the gate.
     pub waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admitted>>>,
     /// Repeats by service.
@@ -178,6 +181,7 @@
             callers: RefCell::default(),
             gate: RefCell::new(Gate::new(FALLBACK_SLOTS)),
             capacity: RefCell::new(CapacityMeter::new(now)),
+            health: RefCell::new(AnswerHealth::new(now)),
             waiting: RefCell::default(),
             budgets: RefCell::default(),
             peers: Pool::new(peers),
@@ -273,6 +277,7 @@
             ("gate_limit", f64::from(load.limit)),
             ("gate_waiting", f64::from(load.waiting)),
             ("gate_cut", self.own_cut().share()),
+            ("target_health", self.health.borrow_mut().share(self.now())),
             ("edge_running", self.edge_calls.get() as f64),
             ("ready", f64::from(u8::from(self.is_ready()))),
         ];
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -32,6 +32,7 @@
                 outcome,
                 load: Load { running: 3, limit: 36, waiting: 144 },
                 cut: Cut::after(0.125),
+                health: 0.75,
                 called_by: CalledBy::Targets,
                 reach: Reach { revision: 0, is_cut_off: false },
                 present,
