--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -12,9 +12,9 @@
 
 /// The targets of the own zone, and of the others together, that are looked at for one attempt.
 const LOOKED_AT: usize = 12;
-/// The part of a call's objective that staying in the own zone may cost. A call has several hops, and an answer that comes sooner
+/// The part of a call's time that staying in the own zone may cost. A call has several hops, and an answer that comes sooner
 /// than its objective is worth no more, while bytes between zones are paid for.
-const LOCALITY_PART: f64 = 0.15;
+const LOCALITY_PART: f64 = 0.1;
 /// What an attempt in another zone costs besides its time, as a multiple of the mean time of its route: at least the way there and back,
 /// and no more than a target of the own zone that works at a third of the usual speed.
 const OTHER_ZONE_COSTS: (f64, f64) = (0.15, 2.0);
@@ -22,6 +22,9 @@
 const BUSY_FROM: f64 = 0.7;
 /// How much a target at full utilization costs more than an idle one, as a share of the mean time.
 const BUSY_COST: f64 = 2.0;
+/// How much more a target costs at which as many calls wait as run, as a share of the mean time. They take the mean time once; reports are
+/// late and others choose the same target meanwhile, so waiting counts twice.
+const QUEUE_COST: f64 = 2.0;
 /// What a failed attempt costs, as a multiple of the mean time of its route: the call is lost or done again, and the work above it too. A
 /// target that fails a tenth of its calls is as good as one that takes twice the time, and takes what the others can't.
 const FAILURE_COST: f64 = 10.0;
@@ -152,17 +155,18 @@
         let speed = view.map_or(UNKNOWN_SPEED, |view| remembered_speed(view, now));
         let cold = if target.cold_until > now { COLD_FACTOR } else { 1.0 };
         let utilization = view.map_or(0.0, |view| utilization(view, target.registration.slots, now));
-        let busy = BUSY_COST * ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).max(0.0);
+        let busy = BUSY_COST * ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).clamp(0.0, 1.0);
+        let queue = QUEUE_COST * (utilization - 1.0).max(0.0);
         let distance = if *target.registration.zone == *place.zone { 0.0 } else { place.other_zone_cost };
         let failures = FAILURE_COST * (1.0 - view.map_or(1.0, |view| remembered_health(view, now)));
-        speed * cold * (1.0 + busy) + distance + failures
+        speed * cold * (1.0 + busy + queue) + distance + failures
     }
 
-    /// The place from which a call of `route` with this objective is sent.
-    pub fn place<'a>(&self, zone: &'a str, route: &str, objective: Duration) -> Place<'a> {
+    /// The place from which a call of `route` is sent that is to be answered in `time`.
+    pub fn place<'a>(&self, zone: &'a str, route: &str, time: Duration) -> Place<'a> {
         let (least, most) = OTHER_ZONE_COSTS;
         let mean = self.route_time(route).unwrap_or(UNKNOWN_TIME).as_secs_f64();
-        let borne = LOCALITY_PART * objective.as_secs_f64() / mean.max(1e-3);
+        let borne = LOCALITY_PART * time.as_secs_f64() / mean.max(1e-3);
         Place { zone, other_zone_cost: borne.clamp(least, most) }
     }
 
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -149,8 +149,10 @@
     let members = targets.of_service(service);
     let mut random = node.random.borrow_mut();
     let balance = node.balance.borrow();
-    let place = balance.place(&node.settings.zone, &call.route.name, call.route.objective);
-    balance.choose(members, tried, place, node.now(), &mut *random)
+    let now = node.now();
+    let time = call.route.objective.min(now.until(call.deadline));
+    let place = balance.place(&node.settings.zone, &call.route.name, time);
+    balance.choose(members, tried, place, now, &mut *random)
 }
 
 /// Whether the service has a target besides this one that was not tried yet.
