--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use crate::gate::Load;
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::targets::{Target, TargetId};
 
 /// The targets of the own zone, and of the others together, that are looked at for one attempt.
@@ -120,9 +121,15 @@
 pub struct Balance {
     views: HashMap<TargetId, TargetView>,
     route_times: HashMap<Arc<str>, RouteTime>,
+    mechanisms: Mechanisms,
 }
 
 impl Balance {
+    /// A balance that knows nothing yet, with the mechanisms that are on.
+    pub fn new(mechanisms: Mechanisms) -> Self {
+        Balance { mechanisms, ..Balance::default() }
+    }
+
     /// The target with the lowest cost among `targets` that is neither leaving nor named in `tried`.
     ///
     /// Targets that failed a moment ago are left out unless there is no other.
@@ -152,13 +159,19 @@
 
     fn cost(&self, target: &Target, place: Place<'_>, now: Timestamp) -> f64 {
         let view = self.views.get(&target.id);
+        let counts = |mechanism, cost| if self.mechanisms.has(mechanism) { cost } else { 0.0 };
         let speed = view.map_or(UNKNOWN_SPEED, |view| remembered_speed(view, now));
-        let cold = if target.cold_until > now { COLD_FACTOR } else { 1.0 };
+        let speed = if self.mechanisms.has(Mechanism::SpeedBalance) { speed } else { 1.0 };
+        let cold = if target.cold_until > now { COLD_FACTOR - 1.0 } else { 0.0 };
+        let cold = 1.0 + counts(Mechanism::ColdStart, cold);
         let utilization = view.map_or(0.0, |view| utilization(view, target.registration.slots, now));
+        let utilization = counts(Mechanism::LoadBalance, utilization);
         let busy = BUSY_COST * ((utilization - BUSY_FROM) / (1.0 - BUSY_FROM)).clamp(0.0, 1.0);
         let queue = QUEUE_COST * (utilization - 1.0).max(0.0);
         let distance = if *target.registration.zone == *place.zone { 0.0 } else { place.other_zone_cost };
         let failures = FAILURE_COST * (1.0 - view.map_or(1.0, |view| remembered_health(view, now)));
+        let distance = counts(Mechanism::ZoneBalance, distance);
+        let failures = counts(Mechanism::HealthBalance, failures);
         speed * cold * (1.0 + busy + queue) + distance + failures
     }
 
--- a/crates/mesh/src/capacity.rs
+++ b/crates/mesh/src/capacity.rs
@@ -15,6 +15,7 @@
 
 use crate::cut::{Cut, LEAST_SHARE};
 use crate::gate::Load;
+use crate::mechanisms::{Mechanism, Mechanisms};
 
 /// The time over which demand is measured: some dozens of calls at a gate with a hundred calls a second.
 const MEASURED_OVER: f64 = 0.5;
@@ -64,11 +65,12 @@
     begun: BTreeMap<u8, Begun>,
     faded: Timestamp,
     started: Option<Timestamp>,
+    mechanisms: Mechanisms,
 }
 
 impl CapacityMeter {
-    /// A meter that has seen nothing.
-    pub fn new(now: Timestamp) -> Self {
+    /// A meter that has seen nothing, with the mechanisms that are on.
+    pub fn new(mechanisms: Mechanisms, now: Timestamp) -> Self {
         CapacityMeter {
             held: HashMap::new(),
             mean: 0.0,
@@ -76,6 +78,7 @@
             begun: BTreeMap::new(),
             faded: now,
             started: None,
+            mechanisms,
         }
     }
 
@@ -120,7 +123,8 @@
             let cut = cut_of(route);
             for (priority, seconds) in asked {
                 let Some(slots) = demand.get_mut(usize::from(*priority)) else { continue };
-                let taken = self.begun.get(priority).map_or(1.0, |begun| begun.taken());
+                let begun = self.begun.get(priority).filter(|_| self.mechanisms.has(Mechanism::MissedCalls));
+                let taken = begun.map_or(1.0, |begun| begun.taken());
                 *slots += seconds * cut.admitted_share(*priority, priorities) / taken / span;
             }
         }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod demand;
 pub mod gate;
 pub mod health;
+pub mod mechanisms;
 pub mod parents;
 pub mod queue;
 pub mod retry_budget;
--- /dev/null
+++ b/crates/mesh/src/mechanisms.rs
@@ -0,0 +1,142 @@
+//! Which of a sidecar's mechanisms are switched on.
+//!
+//! All are, unless the command line names some that are not. That is for measurements of what each is worth, and for operators who
+//! suspect one of them; the start line of the log names what is off.
+
+use derive_more::{Display, Error};
+
+/// A mechanism that can be switched off by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Calls are refused where they enter when a service that they need is short of slots.
+    EntryCut,
+    /// Calls that don't come since others were refused are made up for in the demand.
+    MissedCalls,
+    /// Calls that wait at a gate are served in the order of importance.
+    GateOrder,
+    /// In a shortage all gates serve the calls of the same roots first.
+    SameRoots,
+    /// Calls of targets inherit the importance of the call that entered.
+    InheritedRank,
+    /// Calls wait at a gate no longer than they can bear.
+    Patience,
+    /// Slower targets get fewer calls.
+    SpeedBalance,
+    /// Busier targets get fewer calls.
+    LoadBalance,
+    /// Targets whose answers are bad get fewer calls.
+    HealthBalance,
+    /// Targets of the own zone are preferred.
+    ZoneBalance,
+    /// Targets that have just started get fewer calls.
+    ColdStart,
+    /// Calls of targets leave a slow target for another one.
+    SlowAttempts,
+    /// Calls are sent to a second target after an attempt that failed.
+    Repeats,
+    /// Nodes that are silent are asked whether they are there.
+    PresenceProbes,
+    /// Changes in the store are gathered before they are read.
+    GatheredChanges,
+    /// Some nodes renew their watches on the store often.
+    EarlyWatches,
+    /// Targets whose registrations are missing are kept where that may be the store's fault.
+    KeptTargets,
+}
+
+/// A name that no mechanism has.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("there is no mechanism {name:?}; there are {}", Mechanism::names())]
+pub struct UnknownMechanism {
+    /// The name that was given.
+    pub name: String,
+}
+
+impl Mechanism {
+    /// All mechanisms.
+    pub const ALL: [Mechanism; 17] = [
+        Mechanism::EntryCut,
+        Mechanism::MissedCalls,
+        Mechanism::GateOrder,
+        Mechanism::SameRoots,
+        Mechanism::InheritedRank,
+        Mechanism::Patience,
+        Mechanism::SpeedBalance,
+        Mechanism::LoadBalance,
+        Mechanism::HealthBalance,
+        Mechanism::ZoneBalance,
+        Mechanism::ColdStart,
+        Mechanism::SlowAttempts,
+        Mechanism::Repeats,
+        Mechanism::PresenceProbes,
+        Mechanism::GatheredChanges,
+        Mechanism::EarlyWatches,
+        Mechanism::KeptTargets,
+    ];
+
+    /// Its name on the command line and in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Mechanism::EntryCut => "entry-cut",
+            Mechanism::MissedCalls => "missed-calls",
+            Mechanism::GateOrder => "gate-order",
+            Mechanism::SameRoots => "same-roots",
+            Mechanism::InheritedRank => "inherited-rank",
+            Mechanism::Patience => "patience",
+            Mechanism::SpeedBalance => "speed-balance",
+            Mechanism::LoadBalance => "load-balance",
+            Mechanism::HealthBalance => "health-balance",
+            Mechanism::ZoneBalance => "zone-balance",
+            Mechanism::ColdStart => "cold-start",
+            Mechanism::SlowAttempts => "slow-attempts",
+            Mechanism::Repeats => "repeats",
+            Mechanism::PresenceProbes => "presence-probes",
+            Mechanism::GatheredChanges => "gathered-changes",
+            Mechanism::EarlyWatches => "early-watches",
+            Mechanism::KeptTargets => "kept-targets",
+        }
+    }
+
+    /// The names of all mechanisms, for messages.
+    pub fn names() -> String {
+        Self::ALL.map(Mechanism::name).join(", ")
+    }
+
+    fn bit(self) -> u32 {
+        1 << self as u32
+    }
+}
+
+/// The mechanisms that are switched off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mechanisms {
+    off: u32,
+}
+
+impl Mechanisms {
+    /// All mechanisms but those that `text` names, separated by commas.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first name that no mechanism has.
+    pub fn without(text: &str) -> Result<Self, UnknownMechanism> {
+        let mut off = 0;
+        for name in text.split(',').map(str::trim) {
+            let found = Mechanism::ALL.into_iter().find(|mechanism| mechanism.name() == name);
+            let mechanism = found.ok_or_else(|| UnknownMechanism { name: name.to_owned() })?;
+            off |= mechanism.bit();
+        }
+        Ok(Mechanisms { off })
+    }
+
+    /// Whether a mechanism is on.
+    pub fn has(self, mechanism: Mechanism) -> bool {
+        self.off & mechanism.bit() == 0
+    }
+
+    /// The names of those that are off, separated by commas.
+    pub fn names_off(self) -> String {
+        let off = Mechanism::ALL.into_iter().filter(|mechanism| !self.has(*mechanism));
+        off.map(Mechanism::name).collect::<Vec<_>>().join(",")
+    }
+}
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::mechanisms::Mechanisms;
+
 /// Settings of one sidecar process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SidecarSettings {
@@ -28,6 +30,8 @@
     pub descriptors: usize,
     /// The bounds in force.
     pub bounds: Bounds,
+    /// The mechanisms that are switched on; the command line says it, not the settings file.
+    pub mechanisms: Mechanisms,
 }
 
 /// Bounds that the operators promise to their users.
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -30,7 +30,7 @@
 /// How long the store is asked to wait for a change by a node that renews its watch seldom.
 ///
 /// A watch that hangs is noticed by what other nodes tell, long before this time is over.
-const RARE_WAIT: Duration = Duration::from_secs(25);
+pub const RARE_WAIT: Duration = Duration::from_secs(25);
 /// How long it is asked to wait by a node that renews its watch often, as a part of the time after which bounds hold again:
 /// the rest is left to connect anew, and for the news to reach the other nodes with the calls between them.
 const OFTEN_WAIT_PART: f64 = 0.4;
--- a/crates/mesh/tests/decisions/capacity.rs
+++ b/crates/mesh/tests/decisions/capacity.rs
@@ -7,6 +7,7 @@
 use quillhatch_mesh::capacity::CapacityMeter;
 use quillhatch_mesh::cut::{Cut, LEAST_SHARE};
 use quillhatch_mesh::gate::Load;
+use quillhatch_mesh::mechanisms::Mechanisms;
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
@@ -25,7 +26,7 @@
 
 /// A meter at which the streams arrive for two seconds, 100 steps a second.
 fn meter_of(streams: &[Stream<'_>]) -> CapacityMeter {
-    let mut meter = CapacityMeter::new(Timestamp::ZERO);
+    let mut meter = CapacityMeter::new(Mechanisms::default(), Timestamp::ZERO);
     for stream in streams {
         meter.held(stream.route, HELD, Timestamp::ZERO);
     }
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod gate;
 mod graph;
 mod health;
+mod mechanisms;
 
 mod retry_budget;
 mod routing;
--- /dev/null
+++ b/crates/mesh/tests/decisions/mechanisms.rs
@@ -0,0 +1,23 @@
+//! Mechanisms that are switched off.
+
+use quillhatch_mesh::mechanisms::{Mechanism, Mechanisms};
+
+#[test]
+fn each_mechanism_is_switched_off_by_its_name_alone() {
+    for mechanism in Mechanism::ALL {
+        let mechanisms = Mechanisms::without(mechanism.name()).expect("a known name");
+        for other in Mechanism::ALL {
+            assert_eq!(mechanisms.has(other), other != mechanism, "{mechanism:?} and {other:?}");
+        }
+        assert_eq!(mechanisms.names_off(), mechanism.name());
+    }
+    assert!(Mechanism::ALL.into_iter().all(|mechanism| Mechanisms::default().has(mechanism)));
+}
+
+#[test]
+fn several_are_named_with_commas_and_unknown_ones_are_said() {
+    let mechanisms = Mechanisms::without("repeats, entry-cut").expect("known names");
+    assert_eq!(mechanisms.names_off(), "entry-cut,repeats");
+    let error = Mechanisms::without("repeats,hedges").expect_err("an unknown name").to_string();
+    assert!(error.contains("\"hedges\"") && error.contains("slow-attempts"), "{error}");
+}
--- a/crates/quillhatch/src/command_line/sidecar.rs
+++ b/crates/quillhatch/src/command_line/sidecar.rs
@@ -1,6 +1,7 @@
 //! The command `sidecar`: runs a node beside a target on the users' platform.
 
 use getopts::Options;
+use quillhatch_mesh::mechanisms::Mechanisms;
 use quillhatch_platform::headers::SETTINGS_VARIABLE;
 use quillhatch_sidecar::run::{load_settings, run as run_sidecar};
 
@@ -9,6 +10,7 @@
 fn options() -> Options {
     let mut options = Options::new();
     options.optopt("s", "settings", "the settings file; else the variable of the platform names it", "FILE");
+    options.optmulti("", "without", "switch mechanisms off, for measurements", "NAME,...");
     options.optflag("", "check", "only check the settings file");
     options.optflag("h", "help", "tell how the command is used");
     options
@@ -27,6 +29,10 @@
     if let Some(surplus) = given.free.first() {
         return Err(UsageError::new(format!("{surplus:?} is not expected")));
     }
+    let mechanisms = match given.opt_strs("without") {
+        names if names.is_empty() => Mechanisms::default(),
+        names => Mechanisms::without(&names.join(",")).map_err(|error| UsageError::new(error.to_string()))?,
+    };
     let path = given.opt_str("settings").or_else(|| std::env::var(SETTINGS_VARIABLE).ok());
     let Some(path) = path else {
         return Err(UsageError::new(format!("no settings file: give --settings or set {SETTINGS_VARIABLE}")));
@@ -34,7 +40,7 @@
     if given.opt_present("check") {
         return Ok(check(&path, streams));
     }
-    Ok(match run_sidecar(&path) {
+    Ok(match run_sidecar(&path, mechanisms) {
         Ok(()) => Exit::Done,
         Err(error) => {
             streams.complain(error);
--- a/crates/quillhatch/src/command_line/tests.rs
+++ b/crates/quillhatch/src/command_line/tests.rs
@@ -42,6 +42,7 @@
 #[test_case(&["plans"]; "no node")]
 #[test_case(&["plans", "--node", "somewhere"]; "node without an address")]
 #[test_case(&["plans", "--colour"]; "unknown option")]
+#[test_case(&["sidecar", "--without", "gravity"]; "unknown mechanism")]
 fn wrong_usage_exits_with_2(line: &[&str]) {
     let ran = run_line(line);
     assert_eq!((ran.exit.code(), ran.output.as_str()), (2, ""));
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::configuration::Repeatability;
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::targets::{Target, TargetId};
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
@@ -84,7 +85,9 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
-    let patience = if call.is_inner {
+    let patience = if !node.has(Mechanism::Patience) {
+        left
+    } else if call.is_inner {
         left.mul_f64(INNER_PATIENCE_PART)
     } else {
         begun.until(call.arrived + call.route.objective.mul_f64(UNOFFERED_PART)).min(left)
@@ -201,7 +204,8 @@
 pub(super) fn is_worth_leaving(node: &Node, call: &Call) -> bool {
     let now = node.now();
     let Some(mean) = node.balance.borrow().route_time(&call.route.name) else { return false };
-    call.is_inner
+    node.has(Mechanism::SlowAttempts)
+        && call.is_inner
         && node.cuts.borrow().cut(&call.route.name, now).share() >= ROOM_FROM
         && now.until(call.deadline) >= mean * TIMES_LEFT
 }
--- a/crates/sidecar/src/edge/entry.rs
+++ b/crates/sidecar/src/edge/entry.rs
@@ -9,6 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::StatusCode;
 use quillhatch_mesh::configuration::{Configuration, Route};
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
@@ -40,9 +41,10 @@
 
 /// The importance and the position of the call that entered the graph, for a call of this origin.
 pub(super) fn lineage_of(node: &Node, route: &Route, origin: &Origin, id: &str) -> Lineage {
+    let inherits = node.has(Mechanism::InheritedRank);
     match origin {
-        Origin::Parent(_, lineage) => lineage.clone(),
-        Origin::Target(likely) => Lineage {
+        Origin::Parent(_, lineage) if inherits => lineage.clone(),
+        Origin::Target(likely) if inherits => Lineage {
             priority: likely.as_ref().map_or(route.priority, |likely| likely.priority),
             position: position(id),
             is_repeat: likely
@@ -50,7 +52,7 @@
                 .is_some_and(|likely| node.random.borrow_mut().gen_bool(likely.repeated_share.min(1.0))),
             admitted_permille: likely.as_ref().map_or(ALL_ADMITTED, |likely| likely.admitted_permille),
         },
-        Origin::Caller => Lineage {
+        _ => Lineage {
             priority: route.priority,
             position: position(id),
             is_repeat: false,
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -16,6 +16,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
 use quillhatch_mesh::configuration::Route;
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_mesh::routing::find_route;
 use quillhatch_platform::headers;
@@ -103,7 +104,7 @@
         });
         return refuse(node, &id, "stopping", STOPPING_PAUSE, arrived);
     }
-    if !is_inner {
+    if !is_inner && node.has(Mechanism::EntryCut) {
         let share = admitted_share(node, &configuration, &route, arrived);
         lineage.admitted_permille = (share * f64::from(ALL_ADMITTED)).round() as u16;
         if is_refused(&lineage, share) {
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use quillhatch_mesh::gate::{Arrival, Refusal};
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, RunningCall, ALL_ADMITTED};
 use quillhatch_mesh::queue::{Rank, Ticket};
 use quillhatch_types::Timestamp;
@@ -149,7 +150,9 @@
         }
     }
     // In the order of arrival while all that arrives can be served.
-    let position = if node.own_cut().is_open() { 0 } else { position };
+    let same_roots = node.has(Mechanism::SameRoots) && !node.own_cut().is_open();
+    let position = if same_roots { position } else { 0 };
+    let priority = if node.has(Mechanism::GateOrder) { priority } else { 0 };
     let rank = Rank { priority, is_root: forwarded.is_root, position };
     let (arrival, displaced) = node.gate.borrow_mut().arrive(rank, forwarded.patience, now);
     if let Some(ticket) = displaced {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -15,6 +15,7 @@
 use quillhatch_mesh::demand::CallGraph;
 use quillhatch_mesh::gate::Gate;
 use quillhatch_mesh::health::AnswerHealth;
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
@@ -165,7 +166,6 @@
             ..peers
         };
         Rc::new(Node {
-            settings,
             configuration: RefCell::default(),
             targets: RefCell::default(),
             present: RefCell::default(),
@@ -174,13 +174,13 @@
             present_told_at: Cell::new(now),
             verifying: tokio::sync::Mutex::default(),
             targets_known: Cell::new(false),
-            balance: RefCell::default(),
+            balance: RefCell::new(Balance::new(settings.mechanisms)),
             cuts: RefCell::default(),
             graph: RefCell::new(CallGraph::new(now)),
             parents: RefCell::default(),
             callers: RefCell::default(),
             gate: RefCell::new(Gate::new(FALLBACK_SLOTS)),
-            capacity: RefCell::new(CapacityMeter::new(now)),
+            capacity: RefCell::new(CapacityMeter::new(settings.mechanisms, now)),
             health: RefCell::new(AnswerHealth::new(now)),
             waiting: RefCell::default(),
             budgets: RefCell::default(),
@@ -204,6 +204,7 @@
             presences: RefCell::default(),
             asking_presence: KeyedLock::default(),
             views_handed: RefCell::default(),
+            settings,
             log_state,
             failure_lines: RefCell::new(LineRate::new(FAILURE_LINES)),
             success_lines: RefCell::new(LineRate::new(SUCCESS_LINES)),
@@ -216,6 +217,11 @@
         Timestamp(self.started.elapsed().as_micros() as u64)
     }
 
+    /// Whether a mechanism is switched on.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.settings.mechanisms.has(mechanism)
+    }
+
     /// The configuration in force.
     pub fn current_configuration(&self) -> Option<Arc<Configuration>> {
         self.configuration.borrow().current().cloned()
@@ -248,7 +254,7 @@
 
     /// Spends one repeat towards a service, if the budget has it.
     pub fn try_repeat(&self, service: &Arc<str>) -> bool {
-        self.with_budget(service, RetryBudget::try_repeat)
+        self.has(Mechanism::Repeats) && self.with_budget(service, RetryBudget::try_repeat)
     }
 
     /// Counts a call of a service for the budget of repeats; one below a repeated call is a repeat itself.
--- a/crates/sidecar/src/presence.rs
+++ b/crates/sidecar/src/presence.rs
@@ -10,6 +10,7 @@
 
 use http_body_util::BodyExt;
 use hyper::Request;
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::targets::Target;
 use quillhatch_types::Timestamp;
 
@@ -35,6 +36,9 @@
 
 /// Whether the node beside `target`, of which nothing was heard since `since`, is there.
 pub async fn is_there(node: &Rc<Node>, target: &Target, since: Timestamp) -> bool {
+    if !node.has(Mechanism::PresenceProbes) {
+        return true;
+    }
     let peer = target.registration.address.ip();
     let _asking = node.asking_presence.lock(peer).await;
     if node.balance.borrow().heard(&target.id) > since {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -9,6 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use quillhatch_mesh::configuration::CallerLimits;
+use quillhatch_mesh::mechanisms::Mechanisms;
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_platform::headers::READY_PATH;
 use quillhatch_platform::settings::{read_settings, SettingsError};
@@ -102,8 +103,8 @@
 /// # Errors
 ///
 /// Returns why it does not start.
-pub fn run(path: &str) -> Result<(), StartError> {
-    let settings = load_settings(path)?;
+pub fn run(path: &str, mechanisms: Mechanisms) -> Result<(), StartError> {
+    let settings = SidecarSettings { mechanisms, ..load_settings(path)? };
     let log_state = logging::set_up().unwrap_or_default();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -193,8 +194,11 @@
     tasks.spawn_local(dismiss_expired(Rc::clone(&node)));
     tasks.spawn_local(sweep(Rc::clone(&node)));
     node.log(&format!(
-        "\"event\":\"started\",\"zone\":\"{}\",\"service\":\"{}\",\"outbound\":\"{}\"",
-        settings.zone, settings.service, settings.outbound
+        "\"event\":\"started\",\"zone\":\"{}\",\"service\":\"{}\",\"outbound\":\"{}\",\"switched_off\":\"{}\"",
+        settings.zone,
+        settings.service,
+        settings.outbound,
+        settings.mechanisms.names_off()
     ));
     let accepting = [accepting_callers, accepting_peers];
     Ok(Running { node, end_connections, open, leading_away, accepting, tasks })
@@ -251,6 +255,7 @@
 fn reload(node: &Node, path: &str) {
     match load_settings(path) {
         Ok(settings) => {
+            let settings = SidecarSettings { mechanisms: node.settings.mechanisms, ..settings };
             let same = settings == node.settings;
             node.log(&format!("\"event\":\"reloaded\",\"unchanged\":{same}"));
         }
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::store_reader::{may_have_lapsed, REGISTERED_AGAIN_WITHIN};
 use quillhatch_platform::store::Change;
 use quillhatch_types::Timestamp;
@@ -69,7 +70,9 @@
 pub(super) fn remove_gone(node: &Node, gone: &[Arc<str>]) {
     let (now, until) = (node.now(), node.registered_again_by.get());
     let mut targets = node.targets.borrow_mut();
-    if until > now {
+    if !node.has(Mechanism::KeptTargets) {
+        gone.iter().for_each(|id| targets.remove(id));
+    } else if until > now {
         targets.remove_after_outage(gone, until, now);
     } else {
         targets.remove_reported(gone, node.settings.bounds.longest_grace(), now);
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use quillhatch_mesh::store_reader::{watch_wait, NextRead};
+use quillhatch_mesh::mechanisms::Mechanism;
+use quillhatch_mesh::store_reader::{watch_wait, NextRead, RARE_WAIT};
 use quillhatch_platform::store::{listing_path, read_page, watch_path, Change, Freshness};
 use rand::Rng;
 use tokio::time::sleep;
@@ -143,7 +144,10 @@
         let NextRead::Changes { after } = node.store_reader.borrow().next() else { return StoreError::ViewReplaced };
         let wait = match std::mem::take(&mut is_probing) {
             true => PROBING_WAIT,
-            false => watch_wait(own, &node.targets.borrow(), &node.settings.bounds),
+            false if node.has(Mechanism::EarlyWatches) => {
+                watch_wait(own, &node.targets.borrow(), &node.settings.bounds)
+            }
+            false => RARE_WAIT,
         };
         let path = watch_path(after, wait);
         let views_taken = node.store_reader.borrow().views_taken();
@@ -170,7 +174,9 @@
         changed(node);
         // Where one change is, more follow; each answer has its price. A change that comes while none was gathered is known at
         // once, since the watch waits for it.
-        sleep(node.settings.bounds.gather()).await;
+        if node.has(Mechanism::GatheredChanges) {
+            sleep(node.settings.bounds.gather()).await;
+        }
     }
 }
 
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use quillhatch_mesh::mechanisms::Mechanisms;
 use quillhatch_mesh::settings::{Bounds, SidecarSettings};
 use quillhatch_sidecar::node::Node;
 use quillhatch_sidecar::run::{start, Running};
@@ -81,6 +82,7 @@
         metrics: Some((at(METRICS), "/metrics".to_owned())),
         store,
         descriptors: 4096,
+        mechanisms: Mechanisms::default(),
         bounds: BOUNDS,
     }
 }
