--- a/crates/mesh/src/capacity.rs
+++ b/crates/mesh/src/capacity.rs
@@ -26,6 +26,19 @@
 const USED_PART: f64 = 1.0;
 /// The least part of the slots' time that is shared out, however many calls wait.
 const LEAST_PART: f64 = 0.05;
+/// The time over which it is measured how many slots are in use.
+const BUSY_OVER: f64 = 0.3;
+/// The share of slots in use up to which nothing is cut, and the one from which the cut holds whole. Demand is an estimate from some dozens
+/// of calls; where slots are free nothing is short, whatever it says.
+const BUSY_BOUNDS: (f64, f64) = (0.8, 0.92);
+/// The share of slots in use that a cut aims at.
+const BUSY_AIM: f64 = 0.97;
+/// By how much the capacity is corrected in a second for each part of the slots that a cut leaves unused.
+const CORRECTION_RATE: f64 = 1.0;
+/// The time in which a correction is forgotten by two thirds while nothing is cut.
+const CORRECTION_MEMORY: f64 = 1.0;
+/// The bounds of the correction.
+const CORRECTION_BOUNDS: (f64, f64) = (1.0, 1.5);
 /// The least weight of one call in the time that calls of its route hold a slot.
 const TIME_GAIN: f64 = 0.02;
 /// The greatest share of refused calls that is made up for.
@@ -60,9 +73,14 @@
     held: HashMap<Arc<str>, HeldTime>,
     mean: f64,
     /// Seconds of slots that were asked for, by route and priority; fading.
-    asked: HashMap<Arc<str>, BTreeMap<u8, f64>>,
+    asked: BTreeMap<Arc<str>, BTreeMap<u8, f64>>,
     /// Calls for which work was already done, by priority.
     begun: BTreeMap<u8, Begun>,
+    /// The share of slots in use.
+    busy: f64,
+    /// What the slots do in truth, as a multiple of what was worked out: calls that hold slots for less time, or do not come.
+    correction: f64,
+    observed: Timestamp,
     faded: Timestamp,
     started: Option<Timestamp>,
     mechanisms: Mechanisms,
@@ -74,8 +92,11 @@
         CapacityMeter {
             held: HashMap::new(),
             mean: 0.0,
-            asked: HashMap::new(),
+            asked: BTreeMap::new(),
             begun: BTreeMap::new(),
+            busy: 0.0,
+            correction: 1.0,
+            observed: now,
             faded: now,
             started: None,
             mechanisms,
@@ -131,6 +152,20 @@
         demand
     }
 
+    fn observe(&mut self, load: Load, is_cut: bool, now: Timestamp) {
+        let elapsed = now.since(self.observed).as_secs_f64();
+        self.observed = now;
+        let busy = f64::from(load.running) / f64::from(load.limit.max(1));
+        self.busy += (1.0 - (-elapsed / BUSY_OVER).exp()) * (busy.min(1.0) - self.busy);
+        if is_cut && self.busy > BUSY_BOUNDS.0 {
+            let (least, most) = CORRECTION_BOUNDS;
+            let step = elapsed.min(BUSY_OVER) * CORRECTION_RATE;
+            self.correction = (self.correction + step * (BUSY_AIM - self.busy)).clamp(least, most);
+        } else {
+            self.correction += (1.0 - (-elapsed / CORRECTION_MEMORY).exp()) * (1.0 - self.correction);
+        }
+    }
+
     /// The cut with which the target can serve what arrives, if `priorities` are in use and calls of each route below `cut_of` it do
     /// not arrive.
     pub fn cut(&mut self, load: Load, priorities: u32, cut_of: impl Fn(&str) -> Cut, now: Timestamp) -> Cut {
@@ -138,8 +173,11 @@
         let demand: f64 = by_priority.iter().sum();
         let slots = f64::from(load.limit);
         let waiting = f64::from(load.waiting) * self.mean / WORKED_OFF_IN;
-        let capacity = (slots * USED_PART - waiting).max(slots * LEAST_PART);
-        if demand <= capacity {
+        let capacity = (slots * USED_PART * self.correction - waiting).max(slots * LEAST_PART);
+        self.observe(load, demand > capacity, now);
+        let (free_up_to, full_from) = BUSY_BOUNDS;
+        let evidence = ((self.busy - free_up_to) / (full_from - free_up_to)).clamp(0.0, 1.0);
+        if demand <= capacity || evidence == 0.0 {
             return Cut::OPEN;
         }
         let mut left = capacity - LEAST_SHARE * demand;
@@ -153,7 +191,8 @@
             left -= asked;
             let_in += 1.0;
         }
-        Cut::after(let_in / f64::from(priorities.max(1)))
+        let cut = let_in / f64::from(priorities.max(1));
+        Cut::after(1.0 - (1.0 - cut) * evidence)
     }
 
     fn measured_span(&self, now: Timestamp) -> f64 {
--- a/crates/mesh/tests/decisions/capacity.rs
+++ b/crates/mesh/tests/decisions/capacity.rs
@@ -39,6 +39,8 @@
                 *due -= 1.0;
             }
         }
+        // All slots are in use all the while.
+        meter.cut(FULL, PRIORITIES, |_| Cut::OPEN, milliseconds(step * 10));
     }
     meter
 }
@@ -68,6 +70,40 @@
     assert!(cut(&mut meter, behind) < 2.8, "what waits is to be worked off as well");
 }
 
+#[test]
+fn nothing_is_cut_while_slots_are_free_whatever_demand_seems_to_be() {
+    let route: Arc<str> = Arc::from("read");
+    let mut meter = meter_of(&[Stream { route: &route, priority: 2, each_second: 2_000, share: 1.0 }]);
+    assert!(cut(&mut meter, FULL) < 2.6);
+    let half = Load { running: 10, limit: 20, waiting: 0 };
+    for step in 200..300 {
+        meter.arrived(&route, 2, 0.05, milliseconds(step * 10));
+        meter.cut(half, PRIORITIES, |_| Cut::OPEN, milliseconds(step * 10));
+    }
+    assert!(meter.cut(half, PRIORITIES, |_| Cut::OPEN, milliseconds(3_000)).is_open());
+}
+
+/// A cut that leaves a tenth of the slots unused rises, though demand still seems to be as great.
+#[test]
+fn a_cut_that_leaves_slots_unused_rises() {
+    let route: Arc<str> = Arc::from("read");
+    let stream = || Stream { route: &route, priority: 2, each_second: 2_000, share: 1.0 };
+    let before = cut(&mut meter_of(&[stream()]), FULL);
+    let mut meter = meter_of(&[stream()]);
+    let unused = Load { running: 18, limit: 20, waiting: 0 };
+    let mut due = 0.0;
+    for step in 200..500 {
+        due += 20.0;
+        while due >= 1.0 {
+            meter.arrived(&route, 2, 1.0, milliseconds(step * 10));
+            due -= 1.0;
+        }
+        meter.cut(unused, PRIORITIES, |_| Cut::OPEN, milliseconds(step * 10));
+    }
+    let after = meter.cut(unused, PRIORITIES, |_| Cut::OPEN, milliseconds(5_000)).share() * f64::from(PRIORITIES);
+    assert!(after > before + 0.1, "{before} to {after}");
+}
+
 #[test]
 fn the_most_important_are_shared_out_if_they_alone_are_too_many() {
     let route: Arc<str> = Arc::from("read");
