Entry cut: routes of one priority share the slots' time by max-min fairness

Hypothesis: equal shares of calls refuse several short calls to let a long one in, so equal shares of slots' time serve more.

--- a/crates/mesh/src/capacity.rs
+++ b/crates/mesh/src/capacity.rs
@@ -6,6 +6,9 @@
 //! to reach the entries does not swing. Calls whose route is cut lower for want of another service, further down, count only with the
 //! share that will arrive: slots that they can't use are left to others. A root fails with the first of its calls that is refused, and
 //! the calls that it would have made after that don't arrive; so what arrives is divided by the share that was not refused.
+//!
+//! Routes of one priority share the slots' time that is left to it by max-min fairness: one whose calls take little of it is served
+//! whole, one that asks for more than its part is cut. Equal shares of calls would refuse ten short calls to let one long call in.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -67,6 +70,49 @@
     measured: Timestamp,
 }
 
+/// The slots that routes ask for at a time.
+type RouteDemands = BTreeMap<Arc<str>, f64>;
+
+/// The most slots that one route gets of `slots`, if those that ask for less get what they ask for and the others the same (max-min
+/// fairness; Bertsekas and Gallager, Data Networks, 6.5).
+fn fair_most(routes: &RouteDemands, slots: f64) -> f64 {
+    let mut asked: Vec<f64> = routes.values().copied().collect();
+    asked.sort_by(f64::total_cmp);
+    let (mut left, mut most) = (slots, 0.0);
+    for (served, asked) in asked.iter().enumerate() {
+        most = left / (routes.len() - served) as f64;
+        if *asked >= most {
+            break;
+        }
+        left -= asked;
+    }
+    most
+}
+
+/// What a target can't serve of what arrives.
+#[derive(Clone, Debug)]
+pub struct Shortage {
+    /// The priorities that are served whole.
+    whole: usize,
+    /// What routes ask for of the priority that comes next; that is served in part.
+    routes: RouteDemands,
+    /// The most slots that one of them gets.
+    most: f64,
+    /// How sure it is, from zero to one.
+    evidence: f64,
+    priorities: u32,
+}
+
+impl Shortage {
+    /// Where the calls of a route are to be cut.
+    pub fn cut_of(&self, route: &str) -> Cut {
+        let asked = self.routes.get(route).copied().unwrap_or(0.0);
+        let share = if asked > self.most { self.most / asked } else { 1.0 };
+        let cut = (self.whole as f64 + share) / f64::from(self.priorities.max(1));
+        Cut::after(1.0 - (1.0 - cut) * self.evidence)
+    }
+}
+
 /// Demand and capacity of one gate's target.
 #[derive(Clone, Debug)]
 pub struct CapacityMeter {
@@ -135,18 +181,18 @@
         self.mean += TIME_GAIN * (seconds - self.mean);
     }
 
-    /// The slots that are asked for at a time, by priority, if of the calls of each route those above `cut_of` it arrive.
-    pub fn demand(&mut self, priorities: u32, cut_of: impl Fn(&str) -> Cut, now: Timestamp) -> Vec<f64> {
-        self.fade(now);
+    /// The slots that are asked for at a time, by priority and route, if of the calls of each route those above `cut_of` it arrive.
+    fn demand(&self, priorities: u32, cut_of: impl Fn(&str) -> Cut, now: Timestamp) -> Vec<RouteDemands> {
         let span = self.measured_span(now);
-        let mut demand = vec![0.0; priorities as usize];
+        let mut demand = vec![RouteDemands::new(); priorities as usize];
         for (route, asked) in &self.asked {
             let cut = cut_of(route);
             for (priority, seconds) in asked {
-                let Some(slots) = demand.get_mut(usize::from(*priority)) else { continue };
+                let Some(routes) = demand.get_mut(usize::from(*priority)) else { continue };
                 let begun = self.begun.get(priority).filter(|_| self.mechanisms.has(Mechanism::MissedCalls));
                 let taken = begun.map_or(1.0, |begun| begun.taken());
-                *slots += seconds * cut.admitted_share(*priority, priorities) / taken / span;
+                let slots = seconds * cut.admitted_share(*priority, priorities) / taken / span;
+                routes.insert(route.clone(), slots);
             }
         }
         demand
@@ -166,11 +212,18 @@
         }
     }
 
-    /// The cut with which the target can serve what arrives, if `priorities` are in use and calls of each route below `cut_of` it do
-    /// not arrive.
-    pub fn cut(&mut self, load: Load, priorities: u32, cut_of: impl Fn(&str) -> Cut, now: Timestamp) -> Cut {
+    /// What the target can't serve of what arrives, if `priorities` are in use and calls of each route below `cut_of` it do not arrive.
+    /// `None` if it can serve everything.
+    pub fn shortage(
+        &mut self,
+        load: Load,
+        priorities: u32,
+        cut_of: impl Fn(&str) -> Cut,
+        now: Timestamp,
+    ) -> Option<Shortage> {
+        self.fade(now);
         let by_priority = self.demand(priorities, cut_of, now);
-        let demand: f64 = by_priority.iter().sum();
+        let demand: f64 = by_priority.iter().flat_map(BTreeMap::values).sum();
         let slots = f64::from(load.limit);
         let waiting = f64::from(load.waiting) * self.mean / WORKED_OFF_IN;
         let capacity = (slots * USED_PART * self.correction - waiting).max(slots * LEAST_PART);
@@ -178,21 +231,18 @@
         let (free_up_to, full_from) = BUSY_BOUNDS;
         let evidence = ((self.busy - free_up_to) / (full_from - free_up_to)).clamp(0.0, 1.0);
         if demand <= capacity || evidence == 0.0 {
-            return Cut::OPEN;
+            return None;
         }
-        let mut left = capacity - LEAST_SHARE * demand;
-        let mut let_in = 0.0;
-        for asked in by_priority {
-            let asked = (1.0 - LEAST_SHARE) * asked;
+        let mut left = (capacity - LEAST_SHARE * demand).max(0.0) / (1.0 - LEAST_SHARE);
+        for (whole, routes) in by_priority.into_iter().enumerate() {
+            let asked: f64 = routes.values().sum();
             if asked > left {
-                let_in += (left / asked).max(0.0);
-                break;
+                let most = fair_most(&routes, left);
+                return Some(Shortage { whole, routes, most, evidence, priorities });
             }
             left -= asked;
-            let_in += 1.0;
         }
-        let cut = let_in / f64::from(priorities.max(1));
-        Cut::after(1.0 - (1.0 - cut) * evidence)
+        None
     }
 
     fn measured_span(&self, now: Timestamp) -> f64 {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -135,7 +135,7 @@
 fn report(node: &Node, call: &Call, outcome: Outcome, response: &mut Response<Body>) {
     let now = node.now();
     let load = node.gate.borrow().load();
-    let called = call.route.as_ref().map_or(Cut::OPEN, |route| node.called_cut(route, now));
+    let cut = call.route.as_ref().map_or(Cut::OPEN, |route| node.own_cut(route).lower(node.called_cut(route, now)));
     let present = match outcome {
         Outcome::Closed | Outcome::Rejected => {
             present_target::present(node).filter(|present| present.id != call.expected)
@@ -147,15 +147,7 @@
         node.callers.borrow_mut().called_by(route, || targets.machine_shares())
     });
     let health = node.health.borrow_mut().share(now);
-    let report = Report {
-        outcome,
-        load,
-        cut: node.own_cut().lower(called),
-        health,
-        called_by,
-        reach: views::own_reach(node),
-        present,
-    };
+    let report = Report { outcome, load, cut, health, called_by, reach: views::own_reach(node), present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -150,7 +150,7 @@
         }
     }
     // In the order of arrival while all that arrives can be served.
-    let same_roots = node.has(Mechanism::SameRoots) && !node.own_cut().is_open();
+    let same_roots = node.has(Mechanism::SameRoots) && node.shortage().is_some();
     let position = if same_roots { position } else { 0 };
     let priority = if node.has(Mechanism::GateOrder) { priority } else { 0 };
     let rank = Rank { priority, is_root: forwarded.is_root, position };
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -9,7 +9,7 @@
 
 use quillhatch_mesh::balance::Balance;
 use quillhatch_mesh::callers::CallerShares;
-use quillhatch_mesh::capacity::CapacityMeter;
+use quillhatch_mesh::capacity::{CapacityMeter, Shortage};
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::cut::{Cut, RouteCuts};
 use quillhatch_mesh::demand::CallGraph;
@@ -227,12 +227,17 @@
         self.configuration.borrow().current().cloned()
     }
 
-    /// The cut with which this node's target can serve what arrives.
-    pub fn own_cut(&self) -> Cut {
+    /// What this node's target can't serve of what arrives, if anything.
+    pub fn shortage(&self) -> Option<Shortage> {
         let priorities = self.current_configuration().map_or(1, |configuration| configuration.priorities());
         let load = self.gate.borrow().load();
         let now = self.now();
-        self.capacity.borrow_mut().cut(load, priorities, |route| self.called_cut(route, now), now)
+        self.capacity.borrow_mut().shortage(load, priorities, |route| self.called_cut(route, now), now)
+    }
+
+    /// Where the calls of a route are to be cut for want of slots at this node's target.
+    pub fn own_cut(&self, route: &str) -> Cut {
+        self.shortage().map_or(Cut::OPEN, |shortage| shortage.cut_of(route))
     }
 
     /// The lowest cut of the routes that calls of `route` call.
@@ -282,7 +287,7 @@
             ("gate_running", f64::from(load.running)),
             ("gate_limit", f64::from(load.limit)),
             ("gate_waiting", f64::from(load.waiting)),
-            ("gate_cut", self.own_cut().share()),
+            ("gate_is_short", f64::from(u8::from(self.shortage().is_some()))),
             ("target_health", self.health.borrow_mut().share(self.now())),
             ("edge_running", self.edge_calls.get() as f64),
             ("ready", f64::from(u8::from(self.is_ready()))),
