--- a/crates/mesh/src/capacity.rs
+++ b/crates/mesh/src/capacity.rs
@@ -20,16 +20,16 @@
 use crate::gate::Load;
 use crate::mechanisms::{Mechanism, Mechanisms};
 
-/// The time over which demand is measured: some dozens of calls at a gate with a hundred calls a second.
+/// The time in seconds over which demand is measured: some dozens of calls at a gate with a hundred calls a second.
 const MEASURED_OVER: f64 = 0.5;
-/// The time in which calls that wait are to be worked off besides those that arrive. One waiting call a slot takes a few hundredths of
+/// The time in seconds in which calls that wait are to be worked off besides those that arrive. One waiting call a slot takes a few hundredths of
 /// the slots' time away, so a queue stays short.
 const WORKED_OFF_IN: f64 = 0.25;
 /// The share of the slots' time that may be asked for. What waits is taken off it, so the whole may be shared out.
 const USED_PART: f64 = 1.0;
 /// The least part of the slots' time that is shared out, however many calls wait.
 const LEAST_PART: f64 = 0.05;
-/// The time over which it is measured how many slots are in use.
+/// The time in seconds over which it is measured how many slots are in use.
 const BUSY_OVER: f64 = 0.3;
 /// The share of slots in use up to which nothing is cut, and the one from which the cut holds whole. Demand is an estimate from some dozens
 /// of calls; where slots are free nothing is short, whatever it says.
@@ -38,7 +38,7 @@
 const BUSY_AIM: f64 = 0.97;
 /// By how much the capacity is corrected in a second for each part of the slots that a cut leaves unused.
 const CORRECTION_RATE: f64 = 1.0;
-/// The time in which a correction is forgotten by two thirds while nothing is cut.
+/// The time in seconds in which a correction is forgotten by two thirds while nothing is cut.
 const CORRECTION_MEMORY: f64 = 1.0;
 /// The bounds of the correction.
 const CORRECTION_BOUNDS: (f64, f64) = (1.0, 1.5);
--- a/crates/mesh/src/health.rs
+++ b/crates/mesh/src/health.rs
@@ -9,7 +9,7 @@
 
 use quillhatch_types::Timestamp;
 
-/// The time over which answers are counted: some dozens at a target with thirty calls a second.
+/// The time in seconds over which answers are counted: some dozens at a target with thirty calls a second.
 const COUNTED_OVER: f64 = 1.0;
 /// Good answers that a target is taken to have given before the first one. Few answers are no evidence.
 const ASSUMED_GOOD: f64 = 5.0;
