--- a/crates/sidecar/src/edge/entry.rs
+++ b/crates/sidecar/src/edge/entry.rs
@@ -39,25 +39,20 @@
     origin
 }
 
-/// The importance and the position of the call that entered the graph, for a call of this origin.
+/// What a call of this origin inherits from the call that entered the graph.
 pub(super) fn lineage_of(node: &Node, route: &Route, origin: &Origin, id: &str) -> Lineage {
-    let inherits = node.has(Mechanism::InheritedRank);
+    let own =
+        Lineage { priority: route.priority, position: position(id), is_repeat: false, admitted_permille: ALL_ADMITTED };
     match origin {
-        Origin::Parent(_, lineage) if inherits => lineage.clone(),
-        Origin::Target(likely) if inherits => Lineage {
-            priority: likely.as_ref().map_or(route.priority, |likely| likely.priority),
-            position: position(id),
-            is_repeat: likely
-                .as_ref()
-                .is_some_and(|likely| node.random.borrow_mut().gen_bool(likely.repeated_share.min(1.0))),
-            admitted_permille: likely.as_ref().map_or(ALL_ADMITTED, |likely| likely.admitted_permille),
-        },
-        _ => Lineage {
-            priority: route.priority,
-            position: position(id),
-            is_repeat: false,
-            admitted_permille: ALL_ADMITTED,
+        _ if !node.has(Mechanism::InheritedRank) => own,
+        Origin::Parent(_, lineage) => lineage.clone(),
+        Origin::Target(Some(likely)) => Lineage {
+            priority: likely.priority,
+            is_repeat: node.random.borrow_mut().gen_bool(likely.repeated_share.min(1.0)),
+            admitted_permille: likely.admitted_permille,
+            ..own
         },
+        Origin::Target(None) | Origin::Caller => own,
     }
 }
 
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -15,7 +15,7 @@
 use hyper::header::{HeaderMap, HeaderValue, HOST};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
-use quillhatch_mesh::configuration::Route;
+use quillhatch_mesh::configuration::{Configuration, Route};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_mesh::routing::find_route;
@@ -105,19 +105,8 @@
         return refuse(node, &id, "stopping", STOPPING_PAUSE, arrived);
     }
     if !is_inner && node.has(Mechanism::EntryCut) {
-        let share = admitted_share(node, &configuration, &route, arrived);
-        lineage.admitted_permille = (share * f64::from(ALL_ADMITTED)).round() as u16;
-        if is_refused(&lineage, share) {
-            let version = configuration.version;
-            node.log_failure(|| {
-                let name = &route.name;
-                let age = node.cuts.borrow().age(name, arrived).unwrap_or_default().as_millis();
-                let position = lineage.position;
-                format!(
-                    "\"event\":\"refused\",\"id\":{id:?},\"route\":\"{name}\",\"share\":{share:.3},\"share_age_ms\":{age},\"position\":{position},\"version\":{version}"
-                )
-            });
-            return refuse(node, &id, "shed", entry_retry_after(node), arrived);
+        if let Some(response) = cut_at_entry(node, &configuration, &route, &mut lineage, &id, arrived) {
+            return response;
         }
     }
     let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
@@ -130,14 +119,7 @@
             Err(_) => return own_answer(node, &id, StatusCode::BAD_REQUEST, "body-broke-off", arrived),
         },
     };
-    let mut headers = parts.headers;
-    remove_connection_headers(&mut headers);
-    for name in [HOP, headers::DEADLINE_MS, headers::EXPECT_INSTANCE, headers::CALLER_SERVICE] {
-        headers.remove(name);
-    }
-    if let Ok(service) = HeaderValue::from_str(&node.settings.service) {
-        headers.insert(headers::CALLER_SERVICE, service);
-    }
+    let headers = forwarded_headers(node, parts.headers);
     let deadline = arrived + time;
     let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, arrived, deadline };
     let _root = (!is_inner).then(|| Counted::new(&node.root_calls));
@@ -147,3 +129,42 @@
     }
     response
 }
+
+/// Refuses a call that enters the graph here if a service that it needs is short of slots; one that is let in takes the share with which
+/// calls like it were let in along.
+fn cut_at_entry(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    lineage: &mut Lineage,
+    id: &str,
+    arrived: Timestamp,
+) -> Option<Response<Body>> {
+    let share = admitted_share(node, configuration, route, arrived);
+    lineage.admitted_permille = (share * f64::from(ALL_ADMITTED)).round() as u16;
+    if !is_refused(lineage, share) {
+        return None;
+    }
+    node.log_failure(|| {
+        let name = &route.name;
+        let age = node.cuts.borrow().age(name, arrived).unwrap_or_default().as_millis();
+        let (position, version) = (lineage.position, configuration.version);
+        format!(
+            "\"event\":\"refused\",\"id\":{id:?},\"route\":\"{name}\",\"share\":{share:.3},\"share_age_ms\":{age},\"position\":{position},\"version\":{version}"
+        )
+    });
+    Some(refuse(node, id, "shed", entry_retry_after(node), arrived))
+}
+
+/// The headers that go on to the target: without those of one connection and those that the nodes set themselves, and with the service at
+/// whose machine the call began.
+fn forwarded_headers(node: &Node, mut forwarded: HeaderMap) -> HeaderMap {
+    remove_connection_headers(&mut forwarded);
+    for name in [HOP, headers::DEADLINE_MS, headers::EXPECT_INSTANCE, headers::CALLER_SERVICE] {
+        forwarded.remove(name);
+    }
+    if let Ok(service) = HeaderValue::from_str(&node.settings.service) {
+        forwarded.insert(headers::CALLER_SERVICE, service);
+    }
+    forwarded
+}
