--- a/crates/mesh/src/capacity.rs
+++ b/crates/mesh/src/capacity.rs
@@ -32,7 +32,7 @@
 /// The time in seconds over which it is measured how many slots are in use.
 const BUSY_OVER: f64 = 0.3;
 /// The share of slots in use up to which nothing is cut, and the one from which the cut holds whole. Demand is an estimate from some dozens
-/// of calls; where slots are free nothing is short, whatever it says.
+/// of calls; where slots are free nothing is short, however high it is.
 const BUSY_BOUNDS: (f64, f64) = (0.8, 0.92);
 /// The share of slots in use that a cut aims at.
 const BUSY_AIM: f64 = 0.97;
--- a/crates/mesh/src/parents.rs
+++ b/crates/mesh/src/parents.rs
@@ -7,7 +7,7 @@
 //!
 //! - A call with less time than the most that was seen on its route has its parent's deadline, so its parent is the running call
 //!   with that deadline.
-//! - A call with the most that was seen says only that its parent has at least as much time left. It inherits the importance
+//! - A call with the most that was seen shows only that its parent has at least as much time left. It inherits the importance
 //!   that weighs most among the running calls with so much time, by how often calls of their routes call this one.
 
 use std::collections::{BTreeMap, HashMap};
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -30,7 +30,7 @@
     pub descriptors: usize,
     /// The bounds in force.
     pub bounds: Bounds,
-    /// The mechanisms that are switched on; the command line says it, not the settings file.
+    /// The mechanisms that are switched on; set on the command line, not in the settings file.
     pub mechanisms: Mechanisms,
 }
 
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -14,9 +14,9 @@
 /// The name of the header.
 pub const HOP: &str = "quillhatch-hop";
 
-/// The steps in which a cut is told: fine enough for any number of priorities.
+/// The steps in which a cut is sent: fine enough for any number of priorities.
 const CUT_STEPS: f64 = 10_000.0;
-/// The steps in which the share of good answers is told.
+/// The steps in which the share of good answers is sent; whole per cents do for the choice among targets.
 const HEALTH_STEPS: f64 = 100.0;
 
 /// How far a node's view of the platform's store reaches.
