--- a/crates/mesh/src/configuration.rs
+++ b/crates/mesh/src/configuration.rs
@@ -1,9 +1,12 @@
 //! The routing configuration of a sidecar, and the rule that it never goes back.
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::fmt;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use crate::tenants::{Tenant, TenantTable};
+
 /// Whether a call may be run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeatability {
@@ -39,6 +42,8 @@
     pub maximum_attempts: u32,
     /// The importance; 0 is the greatest.
     pub priority: u8,
+    /// Whether its calls need no key of a tenant.
+    pub is_public: bool,
     /// The services that serve it; never empty.
     pub destinations: Vec<Destination>,
 }
@@ -85,17 +90,44 @@
     pub hosts: HashMap<String, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: HashMap<Arc<str>, ServiceSettings>,
+    /// The tenants; while there are none no call needs a key.
+    pub tenants: TenantTable,
     /// Bounds on callers.
     pub limits: CallerLimits,
     /// The document that it was read from, as other nodes get it.
-    pub document: Arc<[u8]>,
+    pub document: Document,
+    /// The least important priority of the routes, worked out when it is first asked for: each call asks, and there may be thousands of
+    /// routes.
+    pub least_route_priority: OnceLock<u8>,
+}
+
+/// The text of a configuration. It holds keys, so it is never printed.
+#[derive(Clone, Default, PartialEq, Eq)]
+pub struct Document(pub Arc<[u8]>);
+
+impl fmt::Debug for Document {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "Document({} bytes)", self.0.len())
+    }
 }
 
 impl Configuration {
-    /// How many priorities are in use, counted from the greatest to the least important one.
+    /// How many importances are in use, counted from the greatest to the least: those of routes for each of tenants.
     pub fn priorities(&self) -> u32 {
-        let least = self.hosts.values().flatten().map(|route| route.priority).max();
-        u32::from(least.unwrap_or(0)) + 1
+        u32::from(self.route_priorities()) * u32::from(self.tenants.priorities())
+    }
+
+    /// The importance of a call of `route` by `tenant`, or by anyone: the tenant's goes before the route's. Calls without a tenant rank
+    /// with those of the least important one.
+    pub fn importance(&self, route: &Route, tenant: Option<&Tenant>) -> u8 {
+        let last = self.tenants.priorities() - 1;
+        let by_tenant = tenant.map_or(last, |tenant| tenant.priority.min(last));
+        by_tenant.saturating_mul(self.route_priorities()).saturating_add(route.priority)
+    }
+
+    fn route_priorities(&self) -> u8 {
+        let least = || self.hosts.values().flatten().map(|route| route.priority).max().unwrap_or(0);
+        self.least_route_priority.get_or_init(least).saturating_add(1)
     }
 }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,14 +4,17 @@
 //! caller owns. A sidecar has an **edge**, which takes calls from callers and from its own target, and a **gate**, which
 //! stands before its own target; no agreement between nodes is needed for either.
 
+pub mod authentication;
 pub mod balance;
 pub mod callers;
 pub mod capacity;
 pub mod configuration;
 pub mod cut;
 pub mod demand;
+pub mod freshness;
 pub mod gate;
 pub mod health;
+pub mod limits;
 pub mod mechanisms;
 pub mod parents;
 pub mod queue;
@@ -20,3 +23,4 @@
 pub mod settings;
 pub mod store_reader;
 pub mod targets;
+pub mod tenants;
--- /dev/null
+++ b/crates/mesh/src/limits/coordinator.rs
@@ -0,0 +1,158 @@
+//! The coordinator's side: what all nodes together let in of each tenant, and the share that keeps it within the limit.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_types::Timestamp;
+
+use super::{LimitBounds, TenantShare, TenantUsage};
+use crate::tenants::RateLimit;
+
+/// For how long a node's report counts, in periods. A node that is not heard for longer falls back to its own part.
+const REPORT_HOLDS: f64 = 4.5;
+/// The part of the window in which a burst is let in: more than the time until a share that was told has its effect on what is reported.
+const BURST_IN: f64 = 0.15;
+/// The part of the window in which calls are made up for that were let in beyond the limit. A shorter one swings and refuses nearly all
+/// for a second or two.
+const REPAID_IN: f64 = 0.4;
+/// The least share of what the limit allows that is let in while more than that is made up for.
+const LEAST_PART: f64 = 0.2;
+
+/// The last report of a node.
+#[derive(Clone, Debug, Default)]
+struct NodeReport {
+    at: Timestamp,
+    usages: Vec<TenantUsage>,
+}
+
+/// The calls of one tenant at all nodes.
+#[derive(Clone, Copy, Debug)]
+struct TenantLevel {
+    arriving: f64,
+    admitted: f64,
+    /// Calls that may be let in beyond the rate; negative if too many were.
+    level: f64,
+    updated: Timestamp,
+}
+
+impl TenantLevel {
+    fn advance(&mut self, limit: RateLimit, window: Duration, now: Timestamp) {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.updated = now;
+        let least = -limit.rate * window.as_secs_f64();
+        self.level = (self.level + (limit.rate - self.admitted) * elapsed).clamp(least, limit.burst);
+    }
+
+    fn share(&self, limit: RateLimit, window: Duration) -> f64 {
+        let within = if self.level > 0.0 { BURST_IN } else { REPAID_IN };
+        let allowed = limit.rate + self.level / window.mul_f64(within).as_secs_f64();
+        let allowed = allowed.max(limit.rate * LEAST_PART);
+        if self.arriving <= allowed {
+            return 1.0;
+        }
+        allowed / self.arriving
+    }
+}
+
+/// What the nodes report to this one.
+#[derive(Clone, Debug)]
+pub struct LimitCoordinator {
+    bounds: LimitBounds,
+    nodes: HashMap<IpAddr, NodeReport>,
+    levels: HashMap<Arc<str>, TenantLevel>,
+    /// Since when nodes report to this one. What was let in before is not known.
+    since: Option<Timestamp>,
+    /// The part of each limit that falls to the nodes that report here.
+    part: f64,
+}
+
+impl LimitCoordinator {
+    /// Nobody has reported yet.
+    pub fn new(bounds: LimitBounds) -> Self {
+        LimitCoordinator { bounds, nodes: HashMap::new(), levels: HashMap::new(), since: None, part: 0.0 }
+    }
+
+    /// Takes a report of one of `machines` nodes that each report once in `period`, and tells the shares of the tenants that are beyond
+    /// their limits.
+    pub fn take(
+        &mut self,
+        node: IpAddr,
+        usages: Vec<TenantUsage>,
+        limit_of: impl Fn(&str) -> Option<RateLimit>,
+        (machines, period): (usize, Duration),
+        now: Timestamp,
+    ) -> Vec<TenantShare> {
+        self.expire(period, &limit_of, now);
+        self.replace(node, NodeReport { at: now, usages }, &limit_of, now);
+        self.part = self.bounds.part_scale() * self.nodes.len() as f64 / machines.max(1) as f64;
+        let mut shares = Vec::new();
+        for (tenant, level) in &mut self.levels {
+            let Some(limit) = limit_of(tenant).map(|limit| self.bounds.handed_out(limit, self.part)) else { continue };
+            level.advance(limit, self.bounds.window, now);
+            let share = level.share(limit, self.bounds.window);
+            if share < 1.0 {
+                shares.push(TenantShare { tenant: tenant.clone(), share });
+            }
+        }
+        shares
+    }
+
+    /// The nodes that report to this one.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
+    fn expire(&mut self, period: Duration, limit_of: &impl Fn(&str) -> Option<RateLimit>, now: Timestamp) {
+        let held = period.mul_f64(REPORT_HOLDS);
+        let gone: Vec<IpAddr> =
+            self.nodes.iter().filter(|(_, report)| now.since(report.at) > held).map(|(node, _)| *node).collect();
+        for node in gone {
+            self.replace(node, NodeReport::default(), limit_of, now);
+            self.nodes.remove(&node);
+        }
+        if self.nodes.is_empty() {
+            self.since = Some(now);
+        }
+        // A tenant without calls has its whole burst again after some time, as one that is not known has when it comes.
+        self.levels.retain(|_, level| level.arriving > 1e-6 || now.since(level.updated) < self.bounds.window);
+    }
+
+    fn replace(
+        &mut self,
+        node: IpAddr,
+        report: NodeReport,
+        limit_of: &impl Fn(&str) -> Option<RateLimit>,
+        now: Timestamp,
+    ) {
+        let added = report.usages.clone();
+        let former = self.nodes.insert(node, report).unwrap_or_default().usages;
+        self.add(&former, -1.0, limit_of, now);
+        self.add(&added, 1.0, limit_of, now);
+    }
+
+    fn add(
+        &mut self,
+        usages: &[TenantUsage],
+        sign: f64,
+        limit_of: &impl Fn(&str) -> Option<RateLimit>,
+        now: Timestamp,
+    ) {
+        let known_for = self.since.map_or(0.0, |since| now.since(since).as_secs_f64());
+        for usage in usages {
+            let Some(limit) = limit_of(&usage.tenant).map(|limit| self.bounds.handed_out(limit, self.part)) else {
+                continue;
+            };
+            let level = self.levels.entry(usage.tenant.clone()).or_insert_with(|| TenantLevel {
+                arriving: 0.0,
+                admitted: 0.0,
+                level: limit.burst.min(limit.rate * known_for),
+                updated: now,
+            });
+            level.advance(limit, self.bounds.window, now);
+            level.arriving = (level.arriving + sign * usage.arriving).max(0.0);
+            level.admitted = (level.admitted + sign * usage.admitted).max(0.0);
+        }
+    }
+}
--- a/crates/mesh/src/mechanisms.rs
+++ b/crates/mesh/src/mechanisms.rs
@@ -42,6 +42,10 @@
     EarlyWatches,
     /// Targets whose registrations are missing are kept where that may be the store's fault.
     KeptTargets,
+    /// Nodes share the limits of tenants by demand; without it each lets in its equal part.
+    SharedLimits,
+    /// Nodes take the word of others for how recent their configuration is; without it each asks the store.
+    HeardFreshness,
 }
 
 /// A name that no mechanism has.
@@ -54,7 +58,7 @@
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Mechanism; 17] = [
+    pub const ALL: [Mechanism; 19] = [
         Mechanism::EntryCut,
         Mechanism::MissedCalls,
         Mechanism::GateOrder,
@@ -72,6 +76,8 @@
         Mechanism::GatheredChanges,
         Mechanism::EarlyWatches,
         Mechanism::KeptTargets,
+        Mechanism::SharedLimits,
+        Mechanism::HeardFreshness,
     ];
 
     /// Its name on the command line and in logs.
@@ -94,6 +100,8 @@
             Mechanism::GatheredChanges => "gathered-changes",
             Mechanism::EarlyWatches => "early-watches",
             Mechanism::KeptTargets => "kept-targets",
+            Mechanism::SharedLimits => "shared-limits",
+            Mechanism::HeardFreshness => "heard-freshness",
         }
     }
 
--- a/crates/mesh/src/parents.rs
+++ b/crates/mesh/src/parents.rs
@@ -114,14 +114,23 @@
         rate: impl Fn(&Arc<str>) -> f64,
     ) -> Origin {
         match self.called_by.get(route).copied().unwrap_or_default() {
-            CalledBy::Callers => return Origin::Caller,
+            CalledBy::Callers => Origin::Caller,
             CalledBy::Unknown => {
                 let parent = self.nearest(route, now + time);
-                return parent
-                    .map_or(Origin::Caller, |(parent, lineage)| Origin::Parent(parent.clone(), lineage.clone()));
+                parent.map_or(Origin::Caller, |(parent, lineage)| Origin::Parent(parent.clone(), lineage.clone()))
             }
-            CalledBy::Targets => {}
+            CalledBy::Targets => self.origin_in_target(route, time, now, rate),
         }
+    }
+
+    /// For which of the running calls the target makes a call of `route`, where it is known that the target makes it.
+    pub fn origin_in_target(
+        &mut self,
+        route: &Arc<str>,
+        time: Duration,
+        now: Timestamp,
+        rate: impl Fn(&Arc<str>) -> f64,
+    ) -> Origin {
         let longest = self.longest.entry(route.clone()).or_default();
         *longest = time.max(*longest);
         if time + OWN_TIME_MARGIN < *longest {
@@ -132,6 +141,21 @@
         Origin::Target(self.likely(route, now + time, rate))
     }
 
+    /// Whether the target may make a call of `route` with `time` left: it runs a call that has as much, and if callers call the route too
+    /// also one that ends at the same moment.
+    pub fn may_call(&self, route: &str, time: Duration, now: Timestamp) -> bool {
+        if self.called_by.get(route) == Some(&CalledBy::Callers) {
+            return self.nearest(route, now + time).is_some();
+        }
+        let from = RunningCall { deadline: (now + time) - LATER, sequence: 0 };
+        self.running.range(from..).next().is_some()
+    }
+
+    /// Whether only targets are known to call a route.
+    pub fn is_called_by_targets(&self, route: &str) -> bool {
+        self.called_by.get(route) == Some(&CalledBy::Targets)
+    }
+
     /// Takes what the gates that serve a route have seen of its callers.
     pub fn report(&mut self, route: &Arc<str>, called_by: CalledBy) {
         if called_by == CalledBy::Unknown || self.called_by.get(route) == Some(&called_by) {
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::limits::LimitBounds;
 use crate::mechanisms::Mechanisms;
 
 /// Settings of one sidecar process.
@@ -24,6 +25,8 @@
     pub ready: SocketAddr,
     /// Where counters are served, if anywhere, and under which path.
     pub metrics: Option<(SocketAddr, String)>,
+    /// Where nodes report how much of the tenants' limits they use, by UDP; the port is the same on every machine.
+    pub limits: Option<SocketAddr>,
     /// Where the platform's store is.
     pub store: SocketAddr,
     /// The descriptors that the process may hold.
@@ -51,6 +54,11 @@
     pub retry_window: Duration,
     /// Repeats that all nodes together may make beyond the share, for each service.
     pub retry_slack: f64,
+    /// Within this time after a configuration without it was written, a key is believed nowhere. `None` if keys need not be refused by
+    /// nodes that can't read the store.
+    pub revocation: Option<Duration>,
+    /// What is allowed beyond the limits of tenants.
+    pub limits: LimitBounds,
 }
 
 /// The share of the time in which a change must have its effect for which others are gathered: less than half, so that it is
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -6,10 +6,10 @@
 //! or if the view was taken from another node meanwhile.
 
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::IpAddr;
 use std::time::Duration;
 
+use crate::limits::place_of;
 use crate::settings::Bounds;
 use crate::targets::TargetTable;
 
@@ -34,6 +34,9 @@
 /// How long it is asked to wait by a node that renews its watch often, as a part of the time after which bounds hold again:
 /// the rest is left to connect anew, and for the news to reach the other nodes with the calls between them.
 const OFTEN_WAIT_PART: f64 = 0.4;
+/// The same as a part of the bound on revocation, where keys must be refused that were taken away: all nodes live on what these know, which
+/// is up to two waits and a gathering old.
+const REVOCATION_WAIT_PART: f64 = 0.15;
 /// The fewest nodes of a fleet that renew their watches often.
 const FEWEST_OFTEN: usize = 3;
 
@@ -110,7 +113,8 @@
 /// one or two, which does no harm.
 pub fn watch_wait(machine: IpAddr, targets: &TargetTable, bounds: &Bounds) -> Duration {
     if renews_often(machine, targets) {
-        bounds.contact.mul_f64(OFTEN_WAIT_PART).min(RARE_WAIT)
+        let for_keys = bounds.revocation.map_or(RARE_WAIT, |bound| bound.mul_f64(REVOCATION_WAIT_PART));
+        bounds.contact.mul_f64(OFTEN_WAIT_PART).min(RARE_WAIT).min(for_keys)
     } else {
         RARE_WAIT
     }
@@ -132,13 +136,6 @@
     often.any(|(_, ip)| *ip == machine)
 }
 
-/// The place of a machine in an order that is the same at all nodes.
-fn place_of(machine: IpAddr) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    machine.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Whether registrations may have run out in an outage of this length.
 pub fn may_have_lapsed(outage: Duration) -> bool {
     outage >= OUTAGE_FROM
--- /dev/null
+++ b/crates/mesh/tests/decisions/limits.rs
@@ -0,0 +1,160 @@
+//! Limits of tenants, one decision at a time; all together on a virtual clock in `tests/limits`.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_mesh::limits::{
+    candidates, report_period, CoordinatorChoice, LimitBounds, LimitCoordinator, LocalLimits, TenantShare, TenantUsage,
+};
+use quillhatch_mesh::tenants::{RateLimit, Tenant};
+
+use crate::milliseconds;
+
+const BOUNDS: LimitBounds = LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 };
+const PERIOD: Duration = Duration::from_millis(300);
+
+fn tenant(rate: f64) -> Tenant {
+    Tenant { name: Arc::from("first"), priority: 0, limit: Some(RateLimit { rate, burst: rate }) }
+}
+
+fn machine(number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, number))
+}
+
+fn usage(arriving: f64, admitted: f64) -> Vec<TenantUsage> {
+    vec![TenantUsage { tenant: Arc::from("first"), arriving, admitted }]
+}
+
+#[test]
+fn a_tenant_without_a_limit_is_let_in_whole() {
+    let mut limits = LocalLimits::new(BOUNDS);
+    let tenant = Tenant { limit: None, ..tenant(1.0) };
+    for at in 0..1000 {
+        assert!(limits.admit(&tenant, 82, PERIOD, 0.5, milliseconds(at)).is_ok());
+    }
+}
+
+#[test]
+fn the_coordinators_share_is_let_in_evenly() {
+    let mut limits = LocalLimits::new(BOUNDS);
+    let tenant = tenant(100.0);
+    let _ = limits.admit(&tenant, 82, PERIOD, 0.0, milliseconds(0));
+    limits.answered(&[TenantShare { tenant: tenant.name.clone(), share: 0.25 }], milliseconds(0));
+    let admitted: Vec<bool> =
+        (0..400).map(|at| limits.admit(&tenant, 82, PERIOD, 0.0, milliseconds(at)).is_ok()).collect();
+    assert_eq!(admitted.iter().filter(|admitted| **admitted).count(), 100);
+    assert!(admitted.chunks(8).all(|eight| eight.iter().filter(|admitted| **admitted).count() == 2));
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back_by_how_far_the_tenant_is_over() {
+    let mut limits = LocalLimits::new(BOUNDS);
+    let tenant = tenant(100.0);
+    let _ = limits.admit(&tenant, 82, PERIOD, 0.0, milliseconds(0));
+    let mut told = Vec::new();
+    for share in [0.9, 0.5, 0.0] {
+        limits.answered(&[TenantShare { tenant: tenant.name.clone(), share }], milliseconds(1));
+        let refused = (0..20).find_map(|_| limits.admit(&tenant, 82, PERIOD, 0.5, milliseconds(1)).err());
+        told.push(refused.expect("a refusal").come_back);
+    }
+    assert!(told[0] < told[1] && told[1] < told[2], "{told:?}");
+    assert!(told[2] <= Duration::from_secs(7), "{told:?}");
+}
+
+#[test]
+fn a_node_that_hears_nobody_lets_in_its_part() {
+    let tenant = tenant(164.0);
+    let mut limits = LocalLimits::new(BOUNDS);
+    let admitted = (0..10_000).filter(|at| limits.admit(&tenant, 82, PERIOD, 0.0, milliseconds(*at)).is_ok()).count();
+    // Two a second and the piece of the tolerance for ten seconds, and what it may spend at once.
+    assert!((22..=26).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn a_share_is_not_believed_for_long_after_the_last_answer() {
+    let tenant = tenant(82.0);
+    let mut limits = LocalLimits::new(BOUNDS);
+    let _ = limits.admit(&tenant, 82, PERIOD, 0.0, milliseconds(0));
+    limits.answered(&[], milliseconds(0));
+    assert!(limits.has_coordinator(PERIOD, milliseconds(1300)));
+    assert!(!limits.has_coordinator(PERIOD, milliseconds(1400)));
+}
+
+#[test]
+fn a_call_that_did_not_run_is_given_back() {
+    let tenant = tenant(100.0);
+    let mut limits = LocalLimits::new(BOUNDS);
+    for at in 0..50 {
+        let _ = limits.admit(&tenant, 1, PERIOD, 0.5, milliseconds(at));
+        limits.returned(&tenant.name, milliseconds(at));
+    }
+    let report = limits.report(milliseconds(50));
+    assert!(report[0].arriving > 50.0 && report[0].admitted < 1.0, "{report:?}");
+}
+
+#[test]
+fn the_share_of_a_coordinator_brings_what_arrives_to_the_limit() {
+    let limit = RateLimit { rate: 100.0, burst: 0.0 };
+    let mut coordinator = LimitCoordinator::new(BOUNDS);
+    let mut share = 1.0;
+    for round in 0..40 {
+        for node in 0..10 {
+            let now = milliseconds(round * 300 + u64::from(node) * 30);
+            let shares = coordinator.take(machine(node), usage(40.0, 40.0 * share), |_| Some(limit), (10, PERIOD), now);
+            share = shares.first().map_or(1.0, |told| told.share);
+        }
+    }
+    assert!((share - 0.25).abs() < 0.02, "{share}");
+}
+
+#[test]
+fn a_coordinator_hands_out_the_part_of_the_nodes_that_report_to_it() {
+    let limit = RateLimit { rate: 100.0, burst: 0.0 };
+    let mut share = 1.0;
+    let mut coordinator = LimitCoordinator::new(BOUNDS);
+    for round in 0..40 {
+        let now = milliseconds(round * 300);
+        let shares = coordinator.take(machine(1), usage(400.0, 400.0 * share), |_| Some(limit), (10, PERIOD), now);
+        share = shares.first().map_or(1.0, |told| told.share);
+    }
+    // One of ten nodes: a tenth of the rate and the piece of the tolerance.
+    assert!((share * 400.0 - 11.5).abs() < 1.0, "{share}");
+}
+
+#[test]
+fn the_burst_is_there_for_a_tenant_that_was_still_but_not_for_a_coordinator_that_has_just_begun() {
+    let limit = RateLimit { rate: 100.0, burst: 100.0 };
+    let take = |coordinator: &mut LimitCoordinator, at: u64| {
+        let shares = coordinator.take(machine(1), usage(200.0, 0.0), |_| Some(limit), (1, PERIOD), milliseconds(at));
+        shares.first().map_or(1.0, |told| told.share)
+    };
+    let mut new = LimitCoordinator::new(BOUNDS);
+    assert!((take(&mut new, 0) - 0.5).abs() < 0.01);
+    let mut known = LimitCoordinator::new(BOUNDS);
+    for at in (0..3000).step_by(300) {
+        known.take(machine(1), Vec::new(), |_| Some(limit), (1, PERIOD), milliseconds(at));
+    }
+    assert!((take(&mut known, 3000) - 1.0).abs() < 0.01);
+}
+
+#[test]
+fn the_next_candidate_is_asked_when_one_is_silent_and_the_first_again_later() {
+    let order = candidates(vec![machine(3), machine(1), machine(2), machine(1)]);
+    assert_eq!(order.len(), 3, "each machine once");
+    assert_eq!(order, candidates(vec![machine(1), machine(2), machine(3)]), "the same at all nodes");
+    let mut choice = CoordinatorChoice::default();
+    let asked: Vec<_> = (0..4).map(|at| choice.next(&order, milliseconds(at * 300))).collect();
+    assert_eq!(asked, [Some(order[0]), Some(order[0]), Some(order[0]), Some(order[1])]);
+    choice.answered();
+    assert_eq!(choice.next(&order, milliseconds(1200)), Some(order[1]));
+    choice.answered();
+    assert_eq!(choice.next(&order, milliseconds(2900)), Some(order[0]), "after two seconds");
+    assert_eq!(choice.next(&[], milliseconds(2950)), None);
+}
+
+#[test]
+fn larger_fleets_report_more_seldom() {
+    assert_eq!(report_period(82), PERIOD);
+    assert_eq!(report_period(300), Duration::from_millis(375));
+}
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -1,17 +1,21 @@
 //! Decisions one by one, a module for each subject.
 
+mod authentication;
 mod balance;
 mod capacity;
 mod cut;
+mod freshness;
 mod gate;
 mod graph;
 mod health;
+mod limits;
 mod mechanisms;
 
 mod retry_budget;
 mod routing;
 mod store_reader;
 mod targets;
+mod tenants;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,6 +37,7 @@
         timeout: Duration::from_secs(2),
         maximum_attempts: 2,
         priority: 1,
+        is_public: false,
         destinations: destinations
             .iter()
             .map(|(service, weight)| Destination { service: Arc::from(*service), weight: *weight })
--- a/crates/mesh/tests/decisions/store_reader.rs
+++ b/crates/mesh/tests/decisions/store_reader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::store_reader::{may_have_lapsed, watch_wait, NextRead, StoreReader};
 use quillhatch_mesh::targets::TargetTable;
@@ -18,6 +19,8 @@
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
     retry_slack: 55.0,
+    revocation: None,
+    limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
 };
 
 #[test]
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::targets::{Registration, TargetTable};
 use quillhatch_types::Timestamp;
@@ -142,6 +143,8 @@
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 55.0,
+        revocation: None,
+        limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
     };
     assert!(bounds.gather() < drain.min(apply) / 2);
     let all = bounds.gather() + bounds.longest_grace();
--- /dev/null
+++ b/crates/mesh/tests/decisions/tenants.rs
@@ -0,0 +1,60 @@
+//! Tenants, their keys and their importance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use quillhatch_mesh::configuration::{Configuration, Route};
+use quillhatch_mesh::tenants::{Tenant, TenantTable};
+
+use crate::route;
+
+fn tenant(name: &str, priority: u8) -> Arc<Tenant> {
+    Arc::new(Tenant { name: Arc::from(name), priority, limit: None })
+}
+
+fn configuration(tenants: &[Arc<Tenant>], route_priorities: &[u8]) -> Configuration {
+    let mut table = TenantTable::default();
+    for tenant in tenants {
+        assert!(table.add(tenant.clone()));
+    }
+    let routes = route_priorities.iter().map(|priority| {
+        let route = Route { priority: *priority, ..(*route("/a/", &[("alpha", 1.0)])).clone() };
+        Arc::new(route)
+    });
+    let hosts = HashMap::from([("shop.example".to_owned(), routes.collect())]);
+    Configuration { hosts, tenants: table, ..Configuration::default() }
+}
+
+#[test]
+fn a_key_belongs_to_one_tenant() {
+    let (first, second) = (tenant("first", 0), tenant("second", 0));
+    let mut table = TenantTable::default();
+    assert!(table.add_key(&first, b"k1"));
+    assert!(table.add_key(&second, b"k2"));
+    assert!(!table.add_key(&second, b"k1"), "the first one has it");
+    assert_eq!(table.holder(b"k1"), Some(&first));
+    assert_eq!(table.holder(b"k2"), Some(&second));
+    assert_eq!(table.holder(b"k"), None);
+    assert_eq!(table.holder(b""), None);
+}
+
+#[test]
+fn a_tenants_importance_goes_before_that_of_the_route() {
+    let (great, small) = (tenant("great", 0), tenant("small", 1));
+    let configuration = configuration(&[great.clone(), small.clone()], &[0, 2]);
+    let routes = &configuration.hosts["shop.example"];
+    let (first, last) = (&routes[0], &routes[1]);
+    assert_eq!(configuration.priorities(), 6);
+    assert_eq!(configuration.importance(first, Some(&great)), 0);
+    assert_eq!(configuration.importance(last, Some(&great)), 2);
+    assert_eq!(configuration.importance(first, Some(&small)), 3);
+    assert_eq!(configuration.importance(last, Some(&small)), 5);
+    assert_eq!(configuration.importance(first, None), 3, "as the least important tenant");
+}
+
+#[test]
+fn without_tenants_the_routes_importance_stands() {
+    let configuration = configuration(&[], &[0, 2]);
+    assert_eq!(configuration.priorities(), 3);
+    assert_eq!(configuration.importance(&configuration.hosts["shop.example"][1], None), 2);
+}
--- a/crates/sidecar/src/edge/answers.rs
+++ b/crates/sidecar/src/edge/answers.rs
@@ -26,6 +26,9 @@
         )
     });
     if !may_have_run {
+        if let Some(tenant) = &call.tenant {
+            node.limits.borrow_mut().returned(&tenant.name, now);
+        }
         let pause = node.random.borrow_mut().gen_range(COME_BACK);
         return refuse(node, &call.id, why, pause, call.arrived);
     }
@@ -35,7 +38,19 @@
 
 /// Tells the caller that the call has not run, and when to come back.
 pub(super) fn refuse(node: &Node, id: &str, why: &'static str, pause: Duration, arrived: Timestamp) -> Response<Body> {
-    let mut response = own_answer(node, id, StatusCode::SERVICE_UNAVAILABLE, why, arrived);
+    refuse_with(node, StatusCode::SERVICE_UNAVAILABLE, id, why, pause, arrived)
+}
+
+/// The same with another status that says that the call has not run.
+pub(super) fn refuse_with(
+    node: &Node,
+    status: StatusCode,
+    id: &str,
+    why: &'static str,
+    pause: Duration,
+    arrived: Timestamp,
+) -> Response<Body> {
+    let mut response = own_answer(node, id, status, why, arrived);
     if let Ok(value) = HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64())) {
         response.headers_mut().insert(RETRY_AFTER, value);
     }
--- a/crates/sidecar/src/edge/entry.rs
+++ b/crates/sidecar/src/edge/entry.rs
@@ -1,8 +1,6 @@
-//! Who makes a call, and whether it may enter the graph.
+//! What a call inherits, and whether it may enter the graph.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body as _, Incoming};
@@ -17,32 +15,9 @@
 
 use crate::node::Node;
 
-/// Who makes a call; a call of this node's target is noted in the graph of calls.
-pub(super) fn origin(node: &Node, route: &Route, peer: SocketAddr, given: Option<Duration>, now: Timestamp) -> Origin {
-    if peer.ip() != node.settings.local_target.ip() {
-        return Origin::Caller;
-    }
-    let Some(given) = given else { return Origin::Caller };
-    let origin = {
-        let graph = node.graph.borrow();
-        let rate = |parent: &Arc<str>| graph.rate(parent, &route.name);
-        node.parents.borrow_mut().origin(&route.name, given, now, rate)
-    };
-    match &origin {
-        Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, [(parent, 1.0)], now),
-        Origin::Target(Some(likely)) => {
-            let parents = likely.routes.iter().map(|(parent, likelihood)| (parent, *likelihood));
-            node.graph.borrow_mut().called(&route.name, parents, now);
-        }
-        Origin::Target(None) | Origin::Caller => {}
-    }
-    origin
-}
-
-/// What a call of this origin inherits from the call that entered the graph.
-pub(super) fn lineage_of(node: &Node, route: &Route, origin: &Origin, id: &str) -> Lineage {
-    let own =
-        Lineage { priority: route.priority, position: position(id), is_repeat: false, admitted_permille: ALL_ADMITTED };
+/// What a call of this origin inherits from the call that entered the graph; one that enters here has `priority`.
+pub(super) fn lineage_of(node: &Node, priority: u8, origin: &Origin, id: &str) -> Lineage {
+    let own = Lineage { priority, position: position(id), is_repeat: false, admitted_permille: ALL_ADMITTED };
     match origin {
         _ if !node.has(Mechanism::InheritedRank) => own,
         Origin::Parent(_, lineage) => lineage.clone(),
@@ -64,8 +39,14 @@
 }
 
 /// The share of calls like this one that enter the graph here.
-pub(super) fn admitted_share(node: &Node, configuration: &Configuration, route: &Route, now: Timestamp) -> f64 {
-    node.cuts.borrow().cut(&route.name, now).admitted_share(route.priority, configuration.priorities())
+pub(super) fn admitted_share(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    priority: u8,
+    now: Timestamp,
+) -> f64 {
+    node.cuts.borrow().cut(&route.name, now).admitted_share(priority, configuration.priorities())
 }
 
 /// Whether a call that enters the graph here is refused. The same ones are let in everywhere and all the while, as long as the
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod entry;
 mod run;
+mod sender;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -15,10 +16,12 @@
 use hyper::header::{HeaderMap, HeaderValue, HOST};
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
+use quillhatch_mesh::authentication::Sender;
 use quillhatch_mesh::configuration::{Configuration, Route};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_mesh::routing::find_route;
+use quillhatch_mesh::tenants::Tenant;
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
 
@@ -27,7 +30,8 @@
 use crate::hop::HOP;
 use crate::node::Node;
 use answers::{own_answer, refuse};
-use entry::{admitted_share, entry_retry_after, is_refused, lineage_of, malformed, origin};
+use entry::{admitted_share, entry_retry_after, is_refused, lineage_of, malformed};
+use sender::{deny, origin, over_limit, sender, Shown};
 
 /// The largest request that is kept to be sent again, in bytes.
 const KEPT_REQUEST_BYTES: usize = 64 * 1024;
@@ -45,6 +49,8 @@
     pub(super) headers: HeaderMap,
     pub(super) is_inner: bool,
     pub(super) lineage: Lineage,
+    /// The tenant that sends it.
+    pub(super) tenant: Option<Arc<Tenant>>,
     pub(super) arrived: Timestamp,
     pub(super) deadline: Timestamp,
 }
@@ -95,8 +101,18 @@
     let given =
         text(&parts.headers, headers::DEADLINE_MS).and_then(|text| text.parse().ok()).map(Duration::from_millis);
     let time = given.map_or(route.timeout, |given| given.min(route.timeout));
-    let origin = origin(node, &route, peer, given, arrived);
-    let mut lineage = lineage_of(node, &route, &origin, &id);
+    let shown = Shown { peer, given, headers: &parts.headers };
+    let sender = match sender(node, &configuration, &route, shown, arrived) {
+        Ok(sender) => sender,
+        Err(denial) => return deny(node, denial, &route, &id, arrived),
+    };
+    let tenant = match &sender {
+        Sender::Tenant(tenant) => Some(tenant.clone()),
+        Sender::Anyone | Sender::Target => None,
+    };
+    let origin = origin(node, &route, shown, &sender, arrived);
+    let priority = configuration.importance(&route, tenant.as_deref());
+    let mut lineage = lineage_of(node, priority, &origin, &id);
     let is_inner = origin != Origin::Caller;
     if !is_inner && node.refuses_callers.get() {
         node.log_failure(|| {
@@ -109,6 +125,10 @@
             return response;
         }
     }
+    // After the cut, so that only calls which may run count towards the limit.
+    if let Some(response) = over_limit(node, &sender, &id, arrived) {
+        return response;
+    }
     let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
         None => Body::empty(),
         Some(incoming) => match read_up_to(incoming, KEPT_REQUEST_BYTES).await {
@@ -119,9 +139,10 @@
             Err(_) => return own_answer(node, &id, StatusCode::BAD_REQUEST, "body-broke-off", arrived),
         },
     };
-    let headers = forwarded_headers(node, parts.headers);
+    let headers = forwarded_headers(node, parts.headers, tenant.as_deref());
     let deadline = arrived + time;
-    let call = Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, arrived, deadline };
+    let call =
+        Call { id, route, method: parts.method, uri: parts.uri, headers, is_inner, lineage, tenant, arrived, deadline };
     let _root = (!is_inner).then(|| Counted::new(&node.root_calls));
     let response = run::run(node, call, body).await;
     if is_inner && response.status().is_server_error() {
@@ -140,7 +161,7 @@
     id: &str,
     arrived: Timestamp,
 ) -> Option<Response<Body>> {
-    let share = admitted_share(node, configuration, route, arrived);
+    let share = admitted_share(node, configuration, route, lineage.priority, arrived);
     lineage.admitted_permille = (share * f64::from(ALL_ADMITTED)).round() as u16;
     if !is_refused(lineage, share) {
         return None;
@@ -156,13 +177,23 @@
     Some(refuse(node, id, "shed", entry_retry_after(node), arrived))
 }
 
-/// The headers that go on to the target: without those of one connection and those that the nodes set themselves, and with the service at
-/// whose machine the call began.
-fn forwarded_headers(node: &Node, mut forwarded: HeaderMap) -> HeaderMap {
+/// The headers that go on to the target: without those of one connection, without the caller's key and without those that the nodes set
+/// themselves; with the service at whose machine the call began and the tenant that sends it.
+fn forwarded_headers(node: &Node, mut forwarded: HeaderMap, tenant: Option<&Tenant>) -> HeaderMap {
     remove_connection_headers(&mut forwarded);
-    for name in [HOP, headers::DEADLINE_MS, headers::EXPECT_INSTANCE, headers::CALLER_SERVICE] {
+    for name in [
+        HOP,
+        headers::DEADLINE_MS,
+        headers::EXPECT_INSTANCE,
+        headers::CALLER_SERVICE,
+        headers::API_KEY,
+        headers::TENANT,
+    ] {
         forwarded.remove(name);
     }
+    if let Some(name) = tenant.and_then(|tenant| HeaderValue::from_str(&tenant.name).ok()) {
+        forwarded.insert(headers::TENANT, name);
+    }
     if let Ok(service) = HeaderValue::from_str(&node.settings.service) {
         forwarded.insert(headers::CALLER_SERVICE, service);
     }
--- /dev/null
+++ b/crates/sidecar/src/edge/sender.rs
@@ -0,0 +1,118 @@
+//! Who sends a call: a tenant, this node's target, or anyone; and whether it may go on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::HeaderMap;
+use hyper::{Response, StatusCode};
+use quillhatch_mesh::authentication::{authenticate, Credentials, Denial, Sender};
+use quillhatch_mesh::configuration::{Configuration, Route};
+use quillhatch_mesh::limits::OverLimit;
+use quillhatch_mesh::parents::Origin;
+use quillhatch_platform::headers;
+use quillhatch_types::Timestamp;
+
+use super::answers::{own_answer, refuse, refuse_with};
+use crate::body::Body;
+use crate::node::Node;
+
+/// When a caller is told to come back whose key can't be checked: the store is asked again about so often.
+const STALE_PAUSE: Duration = Duration::from_millis(800);
+
+/// What a call shows of who makes it.
+#[derive(Clone, Copy)]
+pub(super) struct Shown<'a> {
+    /// Where it comes from.
+    pub(super) peer: SocketAddr,
+    /// The time that it is given.
+    pub(super) given: Option<Duration>,
+    /// Its headers.
+    pub(super) headers: &'a HeaderMap,
+}
+
+impl Shown<'_> {
+    /// Whether it comes from this node's machine, where the target is.
+    fn is_local(&self, node: &Node) -> bool {
+        self.peer.ip() == node.settings.local_target.ip()
+    }
+}
+
+/// Who sends a call.
+///
+/// # Errors
+///
+/// Returns why it is not let in.
+pub(super) fn sender(
+    node: &Node,
+    configuration: &Configuration,
+    route: &Route,
+    shown: Shown<'_>,
+    now: Timestamp,
+) -> Result<Sender, Denial> {
+    let mut keys = shown.headers.get_all(headers::API_KEY).iter();
+    let (key, has_more) = (keys.next(), keys.next().is_some());
+    // Nobody holds two keys at once.
+    let key = key.map(|key| if has_more { b"".as_slice() } else { key.as_bytes() });
+    let may_be_target = key.is_none()
+        && shown.is_local(node)
+        && shown.given.is_some_and(|given| node.parents.borrow().may_call(&route.name, given, now));
+    authenticate(configuration, route, Credentials { key, may_be_target }, node.can_check_keys(configuration))
+}
+
+/// The answer to a call that is not let in.
+pub(super) fn deny(node: &Node, denial: Denial, route: &Route, id: &str, now: Timestamp) -> Response<Body> {
+    let (name, why) = (&route.name, denial.name());
+    node.log_failure(|| {
+        let age = node.freshness.borrow().age(now).map_or(-1, |age| age.as_millis() as i64);
+        let version = node.configuration.borrow().version();
+        format!(
+            "\"event\":\"denied\",\"id\":{id:?},\"route\":\"{name}\",\"why\":\"{why}\",\"version\":{version},\"configuration_age_ms\":{age}"
+        )
+    });
+    // A call without a key on a route of targets may be one whose parent has just ended.
+    let is_of_ended_parent = denial == Denial::NoKey && node.parents.borrow().is_called_by_targets(name);
+    if denial == Denial::Stale || is_of_ended_parent {
+        return refuse(node, id, why, STALE_PAUSE, now);
+    }
+    own_answer(node, id, StatusCode::UNAUTHORIZED, why, now)
+}
+
+/// The answer to a call that is beyond its tenant's limit, if it is.
+pub(super) fn over_limit(node: &Node, sender: &Sender, id: &str, now: Timestamp) -> Option<Response<Body>> {
+    let Sender::Tenant(tenant) = sender else { return None };
+    let over = node.admit_within_limit(tenant).err()?;
+    node.log_failure(|| {
+        let OverLimit { come_back, share } = over;
+        format!(
+            "\"event\":\"over-limit\",\"id\":{id:?},\"tenant\":\"{}\",\"share\":{share:.3},\"come_back_ms\":{}",
+            tenant.name,
+            come_back.as_millis()
+        )
+    });
+    Some(refuse_with(node, StatusCode::TOO_MANY_REQUESTS, id, "over-limit", over.come_back, now))
+}
+
+/// Who makes a call; a call of this node's target is noted in the graph of calls.
+pub(super) fn origin(node: &Node, route: &Route, shown: Shown<'_>, sender: &Sender, now: Timestamp) -> Origin {
+    let Some(given) = shown.given.filter(|_| shown.is_local(node)) else { return Origin::Caller };
+    let origin = {
+        let graph = node.graph.borrow();
+        let rate = |parent: &Arc<str>| graph.rate(parent, &route.name);
+        let mut parents = node.parents.borrow_mut();
+        match sender {
+            Sender::Tenant(_) => Origin::Caller,
+            Sender::Target => parents.origin_in_target(&route.name, given, now, rate),
+            Sender::Anyone => parents.origin(&route.name, given, now, rate),
+        }
+    };
+    match &origin {
+        Origin::Parent(parent, _) => node.graph.borrow_mut().called(&route.name, [(parent, 1.0)], now),
+        Origin::Target(Some(likely)) => {
+            let parents = likely.routes.iter().map(|(parent, likelihood)| (parent, *likelihood));
+            node.graph.borrow_mut().called(&route.name, parents, now);
+        }
+        Origin::Target(None) | Origin::Caller => {}
+    }
+    origin
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -43,6 +43,7 @@
     id: Option<HeaderValue>,
     expected: String,
     route: Option<Arc<str>>,
+    arrived: Timestamp,
     deadline: Timestamp,
 }
 
@@ -68,6 +69,7 @@
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: text(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
         route: route_name(&node, &parts),
+        arrived,
         deadline: arrived + time,
     };
     if let (Some(route), Some(caller)) = (&call.route, text(headers, headers::CALLER_SERVICE)) {
@@ -147,7 +149,8 @@
         node.callers.borrow_mut().called_by(route, || targets.machine_shares())
     });
     let health = node.health.borrow_mut().share(now);
-    let report = Report { outcome, load, cut, health, called_by, reach: views::own_reach(node), present };
+    let (reach, proof) = (views::own_reach(node), node.freshness_proof(call.arrived));
+    let report = Report { outcome, load, cut, health, called_by, reach, proof, present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -8,6 +8,7 @@
 
 use quillhatch_mesh::callers::CalledBy;
 use quillhatch_mesh::cut::Cut;
+use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 
@@ -141,6 +142,8 @@
     pub called_by: CalledBy,
     /// How far the gate's view of the store reaches.
     pub reach: Reach,
+    /// When the gate's configuration was known to be the newest, if that is needed and known.
+    pub proof: Option<FreshnessProof>,
     /// The target beside the gate, told where the call was for another one.
     pub present: Option<PresentTarget>,
 }
@@ -170,6 +173,15 @@
     }
 }
 
+/// Reads a proof, which may be left out.
+fn decode_proof(text: &str) -> Option<Option<FreshnessProof>> {
+    if text.is_empty() {
+        return Some(None);
+    }
+    let (version, age) = text.split_once(',')?;
+    Some(Some(FreshnessProof { version: version.parse().ok()?, age_at_arrival_ms: age.parse().ok()? }))
+}
+
 impl Report {
     /// The header's text.
     pub fn encode(&self) -> String {
@@ -179,7 +191,10 @@
         let called_by = encode_called_by(self.called_by);
         let letter = self.outcome.letter();
         let mut text =
-            format!("{letter};{running};{limit};{waiting};{cut};{health};{called_by};{}", self.reach.encode());
+            format!("{letter};{running};{limit};{waiting};{cut};{health};{called_by};{};", self.reach.encode());
+        if let Some(FreshnessProof { version, age_at_arrival_ms }) = self.proof {
+            let _ = write!(text, "{version},{age_at_arrival_ms}");
+        }
         if let Some(present) = &self.present {
             let _ = write!(text, ";{};{}", present.id, present.service);
         }
@@ -196,10 +211,11 @@
         let health = number()? as f64 / HEALTH_STEPS;
         let called_by = decode_called_by(number()?);
         let reach = Reach::decode(parts.next()?)?;
+        let proof = decode_proof(parts.next()?)?;
         let present = match (parts.next(), parts.next()) {
             (Some(id), Some(service)) => Some(PresentTarget { id: id.to_owned(), service: service.to_owned() }),
             _ => None,
         };
-        Some(Report { outcome, load, cut, health, called_by, reach, present })
+        Some(Report { outcome, load, cut, health, called_by, reach, proof, present })
     }
 }
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod headers;
 pub mod hop;
 pub mod keyed_lock;
+pub mod limits;
 pub mod listener;
 pub mod logging;
 pub mod node;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -13,8 +13,10 @@
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::cut::{Cut, RouteCuts};
 use quillhatch_mesh::demand::CallGraph;
+use quillhatch_mesh::freshness::{FreshnessLease, FreshnessProof};
 use quillhatch_mesh::gate::Gate;
 use quillhatch_mesh::health::AnswerHealth;
+use quillhatch_mesh::limits::{report_period, LimitCoordinator, LocalLimits, OverLimit};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::queue::Ticket;
@@ -22,8 +24,9 @@
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::store_reader::StoreReader;
 use quillhatch_mesh::targets::{TargetId, TargetTable};
+use quillhatch_mesh::tenants::Tenant;
 use quillhatch_types::Timestamp;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use tokio::sync::{oneshot, Notify};
 
@@ -90,6 +93,16 @@
     pub health: RefCell<AnswerHealth>,
     /// Calls that wait at the gate.
     pub waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admitted>>>,
+    /// For how long the configuration in force may be taken for the newest one.
+    pub freshness: RefCell<FreshnessLease>,
+    /// Whether the store holds a later configuration that this node can't use.
+    pub later_is_unusable: Cell<bool>,
+    /// The limits of tenants at this node.
+    pub limits: RefCell<LocalLimits>,
+    /// What other nodes report of the limits of tenants, if this one coordinates them.
+    pub coordinator: RefCell<LimitCoordinator>,
+    /// The machines that hold a target, each once.
+    pub machines: Cell<usize>,
     /// Repeats by service.
     pub budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// Connections to other nodes.
@@ -183,6 +196,11 @@
             capacity: RefCell::new(CapacityMeter::new(settings.mechanisms, now)),
             health: RefCell::new(AnswerHealth::new(now)),
             waiting: RefCell::default(),
+            freshness: RefCell::new(FreshnessLease::new(settings.bounds.revocation, rand::random())),
+            later_is_unusable: Cell::new(false),
+            limits: RefCell::new(LocalLimits::new(settings.bounds.limits)),
+            coordinator: RefCell::new(LimitCoordinator::new(settings.bounds.limits)),
+            machines: Cell::new(0),
             budgets: RefCell::default(),
             peers: Pool::new(peers),
             target: Pool::new(target),
@@ -249,7 +267,37 @@
     pub fn is_ready(&self) -> bool {
         self.stage.get() == Stage::Serving
             && self.targets_known.get()
-            && self.configuration.borrow().current().is_some()
+            && self.configuration.borrow().current().is_some_and(|current| self.can_check_keys(current))
+    }
+
+    /// Whether keys may be believed or refused now, if there are any.
+    pub fn can_check_keys(&self, configuration: &Configuration) -> bool {
+        configuration.tenants.is_empty() || self.freshness.borrow().is_valid(self.now())
+    }
+
+    /// What this node tells of how recent its configuration is, in the answer to a call that arrived at `arrived`.
+    pub fn freshness_proof(&self, arrived: Timestamp) -> Option<FreshnessProof> {
+        let freshness = self.freshness.borrow();
+        let is_told = freshness.is_bounded() && self.has(Mechanism::HeardFreshness);
+        is_told.then(|| freshness.proof(self.configuration.borrow().version(), arrived)).flatten()
+    }
+
+    /// Takes what another node has told of how recent its configuration is, in the answer to a call that was sent at `sent`.
+    pub fn heard_freshness(&self, proof: FreshnessProof, sent: Timestamp) {
+        if self.has(Mechanism::HeardFreshness) && !self.later_is_unusable.get() {
+            self.freshness.borrow_mut().heard(proof, self.configuration.borrow().version(), sent);
+        }
+    }
+
+    /// Counts a call of `tenant` that arrives here.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to come back if the call is beyond the tenant's limit.
+    pub fn admit_within_limit(&self, tenant: &Tenant) -> Result<(), OverLimit> {
+        let machines = self.machines.get().max(1);
+        let draw = self.random.borrow_mut().gen();
+        self.limits.borrow_mut().admit(tenant, machines, report_period(machines), draw, self.now())
     }
 
     /// Whether the process was asked to stop.
@@ -290,6 +338,12 @@
             ("gate_is_short", f64::from(u8::from(self.shortage().is_some()))),
             ("target_health", self.health.borrow_mut().share(self.now())),
             ("edge_running", self.edge_calls.get() as f64),
+            ("tenants", self.current_configuration().map_or(0.0, |current| current.tenants.len() as f64)),
+            (
+                "configuration_age_seconds",
+                self.freshness.borrow().age(self.now()).map_or(-1.0, |age| age.as_secs_f64()),
+            ),
+            ("coordinated_nodes", self.coordinator.borrow().nodes() as f64),
             ("ready", f64::from(u8::from(self.is_ready()))),
         ];
         self.counters.render(&gauges, self.log_state.dropped())
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,7 +23,7 @@
 use crate::listener::{bind, serve, Connections};
 use crate::logging;
 use crate::node::{Node, Stage};
-use crate::{edge, gate, store};
+use crate::{edge, gate, limits, store};
 
 /// How long callers are given to be led away once the process is asked to stop.
 ///
@@ -189,6 +189,10 @@
             answer_metrics(Rc::clone(&for_metrics), parts, metrics_path.clone())
         }));
     }
+    if let Some(address) = settings.limits {
+        let socket = limits::bind(address).map_err(failed("limits"))?;
+        tasks.spawn_local(limits::exchange(Rc::clone(&node), socket));
+    }
     tasks.spawn_local(store::follow(Rc::clone(&node)));
     tasks.spawn_local(store::drop_expired(Rc::clone(&node)));
     tasks.spawn_local(dismiss_expired(Rc::clone(&node)));
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use quillhatch_mesh::freshness::WHOLE_ANSWER;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::store_reader::{watch_wait, NextRead, RARE_WAIT};
 use quillhatch_platform::store::{listing_path, read_page, watch_path, Change, Freshness};
@@ -20,7 +21,7 @@
 use crate::counters::Counters;
 use crate::node::Node;
 pub use apply::drop_expired;
-use apply::{apply, changed, reached, remove_gone};
+use apply::{apply, changed, is_up_to_date, reached, remove_gone};
 use client::{get, StoreError};
 
 /// How long a plain read may take.
@@ -83,6 +84,7 @@
 /// Reads the configuration and all targets.
 async fn read_all(node: &Rc<Node>, freshness: Freshness) -> Result<(), StoreError> {
     let views_taken = node.store_reader.borrow().views_taken();
+    let sent = node.now();
     let mut listed: HashSet<Arc<str>> = HashSet::new();
     let mut after = String::new();
     let mut pages = Vec::new();
@@ -120,7 +122,10 @@
         missing.len()
     ));
     match freshness {
-        Freshness::Current => node.targets_known.set(true),
+        Freshness::Current => {
+            is_up_to_date(node, sent);
+            node.targets_known.set(true);
+        }
         Freshness::MayLag => {
             tokio::task::spawn_local(caught_up(Rc::clone(node)));
         }
@@ -142,7 +147,9 @@
     let mut is_probing = node.store_lost.get().is_some();
     loop {
         let NextRead::Changes { after } = node.store_reader.borrow().next() else { return StoreError::ViewReplaced };
-        let wait = match std::mem::take(&mut is_probing) {
+        let is_due = node.freshness.borrow().renew_in(node.now()).is_some_and(|left| left.is_zero());
+        is_probing |= is_due;
+        let wait = match is_probing {
             true => PROBING_WAIT,
             false if node.has(Mechanism::EarlyWatches) => {
                 watch_wait(own, &node.targets.borrow(), &node.settings.bounds)
@@ -151,6 +158,7 @@
         };
         let path = watch_path(after, wait);
         let views_taken = node.store_reader.borrow().views_taken();
+        let sent = node.now();
         let page = tokio::select! {
             page = get(node, &path, wait + WATCH_ALLOWANCE, read_page) => page,
             heard = hanging_for_long(node) => {
@@ -158,7 +166,13 @@
                 is_probing = true;
                 continue;
             }
+            () = proof_is_old(node), if !is_probing => {
+                node.log_failure(|| format!("\"event\":\"proof-renewed\",\"revision\":{after}"));
+                is_probing = true;
+                continue;
+            }
         };
+        is_probing = false;
         let page = match page {
             Ok(page) => page,
             Err(error) => return error,
@@ -167,11 +181,18 @@
             return StoreError::ViewReplaced;
         }
         reached(node, page.revision);
-        if page.changes.is_empty() {
+        let is_whole = page.changes.len() <= WHOLE_ANSWER;
+        let has_changes = !page.changes.is_empty();
+        if has_changes {
+            apply(node, page.changes, node.now());
+            changed(node);
+        }
+        if is_whole {
+            is_up_to_date(node, sent);
+        }
+        if !has_changes {
             continue;
         }
-        apply(node, page.changes, node.now());
-        changed(node);
         // Where one change is, more follow; each answer has its price. A change that comes while none was gathered is known at
         // once, since the watch waits for it.
         if node.has(Mechanism::GatheredChanges) {
@@ -180,6 +201,19 @@
     }
 }
 
+/// Ends once this node's configuration was not known to be the newest for so long that it asks the store itself.
+async fn proof_is_old(node: &Node) {
+    loop {
+        let left = node.freshness.borrow().renew_in(node.now());
+        match left {
+            None => std::future::pending().await,
+            Some(left) if left.is_zero() => return,
+            // Others may tell meanwhile that it was the newest later.
+            Some(left) => sleep(left).await,
+        }
+    }
+}
+
 /// Ends once the views of other nodes have reached further than this node's for longer than changes are on their way;
 /// returns how far. For each revision that others tell it ends once.
 async fn hanging_for_long(node: &Node) -> u64 {
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -123,7 +123,7 @@
         cold_ms: now.until(target.cold_until).as_millis() as u32,
     });
     let targets = listed.collect();
-    Some(View { revision: node.revision.get(), configuration: configuration.document.to_vec(), targets })
+    Some(View { revision: node.revision.get(), configuration: configuration.document.0.to_vec(), targets })
 }
 
 /// Takes a view that another node hands over.
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -4,6 +4,7 @@
 
 use quillhatch_mesh::callers::CalledBy;
 use quillhatch_mesh::cut::Cut;
+use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 use quillhatch_sidecar::counters::Counters;
@@ -27,7 +28,10 @@
 fn what_a_gate_tells_an_edge_is_read_as_it_was_written() {
     let present = PresentTarget { id: "i-1".to_owned(), service: "alpha".to_owned() };
     for outcome in Outcome::ALL {
-        for present in [None, Some(present.clone())] {
+        let proof = FreshnessProof { version: 17, age_at_arrival_ms: -250 };
+        for (present, proof) in
+            [(None, Some(proof)), (Some(present.clone()), None), (Some(present.clone()), Some(proof))]
+        {
             let report = Report {
                 outcome,
                 load: Load { running: 3, limit: 36, waiting: 144 },
@@ -35,6 +39,7 @@
                 health: 0.75,
                 called_by: CalledBy::Targets,
                 reach: Reach { revision: 0, is_cut_off: false },
+                proof,
                 present,
             };
             assert_eq!(Report::decode(&report.encode()), Some(report));
@@ -47,6 +52,9 @@
 #[test_case("x;1;2;3;4;5;6;7,0")]
 #[test_case("a;1;2;3;4;5;-6;7,0")]
 #[test_case("a;1;2;3;4;5;6;7")]
+#[test_case("a;1;2;3;4;5;6;7,0"; "no field for a proof")]
+#[test_case("a;1;2;3;4;5;6;7,0;17"; "half a proof")]
+#[test_case("a;1;2;3;4;5;6;7,0;17,1.5"; "an age in parts")]
 fn a_header_that_no_node_wrote_is_refused(text: &str) {
     assert_eq!(Report::decode(text), None);
     assert_eq!(Forwarded::decode(text), None);
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod limits;
 pub mod shop;
+pub mod tenancy;
 
 pub use quillhatch_platform_standins::{caller, store, target};
 
@@ -13,6 +14,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::mechanisms::Mechanisms;
 use quillhatch_mesh::settings::{Bounds, SidecarSettings};
 use quillhatch_sidecar::node::Node;
@@ -56,6 +58,7 @@
 const INBOUND: u16 = 21502;
 const READY: u16 = 21503;
 const METRICS: u16 = 21504;
+const LIMITS: u16 = 21505;
 
 /// The bounds of the tests.
 pub const BOUNDS: Bounds = Bounds {
@@ -66,6 +69,8 @@
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
     retry_slack: 55.0,
+    revocation: None,
+    limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
 };
 
 /// Settings of the sidecar on `machine`, beside `target` of `service`.
@@ -80,6 +85,7 @@
         inbound: at(INBOUND),
         ready: at(READY),
         metrics: Some((at(METRICS), "/metrics".to_owned())),
+        limits: Some(at(LIMITS)),
         store,
         descriptors: 4096,
         mechanisms: Mechanisms::default(),
@@ -97,10 +103,21 @@
 impl Machine {
     /// Starts a target of `service` and a sidecar beside it, and lists the target in the store.
     pub async fn start(store: &StandInStore, service: &str, slots: u32) -> Self {
+        Self::start_with(store, service, slots, |settings| settings).await
+    }
+
+    /// The same with other settings.
+    pub async fn start_with(
+        store: &StandInStore,
+        service: &str,
+        slots: u32,
+        change: impl Fn(SidecarSettings) -> SidecarSettings,
+    ) -> Self {
         let address = machine();
         let target = StandInTarget::start(address, service, slots).await;
         store.list(&target, "ready");
-        let sidecar = start_sidecar(address, service, target.address, store.address);
+        let settings = change(settings(address, service, target.address, store.address));
+        let sidecar = start(Node::new(settings, Default::default())).expect("the sidecar's addresses are free");
         eventually("the sidecar is ready", || sidecar.node.is_ready()).await;
         Machine { target, sidecar, address }
     }
--- /dev/null
+++ b/crates/sidecar/tests/support/tenancy.rs
@@ -0,0 +1,68 @@
+//! Two tenants with keys, routes that need one and one that is public, and a machine of each of two services.
+
+use std::time::Duration;
+
+use quillhatch_mesh::settings::{Bounds, SidecarSettings};
+
+use super::caller::{call, request, Answer};
+use super::store::StandInStore;
+use super::{eventually, Machine, BOUNDS};
+
+/// The host of the routes.
+pub const HOST: &str = "shop.example";
+/// The key of the tenant that is not limited.
+pub const FREE_KEY: &str = "key-of-free";
+/// The key of the tenant that may send three calls a second.
+pub const LIMITED_KEY: &str = "key-of-limited";
+/// The bound on revocation of machines that keep one: keys are believed for 1.485 s after a proof.
+pub const REVOCATION: Duration = Duration::from_millis(2500);
+
+/// A configuration in which the tenant `free` has `keys`.
+pub fn document(version: u32, keys: &[&str]) -> String {
+    format!(
+        r#"{{"version":"r{version}",
+        "tenants":[{{"name":"free","api_keys":{keys:?},"priority":1}},
+          {{"name":"limited","api_keys":["{LIMITED_KEY}"],"rate_per_s":3,"burst":3}}],
+        "listeners":[{{"host":"{HOST}","rules":[
+          {{"name":"read","kind":"safe","aim_s":1,"match":{{"prefix":"/read/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}},
+          {{"name":"chain","kind":"safe","aim_s":1,"match":{{"prefix":"/chain/"}},"action":{{"service":"alpha","timeout_s":2,"max_attempts":1}}}},
+          {{"name":"leaf","kind":"safe","aim_s":1,"match":{{"prefix":"/leaf/"}},"action":{{"service":"beta","timeout_s":1,"max_attempts":2}}}},
+          {{"name":"open","kind":"safe","aim_s":1,"public":true,"match":{{"prefix":"/open/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}}]}}],
+        "clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#
+    )
+}
+
+/// A request of a route with headers of its own, each ended by a line break.
+pub fn get(route: &str, id: &str, headers: &str) -> String {
+    request("GET", HOST, &format!("/{route}/x"), id, 5000, "").replacen("\r\n\r\n", &format!("\r\n{headers}\r\n"), 1)
+}
+
+/// The header with a key.
+pub fn with_key(key: &str) -> String {
+    format!("X-Api-Key: {key}\r\n")
+}
+
+/// Sends a read with a key through `machine`.
+pub async fn read(machine: &Machine, id: &str, key: &str) -> Answer {
+    call(machine.outbound(), &get("read", id, &with_key(key))).await.expect("an answer")
+}
+
+/// Keeps the bound on revocation.
+pub fn strictly(settings: SidecarSettings) -> SidecarSettings {
+    SidecarSettings { bounds: Bounds { revocation: Some(REVOCATION), ..BOUNDS }, ..settings }
+}
+
+/// A store, a machine of `alpha` and one of `beta`, which reads the store at `address_of_beta`.
+pub async fn two_machines(
+    change: impl Fn(SidecarSettings) -> SidecarSettings,
+    store: &StandInStore,
+    store_of_beta: &StandInStore,
+) -> (Machine, Machine) {
+    store.configure(&document(5, &[FREE_KEY]));
+    let alpha = Machine::start_with(store, "alpha", 8, &change).await;
+    let beta = Machine::start_with(store_of_beta, "beta", 8, &change).await;
+    for machine in [&alpha, &beta] {
+        eventually("both are listed", || machine.node().targets.borrow().len() == 2).await;
+    }
+    (alpha, beta)
+}
--- /dev/null
+++ b/crates/sidecar/tests/tenants.rs
@@ -0,0 +1,190 @@
+//! Keys, tenants and their limits through two sidecars.
+
+mod support;
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use quillhatch_sidecar::node::Node;
+use support::caller::{call, Caller};
+use support::store::{Mode, StandInStore};
+use support::target::ChainedCall;
+use support::tenancy::{
+    document, get, read, strictly, two_machines, with_key, FREE_KEY, HOST, LIMITED_KEY, REVOCATION,
+};
+use support::{eventually, run, Machine};
+use test_case::test_case;
+use tokio::time::{sleep, Instant};
+
+async fn started() -> (StandInStore, Machine, Machine) {
+    let store = StandInStore::start().await;
+    let (alpha, beta) = two_machines(|settings| settings, &store, &store).await;
+    (store, alpha, beta)
+}
+
+#[test]
+fn a_target_sees_the_tenant_and_never_the_key() {
+    run(async {
+        let (_store, alpha, beta) = started().await;
+        let forged = format!("{}Quillhatch-Tenant: limited\r\n", with_key(FREE_KEY));
+        for (id, headers) in [("one", with_key(FREE_KEY)), ("two", forged)] {
+            assert_eq!(call(beta.outbound(), &get("read", id, &headers)).await.expect("an answer").status, 200);
+        }
+        for seen in alpha.target.ran() {
+            assert_eq!((seen.header("quillhatch-tenant"), seen.header("x-api-key")), ("free", ""), "{}", seen.id());
+        }
+        assert!(!beta.node().metrics().contains(FREE_KEY));
+    });
+}
+
+#[test_case("", 401; "no key")]
+#[test_case("X-Api-Key: key-of-nobody\r\n", 401; "an unknown key")]
+#[test_case("X-Api-Key: key-of-fre\r\n", 401; "the beginning of a key")]
+#[test_case("X-Api-Key: key-of-free\r\nX-Api-Key: key-of-free\r\n", 401; "two keys")]
+#[test_case("X-Api-Key: key-of-free\r\n", 200; "a key")]
+fn a_call_needs_a_key(headers: &str, status: u16) {
+    let request = get("read", "one", headers);
+    run(async move {
+        let (_store, alpha, beta) = started().await;
+        assert_eq!(call(beta.outbound(), &request).await.expect("an answer").status, status);
+        assert_eq!(alpha.target.arrivals(), usize::from(status == 200));
+    });
+}
+
+#[test]
+fn a_caller_on_the_targets_machine_does_not_pass_for_it() {
+    run(async {
+        let (_store, alpha, beta) = started().await;
+        let source = IpAddr::V4(beta.address);
+        let mut caller = Caller::connect_from(source, beta.outbound()).await.expect("a connection");
+        caller.send(&get("read", "one", "")).await;
+        assert_eq!(caller.answer().await.expect("an answer").status, 401);
+        assert_eq!(alpha.target.arrivals(), 0);
+    });
+}
+
+#[test]
+fn a_public_route_needs_no_key_and_tells_no_tenant() {
+    run(async {
+        let (_store, alpha, beta) = started().await;
+        for (id, headers) in [("one", String::new()), ("two", with_key("key-of-nobody")), ("three", with_key(FREE_KEY))]
+        {
+            let forged = format!("{headers}Quillhatch-Tenant: limited\r\n");
+            assert_eq!(call(beta.outbound(), &get("open", id, &forged)).await.expect("an answer").status, 200);
+        }
+        for seen in alpha.target.ran() {
+            assert_eq!((seen.header("quillhatch-tenant"), seen.header("x-api-key")), ("", ""), "{}", seen.id());
+        }
+    });
+}
+
+#[test]
+fn calls_of_a_target_need_no_key() {
+    run(async {
+        let (_store, alpha, beta) = started().await;
+        alpha.target.chain(ChainedCall {
+            outbound: alpha.outbound(),
+            host: HOST.to_owned(),
+            path: "/leaf/x".to_owned(),
+        });
+        for number in 0..20 {
+            let request = get("chain", &format!("c{number}"), &with_key(FREE_KEY));
+            assert_eq!(call(beta.outbound(), &request).await.expect("an answer").status, 200, "{number}");
+        }
+        assert_eq!(beta.target.ran().len(), 20);
+    });
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_refused_and_a_new_one_let_in() {
+    run(async {
+        let (store, alpha, beta) = started().await;
+        store.configure(&document(6, &["another-key"]));
+        eventually("both have the new one", || [&alpha, &beta].iter().all(|machine| version(machine.node()) == 6))
+            .await;
+        assert_eq!(read(&beta, "old", FREE_KEY).await.status, 401);
+        assert_eq!(read(&beta, "new", "another-key").await.status, 200);
+    });
+}
+
+fn version(node: &Node) -> u64 {
+    node.configuration.borrow().version()
+}
+
+#[test]
+fn calls_beyond_a_limit_are_told_when_to_come_back_and_others_go_on() {
+    run(async {
+        let (_store, alpha, beta) = started().await;
+        eventually("a coordinator answers", || {
+            let machines = beta.node().machines.get();
+            let period = quillhatch_mesh::limits::report_period(machines);
+            beta.node().limits.borrow().has_coordinator(period, beta.node().now())
+        })
+        .await;
+        let (mut served, mut refused) = (0, 0);
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(4) {
+            let answer = read(&beta, &format!("l{}", served + refused), LIMITED_KEY).await;
+            if answer.status == 429 {
+                let pause: f64 = answer.header("retry-after").parse().expect("a time");
+                assert!((0.1..10.0).contains(&pause), "{pause}");
+                refused += 1;
+            } else {
+                assert_eq!(answer.status, 200);
+                served += 1;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        // Three a second, a burst of three and a piece of the slack.
+        assert!((10..=28).contains(&served), "{served} served, {refused} refused");
+        assert_eq!(alpha.target.arrivals(), served, "refused calls reach no target");
+        for number in 0..50 {
+            assert_eq!(read(&beta, &format!("f{number}"), FREE_KEY).await.status, 200);
+        }
+    });
+}
+
+#[test]
+fn with_a_silent_store_keys_are_believed_for_a_part_of_the_bound_only() {
+    run(async {
+        let store = StandInStore::start().await;
+        let (alpha, beta) = two_machines(strictly, &store, &store).await;
+        assert_eq!(read(&beta, "one", FREE_KEY).await.status, 200);
+        store.set_mode(Mode::Silent);
+        let silent = Instant::now();
+        while read(&beta, "while", FREE_KEY).await.status == 200 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(silent.elapsed() < REVOCATION, "{:?}", silent.elapsed());
+        let answer = read(&beta, "late", FREE_KEY).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.header("retry-after").parse::<f64>().is_ok(), "it is told when to come back");
+        assert!(!beta.node().is_ready(), "callers are led elsewhere");
+        assert_eq!(call(beta.outbound(), &get("open", "open", "")).await.expect("an answer").status, 200);
+        store.set_mode(Mode::Normal);
+        eventually("keys are believed again", || beta.node().is_ready() && alpha.node().is_ready()).await;
+        assert_eq!(read(&beta, "again", FREE_KEY).await.status, 200);
+    });
+}
+
+#[test]
+fn a_node_that_cannot_read_the_store_lives_on_the_word_of_others_as_long_as_its_configuration_is_theirs() {
+    run(async {
+        let store = StandInStore::start().await;
+        let store_of_beta = store.another_address().await;
+        let (alpha, beta) = two_machines(strictly, &store, &store_of_beta).await;
+        store_of_beta.set_mode(Mode::Silent);
+        let begun = Instant::now();
+        while begun.elapsed() < REVOCATION * 2 {
+            assert_eq!(read(&beta, "while", FREE_KEY).await.status, 200, "after {:?}", begun.elapsed());
+            sleep(Duration::from_millis(30)).await;
+        }
+        store.configure(&document(6, &["another-key"]));
+        let taken_away = Instant::now();
+        while read(&beta, "old", FREE_KEY).await.status == 200 {
+            assert!(taken_away.elapsed() < REVOCATION, "the key is believed for too long");
+            sleep(Duration::from_millis(30)).await;
+        }
+        drop(alpha);
+    });
+}
