Soak: tenants, keys that are replaced with each configuration, a limit

The checks look at what callers sent and targets saw: no key and no forged tenant reaches a target, no call runs with a key that was taken away more than the bound ago, a limited tenant stays within its bound; each is found broken on a record in which it is.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -8,6 +8,7 @@
 
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
 use crate::record::{CallEnd, CallRecord, RunRecord, SoakRecord};
+use crate::tenancy;
 
 /// How long a machine must have been without disturbance for bounds in time to hold there.
 pub const SETTLE: Duration = Duration::from_secs(3);
@@ -50,6 +51,15 @@
     /// Repeats stay within their budget.
     #[display("retry-budget")]
     RetryBudget,
+    /// No key reaches a target, and each call runs as its tenant's.
+    #[display("keys")]
+    Keys,
+    /// No call runs whose key was taken away long before.
+    #[display("revoked")]
+    Revoked,
+    /// Calls of a tenant stay within its limit.
+    #[display("limits")]
+    Limits,
     /// In calm nothing is cut, planned stops included.
     #[display("uncut")]
     Uncut,
@@ -74,7 +84,7 @@
     pub what: String,
 }
 
-fn broken(promise: Promise, what: String) -> Violation {
+pub(crate) fn broken(promise: Promise, what: String) -> Violation {
     Violation { promise, what }
 }
 
@@ -134,6 +144,7 @@
         found.push(broken(Promise::Slots, format!("{} of {SLOTS} slots used", record.most_running)));
     }
     found.extend(over_budget(record));
+    found.extend(tenancy::check(record));
     found
 }
 
@@ -206,12 +217,12 @@
         if !record.is_all_calm(SETTLE, call.sent, call.ended) {
             continue;
         }
-        asked += 1;
+        asked += usize::from(call.key.is_steady());
         match call.end {
-            CallEnd::Answered { status: 200, .. } => served += 1,
+            CallEnd::Answered { status: 200, .. } => served += usize::from(call.key.is_steady()),
             CallEnd::Answered { .. } => {}
             // A process that was asked to stop may be gone, and its callers come to nobody.
-            CallEnd::Unreached => asked -= usize::from(was_stopping(record, call)),
+            CallEnd::Unreached => asked -= usize::from(call.key.is_steady() && was_stopping(record, call)),
             CallEnd::Cut if !ran.contains(call.id.as_str()) && call.ended - call.sent <= UNREAD => {}
             CallEnd::Cut | CallEnd::Silent => {
                 let what = format!(
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -5,6 +5,8 @@
 use quillhatch_platform_standins::configuration::{configuration_document, DocumentRoute};
 use rand::Rng;
 
+use crate::tenancy::tenants;
+
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
 /// The services, each with [`TARGETS_EACH`] targets.
@@ -19,8 +21,9 @@
 const OUTBOUND: u16 = 22501;
 const INBOUND: u16 = 22502;
 const READY: u16 = 22503;
-const METRICS: u16 = 22504;
-const TARGET: u16 = 22505;
+/// The ports that are left to the project: of counters and of reports on limits.
+const OWN_PORTS: (u16, u16) = (22504, 22505);
+const TARGET: u16 = 22506;
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -86,8 +89,8 @@
     }
 }
 
-/// The configuration of a version, in which [`RouteKind::Moving`] is served by `moving`.
-pub fn document(version: u64, moving: &str) -> String {
+/// The configuration of a version, the one with this number, in which [`RouteKind::Moving`] is served by `moving`.
+pub fn document(version: u64, number: usize, moving: &str) -> String {
     let route = |name, kind, service, priority| DocumentRoute { name, kind, service, priority, timeout_s: 2 };
     let routes = [
         route("read", "safe", "beta", 2),
@@ -95,7 +98,7 @@
         route("chain", "safe", "alpha", 1),
         route("moving", "safe", moving, 2),
     ];
-    configuration_document(version, HOST, &routes, &SERVICES)
+    configuration_document(version, HOST, &routes, &SERVICES, &tenants(number))
 }
 
 /// The addresses of one machine.
@@ -146,9 +149,9 @@
         (self.own, READY).into()
     }
 
-    /// The port of the counters.
-    pub fn metrics_port(&self) -> u16 {
-        METRICS
+    /// The first and the last of the ports that are left to the project.
+    pub fn own_ports(self) -> (u16, u16) {
+        OWN_PORTS
     }
 
     /// Where the target listens.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod proxy;
 pub mod record;
 pub mod run;
+pub mod tenancy;
 pub mod traffic;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -60,12 +60,12 @@
         let document = settings_document(&MachineSettings {
             node: &node,
             service: addrs.service(),
-            ip: addrs.own.into(),
+            ip: addrs.public.into(),
             target: addrs.target(),
             outbound: addrs.outbound(),
             inbound: addrs.inbound(),
             ready: addrs.ready(),
-            metrics_port: addrs.metrics_port(),
+            own_ports: addrs.own_ports(),
             store: store.address,
         });
         std::fs::write(&settings, document)?;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::layout::RouteKind;
+use crate::tenancy::SoakKey;
 
 /// How a call ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +30,8 @@
     pub id: String,
     /// What was asked for.
     pub kind: RouteKind,
+    /// The key that it carries.
+    pub key: SoakKey,
     /// The machine whose node it was sent to.
     pub machine: usize,
     /// When its last byte was sent.
@@ -52,6 +55,10 @@
     pub request: (String, String, String),
     /// The service that the node named as its caller.
     pub caller_service: String,
+    /// The tenant that the node named; empty if it named none.
+    pub tenant: String,
+    /// Whether it brought a key.
+    pub has_key: bool,
 }
 
 /// A time in which something was wrong with a machine, or with all of them.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -135,7 +135,8 @@
         let former = self.record.borrow().configs.last().map(|config| config.moving);
         let others: Vec<&'static str> = SERVICES.into_iter().filter(|service| Some(*service) != former).collect();
         let moving = others[self.random.gen_range(0..others.len())];
-        self.store.configure(&document(self.version, moving));
+        let number = self.record.borrow().configs.len();
+        self.store.configure(&document(self.version, number, moving));
         self.record.borrow_mut().configs.push(ConfigWrite { moving, acked: Instant::now() });
     }
 
@@ -253,8 +254,9 @@
 fn run_record(machine: usize, seen: Seen) -> RunRecord {
     let id = seen.id().to_owned();
     let caller_service = seen.caller_service().to_owned();
+    let (tenant, has_key) = (seen.header("quillhatch-tenant").to_owned(), !seen.header("x-api-key").is_empty());
     let body = String::from_utf8_lossy(&seen.body).into_owned();
-    RunRecord { id, machine, at: seen.at, request: (seen.method, seen.path, body), caller_service }
+    RunRecord { id, machine, at: seen.at, request: (seen.method, seen.path, body), caller_service, tenant, has_key }
 }
 
 /// Whether the process of a machine says that it takes callers.
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -12,6 +12,7 @@
 use crate::layout::{RouteKind, HOST};
 use crate::machine::SoakMachine;
 use crate::record::{CallEnd, CallRecord, SoakRecord};
+use crate::tenancy::SoakKey;
 
 /// The time that a caller gives.
 const DEADLINE: Duration = Duration::from_secs(3);
@@ -50,41 +51,45 @@
                 continue;
             }
             let kind = RouteKind::ALL[self.random.gen_range(0..RouteKind::ALL.len())];
+            let key = SoakKey::draw(&mut self.random, self.record.borrow().configs.len());
             let id = format!("soak-{}-{}-{count}", self.machine.addrs.number, self.number);
-            kept = self.call(kind, id, kept).await;
+            kept = self.call(kind, key, id, kept).await;
             sleep(Duration::from_millis(self.random.gen_range(PAUSE_MS))).await;
         }
     }
 
     /// Sends one request; returns the connection if it can be used again.
-    async fn call(&mut self, kind: RouteKind, id: String, kept: Option<Caller>) -> Option<Caller> {
+    async fn call(&mut self, kind: RouteKind, key: SoakKey, id: String, kept: Option<Caller>) -> Option<Caller> {
         let addrs = self.machine.addrs;
         let connected = match kept {
             Some(caller) => Some(caller),
             None => Caller::connect_from(addrs.public.into(), addrs.outbound()).await,
         };
         let Some(mut caller) = connected else {
-            self.note(kind, id, Instant::now(), CallEnd::Unreached);
+            self.note(kind, key, id, Instant::now(), CallEnd::Unreached);
             sleep(AWAY_PAUSE).await;
             return None;
         };
         let deadline = DEADLINE.as_millis() as u64;
-        caller.send(&request(kind.method(), HOST, kind.path(), &id, deadline, kind.body())).await;
+        let text = request(kind.method(), HOST, kind.path(), &id, deadline, kind.body());
+        // Callers name a tenant of their own, which must not pass.
+        let headers = format!("\r\nX-Api-Key: {}\r\nQuillhatch-Tenant: forged\r\n\r\n", key.text());
+        caller.send(&text.replacen("\r\n\r\n", &headers, 1)).await;
         let sent = Instant::now();
         let Some(answer) = caller.answer_within(DEADLINE + ALLOWANCE).await else {
             let end = if sent.elapsed() >= DEADLINE + ALLOWANCE { CallEnd::Silent } else { CallEnd::Cut };
-            self.note(kind, id, sent, end);
+            self.note(kind, key, id, sent, end);
             return None;
         };
         let end = CallEnd::Answered { status: answer.status, is_own: answer.is_own(&id) };
-        self.note(kind, id, sent, end);
+        self.note(kind, key, id, sent, end);
         let closes = answer.header("connection").eq_ignore_ascii_case("close");
         (!closes && self.random.gen_bool(KEPT_SHARE)).then_some(caller)
     }
 
-    fn note(&self, kind: RouteKind, id: String, sent: Instant, end: CallEnd) {
+    fn note(&self, kind: RouteKind, key: SoakKey, id: String, sent: Instant, end: CallEnd) {
         let machine = self.machine.addrs.number;
-        let call = CallRecord { id, kind, machine, sent, ended: Instant::now(), end };
+        let call = CallRecord { id, kind, key, machine, sent, ended: Instant::now(), end };
         self.record.borrow_mut().calls.push(call);
     }
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -7,6 +7,7 @@
 use quillhatch_soak::record::{
     CallEnd, CallRecord, ConfigWrite, Disturbance, DrainSpan, RunRecord, SoakRecord, StopSpan,
 };
+use quillhatch_soak::tenancy::SoakKey;
 use test_case::test_case;
 
 /// Machines by the service of their target.
@@ -45,13 +46,31 @@
 
     fn call(&mut self, id: &str, kind: RouteKind, sent_ms: u64, end: CallEnd) {
         let (sent, ended) = (self.at(sent_ms), self.at(sent_ms + 400));
-        self.record.calls.push(CallRecord { id: id.to_owned(), kind, machine: ALPHA, sent, ended, end });
+        self.record.calls.push(CallRecord {
+            id: id.to_owned(),
+            kind,
+            key: SoakKey::Steady,
+            machine: ALPHA,
+            sent,
+            ended,
+            end,
+        });
     }
 
     fn run(&mut self, id: &str, kind: RouteKind, machine: usize, ms: u64) {
         let request = (kind.method().to_owned(), kind.path().to_owned(), kind.body().to_owned());
         let caller_service = "alpha".to_owned();
-        self.record.runs.push(RunRecord { id: id.to_owned(), machine, at: self.at(ms), request, caller_service });
+        let is_callers = self.record.calls.iter().any(|call| call.id == id);
+        let tenant = if is_callers { "steady" } else { "" }.to_owned();
+        self.record.runs.push(RunRecord {
+            id: id.to_owned(),
+            machine,
+            at: self.at(ms),
+            request,
+            caller_service,
+            tenant,
+            has_key: false,
+        });
     }
 
     fn disturb(&mut self, from_ms: u64, until_ms: u64) {
@@ -84,6 +103,26 @@
 #[test_case(Promise::AsSent, |story| story.run("nobody-sent", RouteKind::Read, BETA, 6_000))]
 #[test_case(Promise::AsSent, |story| story.record.runs[0].request.1 = "/read/y".to_owned())]
 #[test_case(Promise::AsSent, |story| story.record.runs[0].caller_service = "beta".to_owned())]
+#[test_case(Promise::Keys, |story| story.record.runs[0].has_key = true)]
+#[test_case(Promise::Keys, |story| story.record.runs[0].tenant = "rotating".to_owned())]
+#[test_case(Promise::Keys, |story| story.record.runs[0].tenant.clear())]
+#[test_case(Promise::Keys, |story| story.record.runs.last_mut().expect("a run").tenant = "steady".to_owned())]
+#[test_case(Promise::Revoked, |story| {
+    let acked = story.at(0);
+    story.record.configs.push(ConfigWrite { moving: "beta", acked });
+    story.record.calls[30].key = SoakKey::Rotating(0);
+    story.record.calls[30].sent = story.at(5_600);
+    story.record.runs[30].tenant = "rotating".to_owned();
+})]
+#[test_case(Promise::Limits, |story| {
+    for number in 0..100 {
+        let id = format!("limited-{number}");
+        story.call(&id, RouteKind::Read, 6_000, ok());
+        story.run(&id, RouteKind::Read, BETA, 6_000 + number * 30);
+        story.record.calls.last_mut().expect("a call").key = SoakKey::Limited;
+        story.record.runs.last_mut().expect("a run").tenant = "limited".to_owned();
+    }
+})]
 #[test_case(Promise::Once, |story| story.run("pay", RouteKind::Pay, GAMMA, 6_500))]
 #[test_case(Promise::Routed, |story| story.record.runs[0].machine = GAMMA)]
 #[test_case(Promise::Routed, |story| {
