--- a/crates/mesh/benches/tenants.rs
+++ b/crates/mesh/benches/tenants.rs
@@ -1,5 +1,7 @@
 //! What a call with a key costs: the look-up of its tenant and the tenant's limit; and what a new configuration costs.
 
+#![allow(missing_docs)] // The macro adds a function without any.
+
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/sidecar/src/edge/answers.rs
+++ b/crates/sidecar/src/edge/answers.rs
@@ -27,7 +27,7 @@
     });
     if !may_have_run {
         if let Some(tenant) = &call.tenant {
-            node.limits.borrow_mut().returned(&tenant.name, now);
+            node.tenancy.returned(tenant, now);
         }
         let pause = node.random.borrow_mut().gen_range(COME_BACK);
         return refuse(node, &call.id, why, pause, call.arrived);
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -136,7 +136,7 @@
     node.parents.borrow_mut().report(&call.route.name, report.called_by);
     views::heard(node, target.registration.address.ip(), report.reach);
     if let Some(proof) = report.proof {
-        node.heard_freshness(proof, begun);
+        node.tenancy.heard(proof, &node.configuration.borrow(), begun);
     }
     let follows = report.present.as_ref().is_some_and(|present| {
         let mut targets = node.targets.borrow_mut();
--- a/crates/sidecar/src/edge/sender.rs
+++ b/crates/sidecar/src/edge/sender.rs
@@ -12,6 +12,7 @@
 use quillhatch_mesh::parents::Origin;
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
+use rand::Rng;
 
 use super::answers::{own_answer, refuse, refuse_with};
 use crate::body::Body;
@@ -57,14 +58,19 @@
     let may_be_target = key.is_none()
         && shown.is_local(node)
         && shown.given.is_some_and(|given| node.parents.borrow().may_call(&route.name, given, now));
-    authenticate(configuration, route, Credentials { key, may_be_target }, node.can_check_keys(configuration))
+    authenticate(
+        configuration,
+        route,
+        Credentials { key, may_be_target },
+        node.tenancy.can_check_keys(configuration, now),
+    )
 }
 
 /// The answer to a call that is not let in.
 pub(super) fn deny(node: &Node, denial: Denial, route: &Route, id: &str, now: Timestamp) -> Response<Body> {
     let (name, why) = (&route.name, denial.name());
     node.log_failure(|| {
-        let age = node.freshness.borrow().age(now).map_or(-1, |age| age.as_millis() as i64);
+        let age = node.tenancy.freshness.borrow().age(now).map_or(-1, |age| age.as_millis() as i64);
         let version = node.configuration.borrow().version();
         format!(
             "\"event\":\"denied\",\"id\":{id:?},\"route\":\"{name}\",\"why\":\"{why}\",\"version\":{version},\"configuration_age_ms\":{age}"
@@ -81,7 +87,8 @@
 /// The answer to a call that is beyond its tenant's limit, if it is.
 pub(super) fn over_limit(node: &Node, sender: &Sender, id: &str, now: Timestamp) -> Option<Response<Body>> {
     let Sender::Tenant(tenant) = sender else { return None };
-    let over = node.admit_within_limit(tenant).err()?;
+    let draw = node.random.borrow_mut().gen();
+    let over = node.tenancy.admit(tenant, draw, now).err()?;
     node.log_failure(|| {
         let OverLimit { come_back, share } = over;
         format!(
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -149,7 +149,7 @@
         node.callers.borrow_mut().called_by(route, || targets.machine_shares())
     });
     let health = node.health.borrow_mut().share(now);
-    let (reach, proof) = (views::own_reach(node), node.freshness_proof(call.arrived));
+    let (reach, proof) = (views::own_reach(node), node.tenancy.proof(&node.configuration.borrow(), call.arrived));
     let report = Report { outcome, load, cut, health, called_by, reach, proof, present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,5 +19,7 @@
 pub mod present_target;
 pub mod relay;
 pub mod run;
+pub mod stop;
 pub mod store;
+pub mod tenancy;
 pub mod views;
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -70,7 +70,7 @@
     let mut choice = CoordinatorChoice::default();
     let mut buf = vec![0; LARGEST_DATAGRAM];
     loop {
-        let period = report_period(node.machines.get());
+        let period = report_period(node.tenancy.machines.get());
         let pause = node.random.borrow_mut().gen_range(period.mul_f64(0.9)..period.mul_f64(1.1));
         let next_report = sleep(pause);
         tokio::pin!(next_report);
@@ -100,13 +100,13 @@
 
 async fn report(node: &Rc<Node>, socket: &UdpSocket, awaited: &mut Awaited, choice: &mut CoordinatorChoice) {
     let machines = open_machines(node);
-    node.machines.set(node.targets.borrow().machines().len());
+    node.tenancy.machines.set(node.targets.borrow().machines().len());
     if !is_needed(node) {
         return;
     }
     let now = node.now();
     let Some(coordinator) = choice.next(&candidates(machines), now) else { return };
-    let mut usages = node.limits.borrow_mut().report(now);
+    let mut usages = node.tenancy.limits.borrow_mut().report(now);
     usages.sort_unstable_by(|one, other| other.arriving.total_cmp(&one.arriving));
     usages.truncate(MOST_REPORTED);
     let usages = usages.iter().map(encode_usage).collect();
@@ -153,10 +153,10 @@
     let Some(sent) = awaited.answered(answer.sequence) else { return };
     choice.answered();
     let shares: Vec<TenantShare> = answer.shares.iter().filter_map(decode_share).collect();
-    node.limits.borrow_mut().answered(&shares, arrived);
+    node.tenancy.limits.borrow_mut().answered(&shares, arrived);
     if let Some(proof) = answer.proof {
         let proof = FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms };
-        node.heard_freshness(proof, sent);
+        node.tenancy.heard(proof, &node.configuration.borrow(), sent);
     }
 }
 
@@ -164,11 +164,11 @@
 fn coordinate(node: &Node, report: wire::UsageReport, from: IpAddr, arrived: Timestamp) -> wire::UsageAnswer {
     let configuration = node.current_configuration();
     let limit_of = |tenant: &str| configuration.as_ref()?.tenants.get(tenant)?.limit;
-    let machines = node.machines.get();
+    let machines = node.tenancy.machines.get();
     let usages = report.usages.iter().filter_map(decode_usage).collect();
     let fleet = (machines, report_period(machines));
-    let shares = node.coordinator.borrow_mut().take(from, usages, limit_of, fleet, arrived);
-    let proof = node.freshness_proof(arrived);
+    let shares = node.tenancy.coordinator.borrow_mut().take(from, usages, limit_of, fleet, arrived);
+    let proof = node.tenancy.proof(&node.configuration.borrow(), arrived);
     wire::UsageAnswer {
         sequence: report.sequence,
         shares: shares.iter().map(encode_share).collect(),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -13,10 +13,8 @@
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::cut::{Cut, RouteCuts};
 use quillhatch_mesh::demand::CallGraph;
-use quillhatch_mesh::freshness::{FreshnessLease, FreshnessProof};
 use quillhatch_mesh::gate::Gate;
 use quillhatch_mesh::health::AnswerHealth;
-use quillhatch_mesh::limits::{report_period, LimitCoordinator, LocalLimits, OverLimit};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::queue::Ticket;
@@ -24,9 +22,8 @@
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::store_reader::StoreReader;
 use quillhatch_mesh::targets::{TargetId, TargetTable};
-use quillhatch_mesh::tenants::Tenant;
 use quillhatch_types::Timestamp;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tokio::sync::{oneshot, Notify};
 
@@ -35,6 +32,7 @@
 use crate::logging::{LineRate, LogState};
 use crate::pool::{Pool, PoolRules};
 use crate::presence::Presence;
+use crate::tenancy::Tenancy;
 
 /// The slots that a target is taken to have until its own number is known.
 const FALLBACK_SLOTS: u32 = 16;
@@ -93,16 +91,8 @@
     pub health: RefCell<AnswerHealth>,
     /// Calls that wait at the gate.
     pub waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admitted>>>,
-    /// For how long the configuration in force may be taken for the newest one.
-    pub freshness: RefCell<FreshnessLease>,
-    /// Whether the store holds a later configuration that this node can't use.
-    pub later_is_unusable: Cell<bool>,
-    /// The limits of tenants at this node.
-    pub limits: RefCell<LocalLimits>,
-    /// What other nodes report of the limits of tenants, if this one coordinates them.
-    pub coordinator: RefCell<LimitCoordinator>,
-    /// The machines that hold a target, each once.
-    pub machines: Cell<usize>,
+    /// What is known of tenants.
+    pub tenancy: Tenancy,
     /// Repeats by service.
     pub budgets: RefCell<HashMap<Arc<str>, RetryBudget>>,
     /// Connections to other nodes.
@@ -196,11 +186,7 @@
             capacity: RefCell::new(CapacityMeter::new(settings.mechanisms, now)),
             health: RefCell::new(AnswerHealth::new(now)),
             waiting: RefCell::default(),
-            freshness: RefCell::new(FreshnessLease::new(settings.bounds.revocation, rand::random())),
-            later_is_unusable: Cell::new(false),
-            limits: RefCell::new(LocalLimits::new(settings.bounds.limits)),
-            coordinator: RefCell::new(LimitCoordinator::new(settings.bounds.limits)),
-            machines: Cell::new(0),
+            tenancy: Tenancy::new(&settings, rand::random()),
             budgets: RefCell::default(),
             peers: Pool::new(peers),
             target: Pool::new(target),
@@ -267,37 +253,11 @@
     pub fn is_ready(&self) -> bool {
         self.stage.get() == Stage::Serving
             && self.targets_known.get()
-            && self.configuration.borrow().current().is_some_and(|current| self.can_check_keys(current))
-    }
-
-    /// Whether keys may be believed or refused now, if there are any.
-    pub fn can_check_keys(&self, configuration: &Configuration) -> bool {
-        configuration.tenants.is_empty() || self.freshness.borrow().is_valid(self.now())
-    }
-
-    /// What this node tells of how recent its configuration is, in the answer to a call that arrived at `arrived`.
-    pub fn freshness_proof(&self, arrived: Timestamp) -> Option<FreshnessProof> {
-        let freshness = self.freshness.borrow();
-        let is_told = freshness.is_bounded() && self.has(Mechanism::HeardFreshness);
-        is_told.then(|| freshness.proof(self.configuration.borrow().version(), arrived)).flatten()
-    }
-
-    /// Takes what another node has told of how recent its configuration is, in the answer to a call that was sent at `sent`.
-    pub fn heard_freshness(&self, proof: FreshnessProof, sent: Timestamp) {
-        if self.has(Mechanism::HeardFreshness) && !self.later_is_unusable.get() {
-            self.freshness.borrow_mut().heard(proof, self.configuration.borrow().version(), sent);
-        }
-    }
-
-    /// Counts a call of `tenant` that arrives here.
-    ///
-    /// # Errors
-    ///
-    /// Returns when to come back if the call is beyond the tenant's limit.
-    pub fn admit_within_limit(&self, tenant: &Tenant) -> Result<(), OverLimit> {
-        let machines = self.machines.get().max(1);
-        let draw = self.random.borrow_mut().gen();
-        self.limits.borrow_mut().admit(tenant, machines, report_period(machines), draw, self.now())
+            && self
+                .configuration
+                .borrow()
+                .current()
+                .is_some_and(|current| self.tenancy.can_check_keys(current, self.now()))
     }
 
     /// Whether the process was asked to stop.
@@ -341,9 +301,9 @@
             ("tenants", self.current_configuration().map_or(0.0, |current| current.tenants.len() as f64)),
             (
                 "configuration_age_seconds",
-                self.freshness.borrow().age(self.now()).map_or(-1.0, |age| age.as_secs_f64()),
+                self.tenancy.freshness.borrow().age(self.now()).map_or(-1.0, |age| age.as_secs_f64()),
             ),
-            ("coordinated_nodes", self.coordinator.borrow().nodes() as f64),
+            ("coordinated_nodes", self.tenancy.coordinator.borrow().nodes() as f64),
             ("ready", f64::from(u8::from(self.is_ready()))),
         ];
         self.counters.render(&gauges, self.log_state.dropped())
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -17,30 +17,14 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 use crate::body::Body;
 use crate::listener::{bind, serve, Connections};
 use crate::logging;
-use crate::node::{Node, Stage};
+use crate::node::Node;
 use crate::{edge, gate, limits, store};
 
-/// How long callers are given to be led away once the process is asked to stop.
-///
-/// The platform asks once a second whether the node is ready, and two misses lead callers away.
-const LEAD_AWAY: Duration = Duration::from_millis(2200);
-/// The part of the grace that is left unused at its end.
-const GRACE_LEFT: Duration = Duration::from_millis(800);
-/// The part of the grace that is kept for the calls at the target.
-const GATE_TIME: Duration = Duration::from_millis(2200);
-/// How long connections get to write their last answers.
-const LAST_ANSWERS: Duration = Duration::from_millis(60);
-/// How long the last log lines get to be written.
-const LAST_LINES: Duration = Duration::from_millis(250);
-/// How often it is looked whether they are.
-const LOG_CHECK: Duration = Duration::from_millis(10);
-/// How often a stopping process looks whether it has finished.
-const STOP_CHECK: Duration = Duration::from_millis(50);
 /// How often unused connections are looked through.
 const SWEEP: Duration = Duration::from_secs(2);
 /// The descriptors that are left for files and the like. Half of the others may be held by connections that were taken, the
@@ -133,11 +117,11 @@
 pub struct Running {
     /// Its state.
     pub node: Rc<Node>,
-    end_connections: watch::Sender<bool>,
-    open: Rc<Cell<usize>>,
-    leading_away: Rc<Cell<bool>>,
-    accepting: [AbortHandle; 2],
-    tasks: JoinSet<()>,
+    pub(crate) end_connections: watch::Sender<bool>,
+    pub(crate) open: Rc<Cell<usize>>,
+    pub(crate) leading_away: Rc<Cell<bool>>,
+    pub(crate) accepting: [AbortHandle; 2],
+    pub(crate) tasks: JoinSet<()>,
 }
 
 /// Opens the listeners and starts the tasks of a sidecar on the current thread's runtime.
@@ -208,53 +192,6 @@
     Ok(Running { node, end_connections, open, leading_away, accepting, tasks })
 }
 
-impl Running {
-    /// The connections of callers and of other nodes that are open.
-    pub fn open_connections(&self) -> usize {
-        self.open.get()
-    }
-
-    /// Leads callers away, finishes what was begun, and ends. Returns the calls that are still unfinished, which the end of
-    /// the process cuts.
-    pub async fn stop(mut self) -> usize {
-        let node = &self.node;
-        let begun = Instant::now();
-        node.stage.set(Stage::Stopping);
-        self.leading_away.set(true);
-        node.log("\"event\":\"stopping\"");
-        let grace = node.settings.bounds.stop_grace.saturating_sub(GRACE_LEFT);
-        sleep(LEAD_AWAY.min(grace)).await;
-        // The gate stays open while calls that entered here are finished: its target serves others meanwhile.
-        while begun.elapsed() < grace.saturating_sub(GATE_TIME) && node.root_calls.get() > 0 {
-            sleep(STOP_CHECK).await;
-        }
-        // Whoever still comes is refused at once, so that what was begun before can end in the time that is left.
-        node.refuses_callers.set(true);
-        node.log("\"event\":\"gate-closed\"");
-        node.gate.borrow_mut().close();
-        gate::dismiss(node);
-        while begun.elapsed() < grace && (node.edge_calls.get() > 0 || node.gate.borrow().load().running > 0) {
-            sleep(STOP_CHECK).await;
-        }
-        // Nobody can connect any more; connections end after their current answer.
-        self.accepting.iter().for_each(AbortHandle::abort);
-        let _ = self.end_connections.send(true);
-        while begun.elapsed() < grace && self.open.get() > 0 {
-            sleep(STOP_CHECK).await;
-        }
-        sleep(LAST_ANSWERS).await;
-        let (calls, connections) = (node.edge_calls.get(), self.open.get());
-        node.log(&format!("\"event\":\"stopped\",\"edge_calls\":{calls},\"connections\":{connections}"));
-        node.log_state().write_at_once();
-        let written_until = Instant::now() + LAST_LINES;
-        while !node.log_state().is_written() && Instant::now() < written_until {
-            sleep(LOG_CHECK).await;
-        }
-        self.tasks.shutdown().await;
-        self.node.edge_calls.get()
-    }
-}
-
 /// Looks at the changed settings file. Addresses can't change while the process runs, so what differs is only told.
 fn reload(node: &Node, path: &str) {
     match load_settings(path) {
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -26,14 +26,6 @@
     node.log(&format!("\"event\":\"store-reached\",\"revision\":{revision},\"lost_ms\":{}", outage.as_millis()));
 }
 
-/// The store was read by a call that was sent at `sent`, and what it brought is taken over: this node's configuration was the newest
-/// then, unless the newest can't be used.
-pub(super) fn is_up_to_date(node: &Node, sent: Timestamp) {
-    if !node.later_is_unusable.get() {
-        node.freshness.borrow_mut().read(sent);
-    }
-}
-
 /// Takes over changes in the order in which the store tells them. What is read together is listed at one moment, `now`.
 pub(super) fn apply(node: &Node, changes: Vec<Change>, now: Timestamp) {
     // One answer may tell of a target and of its end: its last word counts.
@@ -50,11 +42,11 @@
             Change::Configuration(offered) => {
                 let version = offered.version;
                 let taken = node.configuration.borrow_mut().offer(offered);
-                node.later_is_unusable.set(false);
+                node.tenancy.later_is_unusable.set(false);
                 node.log(&format!("\"event\":\"configuration\",\"version\":{version},\"taken\":{taken}"));
             }
             Change::UnusableConfiguration(findings) => {
-                node.later_is_unusable.set(true);
+                node.tenancy.later_is_unusable.set(true);
                 let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
                 node.log(&format!("\"event\":\"configuration-unusable\",\"why\":{:?}", findings.join("; ")));
             }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -21,7 +21,7 @@
 use crate::counters::Counters;
 use crate::node::Node;
 pub use apply::drop_expired;
-use apply::{apply, changed, is_up_to_date, reached, remove_gone};
+use apply::{apply, changed, reached, remove_gone};
 use client::{get, StoreError};
 
 /// How long a plain read may take.
@@ -123,7 +123,7 @@
     ));
     match freshness {
         Freshness::Current => {
-            is_up_to_date(node, sent);
+            node.tenancy.is_up_to_date(sent);
             node.targets_known.set(true);
         }
         Freshness::MayLag => {
@@ -147,7 +147,7 @@
     let mut is_probing = node.store_lost.get().is_some();
     loop {
         let NextRead::Changes { after } = node.store_reader.borrow().next() else { return StoreError::ViewReplaced };
-        let is_due = node.freshness.borrow().renew_in(node.now()).is_some_and(|left| left.is_zero());
+        let is_due = node.tenancy.freshness.borrow().renew_in(node.now()).is_some_and(|left| left.is_zero());
         is_probing |= is_due;
         let wait = match is_probing {
             true => PROBING_WAIT,
@@ -188,7 +188,7 @@
             changed(node);
         }
         if is_whole {
-            is_up_to_date(node, sent);
+            node.tenancy.is_up_to_date(sent);
         }
         if !has_changes {
             continue;
@@ -204,7 +204,7 @@
 /// Ends once this node's configuration was not known to be the newest for so long that it asks the store itself.
 async fn proof_is_old(node: &Node) {
     loop {
-        let left = node.freshness.borrow().renew_in(node.now());
+        let left = node.tenancy.freshness.borrow().renew_in(node.now());
         match left {
             None => std::future::pending().await,
             Some(left) if left.is_zero() => return,
--- /dev/null
+++ b/crates/sidecar/src/tenancy.rs
@@ -0,0 +1,83 @@
+//! What a node knows of tenants: how recent its configuration is, and how much of their limits is used.
+
+use std::cell::{Cell, RefCell};
+
+use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
+use quillhatch_mesh::freshness::{FreshnessLease, FreshnessProof};
+use quillhatch_mesh::limits::{report_period, LimitCoordinator, LocalLimits, OverLimit};
+use quillhatch_mesh::mechanisms::Mechanism;
+use quillhatch_mesh::settings::SidecarSettings;
+use quillhatch_mesh::tenants::Tenant;
+use quillhatch_types::Timestamp;
+
+/// The part of a node's state that is about tenants.
+pub struct Tenancy {
+    /// For how long the configuration in force may be taken for the newest one.
+    pub freshness: RefCell<FreshnessLease>,
+    /// Whether the store holds a later configuration that this node can't use.
+    pub later_is_unusable: Cell<bool>,
+    /// The limits of tenants at this node.
+    pub limits: RefCell<LocalLimits>,
+    /// What other nodes report of the limits of tenants, if this one coordinates them.
+    pub coordinator: RefCell<LimitCoordinator>,
+    /// The machines that hold a target, each once.
+    pub machines: Cell<usize>,
+    hears_others: bool,
+}
+
+impl Tenancy {
+    /// Nothing is known yet. `draw` in 0..1 is random.
+    pub fn new(settings: &SidecarSettings, draw: f64) -> Self {
+        let bounds = &settings.bounds;
+        Tenancy {
+            freshness: RefCell::new(FreshnessLease::new(bounds.revocation, draw)),
+            later_is_unusable: Cell::new(false),
+            limits: RefCell::new(LocalLimits::new(bounds.limits)),
+            coordinator: RefCell::new(LimitCoordinator::new(bounds.limits)),
+            machines: Cell::new(0),
+            hears_others: settings.mechanisms.has(Mechanism::HeardFreshness),
+        }
+    }
+
+    /// Whether keys may be believed or refused now, if there are any.
+    pub fn can_check_keys(&self, configuration: &Configuration, now: Timestamp) -> bool {
+        configuration.tenants.is_empty() || self.freshness.borrow().is_valid(now)
+    }
+
+    /// The store was read by a call that was sent at `sent`, and what it brought was taken over: this node's configuration was the
+    /// newest then, unless the newest can't be used.
+    pub fn is_up_to_date(&self, sent: Timestamp) {
+        if !self.later_is_unusable.get() {
+            self.freshness.borrow_mut().read(sent);
+        }
+    }
+
+    /// What this node tells of how recent its configuration is, in the answer to a call that arrived at `arrived`.
+    pub fn proof(&self, in_force: &ConfigurationInForce, arrived: Timestamp) -> Option<FreshnessProof> {
+        let freshness = self.freshness.borrow();
+        let is_told = freshness.is_bounded() && self.hears_others;
+        is_told.then(|| freshness.proof(in_force.version(), arrived)).flatten()
+    }
+
+    /// Takes what another node has told of how recent its configuration is, in the answer to a call that was sent at `sent`.
+    pub fn heard(&self, proof: FreshnessProof, in_force: &ConfigurationInForce, sent: Timestamp) {
+        if self.hears_others && !self.later_is_unusable.get() {
+            self.freshness.borrow_mut().heard(proof, in_force.version(), sent);
+        }
+    }
+
+    /// Counts a call of `tenant` that arrives here. `draw` in 0..1 is random.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to come back if the call is beyond the tenant's limit.
+    pub fn admit(&self, tenant: &Tenant, draw: f64, now: Timestamp) -> Result<(), OverLimit> {
+        let machines = self.machines.get().max(1);
+        self.limits.borrow_mut().admit(tenant, machines, report_period(machines), draw, now)
+    }
+
+    /// A call of `tenant` that was let in has not run.
+    pub fn returned(&self, tenant: &Tenant, now: Timestamp) {
+        self.limits.borrow_mut().returned(&tenant.name, now);
+    }
+}
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -116,9 +116,9 @@
     run(async {
         let (_store, alpha, beta) = started().await;
         eventually("a coordinator answers", || {
-            let machines = beta.node().machines.get();
+            let machines = beta.node().tenancy.machines.get();
             let period = quillhatch_mesh::limits::report_period(machines);
-            beta.node().limits.borrow().has_coordinator(period, beta.node().now())
+            beta.node().tenancy.limits.borrow().has_coordinator(period, beta.node().now())
         })
         .await;
         let (mut served, mut refused) = (0, 0);
