Limits: a node counts the machines as soon as it has read the list

Cause, found by reading: until its first report, up to 0.33 s after its start, a node took itself for the only one, and let in a whole limit if no coordinator had answered. All nodes together, started at once, might have passed a limit many times over.

Change: counted when the list changes. The test fails without it (0 instead of 2 machines).

--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -100,7 +100,6 @@
 
 async fn report(node: &Rc<Node>, socket: &UdpSocket, awaited: &mut Awaited, choice: &mut CoordinatorChoice) {
     let machines = open_machines(node);
-    node.tenancy.machines.set(node.targets.borrow().machines().len());
     if !is_needed(node) {
         return;
     }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -231,6 +231,11 @@
         self.configuration.borrow().current().cloned()
     }
 
+    /// Counts the machines anew after the list of targets has changed.
+    pub fn count_machines(&self) {
+        self.tenancy.machines.set(self.targets.borrow().machines().len());
+    }
+
     /// What this node's target can't serve of what arrives, if anything.
     pub fn shortage(&self) -> Option<Shortage> {
         let priorities = self.current_configuration().map_or(1, |configuration| configuration.priorities());
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -111,5 +111,6 @@
     let targets = node.targets.borrow();
     node.balance.borrow_mut().retain(|id| targets.get(id).is_some());
     drop(targets);
+    node.count_machines();
     present_target::follow_list(node);
 }
--- a/crates/sidecar/src/views.rs
+++ b/crates/sidecar/src/views.rs
@@ -168,6 +168,7 @@
     node.log(&format!(
         "\"event\":\"view-taken\",\"revision\":{revision},\"version\":{version},\"newer\":{taken},\"targets\":{count}"
     ));
+    node.count_machines();
     present_target::follow_list(node);
     Ok(true)
 }
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -111,6 +111,16 @@
     node.configuration.borrow().version()
 }
 
+#[test]
+fn a_node_knows_its_part_of_a_limit_as_soon_as_it_takes_callers() {
+    run(async {
+        let (_store, alpha, beta) = started().await;
+        for machine in [&alpha, &beta] {
+            assert_eq!(machine.node().tenancy.machines.get(), 2);
+        }
+    });
+}
+
 #[test]
 fn calls_beyond_a_limit_are_told_when_to_come_back_and_others_go_on() {
     run(async {
