--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -6,10 +6,10 @@
 
 use crate::queue::{Rank, Ticket, WaitingQueue};
 
-/// The share of a target's slots that is used, rounded down; some targets slow down when the last ones fill. Rounded up it was all slots of a
-/// target with up to 18, which then took 1.3 times as long: where such a service was short, 0.86 instead of 0.87 to 0.98 of the calls were
-/// served (five days of 2,000 calls a second through 82 nodes).
-const USED_SHARE: f64 = 0.945;
+/// The share of a target's slots that is used, rounded down; some targets slow down when the last ones fill. Rounded up, all slots of a target
+/// with 16 were in use, which then took 1.3 times as long: with such a scarce service the worth of five days was 0.682 instead of 0.726. A
+/// smaller share takes a slot of a target with 20: 0.512 instead of 0.544 on a day on which such a service was scarce (one play each).
+const USED_SHARE: f64 = 0.95;
 /// The slots up to which all are used: one of them would be an eighth or more, which is what a target that slows down loses too.
 const ALL_USED_UP_TO: u32 = 8;
 /// The longest queue, as a multiple of the calls that run.
