--- a/crates/mesh/src/limits/local.rs
+++ b/crates/mesh/src/limits/local.rs
@@ -27,15 +27,6 @@
     pub share: f64,
 }
 
-/// Whether a tenant's limit holds back some of its calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitState {
-    /// All of them are let in.
-    Free,
-    /// As many are let in as the limit allows, however many were refused before.
-    Binding,
-}
-
 /// Events a second, fading.
 #[derive(Clone, Copy, Debug, Default)]
 struct FadingRate {
@@ -118,8 +109,8 @@
         period: Duration,
         draw: f64,
         now: Timestamp,
-    ) -> Result<LimitState, OverLimit> {
-        let Some(limit) = tenant.limit else { return Ok(LimitState::Free) };
+    ) -> Result<(), OverLimit> {
+        let Some(limit) = tenant.limit else { return Ok(()) };
         let has_coordinator = self.has_coordinator(period, now);
         let share = self.shares.get(&tenant.name).copied().unwrap_or(1.0);
         let whole = self.bounds.handed_out(limit, 1.0);
@@ -137,7 +128,7 @@
         };
         if is_admitted {
             usage.admitted.add(1.0, now);
-            return Ok(if has_coordinator && share >= 1.0 { LimitState::Free } else { LimitState::Binding });
+            return Ok(());
         }
         let share = if has_coordinator { share } else { limit.rate * part / usage.arriving.at(now) };
         let (least, most) = COME_BACK;
--- a/crates/mesh/src/limits/mod.rs
+++ b/crates/mesh/src/limits/mod.rs
@@ -23,7 +23,7 @@
 
 pub use choice::CoordinatorChoice;
 pub use coordinator::LimitCoordinator;
-pub use local::{LimitState, LocalLimits, OverLimit};
+pub use local::{LocalLimits, OverLimit};
 
 use crate::tenants::RateLimit;
 
--- a/crates/mesh/tests/decisions/limits.rs
+++ b/crates/mesh/tests/decisions/limits.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::limits::{
-    candidates, report_period, CoordinatorChoice, LimitBounds, LimitCoordinator, LimitState, LocalLimits, TenantShare,
-    TenantUsage,
+    candidates, report_period, CoordinatorChoice, LimitBounds, LimitCoordinator, LocalLimits, TenantShare, TenantUsage,
 };
 use quillhatch_mesh::tenants::{RateLimit, Tenant};
 
@@ -48,16 +47,6 @@
     assert!(admitted.chunks(8).all(|eight| eight.iter().filter(|admitted| **admitted).count() == 2));
 }
 
-#[test]
-fn calls_are_told_whether_the_limit_holds_others_back() {
-    let mut limits = LocalLimits::new(BOUNDS);
-    let tenant = tenant(100.0);
-    limits.answered(&[], milliseconds(0));
-    assert_eq!(limits.admit(&tenant, 82, PERIOD, 0.5, milliseconds(0)), Ok(LimitState::Free));
-    limits.answered(&[TenantShare { tenant: tenant.name.clone(), share: 0.6 }], milliseconds(0));
-    assert_eq!(limits.admit(&tenant, 82, PERIOD, 0.5, milliseconds(0)), Ok(LimitState::Binding));
-}
-
 #[test]
 fn a_refusal_tells_when_to_come_back_by_how_far_the_tenant_is_over() {
     let mut limits = LocalLimits::new(BOUNDS);
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -18,7 +18,6 @@
 use hyper::{Method, Response, StatusCode};
 use quillhatch_mesh::authentication::Sender;
 use quillhatch_mesh::configuration::{Configuration, Route};
-use quillhatch_mesh::limits::LimitState;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, Origin, ALL_ADMITTED};
 use quillhatch_mesh::routing::find_route;
@@ -128,11 +127,8 @@
     }
     // After the cut, so that only calls which may run count towards the limit: the other way round the worth of two days of a shortage was
     // 0.702 and 0.689 instead of 0.745 and 0.730.
-    match check_limit(node, tenant.as_deref(), arrived) {
-        Ok(LimitState::Free) => {}
-        // Without the cut no more of them would come.
-        Ok(LimitState::Binding) => lineage.admitted_permille = ALL_ADMITTED,
-        Err(over) => return refuse_over_limit(node, tenant.as_deref(), over, &id, arrived),
+    if let Err(over) = check_limit(node, tenant.as_deref(), arrived) {
+        return refuse_over_limit(node, tenant.as_deref(), over, &id, arrived);
     }
     let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
         None => Body::empty(),
--- a/crates/sidecar/src/edge/sender.rs
+++ b/crates/sidecar/src/edge/sender.rs
@@ -8,7 +8,7 @@
 use hyper::{Response, StatusCode};
 use quillhatch_mesh::authentication::{authenticate, Credentials, Denial, Sender};
 use quillhatch_mesh::configuration::{Configuration, Route};
-use quillhatch_mesh::limits::{LimitState, OverLimit};
+use quillhatch_mesh::limits::OverLimit;
 use quillhatch_mesh::parents::Origin;
 use quillhatch_mesh::tenants::Tenant;
 use quillhatch_platform::headers;
@@ -90,8 +90,8 @@
 /// # Errors
 ///
 /// Returns when to come back if the call is beyond the limit.
-pub(super) fn check_limit(node: &Node, tenant: Option<&Tenant>, now: Timestamp) -> Result<LimitState, OverLimit> {
-    let Some(tenant) = tenant else { return Ok(LimitState::Free) };
+pub(super) fn check_limit(node: &Node, tenant: Option<&Tenant>, now: Timestamp) -> Result<(), OverLimit> {
+    let Some(tenant) = tenant else { return Ok(()) };
     let draw = node.random.borrow_mut().gen();
     node.tenancy.admit(tenant, draw, now)
 }
--- a/crates/sidecar/src/tenancy.rs
+++ b/crates/sidecar/src/tenancy.rs
@@ -4,7 +4,7 @@
 
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::freshness::{FreshnessLease, FreshnessProof};
-use quillhatch_mesh::limits::{report_period, LimitCoordinator, LimitState, LocalLimits, OverLimit};
+use quillhatch_mesh::limits::{report_period, LimitCoordinator, LocalLimits, OverLimit};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::tenants::Tenant;
@@ -71,7 +71,7 @@
     /// # Errors
     ///
     /// Returns when to come back if the call is beyond the tenant's limit.
-    pub fn admit(&self, tenant: &Tenant, draw: f64, now: Timestamp) -> Result<LimitState, OverLimit> {
+    pub fn admit(&self, tenant: &Tenant, draw: f64, now: Timestamp) -> Result<(), OverLimit> {
         let machines = self.machines.get().max(1);
         self.limits.borrow_mut().admit(tenant, machines, report_period(machines), draw, now)
     }
