--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use proptest::prelude::{any, proptest};
 use quillhatch_mesh::callers::CalledBy;
 use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
+use quillhatch_messages::generated::limits::LimitMessage;
 use quillhatch_sidecar::counters::Counters;
 use quillhatch_sidecar::hop::{Forwarded, Outcome, PresentTarget, Reach, Report};
 use quillhatch_sidecar::logging::LineRate;
@@ -127,3 +129,18 @@
         assert!(text.lines().any(|known| known == line), "{line} in\n{text}");
     }
 }
+
+proptest! {
+    #[test]
+    fn no_text_of_a_header_stops_a_node(text in ".{0,120}", numbers in "[a-z0-9;,.-]{0,80}") {
+        for text in [&text, &numbers] {
+            let _ = Report::decode(text);
+            let _ = Forwarded::decode(text);
+        }
+    }
+
+    #[test]
+    fn no_datagram_stops_a_node(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = quillhatch_messages::decode::<LimitMessage>(&bytes);
+    }
+}
