--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -17,7 +17,7 @@
 /// The part of the allowed share that is spent; the rest is left for what nodes can't know of each other: windows that begin
 /// at other moments, and calls below a repeated one that are not matched with it.
 ///
-/// With 0.9 one of some dozens of plays on the users' bench broke their bound; which service and when was not traced.
+/// With 0.9 one of some dozens of days under faults and load passed the bound; for which service is not known.
 const SPENT_PART: f64 = 0.75;
 /// Windows are counted in this many pieces.
 const PIECES: u32 = 10;
