Sight: a line names each target that ended and the signatures of the calls that it was working on

Cause of the change: logs named a call's id and its target, so copies of one request could not be told from different ones, and an end of a target could not be told from a lost answer. Ruled out: logging paths (callers' data, and long). Change: a signature of what a request asks for (SipHash, the same at all nodes) in two grades; the gate tracks its runs and finds out whether its target ended, first by what still runs, then by asking it; lines target-ended and gate carry signatures. No decision uses them. Stand-ins: a target that a request ends and that starts again.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limits;
 pub mod mechanisms;
 pub mod parents;
+pub mod quarantine;
 pub mod queue;
 pub mod retry_budget;
 pub mod routing;
--- /dev/null
+++ b/crates/mesh/src/quarantine/signature.rs
@@ -0,0 +1,61 @@
+//! What a request asks for, independent of its id and of the machine at which it arrives.
+
+use std::hash::{Hash, Hasher};
+
+use derive_more::Display;
+use siphasher::sip::SipHasher13;
+
+/// The hash key. It is the same at all nodes, which compare signatures, and in all releases.
+const HASH_KEY: (u64, u64) = (0x7175_696c_6c68_6174, 0x6372_6173_6865_7321);
+
+/// A hash of some parts of a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:016x}")]
+pub struct SignatureKey(pub u64);
+
+/// The parts of a request that say what it asks for.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestParts<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// The host that it names.
+    pub host: &'a str,
+    /// The path without the query.
+    pub path: &'a str,
+    /// The query; empty if there is none.
+    pub query: &'a str,
+    /// The body, as far as it is held in memory.
+    pub body: &'a [u8],
+    /// The tenant that sends it; empty without tenants.
+    pub tenant: &'a str,
+    /// The service at whose machine it began.
+    pub caller: &'a str,
+}
+
+/// What a request asks for, in two grades.
+///
+/// A request may crash targets whatever its query and caller, or only with these. Where requests that differ in them run well, the wide
+/// grade is cleared and the narrow one still tells the harmful request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestSignature {
+    /// Without the query and the service at whose machine it began.
+    pub wide: SignatureKey,
+    /// With both.
+    pub narrow: SignatureKey,
+}
+
+impl RequestSignature {
+    /// The signature of a request.
+    pub fn of(parts: &RequestParts<'_>) -> Self {
+        let mut hasher = SipHasher13::new_with_keys(HASH_KEY.0, HASH_KEY.1);
+        (parts.method, parts.host, parts.path, parts.tenant, parts.body).hash(&mut hasher);
+        let wide = SignatureKey(hasher.finish());
+        (parts.query, parts.caller).hash(&mut hasher);
+        RequestSignature { wide, narrow: SignatureKey(hasher.finish()) }
+    }
+
+    /// Both grades.
+    pub fn keys(&self) -> [SignatureKey; 2] {
+        [self.wide, self.narrow]
+    }
+}
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod mechanisms;
 
+mod quarantine;
 mod retry_budget;
 mod routing;
 mod store_reader;
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -122,7 +122,7 @@
             return Attempt::Left;
         }
         Exchanged::Silent => return Attempt::Broken("the node is silent".to_owned()),
-        Exchanged::Failed(ExchangeError::NotSent(_)) => return Attempt::NotRun("unreachable"),
+        Exchanged::Failed(ExchangeError::Refused | ExchangeError::NotSent(_)) => return Attempt::NotRun("unreachable"),
         Exchanged::Failed(ExchangeError::NoAnswer(why)) => return Attempt::Broken(why),
         Exchanged::Answered(response, lease) => (*response, lease),
     };
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -1,6 +1,7 @@
 //! The gate: takes calls of other nodes for this node's target, and hands over what the target can work on.
 
 mod slots;
+mod target_end;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::gate::Refusal;
 use quillhatch_mesh::parents::Lineage;
+use quillhatch_mesh::quarantine::{RequestParts, RequestSignature};
 use quillhatch_mesh::routing::find_route;
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
@@ -30,6 +32,7 @@
 use crate::views::{self, VIEW_PATH};
 use slots::admit;
 pub use slots::{dismiss, hand_out, Slot};
+pub use target_end::identified;
 
 /// The largest request that is read whole before it is handed over, in bytes.
 const KEPT_REQUEST_BYTES: usize = 64 * 1024;
@@ -97,6 +100,24 @@
     }
 }
 
+/// What a request asks for. Of a body that is too long to be held, only the beginning is known, which does not count.
+fn signature_of(parts: &Parts, body: &Body) -> RequestSignature {
+    let header = |name| text(&parts.headers, name).unwrap_or_default();
+    let body = match body {
+        Body::Whole(bytes) => bytes,
+        Body::Streamed(_) => [].as_slice(),
+    };
+    RequestSignature::of(&RequestParts {
+        method: parts.method.as_str(),
+        host: header("host"),
+        path: parts.uri.path(),
+        query: parts.uri.query().unwrap_or_default(),
+        body,
+        tenant: header(headers::TENANT),
+        caller: header(headers::CALLER_SERVICE),
+    })
+}
+
 fn route_name(node: &Node, parts: &Parts) -> Option<Arc<str>> {
     let configuration = node.current_configuration()?;
     let authority = text(&parts.headers, "host").unwrap_or_default();
@@ -182,9 +203,10 @@
             Err(error) => return Err((Outcome::Closed, error.to_string())),
         },
     };
+    let signature = signature_of(&parts, &body);
     let request = Request::from_parts(parts, body);
     let told = Duration::from_millis(left.as_millis() as u64);
-    slot.begin(node.now() + told, lineage);
+    slot.begin(node.now() + told, lineage, signature);
     let sent = SentFlag::default();
     let exchange = node.target.exchange_noting(node.settings.local_target, request, &sent);
     let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, exchange).await;
@@ -195,11 +217,14 @@
             return Err((Outcome::Closed, "no connection in time".to_owned()));
         }
         Err(_) => return Err((Outcome::Late, "no answer in time".to_owned())),
-        Ok(Err(ExchangeError::NotSent(why))) => {
+        Ok(Err(error @ (ExchangeError::Refused | ExchangeError::NotSent(_)))) => {
             present_target::out_of_reach(node);
-            return Err((Outcome::Closed, why));
+            return Err((Outcome::Closed, error.to_string()));
+        }
+        Ok(Err(ExchangeError::NoAnswer(why))) => {
+            slot.lost();
+            return Err((Outcome::Broken, format!("{why}, signature {}", signature.narrow)));
         }
-        Ok(Err(ExchangeError::NoAnswer(why))) => return Err((Outcome::Broken, why)),
         Ok(Ok(answered)) => answered,
     };
     let is_own = response.headers().get(headers::REQUEST_ID) == call.id.as_ref();
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -6,11 +6,12 @@
 use quillhatch_mesh::gate::{Arrival, Refusal};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::{Lineage, RunningCall, ALL_ADMITTED};
+use quillhatch_mesh::quarantine::{RequestSignature, RunId};
 use quillhatch_mesh::queue::{Rank, Ticket};
 use quillhatch_types::Timestamp;
 use tokio::sync::oneshot;
 
-use super::Call;
+use super::{target_end, Call};
 use crate::hop::Forwarded;
 use crate::node::{Admitted, Node};
 use crate::present_target;
@@ -20,6 +21,7 @@
     node: Rc<Node>,
     route: Option<Arc<str>>,
     running: Option<RunningCall>,
+    run: Option<RunId>,
     since: Timestamp,
 }
 
@@ -28,19 +30,39 @@
         if let Some(route) = &route {
             node.graph.borrow_mut().started(route, node.now());
         }
-        Slot { node: Rc::clone(node), route, running: None, since: node.now() }
+        Slot { node: Rc::clone(node), route, running: None, run: None, since: node.now() }
     }
 
     /// The call goes to the target, which is told to end it at `deadline`.
-    pub(super) fn begin(&mut self, deadline: Timestamp, lineage: Lineage) {
+    pub(super) fn begin(&mut self, deadline: Timestamp, lineage: Lineage, signature: RequestSignature) {
+        self.run = Some(self.node.runs.borrow_mut().begin(signature, self.node.now()));
         if let Some(route) = self.route.clone() {
             self.running = Some(self.node.parents.borrow_mut().started(deadline, route, lineage));
         }
     }
+
+    /// The target has answered the call whole.
+    pub fn completed(mut self) {
+        if let Some(run) = self.run.take() {
+            self.node.runs.borrow_mut().completed(run);
+        }
+    }
+
+    /// The target's connection ended before the answer did.
+    pub fn lost(mut self) {
+        if let Some(run) = self.run.take() {
+            let target = self.node.present.borrow().clone();
+            self.node.runs.borrow_mut().lost(run, target, self.node.now());
+            target_end::find_out(&self.node);
+        }
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if let Some(run) = self.run.take() {
+            self.node.runs.borrow_mut().abandoned(run);
+        }
         if let Some(running) = self.running.take() {
             let held = self.node.now().since(self.since);
             if let Some(route) = &self.route {
--- /dev/null
+++ b/crates/sidecar/src/gate/target_end.rs
@@ -0,0 +1,71 @@
+//! Whether the target has ended, and under which calls.
+//!
+//! A call that breaks off shows nothing by itself: its answer may be lost while the target lives. So once one has broken off, the others are
+//! looked at, and if none is left the target is asked.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use quillhatch_mesh::quarantine::TargetEnd;
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::present_target::{self, Identity};
+
+/// How long the other connections of a target that has ended may take to break off. They do at the same moment; this is some dozens of
+/// round trips on one machine.
+const ALL_BREAK_WITHIN: Duration = Duration::from_millis(15);
+
+/// Finds out whether the target has ended, after a call has broken off.
+pub(super) fn find_out(node: &Rc<Node>) {
+    if !node.finding_out.replace(true) {
+        tokio::task::spawn_local(look_and_ask(Rc::clone(node)));
+    }
+}
+
+async fn look_and_ask(node: Rc<Node>) {
+    sleep(ALL_BREAK_WITHIN).await;
+    node.finding_out.set(false);
+    if node.runs.borrow().has_survivors() {
+        node.runs.borrow_mut().target_lives();
+    }
+    if !node.runs.borrow().is_in_doubt() {
+        return;
+    }
+    match present_target::ask(&node).await {
+        Identity::Known(id) => present_target::learn(&node, &id),
+        Identity::Refused => {
+            present_target::out_of_reach(&node);
+            let end = node.runs.borrow_mut().target_ended();
+            if let Some(end) = end {
+                ended(&node, &end);
+            }
+        }
+        // Decided when the target tells its identity next.
+        Identity::Unknown => present_target::out_of_reach(&node),
+    }
+}
+
+/// The target beside this node has told its identity.
+pub fn identified(node: &Rc<Node>, id: &str) {
+    let end = node.runs.borrow_mut().identified(id);
+    if let Some(end) = end {
+        ended(node, &end);
+    }
+}
+
+fn ended(node: &Rc<Node>, end: &TargetEnd) {
+    log_end(node, end);
+}
+
+/// The most signatures that one line names.
+const MOST_LOGGED: usize = 20;
+
+fn log_end(node: &Node, end: &TargetEnd) {
+    let named = end.signatures.iter().take(MOST_LOGGED);
+    let named: Vec<String> = named.map(|signature| format!("\"{}\"", signature.narrow)).collect();
+    let (target, count, named) = (&end.target, end.signatures.len(), named.join(","));
+    node.log(&format!(
+        "\"event\":\"target-ended\",\"target\":\"{target}\",\"running\":{count},\"signatures\":[{named}]"
+    ));
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -17,6 +17,7 @@
 use quillhatch_mesh::health::AnswerHealth;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::Parents;
+use quillhatch_mesh::quarantine::RunTracker;
 use quillhatch_mesh::queue::Ticket;
 use quillhatch_mesh::retry_budget::RetryBudget;
 use quillhatch_mesh::settings::SidecarSettings;
@@ -89,6 +90,10 @@
     pub capacity: RefCell<CapacityMeter>,
     /// Whether this node's target gives good answers.
     pub health: RefCell<AnswerHealth>,
+    /// The calls that this node's target works on, and those that broke off.
+    pub runs: RefCell<RunTracker>,
+    /// Whether it is being found out if the target has ended.
+    pub finding_out: Cell<bool>,
     /// Calls that wait at the gate.
     pub waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admitted>>>,
     /// What is known of tenants.
@@ -185,6 +190,8 @@
             gate: RefCell::new(Gate::new(FALLBACK_SLOTS)),
             capacity: RefCell::new(CapacityMeter::new(settings.mechanisms, now)),
             health: RefCell::new(AnswerHealth::new(now)),
+            runs: RefCell::default(),
+            finding_out: Cell::new(false),
             waiting: RefCell::default(),
             tenancy: Tenancy::new(&settings, rand::random()),
             budgets: RefCell::default(),
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,9 @@
 /// Why there is no answer.
 #[derive(Debug, Display)]
 pub enum ExchangeError {
+    /// Nobody listens; nothing was sent.
+    #[display("connection refused")]
+    Refused,
     /// No connection; nothing was sent.
     #[display("no connection: {_0}")]
     NotSent(String),
@@ -179,8 +183,10 @@
     async fn connect(&self, address: SocketAddr) -> Result<(SendRequest<Body>, Guard), ExchangeError> {
         let failed = |problem: String| ExchangeError::NotSent(problem);
         let connecting = timeout(self.rules.connect_timeout, TcpStream::connect(address)).await;
-        let stream =
-            connecting.map_err(|_| failed("timed out".to_owned()))?.map_err(|error| failed(error.to_string()))?;
+        let stream = connecting.map_err(|_| failed("timed out".to_owned()))?.map_err(|error| match error.kind() {
+            io::ErrorKind::ConnectionRefused => ExchangeError::Refused,
+            _ => failed(error.to_string()),
+        })?;
         let _ = stream.set_nodelay(true);
         let socket = socket2::SockRef::from(&stream);
         let _ = socket.set_tcp_user_timeout(Some(self.rules.unacknowledged));
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -15,8 +15,10 @@
 
 use crate::body::Body;
 use crate::gate;
+use crate::headers::text;
 use crate::hop::PresentTarget;
 use crate::node::Node;
+use crate::pool::ExchangeError;
 
 /// How long the target may take to tell its identity.
 const VERIFY_TIMEOUT: Duration = Duration::from_millis(400);
@@ -56,20 +58,41 @@
     if node.present_verified.get() {
         return;
     }
-    let Some(path) = health_path(node) else { return };
+    if let Identity::Known(id) = ask(node).await {
+        learn(node, &id);
+    }
+}
+
+/// What the target's machine answers when it is asked for the target's identity.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Identity {
+    /// A target with this identity is there.
+    Known(String),
+    /// No target listens.
+    Refused,
+    /// Nothing is known: no answer in time, or one that names no identity.
+    Unknown,
+}
+
+/// Asks the target for its identity.
+pub async fn ask(node: &Rc<Node>) -> Identity {
+    let Some(path) = health_path(node) else { return Identity::Unknown };
     let address = node.settings.local_target;
     let request = Request::get(path).header(HOST, address.to_string()).body(Body::empty());
-    let Ok(request) = request else { return };
+    let Ok(request) = request else { return Identity::Unknown };
     let exchange = async {
-        let (response, lease) = node.target.exchange(address, request).await.ok()?;
-        let id = response.headers().get(headers::INSTANCE_ID)?.to_str().ok()?.to_owned();
-        response.into_body().collect().await.ok()?;
-        lease.keep();
-        Some(id)
+        let (response, lease) = match node.target.exchange(address, request).await {
+            Ok(answered) => answered,
+            Err(ExchangeError::Refused) => return Identity::Refused,
+            Err(_) => return Identity::Unknown,
+        };
+        let id = text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
+        if response.into_body().collect().await.is_ok() {
+            lease.keep();
+        }
+        id.map_or(Identity::Unknown, Identity::Known)
     };
-    if let Ok(Some(id)) = tokio::time::timeout(VERIFY_TIMEOUT, exchange).await {
-        learn(node, &id);
-    }
+    tokio::time::timeout(VERIFY_TIMEOUT, exchange).await.unwrap_or(Identity::Unknown)
 }
 
 fn health_path(node: &Node) -> Option<String> {
@@ -83,6 +106,7 @@
     node.present_verified.set(true);
     node.present_told_at.set(node.now());
     let former = node.present.borrow().clone();
+    gate::identified(node, id);
     if former.as_deref() == Some(id) {
         return;
     }
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -38,7 +38,16 @@
     let (mut parts, incoming) = response.into_parts();
     let length = parts.headers.get(CONTENT_LENGTH).cloned();
     remove_connection_headers(&mut parts.headers);
-    match read_up_to(incoming, KEPT_ANSWER_BYTES).await.map_err(|error| error.to_string())? {
+    let read = match read_up_to(incoming, KEPT_ANSWER_BYTES).await {
+        Ok(read) => read,
+        Err(error) => {
+            if let Some(slot) = slot {
+                slot.lost();
+            }
+            return Err(error.to_string());
+        }
+    };
+    match read {
         Read::Whole(bytes) => {
             if bytes.is_empty() {
                 if let Some(length) = length {
@@ -46,7 +55,9 @@
                 }
             }
             lease.keep();
-            drop(slot);
+            if let Some(slot) = slot {
+                slot.completed();
+            }
             Ok(Response::from_parts(parts, Body::Whole(bytes)))
         }
         Read::Continued(rest) => {
@@ -69,6 +80,12 @@
     fn note(&mut self, polled: &Poll<Option<Result<Frame<Bytes>, BodyError>>>) {
         let is_over = match polled {
             Poll::Ready(None) => true,
+            Poll::Ready(Some(Err(_))) => {
+                if let Some((_, Some(slot))) = self.holding.take() {
+                    slot.lost();
+                }
+                false
+            }
             Poll::Ready(Some(Ok(frame))) => {
                 let length = frame.data_ref().map_or(0, |data| data.len() as u64);
                 self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(length));
@@ -79,8 +96,11 @@
         if !is_over {
             return;
         }
-        if let Some((lease, _slot)) = self.holding.take() {
+        if let Some((lease, slot)) = self.holding.take() {
             lease.keep();
+            if let Some(slot) = slot {
+                slot.completed();
+            }
         }
     }
 }
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -8,7 +8,7 @@
 use quillhatch_mesh::cut::Cut;
 use support::caller::{call, request};
 use support::store::{Mode, StandInStore};
-use support::target::Habit;
+use support::target::{CrashRule, Habit};
 use support::{eventually, run, start_sidecar, Machine};
 use tokio::time::sleep;
 
@@ -120,6 +120,23 @@
         call(beta.outbound(), &pay("failing")).await;
         assert_eq!(one("answered", "failing")["status"], 500);
 
+        // A target that ended, and the call that it was working on.
+        let rule = CrashRule {
+            path: "/pay/crash".to_owned(),
+            after: Duration::from_millis(5),
+            down_for: Duration::from_millis(200),
+        };
+        alpha.target.crash_on(rule);
+        let ended = alpha.target.id();
+        call(beta.outbound(), &request("POST", HOST, "/pay/crash", "crashing", 5000, "x")).await;
+        eventually("the end is told", || !lines_of("target-ended", &ended).is_empty()).await;
+        let line = one("target-ended", &ended);
+        assert_eq!(line["running"], 1);
+        let signature = line["signatures"][0].as_str().expect("a signature").to_owned();
+        assert!(one("gate", "crashing")["why"].as_str().is_some_and(|why| why.contains(&signature)));
+        eventually("the target is back", || alpha.target.id() != ended).await;
+        store.list(&alpha.target, "ready");
+
         // What changes a node's belief.
         store.configure(&document(6));
         eventually("version 6", || beta.node().configuration.borrow().version() == 6).await;
