Clock: leases, windows and deadlines count the time for which a machine is suspended

Cause: all of them were measured with the steady clock, which stands still while a machine is suspended. After waking a configuration passed for fresher than it was (a key that had been taken away was believed), a part of a limit for still handed out, a stop took the whole grace time again, a call waited for the rest of a time that was over, and the watch of the store went on as if nothing had happened. Ruled out: the time of day, which jumps; the steady clock stays where it is right (rest of connections: while suspended nobody reads). Change: one clock (CLOCK_BOOTTIME) that is passed in; waiting until a moment looks again on waking, which is noticed with the next call or within 2 s; then the store is read, waiting calls and grace periods are looked through, and the other gates are asked for what they know of crashing requests. Looked at and right by the clock alone: freshness, limits and their coordinator, retry budget, targets' grace, presence, health, balance.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -235,12 +235,17 @@
     may_leave: impl FnOnce() -> bool,
 ) -> Exchanged {
     let mut exchange = pin!(exchange);
-    let until_end = |node: &Node| node.now().until(call.deadline) + DEADLINE_ALLOWANCE;
+    let end = call.deadline + DEADLINE_ALLOWANCE;
     let suspicion = node.balance.borrow().suspicion_after(&call.route.name);
-    if suspicion < until_end(node) && call.route.repeatability == Repeatability::Repeatable {
-        if let Ok(result) = tokio::time::timeout(suspicion, &mut exchange).await {
+    if suspicion < node.now().until(end) && call.route.repeatability == Repeatability::Repeatable {
+        let suspicious_from = node.now() + suspicion;
+        if let Ok(result) = node.clock.timeout_at(suspicious_from, &mut exchange).await {
             return result.into();
         }
+        // The machine was suspended for the rest of the call's time.
+        if node.now() >= end {
+            return Exchanged::Late;
+        }
         tokio::select! {
             biased;
             result = &mut exchange => return result.into(),
@@ -250,7 +255,7 @@
             return Exchanged::Left;
         }
     }
-    match tokio::time::timeout(until_end(node), exchange).await {
+    match node.clock.timeout_at(end, exchange).await {
         Ok(result) => result.into(),
         Err(_) => Exchanged::Late,
     }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -59,6 +59,7 @@
     if parts.uri.path() == PRESENCE_PATH && !parts.headers.contains_key(HOP) {
         return Response::new(Body::empty());
     }
+    node.notice_suspension();
     let arrived = node.now();
     let headers = &parts.headers;
     let forwarded = text(headers, HOP).and_then(Forwarded::decode);
@@ -249,7 +250,7 @@
     slot.begin(node.now() + told, lineage, signature);
     let sent = SentFlag::default();
     let exchange = node.target.exchange_noting(node.settings.local_target, request, &sent);
-    let exchange = tokio::time::timeout(left + DEADLINE_ALLOWANCE, exchange).await;
+    let exchange = node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, exchange).await;
     let (response, lease) = match exchange {
         // It still waited for a connection, so the target has not seen it.
         Err(_) if !sent.is_set() => {
@@ -284,10 +285,8 @@
     if response.status().is_success() && (!is_signed || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(Outcome::Broken, "an answer without the target's signature"));
     }
-    let relayed = tokio::time::timeout(
-        node.now().until(call.deadline) + DEADLINE_ALLOWANCE,
-        relay_answer_holding(response, lease, Some(slot)),
-    );
+    let relayed =
+        node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relay_answer_holding(response, lease, Some(slot)));
     match relayed.await {
         Ok(relayed) => relayed.map_err(|why| Failure::new(Outcome::Broken, why)),
         Err(_) => Err(Failure::new(Outcome::Late, "the answer did not end in time")),
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -159,7 +159,7 @@
     now: Timestamp,
 ) -> Result<Slot, Refusal> {
     // The edge takes a call for lost whose gate says nothing until its time is over.
-    if tokio::time::timeout(now.until(call.deadline), present_target::verify(node)).await.is_err() {
+    if node.clock.timeout_at(call.deadline, present_target::verify(node)).await.is_err() {
         return Err(Refusal::Full);
     }
     if !present_target::takes(node, &call.expected) {
--- a/crates/sidecar/src/gate/suspects.rs
+++ b/crates/sidecar/src/gate/suspects.rs
@@ -21,7 +21,7 @@
     if !node.has(Mechanism::Quarantine) || !runs_alone(node, signature)? {
         return Ok(None);
     }
-    let wait = tokio::time::timeout(node.now().until(deadline), node.suspect_turn.lock()).await;
+    let wait = node.clock.timeout_at(deadline, node.suspect_turn.lock()).await;
     let Ok(turn) = wait else {
         return Err(Failure::new(Outcome::Full, "another request that may crash the target runs"));
     };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod body;
 pub mod caller_io;
+pub mod clock;
 pub mod counters;
 pub mod datagrams;
 pub mod edge;
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -226,6 +226,7 @@
             }
             () = &mut rest_check => {
                 let limits = (connections.limits)();
+                // On the steady clock: while the machine is suspended nobody reads, and what came meanwhile must be read first.
                 let rested = Instant::now().duration_since(watched.last_read());
                 if active.get() == 0 && watched.has_begun_request() && rested > limits.header_timeout {
                     watched.write_late(REQUEST_TIMEOUT);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -5,7 +5,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use quillhatch_mesh::balance::Balance;
 use quillhatch_mesh::callers::CallerShares;
@@ -28,6 +28,7 @@
 use rand_pcg::Pcg64;
 use tokio::sync::{oneshot, Notify};
 
+use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::keyed_lock::KeyedLock;
 use crate::logging::{LineRate, LogState};
@@ -150,12 +151,18 @@
     log_state: LogState,
     failure_lines: RefCell<LineRate>,
     success_lines: RefCell<LineRate>,
-    started: Instant,
+    /// The clock of all decisions.
+    pub clock: Clock,
 }
 
 impl Node {
     /// A node that knows nothing yet.
     pub fn new(settings: SidecarSettings, log_state: LogState) -> Rc<Self> {
+        Self::with_clock(settings, log_state, Clock::default())
+    }
+
+    /// The same with a clock of the caller's.
+    pub fn with_clock(settings: SidecarSettings, log_state: LogState, clock: Clock) -> Rc<Self> {
         let now = Timestamp::ZERO;
         let peers = PoolRules {
             connect_timeout: Duration::from_millis(600),
@@ -205,9 +212,9 @@
             waiting: RefCell::default(),
             tenancy: Tenancy::new(&settings, rand::random()),
             budgets: RefCell::default(),
-            peers: Pool::new(peers),
-            target: Pool::new(target),
-            store: Pool::new(store),
+            peers: Pool::new(peers, clock.clone()),
+            target: Pool::new(target, clock.clone()),
+            store: Pool::new(store, clock.clone()),
             stage: Cell::new(Stage::Serving),
             refuses_callers: Cell::new(false),
             edge_calls: Cell::new(0),
@@ -229,13 +236,23 @@
             log_state,
             failure_lines: RefCell::new(LineRate::new(FAILURE_LINES)),
             success_lines: RefCell::new(LineRate::new(SUCCESS_LINES)),
-            started: Instant::now(),
+            clock,
         })
     }
 
-    /// The time since the process started, by the steady clock.
+    /// The time since the process started, suspensions of the machine included.
     pub fn now(&self) -> Timestamp {
-        Timestamp(self.started.elapsed().as_micros() as u64)
+        self.clock.now()
+    }
+
+    /// Looks whether the machine was suspended. What is known then is old: the store is read, other nodes are asked, and whatever waits
+    /// for a moment looks again.
+    pub fn notice_suspension(&self) {
+        let Some(suspended) = self.clock.notice_suspension() else { return };
+        self.log(&format!("\"event\":\"woken\",\"suspended_ms\":{}", suspended.as_millis()));
+        self.quarantine_news.ask();
+        self.gate_changed.notify_one();
+        self.grace_changed.notify_one();
     }
 
     /// Whether a mechanism is switched on.
@@ -353,7 +370,7 @@
 
     /// Writes a line: JSON fields without the braces.
     pub fn log(&self, fields: &str) {
-        let at = self.started.elapsed().as_secs_f64();
+        let at = self.now().since(Timestamp::ZERO).as_secs_f64();
         log::info!("{{\"up_s\":{at:.3},\"node\":\"{}\",{fields}}}", self.settings.node);
     }
 }
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -12,12 +12,14 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, CONNECTION};
 use hyper::{Request, Response};
+use quillhatch_types::Timestamp;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 use crate::body::Body;
+use crate::clock::Clock;
 use crate::listener::TokioIo;
 
 /// The part of the time told in `Keep-Alive` for which a connection is kept.
@@ -87,7 +89,7 @@
         if !self.is_reusable {
             return;
         }
-        let expires = Instant::now() + self.keep;
+        let expires = self.pool.clock.now() + self.keep;
         let idle = Idle { sender: self.sender, guard: self.guard, expires };
         self.pool.idle.borrow_mut().entry(self.address).or_default().push(idle);
     }
@@ -96,19 +98,20 @@
 struct Idle {
     sender: SendRequest<Body>,
     guard: Guard,
-    expires: Instant,
+    expires: Timestamp,
 }
 
 /// The connections to one kind of peers.
 pub struct Pool {
     rules: PoolRules,
+    clock: Clock,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
 impl Pool {
     /// A pool without connections.
-    pub fn new(rules: PoolRules) -> Rc<Self> {
-        Rc::new(Pool { rules, idle: RefCell::default() })
+    pub fn new(rules: PoolRules, clock: Clock) -> Rc<Self> {
+        Rc::new(Pool { rules, clock, idle: RefCell::default() })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -171,7 +174,7 @@
     fn take(&self, address: SocketAddr) -> Option<Idle> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         while let Some(connection) = connections.pop() {
             if connection.expires > now && !connection.sender.is_closed() {
                 return Some(connection);
@@ -212,7 +215,7 @@
 
     /// Closes the connections that were not used for too long.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
             connections.retain(|connection| connection.expires > now && !connection.sender.is_closed());
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -227,6 +227,7 @@
 async fn sweep(node: Rc<Node>) {
     loop {
         sleep(SWEEP).await;
+        node.notice_suspension();
         node.peers.sweep();
         node.target.sweep();
         node.asking_presence.sweep();
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 use crate::gate;
 use crate::node::Stage;
@@ -36,14 +36,14 @@
     /// the process cuts.
     pub async fn stop(mut self) -> usize {
         let node = &self.node;
-        let begun = Instant::now();
+        let begun = node.now();
         node.stage.set(Stage::Stopping);
         self.leading_away.set(true);
         node.log("\"event\":\"stopping\"");
         let grace = node.settings.bounds.stop_grace.saturating_sub(GRACE_LEFT);
         sleep(LEAD_AWAY.min(grace)).await;
         // The gate stays open while calls that entered here are finished: its target serves others meanwhile.
-        while begun.elapsed() < grace.saturating_sub(GATE_TIME) && node.root_calls.get() > 0 {
+        while node.now().since(begun) < grace.saturating_sub(GATE_TIME) && node.root_calls.get() > 0 {
             sleep(STOP_CHECK).await;
         }
         // Whoever still comes is refused at once, so that what was begun before can end in the time that is left.
@@ -51,21 +51,21 @@
         node.log("\"event\":\"gate-closed\"");
         node.gate.borrow_mut().close();
         gate::dismiss(node);
-        while begun.elapsed() < grace && (node.edge_calls.get() > 0 || node.gate.borrow().load().running > 0) {
+        while node.now().since(begun) < grace && (node.edge_calls.get() > 0 || node.gate.borrow().load().running > 0) {
             sleep(STOP_CHECK).await;
         }
         // Nobody can connect any more; connections end after their current answer.
         self.accepting.iter().for_each(AbortHandle::abort);
         let _ = self.end_connections.send(true);
-        while begun.elapsed() < grace && self.open.get() > 0 {
+        while node.now().since(begun) < grace && self.open.get() > 0 {
             sleep(STOP_CHECK).await;
         }
         sleep(LAST_ANSWERS).await;
         let (calls, connections) = (node.edge_calls.get(), self.open.get());
         node.log(&format!("\"event\":\"stopped\",\"edge_calls\":{calls},\"connections\":{connections}"));
         node.log_state().write_at_once();
-        let written_until = Instant::now() + LAST_LINES;
-        while !node.log_state().is_written() && Instant::now() < written_until {
+        let written_until = node.now() + LAST_LINES;
+        while !node.log_state().is_written() && node.now() < written_until {
             sleep(LOG_CHECK).await;
         }
         self.tasks.shutdown().await;
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -166,6 +166,11 @@
                 is_probing = true;
                 continue;
             }
+            () = node.clock.woken() => {
+                node.log(&format!("\"event\":\"watch-renewed\",\"revision\":{after},\"why\":\"woken\""));
+                is_probing = true;
+                continue;
+            }
             () = proof_is_old(node), if !is_probing => {
                 node.log_failure(|| format!("\"event\":\"proof-renewed\",\"revision\":{after}"));
                 is_probing = true;
