Signature: the tenant is in the narrow grade; soak: harmful requests, series, clinging callers, any number of machines

Copies came from three tenants, and the tenant was in both grades of the signature, so each tenant's copies needed three ends of their own. Ruled out: lost knowledge (the gates had all ends), restarts of all gates (counted apart by the check). Change: the wide grade is method, host, path and body. The other gates of a service are noted whenever the list of targets changes, so that news reaches gates whose targets have just lapsed; a gate asks once it knows another one.

--- a/crates/mesh/src/quarantine/evidence.rs
+++ b/crates/mesh/src/quarantine/evidence.rs
@@ -137,6 +137,7 @@
 
     /// A target has ended. Returns what others are told: the requests against which the end is held.
     pub fn target_ended(&mut self, end: &TargetEnd, now: Timestamp) -> Vec<SuspectRecord> {
+        self.forget(now);
         let id = EndId::of(&end.target);
         let mut records = Vec::new();
         for key in end.signatures.iter().flat_map(RequestSignature::keys) {
--- a/crates/mesh/src/quarantine/signature.rs
+++ b/crates/mesh/src/quarantine/signature.rs
@@ -35,13 +35,14 @@
 
 /// What a request asks for, in two grades.
 ///
-/// A request may crash targets whatever its query and caller, or only with these. Where requests that differ in them run well, the wide
-/// grade is cleared and the narrow one still tells the harmful request.
+/// A request may crash targets whatever its query and whoever sends it, or only with these. Where requests that differ in them run well, the
+/// wide grade is cleared and the narrow one still tells the harmful request. With the tenant in the wide grade, copies of three tenants
+/// ended 10 targets of a soak instead of 3.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RequestSignature {
-    /// Without the query and the service at whose machine it began.
+    /// Without the query, the tenant and the service at whose machine it began.
     pub wide: SignatureKey,
-    /// With both.
+    /// With all of them.
     pub narrow: SignatureKey,
 }
 
@@ -49,9 +50,9 @@
     /// The signature of a request.
     pub fn of(parts: &RequestParts<'_>) -> Self {
         let mut hasher = SipHasher13::new_with_keys(HASH_KEY.0, HASH_KEY.1);
-        (parts.method, parts.host, parts.path, parts.tenant, parts.body).hash(&mut hasher);
+        (parts.method, parts.host, parts.path, parts.body).hash(&mut hasher);
         let wide = SignatureKey(hasher.finish());
-        (parts.query, parts.caller).hash(&mut hasher);
+        (parts.query, parts.tenant, parts.caller).hash(&mut hasher);
         RequestSignature { wide, narrow: SignatureKey(hasher.finish()) }
     }
 
--- a/crates/quillhatch/tests/soak.rs
+++ b/crates/quillhatch/tests/soak.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use quillhatch_soak::layout::TARGETS_EACH;
 use quillhatch_soak::run::{make_folder, run, SoakOptions};
 
 #[test]
@@ -14,6 +15,7 @@
         folder: folder.clone(),
         seed,
         time: Duration::from_secs(8),
+        targets_each: TARGETS_EACH,
         has_faults: false,
     };
     let report = run(&options).expect("the machines start");
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -265,9 +265,13 @@
         self.configuration.borrow().current().cloned()
     }
 
-    /// Counts the machines anew after the list of targets has changed.
+    /// Counts the machines anew after the list of targets has changed, and notes the other gates of the own service.
     pub fn count_machines(&self) {
-        self.tenancy.machines.set(self.targets.borrow().machines().len());
+        let targets = self.targets.borrow();
+        self.tenancy.machines.set(targets.machines().len());
+        let own = self.settings.local_target.ip();
+        let gates = targets.of_service(&self.settings.service).iter().map(|target| target.registration.address.ip());
+        self.quarantine_news.note_gates(gates.filter(|gate| *gate != own), self.now());
     }
 
     /// What this node's target can't serve of what arrives, if anything.
--- /dev/null
+++ b/crates/sidecar/src/quarantine/messages.rs
@@ -0,0 +1,33 @@
+//! Messages between gates, and what they carry.
+
+use std::time::Duration;
+
+use quillhatch_mesh::quarantine::{EndId, SignatureKey, SuspectRecord};
+use quillhatch_messages::generated::quarantine as wire;
+
+/// A message of the gate of a target of `service`.
+pub(super) fn message(service: &str, suspects: &[SuspectRecord], cleared: &[SignatureKey]) -> wire::QuarantineMessage {
+    wire::QuarantineMessage {
+        service: service.to_owned(),
+        suspects: suspects.iter().map(write_record).collect(),
+        cleared: cleared.iter().map(|key| key.0).collect(),
+        asks: false,
+    }
+}
+
+fn write_record(record: &SuspectRecord) -> wire::SuspectRecord {
+    wire::SuspectRecord {
+        key: record.key.0,
+        ends: record.ends.iter().map(|end| end.0).collect(),
+        age_ms: record.age.as_millis() as u64,
+    }
+}
+
+/// What a record tells.
+pub(super) fn read_record(record: &wire::SuspectRecord) -> SuspectRecord {
+    SuspectRecord {
+        key: SignatureKey(record.key),
+        ends: record.ends.iter().map(|end| EndId(*end)).collect(),
+        age: Duration::from_millis(record.age_ms),
+    }
+}
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use quillhatch_platform_standins::target::chained_id;
 
+use crate::harm;
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
 use crate::record::{CallEnd, CallRecord, RunRecord, SoakRecord};
 use crate::tenancy;
@@ -60,6 +61,9 @@
     /// Calls of a tenant stay within its limit.
     #[display("limits")]
     Limits,
+    /// A request that crashes targets reaches few more of them once three have ended.
+    #[display("bounded-harm")]
+    BoundedHarm,
     /// In calm nothing is cut, planned stops included.
     #[display("uncut")]
     Uncut,
@@ -144,6 +148,7 @@
         found.push(broken(Promise::Slots, format!("{} of {SLOTS} slots used", record.most_running)));
     }
     found.extend(over_budget(record));
+    found.extend(harm::check(record));
     found.extend(tenancy::check(record));
     found
 }
@@ -217,12 +222,13 @@
         if !record.is_all_calm(SETTLE, call.sent, call.ended) {
             continue;
         }
-        asked += usize::from(call.key.is_steady());
+        let counts = call.key.is_steady() && call.kind != RouteKind::Harmful;
+        asked += usize::from(counts);
         match call.end {
-            CallEnd::Answered { status: 200, .. } => served += usize::from(call.key.is_steady()),
+            CallEnd::Answered { status: 200, .. } => served += usize::from(counts),
             CallEnd::Answered { .. } => {}
             // A process that was asked to stop may be gone, and its callers come to nobody.
-            CallEnd::Unreached => asked -= usize::from(call.key.is_steady() && was_stopping(record, call)),
+            CallEnd::Unreached => asked -= usize::from(counts && was_stopping(record, call)),
             CallEnd::Cut if !ran.contains(call.id.as_str()) && call.ended - call.sent <= UNREAD => {}
             CallEnd::Cut | CallEnd::Silent => {
                 let what = format!(
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -1,6 +1,7 @@
 //! The deployment that is soaked: machines, services, routes and the configuration documents.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use quillhatch_platform_standins::configuration::{configuration_document, DocumentRoute};
 use rand::Rng;
@@ -9,21 +10,24 @@
 
 /// The host of all routes.
 pub const HOST: &str = "soak.example";
-/// The services, each with [`TARGETS_EACH`] targets.
+/// The services; all have the same number of targets.
 pub const SERVICES: [&str; 3] = ["alpha", "beta", "gamma"];
-/// The targets of a service.
+/// The targets of a service, unless the command line names another number.
 pub const TARGETS_EACH: usize = 2;
-/// The machines.
-pub const MACHINES: usize = SERVICES.len() * TARGETS_EACH;
+/// The most targets of a service for which there are addresses.
+pub const MOST_TARGETS_EACH: usize = 75;
 /// The requests that a target works on at a time.
 pub const SLOTS: u32 = 24;
 
+/// For how long a crashed target is away.
+pub const CRASHED_FOR: Duration = Duration::from_millis(400);
+
 const OUTBOUND: u16 = 22501;
 const INBOUND: u16 = 22502;
 const READY: u16 = 22503;
-/// The ports that are left to the project: of counters and of reports on limits.
-const OWN_PORTS: (u16, u16) = (22504, 22505);
-const TARGET: u16 = 22506;
+/// The ports that are left to the project: of counters, of reports on limits and of what is told of requests that crash targets.
+const OWN_PORTS: (u16, u16) = (22504, 22506);
+const TARGET: u16 = 22507;
 
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -36,11 +40,13 @@
     Chain,
     /// May be repeated; the configuration moves it from service to service.
     Moving,
+    /// May be repeated; served by beta, whose targets it crashes.
+    Harmful,
 }
 
 impl RouteKind {
-    /// All kinds.
-    pub const ALL: [RouteKind; 4] = [RouteKind::Read, RouteKind::Pay, RouteKind::Chain, RouteKind::Moving];
+    /// The kinds that do no harm.
+    pub const HARMLESS: [RouteKind; 4] = [RouteKind::Read, RouteKind::Pay, RouteKind::Chain, RouteKind::Moving];
 
     /// The path of its requests.
     pub fn path(self) -> &'static str {
@@ -49,14 +55,10 @@
             RouteKind::Pay => "/pay/x",
             RouteKind::Chain => "/chain/x",
             RouteKind::Moving => "/moving/x",
+            RouteKind::Harmful => "/read/harmful",
         }
     }
 
-    /// The kind with this path.
-    pub fn of_path(path: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|kind| kind.path() == path)
-    }
-
     /// The method of its requests.
     pub fn method(self) -> &'static str {
         match self {
@@ -76,7 +78,7 @@
     /// The service that always serves it, unless the configuration moves it.
     pub fn service(self) -> Option<&'static str> {
         match self {
-            RouteKind::Read => Some("beta"),
+            RouteKind::Read | RouteKind::Harmful => Some("beta"),
             RouteKind::Pay => Some("gamma"),
             RouteKind::Chain => Some("alpha"),
             RouteKind::Moving => None,
@@ -115,8 +117,8 @@
 impl MachineAddrs {
     /// The addresses of machine `number` of the soak that drew `net`.
     pub fn new(net: SoakNet, number: usize) -> Self {
-        let at = |host: usize| Ipv4Addr::new(127, net.0, net.1, host as u8);
-        MachineAddrs { number, public: at(10 + number), own: at(100 + number) }
+        let at = |third: u8| Ipv4Addr::new(127, net.0, third, 10 + number as u8);
+        MachineAddrs { number, public: at(net.1), own: at(net.1 + 1) }
     }
 
     /// The service of the target of machine `number`.
@@ -167,6 +169,6 @@
 impl SoakNet {
     /// Draws a part that other soaks on this machine hardly ever use at the same time.
     pub fn draw(random: &mut impl Rng) -> Self {
-        SoakNet(random.gen_range(60..250), random.gen_range(1..250))
+        SoakNet(random.gen_range(60..250), 2 * random.gen_range(1..125))
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Machines are addresses of the loopback range. Each has a sidecar process, a stand-in target, callers, and a proxy through which
 //! other nodes reach it. Faults come from outside: links are delayed, reset, cut one way or silenced; processes are stopped,
-//! frozen, killed and started again; the store turns machines away or hangs. What is promised is checked from what callers and
+//! frozen, killed and started again; the store turns machines away or hangs. One kind of request crashes the targets that run it. What is promised is checked from what callers and
 //! targets saw, never from the product's own counters.
 //!
 //! Rounds of faults and of calm take turns. Some promises hold at any moment ([`checks::always`]), those with a time bound
@@ -10,6 +10,7 @@
 
 pub mod checks;
 pub mod faults;
+mod harm;
 pub mod layout;
 pub mod machine;
 pub mod proxy;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -5,19 +5,26 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use quillhatch_platform_standins::settings::{settings_document, MachineSettings, SETTINGS_VARIABLE};
 use quillhatch_platform_standins::store::StandInStore;
-use quillhatch_platform_standins::target::{ChainedCall, Habit, StandInTarget};
+use quillhatch_platform_standins::target::{ChainedCall, CrashRule, Habit, StandInTarget};
 use rustix::process::{kill_process, Pid, Signal};
+use tokio::time::sleep;
 
-use crate::layout::{MachineAddrs, RouteKind, HOST, SLOTS};
+use crate::layout::{MachineAddrs, RouteKind, CRASHED_FOR, HOST, SLOTS};
 use crate::proxy::LinkProxy;
 
 /// How long a request takes at a target.
 const WORK: Duration = Duration::from_millis(15);
 
+/// How long a harmful request runs before its target crashes.
+const CRASHES_AFTER: Duration = Duration::from_millis(20);
+/// How often it is looked whether a target is another one.
+const REGISTERS_EACH: Duration = Duration::from_millis(50);
+
 /// A machine of the soak.
 pub struct SoakMachine {
     /// Its addresses.
@@ -31,6 +38,7 @@
     /// Whether callers send new work here.
     pub takes_callers: Cell<bool>,
     process: RefCell<Option<Child>>,
+    starts: RefCell<Vec<Instant>>,
     program: PathBuf,
     settings: PathBuf,
     log: File,
@@ -50,6 +58,8 @@
     ) -> io::Result<SoakMachine> {
         let target = StandInTarget::start_at(addrs.target(), addrs.service(), SLOTS).await;
         target.set_habit(Habit::Slow(WORK));
+        let harmful = RouteKind::Harmful.path().to_owned();
+        target.crash_on(CrashRule { path: harmful, after: CRASHES_AFTER, down_for: CRASHED_FOR });
         let path = RouteKind::Read.path().to_owned();
         target.chain(ChainedCall { outbound: addrs.outbound(), host: HOST.to_owned(), path });
         let store = store.another_address().await;
@@ -77,6 +87,7 @@
             link,
             takes_callers: Cell::new(true),
             process: RefCell::default(),
+            starts: RefCell::default(),
             program: program.to_owned(),
             settings,
             log,
@@ -102,6 +113,7 @@
             .stderr(self.log.try_clone()?)
             .spawn()?;
         *self.process.borrow_mut() = Some(child);
+        self.starts.borrow_mut().push(Instant::now());
         Ok(())
     }
 
@@ -122,6 +134,25 @@
         let _ = kill_process(pid, signal);
     }
 
+    /// When its process was started after another one had ended.
+    pub fn later_starts(&self) -> Vec<Instant> {
+        self.starts.borrow().iter().skip(1).copied().collect()
+    }
+
+    /// Registers the target anew whenever it has crashed and started again, until the machine ends.
+    pub async fn register(self: Rc<Self>) {
+        let mut registered = self.target.id();
+        loop {
+            sleep(REGISTERS_EACH).await;
+            let id = self.target.id();
+            if id != registered {
+                self.store.list(&self.target, "ready");
+                self.store.unlist(&registered);
+                registered = id;
+            }
+        }
+    }
+
     /// Lets the target answer as it should again.
     pub fn heal_target(&self) {
         self.target.set_habit(Habit::Slow(WORK));
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::layout::RouteKind;
+use crate::layout::{RouteKind, CRASHED_FOR};
 use crate::tenancy::SoakKey;
 
 /// How a call ended for its caller.
@@ -61,6 +61,13 @@
     pub has_key: bool,
 }
 
+impl RunRecord {
+    /// Whether its request crashes targets.
+    pub fn is_harmful(&self) -> bool {
+        self.request.1 == RouteKind::Harmful.path()
+    }
+}
+
 /// A time in which something was wrong with a machine, or with all of them.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -103,6 +110,15 @@
     pub grace: Duration,
 }
 
+/// A process that was started after another one had ended on its machine.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessStart {
+    /// The machine.
+    pub machine: usize,
+    /// When.
+    pub at: Instant,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct SoakRecord {
@@ -118,13 +134,23 @@
     pub drains: Vec<DrainSpan>,
     /// Planned stops.
     pub stops: Vec<StopSpan>,
+    /// When targets began to run requests that crash them.
+    pub crashes: Vec<Instant>,
+    /// Starts of processes, without the first ones.
+    pub starts: Vec<ProcessStart>,
     /// The most requests that a target has worked on at a time.
     pub most_running: u32,
 }
 
 impl SoakRecord {
-    /// Whether all machines were without disturbance from `settle` before `from` until `until`.
-    pub fn is_all_calm(&self, settle: Duration, from: Instant, until: Instant) -> bool {
+    /// Whether all machines were without faults from `settle` before `from` until `until`.
+    pub fn is_without_faults(&self, settle: Duration, from: Instant, until: Instant) -> bool {
         !self.disturbances.iter().any(|disturbance| disturbance.from <= until && disturbance.until + settle >= from)
     }
+
+    /// The same, and no target was crashed by a request.
+    pub fn is_all_calm(&self, settle: Duration, from: Instant, until: Instant) -> bool {
+        let is_crashed = self.crashes.iter().any(|at| *at <= until && *at + CRASHED_FOR + settle >= from);
+        !is_crashed && self.is_without_faults(settle, from, until)
+    }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,13 +18,13 @@
 
 use crate::checks::{self, Violation};
 use crate::faults::{strike, FaultKind};
-use crate::layout::{document, MachineAddrs, SoakNet, MACHINES, SERVICES};
+use crate::layout::{document, MachineAddrs, SoakNet, SERVICES};
 use crate::machine::SoakMachine;
-use crate::record::{ConfigWrite, DrainSpan, RunRecord, SoakRecord, StopSpan};
+use crate::record::{ConfigWrite, DrainSpan, ProcessStart, RunRecord, SoakRecord, StopSpan};
 use crate::traffic::SoakCaller;
 
-/// Callers of each machine.
-const CALLERS: usize = 4;
+/// Callers in all, if there are not more machines.
+const CALLERS: usize = 24;
 /// How long the processes get to start.
 const START: Duration = Duration::from_secs(10);
 /// How long a round of faults lasts.
@@ -41,6 +41,11 @@
 const LED_AWAY: Duration = Duration::from_millis(2500);
 /// The time in which a process must have stopped.
 const GRACE: Duration = Duration::from_secs(6);
+/// Changes of the configuration in a series, with a signal to each process, and the pause between them in milliseconds.
+const SERIES: usize = 5;
+const SERIES_PAUSE_MS: std::ops::Range<u64> = 100..900;
+/// How long after the first of two stops the second is asked for; the first takes longer.
+const SECOND_STOP_AFTER: Duration = Duration::from_millis(1200);
 /// How long a last call may take.
 const LAST_CALLS: Duration = Duration::from_secs(5);
 /// How often it is looked whether something has happened.
@@ -57,6 +62,8 @@
     pub seed: u64,
     /// How long faults and calm take turns.
     pub time: Duration,
+    /// The targets of each service.
+    pub targets_each: usize,
     /// Whether there are faults; without them only planned work is done.
     pub has_faults: bool,
 }
@@ -119,10 +126,12 @@
         let net = SoakNet::draw(&mut Pcg64::from_entropy());
         let store = StandInStore::start().await;
         let mut machines = Vec::new();
-        for number in 0..MACHINES {
+        for number in 0..SERVICES.len() * options.targets_each {
             let addrs = MachineAddrs::new(net, number);
             let machine = SoakMachine::start(addrs, &store, &options.program, &options.folder).await?;
-            machines.push(Rc::new(machine));
+            let machine = Rc::new(machine);
+            spawn_local(Rc::clone(&machine).register());
+            machines.push(machine);
         }
         let version = random.gen_range(1..50);
         let record = Rc::default();
@@ -155,11 +164,12 @@
 
     fn start_callers(&mut self, end: Instant) -> Vec<JoinHandle<()>> {
         let mut callers = Vec::new();
+        let callers_each = (CALLERS / self.machines.len()).max(1);
         for machine in &self.machines {
-            for number in 0..CALLERS {
+            for number in 0..callers_each {
                 let random = Pcg64::seed_from_u64(self.random.gen());
                 let (machine, record) = (Rc::clone(machine), Rc::clone(&self.record));
-                let caller = SoakCaller { machine, number, record, random };
+                let caller = SoakCaller { machine, number, record, clings: number == 0, random };
                 callers.push(spawn_local(caller.call_until(end)));
             }
         }
@@ -172,7 +182,7 @@
         let mut strikes = Vec::new();
         while Instant::now() < end {
             let kind = FaultKind::draw(&mut self.random);
-            let struck = self.random.gen_range(0..MACHINES);
+            let struck = self.random.gen_range(0..self.machines.len());
             let span = Duration::from_millis(self.random.gen_range(FAULT_SPAN_MS));
             self.faults.push((kind, struck));
             let machines = self.machines.clone();
@@ -191,66 +201,121 @@
         }
     }
 
-    /// A change of the configuration, a drain and a planned stop, on machines of different services.
+    /// Planned work: one thing of each kind, or series of them that overlap.
     async fn planned_work(&mut self) -> io::Result<()> {
+        if self.random.gen() {
+            self.one_of_each().await
+        } else {
+            self.series().await
+        }
+    }
+
+    /// A change of the configuration, a drain and a planned stop, on machines of different services.
+    async fn one_of_each(&mut self) -> io::Result<()> {
         self.configure();
-        let drained = self.random.gen_range(0..MACHINES);
-        let stopped = (drained + self.random.gen_range(1..SERVICES.len())) % MACHINES;
+        let drained = self.random.gen_range(0..self.machines.len());
+        let stopped = self.of_another_service(drained);
         let draining = Rc::clone(&self.machines[drained]);
+        let id = draining.target.id();
         self.store.list(&draining.target, "draining");
         let acked = Instant::now();
         self.stop_and_start(stopped).await?;
         sleep(DRAIN.saturating_sub(acked.elapsed())).await;
-        self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
+        // One that crashed meanwhile is another, which is not draining.
+        if draining.target.id() == id {
+            self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
+        }
         self.store.list(&draining.target, "ready");
         self.look_at_targets();
         sleep(Duration::from_secs(1)).await;
         Ok(())
     }
 
-    async fn stop_and_start(&mut self, number: usize) -> io::Result<()> {
-        let machine = Rc::clone(&self.machines[number]);
-        let asked = Instant::now();
-        self.record.borrow_mut().stops.push(StopSpan { machine: number, asked, grace: GRACE });
-        machine.signal(Signal::TERM);
-        sleep(LED_AWAY).await;
-        machine.takes_callers.set(false);
-        while machine.runs() && asked.elapsed() < GRACE {
-            sleep(CHECK).await;
-        }
-        if machine.runs() {
-            machine.signal(Signal::KILL);
-        }
-        while machine.runs() {
-            sleep(CHECK).await;
+    /// Configurations in quick succession, signals to all processes, and two planned stops that overlap.
+    async fn series(&mut self) -> io::Result<()> {
+        let first = self.random.gen_range(0..self.machines.len());
+        let second = self.of_another_service(first);
+        let stops = [(first, Duration::ZERO), (second, SECOND_STOP_AFTER)].map(|(number, after)| {
+            let (machine, record) = (Rc::clone(&self.machines[number]), Rc::clone(&self.record));
+            spawn_local(async move {
+                sleep(after).await;
+                stop_and_start(&machine, &record).await
+            })
+        });
+        for _ in 0..SERIES {
+            self.configure();
+            for machine in &self.machines {
+                machine.signal(Signal::HUP);
+            }
+            sleep(Duration::from_millis(self.random.gen_range(SERIES_PAUSE_MS))).await;
         }
-        machine.start_process()?;
-        let begun = Instant::now();
-        while !is_ready(&machine).await && begun.elapsed() < START {
-            sleep(CHECK).await;
+        for stop in stops {
+            stop.await.map_err(io::Error::other)??;
         }
-        machine.takes_callers.set(true);
+        self.look_at_targets();
+        sleep(Duration::from_secs(1)).await;
         Ok(())
     }
 
+    /// A machine whose target serves another service than that of machine `number`.
+    fn of_another_service(&mut self, number: usize) -> usize {
+        (number + self.random.gen_range(1..SERVICES.len())) % self.machines.len()
+    }
+
+    async fn stop_and_start(&mut self, number: usize) -> io::Result<()> {
+        stop_and_start(&self.machines[number], &self.record).await
+    }
+
     /// Takes over what the targets have recorded.
     fn look_at_targets(&self) {
         let mut record = self.record.borrow_mut();
         for machine in &self.machines {
             let number = machine.addrs.number;
-            record.runs.extend(machine.target.take_ran().into_iter().map(|seen| run_record(number, seen)));
+            let runs: Vec<RunRecord> =
+                machine.target.take_ran().into_iter().map(|seen| run_record(number, seen)).collect();
+            record.crashes.extend(runs.iter().filter(|run| run.is_harmful()).map(|run| run.at));
+            record.runs.extend(runs);
             record.most_running = record.most_running.max(machine.target.most_running() as u32);
         }
     }
 
     fn report(self) -> SoakReport {
         self.look_at_targets();
-        let record = self.record.borrow().clone();
+        let mut record = self.record.borrow().clone();
+        for machine in &self.machines {
+            let number = machine.addrs.number;
+            record.starts.extend(machine.later_starts().into_iter().map(|at| ProcessStart { machine: number, at }));
+        }
         let violations = checks::all(&record);
         SoakReport { record, faults: self.faults, violations }
     }
 }
 
+/// Asks a process to stop, and starts another one after its end.
+async fn stop_and_start(machine: &SoakMachine, record: &RefCell<SoakRecord>) -> io::Result<()> {
+    let asked = Instant::now();
+    record.borrow_mut().stops.push(StopSpan { machine: machine.addrs.number, asked, grace: GRACE });
+    machine.signal(Signal::TERM);
+    sleep(LED_AWAY).await;
+    machine.takes_callers.set(false);
+    while machine.runs() && asked.elapsed() < GRACE {
+        sleep(CHECK).await;
+    }
+    if machine.runs() {
+        machine.signal(Signal::KILL);
+    }
+    while machine.runs() {
+        sleep(CHECK).await;
+    }
+    machine.start_process()?;
+    let begun = Instant::now();
+    while !is_ready(machine).await && begun.elapsed() < START {
+        sleep(CHECK).await;
+    }
+    machine.takes_callers.set(true);
+    Ok(())
+}
+
 fn run_record(machine: usize, seen: Seen) -> RunRecord {
     let id = seen.id().to_owned();
     let caller_service = seen.caller_service().to_owned();
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -22,6 +22,8 @@
 const AWAY_PAUSE: Duration = Duration::from_millis(50);
 /// The pause between two requests.
 const PAUSE_MS: std::ops::Range<u64> = 20..60;
+/// The share of requests that crash the targets that run them.
+const HARMFUL_SHARE: f64 = 0.01;
 /// The share of answers after which a connection is used again.
 const KEPT_SHARE: f64 = 0.9;
 
@@ -33,6 +35,8 @@
     pub number: usize,
     /// Where it records what it sees.
     pub record: Rc<RefCell<SoakRecord>>,
+    /// Whether it goes on using an open connection for as long as there is one, also while its machine is led away from.
+    pub clings: bool,
     /// Its random numbers.
     pub random: Pcg64,
 }
@@ -45,12 +49,13 @@
             if Instant::now() >= end {
                 return;
             }
-            if !self.machine.takes_callers.get() {
+            let has_connection = self.clings && kept.is_some();
+            if !self.machine.takes_callers.get() && !has_connection {
                 kept = None;
                 sleep(AWAY_PAUSE).await;
                 continue;
             }
-            let kind = RouteKind::ALL[self.random.gen_range(0..RouteKind::ALL.len())];
+            let kind = self.draw_kind();
             let key = SoakKey::draw(&mut self.random, self.record.borrow().configs.len());
             let id = format!("soak-{}-{}-{count}", self.machine.addrs.number, self.number);
             kept = self.call(kind, key, id, kept).await;
@@ -58,6 +63,13 @@
         }
     }
 
+    fn draw_kind(&mut self) -> RouteKind {
+        if self.random.gen_bool(HARMFUL_SHARE) {
+            return RouteKind::Harmful;
+        }
+        RouteKind::HARMLESS[self.random.gen_range(0..RouteKind::HARMLESS.len())]
+    }
+
     /// Sends one request; returns the connection if it can be used again.
     async fn call(&mut self, kind: RouteKind, key: SoakKey, id: String, kept: Option<Caller>) -> Option<Caller> {
         let addrs = self.machine.addrs;
