Quarantine: suspects do not run one at a time

Cause: who waits beside the harmful request meets it again at the next target and can't run to its end in between. Kept: like any other. The mutex, the verdict and the waiting go; a request is looked at once more when it gets its slot. A test with long calls that are sent again goes in.

--- a/crates/mesh/src/quarantine/evidence.rs
+++ b/crates/mesh/src/quarantine/evidence.rs
@@ -13,8 +13,8 @@
 /// The ends from which a request is held for one that crashes targets. A call that is sent again after an end meets another by chance; three
 /// without a run that ends well in between don't come by chance, and more would cost targets.
 const QUARANTINED_FROM: usize = 3;
-/// The ends from which a request runs at a target without others that have as many, so that a further end is held against one of them only.
-const ALONE_FROM: usize = 2;
+/// The ends from which a request is told of again and again: one end alone comes by chance.
+const NOTABLE_FROM: usize = 2;
 /// The ends of one request that are remembered, the latest ones.
 const MOST_ENDS: usize = 16;
 /// How often the quarantine doubles at most: it never lasts longer than an hour and a half.
@@ -56,13 +56,11 @@
     pub age: Duration,
 }
 
-/// What becomes of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What becomes of a request; the greater one counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// It runs like any other.
     Runs,
-    /// It runs, but not beside others of which the same is held.
-    RunsAlone,
     /// It is refused, for so long.
     Refused(Duration),
 }
@@ -87,15 +85,12 @@
     }
 
     fn verdict(&self, draw: f64, now: Timestamp) -> Verdict {
-        if self.ends.len() < ALONE_FROM {
-            return Verdict::Runs;
-        }
-        let Some(doublings) = self.ends.len().checked_sub(QUARANTINED_FROM) else { return Verdict::RunsAlone };
+        let Some(doublings) = self.ends.len().checked_sub(QUARANTINED_FROM) else { return Verdict::Runs };
         let length =
             SHORTEST_QUARANTINE.mul_f64((1.0 + SPREAD * draw) * f64::from(1_u32 << doublings.min(MOST_DOUBLINGS)));
         let left = length.saturating_sub(now.since(self.last_end));
         if left.is_zero() {
-            Verdict::RunsAlone
+            Verdict::Runs
         } else {
             Verdict::Refused(left)
         }
@@ -122,17 +117,8 @@
         if self.suspects.is_empty() {
             return Verdict::Runs;
         }
-        let mut worst = Verdict::Runs;
-        for key in signature.keys() {
-            let Some(suspect) = self.suspects.get(&key) else { continue };
-            match (suspect.verdict(self.draw, now), worst) {
-                (Verdict::Refused(left), Verdict::Refused(longest)) => worst = Verdict::Refused(left.max(longest)),
-                (refused @ Verdict::Refused(_), _) => worst = refused,
-                (Verdict::RunsAlone, Verdict::Runs) => worst = Verdict::RunsAlone,
-                _ => {}
-            }
-        }
-        worst
+        let suspects = signature.keys().into_iter().filter_map(|key| self.suspects.get(&key));
+        suspects.map(|suspect| suspect.verdict(self.draw, now)).max().unwrap_or(Verdict::Runs)
     }
 
     /// A target has ended. Returns what others are told: the requests against which the end is held.
@@ -176,7 +162,7 @@
                 continue;
             }
             let suspect = self.suspects.remove(&key);
-            if suspect.is_some_and(|suspect| suspect.ends.len() >= ALONE_FROM) {
+            if suspect.is_some_and(|suspect| suspect.ends.len() >= NOTABLE_FROM) {
                 self.note_cleared(key, now);
                 cleared.push(key);
             }
@@ -195,7 +181,7 @@
 
     /// What is told to others again and again: requests against which more than one end is held.
     pub fn notable(&self, now: Timestamp) -> Vec<SuspectRecord> {
-        self.records(ALONE_FROM, now)
+        self.records(NOTABLE_FROM, now)
     }
 
     /// All that is held against requests, for a node that has just started.
@@ -215,7 +201,7 @@
 
     /// Whether anything is to be told again.
     pub fn has_notable(&self) -> bool {
-        self.suspects.values().any(|suspect| suspect.ends.len() >= ALONE_FROM)
+        self.suspects.values().any(|suspect| suspect.ends.len() >= NOTABLE_FROM)
     }
 
     /// Forgets what is too old.
--- a/crates/mesh/src/quarantine/mod.rs
+++ b/crates/mesh/src/quarantine/mod.rs
@@ -3,8 +3,10 @@
 //! Such a request comes again and again, each time with another id and at another machine. So what a request did is remembered under its
 //! [`RequestSignature`], where every copy must pass: at the gates of the service. The gate whose target ended holds the end against all calls
 //! that ran there, since it can't tell which one it was; it tells the other gates of the service, and ends add up. A request that runs to its
-//! end anywhere is cleared. From the second end on a request runs at a gate without others of which the same is held, so a further end
-//! is held against one only; from the third on it is refused for a time that doubles with each further end.
+//! end anywhere is cleared. From the third end on it is refused, for a time that doubles with each further end.
+//!
+//! Suspects are not made to run one at a time before: requests that only ran beside then wait for the harmful one, meet it again, and up to 58
+//! of 50,000 were refused in virtual fleets of 4 gates where 0 are without.
 //!
 //! Nothing is written anywhere. A gate that starts asks others of its service; parts that were cut off from each other count for
 //! themselves, and their ends add up again afterwards.
--- a/crates/mesh/tests/quarantine/fleet.rs
+++ b/crates/mesh/tests/quarantine/fleet.rs
@@ -40,6 +40,10 @@
     pub nodes: usize,
     /// Calls a second with paths of their own, and with one popular path.
     pub rate: f64,
+    /// How long such a call runs, in seconds, at least and at most.
+    pub work: (f64, f64),
+    /// How often a call is sent in all, by edges and by its caller, while targets end under it.
+    pub attempts: u32,
     /// Copies of the harmful request a second.
     pub copies: f64,
     /// The share of datagrams that are lost.
@@ -89,8 +93,6 @@
     running: Vec<(RunId, u64, usize, u32)>,
     life: u32,
     is_up: bool,
-    /// Whether one of the calls that run alone does.
-    alone: Option<RunId>,
 }
 
 pub struct Fleet {
@@ -127,7 +129,6 @@
             running: Vec::new(),
             life: 0,
             is_up: true,
-            alone: None,
         };
         let mut fleet = Fleet {
             play,
@@ -177,7 +178,8 @@
     fn schedule_arrivals(&mut self) {
         let (rate, copies) = (self.play.rate, self.play.copies);
         for (rate, request) in [(rate * 0.8, None), (rate * 0.2, Some(POPULAR)), (copies, Some(HARMFUL))] {
-            let mut at = 1.0;
+            // The harmful one comes into a service that runs.
+            let mut at = if request == Some(HARMFUL) { 4.0 } else { 1.0 };
             while rate > 0.0 && at < self.play.seconds {
                 at += self.random.gen_range(0.0..2.0) / rate;
                 let edge = self.random.gen_range(0..self.play.nodes);
@@ -270,26 +272,19 @@
             let carried = std::mem::take(&mut self.carried[edge]);
             self.nodes[node].quarantine.take(&carried, self.now);
         }
-        let is_suspect = self.play.knowing == Knowing::Gates
-            && self.nodes[node].quarantine.verdict(&signature(request), self.now) == Verdict::RunsAlone;
         if self.play.knowing == Knowing::Gates && self.refuses(node, request) {
             return;
         }
-        if is_suspect && self.nodes[node].alone.is_some() {
-            self.after(0.02, Event::Arrives { request, edge, attempt });
-            return;
-        }
         let now = self.now;
         let gate = &mut self.nodes[node];
         let run = gate.runs.begin(signature(request), now);
-        gate.alone = if is_suspect { Some(run) } else { gate.alone };
         gate.running.push((run, request, edge, attempt));
         let life = gate.life;
         if request == HARMFUL {
             let after = self.random.gen_range(0.03..0.3);
             self.after(after, Event::Ends { node, life, is_harm: true });
         } else {
-            let after = self.random.gen_range(0.05..0.15);
+            let after = self.random.gen_range(self.play.work.0..self.play.work.1);
             self.after(after, Event::Answers { node, life, run, request, edge });
         }
     }
@@ -300,9 +295,6 @@
             return;
         }
         gate.running.retain(|(running, ..)| *running != run);
-        if gate.alone == Some(run) {
-            gate.alone = None;
-        }
         gate.runs.completed(run);
         let holder = if self.play.knowing == Knowing::Edges { edge } else { node };
         let cleared = self.nodes[holder].quarantine.completed(&signature(request), self.now);
@@ -324,7 +316,6 @@
         let target = format!("i-{node}-{}", gate.life);
         gate.life += 1;
         gate.is_up = false;
-        gate.alone = None;
         let running = std::mem::take(&mut gate.running);
         for (run, ..) in &running {
             gate.runs.lost(*run, Some(target.as_str().into()), self.now);
@@ -348,7 +339,7 @@
             _ => {}
         }
         for (_, request, edge, attempt) in running {
-            if attempt < 2 {
+            if attempt < self.play.attempts {
                 self.after(0.001, Event::Arrives { request, edge, attempt: attempt + 1 });
             }
         }
--- a/crates/mesh/tests/quarantine/main.rs
+++ b/crates/mesh/tests/quarantine/main.rs
@@ -10,6 +10,8 @@
     telling: Telling::Datagrams,
     nodes: 4,
     rate: 150.0,
+    work: (0.05, 0.15),
+    attempts: 2,
     copies: 8.0,
     loss: 0.02,
     cut: None,
@@ -55,6 +57,7 @@
 }
 
 #[test_case(Play { ..PLAY }; "beside the harmful request")]
+#[test_case(Play { nodes: 12, work: (0.3, 0.6), attempts: 4, ..PLAY }; "long ones that are sent again and again")]
 #[test_case(Play { copies: 0.0, kills: &[(0, 5.0), (1, 5.0), (2, 5.0), (3, 5.0)], ..PLAY }; "all at once")]
 #[test_case(Play { copies: 0.0, kills: &[(0, 5.0), (1, 7.0), (2, 9.0), (3, 11.0), (0, 13.0), (1, 15.0)], ..PLAY }; "in turn")]
 #[test_case(Play { copies: 0.0, kills: &[(0, 5.0), (1, 5.1), (2, 5.2), (3, 5.3), (0, 7.0), (1, 7.1)], ..PLAY }; "shortly after each other")]
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -216,8 +216,10 @@
         },
     };
     let signature = signature_of(&parts, &body);
-    let _turn = suspects::let_in(node, &signature, call.deadline).await?;
+    suspects::check(node, &signature)?;
     let slot = admit(node, call, forwarded, call.arrived).await?;
+    // While it waited for a slot, targets may have ended under its like.
+    suspects::check(node, &signature)?;
     run(node, call, parts, body, slot, Passing { lineage: forwarded.lineage.clone(), signature }).await
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -98,8 +98,6 @@
     pub finding_out: Cell<bool>,
     /// What is known of requests that crash targets.
     pub quarantine: RefCell<Quarantine>,
-    /// Held by the one call that runs at the target among those that may crash it.
-    pub suspect_turn: tokio::sync::Mutex<()>,
     /// What the other gates of the service are to be told of such requests.
     pub quarantine_news: Outbox,
     /// Calls that wait at the gate.
@@ -207,7 +205,6 @@
             runs: RefCell::default(),
             finding_out: Cell::new(false),
             quarantine: RefCell::new(Quarantine::new(rand::random())),
-            suspect_turn: tokio::sync::Mutex::default(),
             quarantine_news: Outbox::default(),
             waiting: RefCell::default(),
             tenancy: Tenancy::new(&settings, rand::random()),
