--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -9,6 +9,7 @@
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
 use quillhatch_messages::generated::limits::LimitMessage;
+use quillhatch_messages::generated::quarantine::QuarantineMessage;
 use quillhatch_sidecar::counters::Counters;
 use quillhatch_sidecar::hop::{Forwarded, Outcome, PresentTarget, Reach, Report};
 use quillhatch_sidecar::logging::LineRate;
@@ -142,5 +143,6 @@
     #[test]
     fn no_datagram_stops_a_node(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = quillhatch_messages::decode::<LimitMessage>(&bytes);
+        let _ = quillhatch_messages::decode::<QuarantineMessage>(&bytes);
     }
 }
