--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -17,7 +17,7 @@
 use quillhatch_mesh::cut::Cut;
 use quillhatch_mesh::gate::Refusal;
 use quillhatch_mesh::parents::Lineage;
-use quillhatch_mesh::quarantine::{RequestParts, RequestSignature};
+use quillhatch_mesh::quarantine::RequestSignature;
 use quillhatch_mesh::routing::find_route;
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
@@ -102,24 +102,6 @@
     }
 }
 
-/// What a request asks for. Of a body that is too long to be held, only the beginning is known, which does not count.
-fn signature_of(parts: &Parts, body: &Body) -> RequestSignature {
-    let header = |name| text(&parts.headers, name).unwrap_or_default();
-    let body = match body {
-        Body::Whole(bytes) => bytes,
-        Body::Streamed(_) => [].as_slice(),
-    };
-    RequestSignature::of(&RequestParts {
-        method: parts.method.as_str(),
-        host: header("host"),
-        path: parts.uri.path(),
-        query: parts.uri.query().unwrap_or_default(),
-        body,
-        tenant: header(headers::TENANT),
-        caller: header(headers::CALLER_SERVICE),
-    })
-}
-
 fn route_name(node: &Node, parts: &Parts) -> Option<Arc<str>> {
     let configuration = node.current_configuration()?;
     let authority = text(&parts.headers, "host").unwrap_or_default();
@@ -215,7 +197,7 @@
             Err(error) => return Err(Failure::new(Outcome::Closed, error.to_string())),
         },
     };
-    let signature = signature_of(&parts, &body);
+    let signature = suspects::signature_of(&parts, &body);
     suspects::check(node, &signature)?;
     let slot = admit(node, call, forwarded, call.arrived).await?;
     // While it waited for a slot, targets may have ended under its like.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limits;
 pub mod listener;
 pub mod logging;
+pub mod metrics;
 pub mod node;
 pub mod pipeline;
 pub mod pool;
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -10,14 +10,14 @@
 use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::limits::{candidates, report_period, CoordinatorChoice, TenantShare, TenantUsage};
 use quillhatch_mesh::mechanisms::Mechanism;
+use quillhatch_messages::encode;
 use quillhatch_messages::generated::limits as wire;
-use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::datagrams::LARGEST_DATAGRAM;
+use crate::datagrams::{self, LARGEST_DATAGRAM};
 use crate::node::Node;
 
 /// The most tenants that one report names; the busiest go first. So it stays well below the largest datagram.
@@ -110,8 +110,8 @@
 
 async fn send(node: &Node, socket: &UdpSocket, message: &wire::LimitMessage, to: IpAddr) {
     let Some(own) = node.settings.limits else { return };
-    // One that can't be sent is as good as lost, and lost ones are made up for by the next.
-    let _ = socket.send_to(&encode(message), SocketAddr::new(to, own.port())).await;
+    // Lost ones are made up for by the next.
+    datagrams::send(node, socket, &encode(message), SocketAddr::new(to, own.port())).await;
 }
 
 async fn take(
@@ -123,14 +123,7 @@
     choice: &mut CoordinatorChoice,
 ) {
     let arrived = node.now();
-    let message: wire::LimitMessage = match decode(bytes) {
-        Ok(message) => message,
-        Err(error) => {
-            let why = error.to_string();
-            node.log_failure(|| format!("\"event\":\"datagram-unusable\",\"peer\":\"{from}\",\"why\":{why:?}"));
-            return;
-        }
-    };
+    let Some(message) = datagrams::read::<wire::LimitMessage>(node, bytes, from) else { return };
     if let Some(report) = message.report {
         let answer = coordinate(node, report, from.ip(), arrived);
         send(node, socket, &wire::LimitMessage { report: None, answer: Some(answer) }, from.ip()).await;
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,27 @@
+//! The metrics page of a node.
+
+use crate::node::Node;
+
+/// The text of the page, in the Prometheus text format.
+pub fn render(node: &Node) -> String {
+    let load = node.gate.borrow().load();
+    let gauges = [
+        ("configuration_version", node.configuration.borrow().version() as f64),
+        ("targets", node.targets.borrow().len() as f64),
+        ("gate_running", f64::from(load.running)),
+        ("gate_limit", f64::from(load.limit)),
+        ("gate_waiting", f64::from(load.waiting)),
+        ("gate_is_short", f64::from(u8::from(node.shortage().is_some()))),
+        ("target_health", node.health.borrow_mut().share(node.now())),
+        ("quarantine_suspects", node.quarantine.borrow().len() as f64),
+        ("edge_running", node.edge_calls.get() as f64),
+        ("tenants", node.current_configuration().map_or(0.0, |current| current.tenants.len() as f64)),
+        (
+            "configuration_age_seconds",
+            node.tenancy.freshness.borrow().age(node.now()).map_or(-1.0, |age| age.as_secs_f64()),
+        ),
+        ("coordinated_nodes", node.tenancy.coordinator.borrow().nodes() as f64),
+        ("ready", f64::from(u8::from(node.is_ready()))),
+    ];
+    node.counters.render(&gauges, node.log_state().dropped())
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -326,30 +326,6 @@
         action(budget, now)
     }
 
-    /// The text of the metrics page.
-    pub fn metrics(&self) -> String {
-        let load = self.gate.borrow().load();
-        let gauges = [
-            ("configuration_version", self.configuration.borrow().version() as f64),
-            ("targets", self.targets.borrow().len() as f64),
-            ("gate_running", f64::from(load.running)),
-            ("gate_limit", f64::from(load.limit)),
-            ("gate_waiting", f64::from(load.waiting)),
-            ("gate_is_short", f64::from(u8::from(self.shortage().is_some()))),
-            ("target_health", self.health.borrow_mut().share(self.now())),
-            ("quarantine_suspects", self.quarantine.borrow().len() as f64),
-            ("edge_running", self.edge_calls.get() as f64),
-            ("tenants", self.current_configuration().map_or(0.0, |current| current.tenants.len() as f64)),
-            (
-                "configuration_age_seconds",
-                self.tenancy.freshness.borrow().age(self.now()).map_or(-1.0, |age| age.as_secs_f64()),
-            ),
-            ("coordinated_nodes", self.tenancy.coordinator.borrow().nodes() as f64),
-            ("ready", f64::from(u8::from(self.is_ready()))),
-        ];
-        self.counters.render(&gauges, self.log_state.dropped())
-    }
-
     /// Writes a line about a call that was not served as asked, if the rate allows.
     pub fn log_failure(&self, line: impl FnOnce() -> String) {
         if self.failure_lines.borrow_mut().allows() {
--- a/crates/sidecar/src/quarantine/mod.rs
+++ b/crates/sidecar/src/quarantine/mod.rs
@@ -14,13 +14,13 @@
 use std::time::Duration;
 
 use quillhatch_mesh::quarantine::{SignatureKey, SuspectRecord};
+use quillhatch_messages::encode;
 use quillhatch_messages::generated::quarantine as wire;
-use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::datagrams::LARGEST_DATAGRAM;
+use crate::datagrams::{self, LARGEST_DATAGRAM};
 use crate::node::Node;
 use messages::{message, read_record};
 pub use outbox::Outbox;
@@ -133,12 +133,7 @@
     async fn send_all(&self, message: &wire::QuarantineMessage, peers: &[IpAddr]) {
         let bytes = encode(message);
         for peer in peers {
-            if let Err(error) = self.socket.send_to(&bytes, SocketAddr::new(*peer, self.port)).await {
-                self.node.log_failure(|| {
-                    let why = error.to_string();
-                    format!("\"event\":\"datagram-unsent\",\"peer\":\"{peer}\",\"why\":{why:?}")
-                });
-            }
+            datagrams::send(&self.node, &self.socket, &bytes, SocketAddr::new(*peer, self.port)).await;
         }
     }
 
@@ -148,14 +143,7 @@
             return;
         }
         let node = &self.node;
-        let told: wire::QuarantineMessage = match decode(bytes) {
-            Ok(told) => told,
-            Err(error) => {
-                let why = error.to_string();
-                node.log_failure(|| format!("\"event\":\"datagram-unusable\",\"peer\":\"{from}\",\"why\":{why:?}"));
-                return;
-            }
-        };
+        let Some(told) = datagrams::read::<wire::QuarantineMessage>(node, bytes, from) else { return };
         // Addresses are used again by other services.
         if told.service != node.settings.service {
             return;
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,7 +23,7 @@
 use crate::listener::{bind, serve, Connections};
 use crate::logging;
 use crate::node::Node;
-use crate::{datagrams, edge, gate, limits, quarantine, store};
+use crate::{datagrams, edge, gate, limits, metrics, quarantine, store};
 
 /// How often unused connections are looked through.
 const SWEEP: Duration = Duration::from_secs(2);
@@ -247,7 +247,7 @@
 
 async fn answer_metrics(node: Rc<Node>, request: Parts, path: String) -> Response<Body> {
     if request.uri.path() == path {
-        return Response::new(Body::Whole(node.metrics().into()));
+        return Response::new(Body::Whole(metrics::render(&node).into()));
     }
     let mut response = Response::new(Body::empty());
     *response.status_mut() = StatusCode::NOT_FOUND;
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -5,6 +5,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use quillhatch_sidecar::metrics;
 use quillhatch_sidecar::node::Node;
 use support::caller::{call, Caller};
 use support::store::{Mode, StandInStore};
@@ -33,7 +34,7 @@
         for seen in alpha.target.ran() {
             assert_eq!((seen.header("quillhatch-tenant"), seen.header("x-api-key")), ("free", ""), "{}", seen.id());
         }
-        assert!(!beta.node().metrics().contains(FREE_KEY));
+        assert!(!metrics::render(beta.node()).contains(FREE_KEY));
     });
 }
 
