Names: crashes, evidence, broadcast, gossip in the quarantine's comments and functions

The field's terms in place of told, held against and asked. No decision changes; the tests of the quarantine, the clock and the list pass.

--- a/crates/mesh/src/quarantine/evidence.rs
+++ b/crates/mesh/src/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! The ends of targets that are held against requests, and what follows from them.
+//! Crashes counted against requests: the evidence, and the verdict that follows from it.
 
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
@@ -10,30 +10,30 @@
 use super::completed::CompletedRuns;
 use super::{RequestSignature, SignatureKey, TargetEnd};
 
-/// The ends from which a request is held for one that crashes targets. A call that is sent again after an end meets another by chance; three
-/// without a run that ends well in between don't come by chance, and more would cost targets.
+/// The crashes from which a request is quarantined. A call that is retried after one crash meets a second by chance; three without a
+/// completed run in between are no coincidence, and waiting for more would cost targets.
 const QUARANTINED_FROM: usize = 3;
-/// The ends from which a request is told of again and again: one end alone comes by chance.
+/// The crashes from which the count of a request is gossiped: one crash alone is mostly coincidence.
 const NOTABLE_FROM: usize = 2;
-/// The ends of one request that are remembered, the latest ones.
+/// The crashes of one request that are remembered, the latest ones.
 const MOST_ENDS: usize = 16;
 /// How often the quarantine doubles at most: it never lasts longer than an hour and a half.
 const MOST_DOUBLINGS: usize = 5;
-/// For how long a request is refused after its third end: many times what a target needs to come back, so that a request which still crashes
+/// For how long a request is refused after its third crash: many times what a target needs to come back, so that a request which still crashes
 /// them costs less than a hundredth of their time.
 const SHORTEST_QUARANTINE: Duration = Duration::from_secs(120);
 /// The part of its time by which a quarantine is longer at some gates than at others, so that one target tries the request first.
 const SPREAD: f64 = 0.5;
-/// For how long ends are held against a request that has not come again, and runs that ended well for it.
+/// For how long crashes count against a request after the last one, and for how long a cleared request is remembered.
 const REMEMBERED_FOR: Duration = Duration::from_secs(900);
-/// The most requests that are remembered; those with the fewest and oldest ends give way. Some 200 KB.
+/// The most suspects that are remembered; those with the fewest and oldest crashes are evicted. Some 200 KB.
 const MOST_SUSPECTS: usize = 2048;
 /// The most requests that were cleared and are remembered.
 const MOST_CLEARED: usize = 512;
 /// The most records in one message, some 20 KB.
 const MOST_RECORDS: usize = 512;
 
-/// Identifies the end of a target.
+/// Identifies the crash of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndId(pub u64);
 
@@ -45,12 +45,12 @@
     }
 }
 
-/// What a node tells others of a request.
+/// The evidence against a request, as it is sent to other nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SuspectRecord {
     /// The request.
     pub key: SignatureKey,
-    /// The ends that are held against it.
+    /// The crashes counted against it.
     pub ends: Vec<EndId>,
     /// How long ago the last one was.
     pub age: Duration,
@@ -72,7 +72,7 @@
 }
 
 impl Suspect {
-    /// Holds an end against the request; returns whether it was not known.
+    /// Counts a crash; returns whether it was not known.
     fn add(&mut self, end: EndId) -> bool {
         if self.ends.contains(&end) {
             return false;
@@ -121,7 +121,7 @@
         suspects.map(|suspect| suspect.verdict(self.draw, now)).max().unwrap_or(Verdict::Runs)
     }
 
-    /// A target has ended. Returns what others are told: the requests against which the end is held.
+    /// A target has crashed. Counts it against the requests that ran there, and returns the evidence to broadcast.
     pub fn target_ended(&mut self, end: &TargetEnd, now: Timestamp) -> Vec<SuspectRecord> {
         self.forget(now);
         let id = EndId::of(&end.target);
@@ -138,8 +138,8 @@
         records
     }
 
-    /// Takes what another node tells. Returns the requests of which this node knows better, which the other one is told.
-    pub fn take(&mut self, records: &[SuspectRecord], now: Timestamp) -> Vec<SignatureKey> {
+    /// Merges the evidence of another node. Returns the requests that have completed here since, which clears them at the sender too.
+    pub fn merge(&mut self, records: &[SuspectRecord], now: Timestamp) -> Vec<SignatureKey> {
         let mut harmless = Vec::new();
         for record in records.iter().take(MOST_RECORDS) {
             let last_end = Timestamp(now.0.saturating_sub(record.age.as_micros() as u64));
@@ -153,7 +153,7 @@
         harmless
     }
 
-    /// A request has run to its end here. Returns the requests that are cleared by this and that others hold for suspect too.
+    /// A request has completed here. Returns the keys that are cleared by this and that other nodes may suspect too.
     pub fn completed(&mut self, signature: &RequestSignature, now: Timestamp) -> Vec<SignatureKey> {
         let mut cleared = Vec::new();
         for key in signature.keys() {
@@ -170,7 +170,7 @@
         cleared
     }
 
-    /// Another node tells that these requests have run to their end there.
+    /// These requests have completed at another node.
     pub fn cleared(&mut self, keys: &[SignatureKey], now: Timestamp) {
         for key in keys.iter().take(MOST_RECORDS) {
             if self.suspects.remove(key).is_some() {
@@ -179,27 +179,27 @@
         }
     }
 
-    /// What is told to others again and again: requests against which more than one end is held.
+    /// The evidence that is gossiped: requests with more than one crash.
     pub fn notable(&self, now: Timestamp) -> Vec<SuspectRecord> {
         self.records(NOTABLE_FROM, now)
     }
 
-    /// All that is held against requests, for a node that has just started.
+    /// All evidence, for a node that has just started.
     pub fn all(&self, now: Timestamp) -> Vec<SuspectRecord> {
         self.records(1, now)
     }
 
-    /// The number of requests against which something is held.
+    /// The number of suspect requests.
     pub fn len(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Whether nothing is held against any request.
+    /// Whether no request is suspect.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
     }
 
-    /// Whether anything is to be told again.
+    /// Whether there is anything to gossip.
     pub fn has_notable(&self) -> bool {
         self.suspects.values().any(|suspect| suspect.ends.len() >= NOTABLE_FROM)
     }
@@ -214,7 +214,7 @@
         self.cleared.retain(|_, at| now.since(*at) < REMEMBERED_FOR);
     }
 
-    /// Holds ends against a request; returns whether one of them was not known.
+    /// Counts crashes against a request; returns whether one of them was not known.
     fn hold(&mut self, key: SignatureKey, ends: &[EndId], last_end: Timestamp, now: Timestamp) -> bool {
         if ends.is_empty() {
             return false;
--- a/crates/mesh/src/quarantine/mod.rs
+++ b/crates/mesh/src/quarantine/mod.rs
@@ -1,9 +1,9 @@
 //! Requests that crash the targets that run them, and how the harm is bounded over all nodes.
 //!
 //! Such a request comes again and again, each time with another id and at another machine. So what a request did is remembered under its
-//! [`RequestSignature`], where every copy must pass: at the gates of the service. The gate whose target ended holds the end against all calls
-//! that ran there, since it can't tell which one it was; it tells the other gates of the service, and ends add up. A request that runs to its
-//! end anywhere is cleared. From the third end on it is refused, for a time that doubles with each further end.
+//! [`RequestSignature`], where every copy must pass: at the gates of the service. The gate whose target crashed counts the crash against all
+//! calls that ran there, since any of them may have caused it, and broadcasts this evidence to the other gates of the service, where crashes
+//! add up. A request that completes anywhere is cleared. From the third crash on it is refused, for a time that doubles with each further one.
 //!
 //! Suspects are not made to run one at a time before: requests that only ran beside then wait for the harmful one, meet it again, and up to 58
 //! of 50,000 were refused in virtual fleets of 4 gates where 0 are without.
--- a/crates/mesh/src/quarantine/runs.rs
+++ b/crates/mesh/src/quarantine/runs.rs
@@ -36,7 +36,7 @@
     running: BTreeMap<RunId, Run>,
     lost: Vec<LostRun>,
     /// The target at which they broke off, if it was known.
-    doubted: Option<TargetId>,
+    lost_at: Option<TargetId>,
 }
 
 /// A target that has ended.
@@ -68,7 +68,7 @@
     pub fn lost(&mut self, id: RunId, target: Option<TargetId>, now: Timestamp) {
         let Some(run) = self.running.remove(&id) else { return };
         if self.lost.is_empty() {
-            self.doubted = target;
+            self.lost_at = target;
         }
         if self.lost.len() < MOST_LOST {
             self.lost.push(LostRun { at: now, signature: run.signature });
@@ -81,13 +81,13 @@
     }
 
     /// Whether calls have broken off and nothing has shown since whether the target ended.
-    pub fn is_in_doubt(&self) -> bool {
+    pub fn has_lost(&self) -> bool {
         !self.lost.is_empty()
     }
 
     /// The target with this identity answers.
     pub fn identified(&mut self, id: &str) -> Option<TargetEnd> {
-        if self.doubted.as_deref() == Some(id) {
+        if self.lost_at.as_deref() == Some(id) {
             self.lost.clear();
         }
         self.target_ended()
@@ -107,7 +107,7 @@
     /// The target at which calls broke off has ended. `None` if none did, or if it was not known.
     pub fn target_ended(&mut self) -> Option<TargetEnd> {
         let signatures: Vec<RequestSignature> = self.lost.drain(..).map(|lost| lost.signature).collect();
-        let target = self.doubted.take()?;
+        let target = self.lost_at.take()?;
         (!signatures.is_empty()).then_some(TargetEnd { target, signatures })
     }
 }
--- a/crates/mesh/tests/decisions/quarantine.rs
+++ b/crates/mesh/tests/decisions/quarantine.rs
@@ -51,12 +51,12 @@
     let signature = RequestSignature::of(&parts());
     let (first, second) = (runs.begin(signature, at(0)), runs.begin(signature, at(1)));
     runs.lost(first, Some("i-1".into()), at(10));
-    assert!(runs.is_in_doubt() && runs.has_survivors());
+    assert!(runs.has_lost() && runs.has_survivors());
     runs.lost(second, Some("i-1".into()), at(11));
     assert!(!runs.has_survivors());
     let end = runs.target_ended().expect("a target has ended");
     assert_eq!((&*end.target, end.signatures.len()), ("i-1", 2));
-    assert!(!runs.is_in_doubt());
+    assert!(!runs.has_lost());
 }
 
 #[test]
@@ -67,11 +67,11 @@
     runs.lost(lost, Some("i-1".into()), at(10));
     let later = runs.begin(signature, at(11));
     assert_eq!(runs.completed(later), Some(signature));
-    assert!(!runs.is_in_doubt());
+    assert!(!runs.has_lost());
     let lost = runs.begin(signature, at(20));
     runs.lost(lost, Some("i-1".into()), at(30));
     assert_eq!(runs.identified("i-1"), None);
-    assert!(!runs.is_in_doubt());
+    assert!(!runs.has_lost());
 }
 
 #[test]
@@ -141,7 +141,7 @@
     assert_eq!(records.len(), 2, "both grades, each once");
     let mut other = Quarantine::new(0.0);
     for _ in 0..5 {
-        assert_eq!(other.take(&records, seconds(2)), []);
+        assert_eq!(other.merge(&records, seconds(2)), []);
     }
     assert!(!other.has_notable());
     assert_eq!(other.verdict(&signature, seconds(2)), Verdict::Runs);
@@ -157,11 +157,11 @@
         assert_eq!(gate.verdict(&signature, seconds(12)), Verdict::Runs);
     }
     let told = gates[0].notable(seconds(12));
-    gates[1].take(&told, seconds(12));
+    gates[1].merge(&told, seconds(12));
     assert!(matches!(gates[1].verdict(&signature, seconds(12)), Verdict::Refused(_)));
     // One that has just started is told all.
     let mut new = Quarantine::new(0.0);
-    new.take(&gates[1].all(seconds(13)), seconds(1));
+    new.merge(&gates[1].all(seconds(13)), seconds(1));
     assert!(matches!(new.verdict(&signature, seconds(1)), Verdict::Refused(_)));
 }
 
@@ -173,8 +173,8 @@
     for round in 0..50 {
         let now = seconds(20 + round);
         let later = now + Duration::from_millis(200);
-        other.take(&one.notable(now), later);
-        one.take(&other.notable(later), later + Duration::from_millis(200));
+        other.merge(&one.notable(now), later);
+        one.merge(&other.notable(later), later + Duration::from_millis(200));
     }
     let Verdict::Refused(left) = one.verdict(&signature, seconds(70)) else { panic!("it is refused") };
     assert_eq!(left, Duration::from_secs(12 + 120 - 70));
@@ -184,14 +184,14 @@
 fn a_run_that_ends_well_clears_its_request_everywhere() {
     let (mut one, signature) = after_ends(2, 0.0);
     let mut other = Quarantine::new(0.0);
-    other.take(&one.notable(seconds(12)), seconds(12));
+    other.merge(&one.notable(seconds(12)), seconds(12));
     let stale = one.notable(seconds(12));
     let cleared = one.completed(&signature, seconds(13));
     assert_eq!(cleared, signature.keys());
     other.cleared(&cleared, seconds(13));
     assert!(one.is_empty() && other.is_empty());
     // News of before that comes late is answered, not believed.
-    let mut harmless = other.take(&stale, seconds(12));
+    let mut harmless = other.merge(&stale, seconds(12));
     harmless.sort();
     assert_eq!(harmless, sorted(signature.keys()));
     assert!(other.is_empty());
@@ -235,7 +235,7 @@
         ends: (0..100).map(EndId).collect(),
         age: Duration::MAX,
     });
-    quarantine.take(&forged.collect::<Vec<_>>(), seconds(21));
+    quarantine.merge(&forged.collect::<Vec<_>>(), seconds(21));
     assert!(quarantine.len() <= 2048, "{}", quarantine.len());
     quarantine.forget(seconds(21) + Duration::from_secs(2 * 3840));
     assert!(quarantine.is_empty());
--- a/crates/mesh/tests/quarantine/fleet.rs
+++ b/crates/mesh/tests/quarantine/fleet.rs
@@ -207,7 +207,7 @@
             Event::Datagram { to, records, cleared, from } => {
                 let quarantine = &mut self.nodes[to].quarantine;
                 quarantine.cleared(&cleared, self.now);
-                let harmless = quarantine.take(&records, self.now);
+                let harmless = quarantine.merge(&records, self.now);
                 if !harmless.is_empty() {
                     self.send(to, from, Vec::new(), harmless);
                 }
@@ -270,7 +270,7 @@
         let Some(&node) = (!up.is_empty()).then(|| &up[self.random.gen_range(0..up.len())]) else { return };
         if self.play.telling == Telling::WithCalls {
             let carried = std::mem::take(&mut self.carried[edge]);
-            self.nodes[node].quarantine.take(&carried, self.now);
+            self.nodes[node].quarantine.merge(&carried, self.now);
         }
         if self.play.knowing == Knowing::Gates && self.refuses(node, request) {
             return;
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -56,7 +56,7 @@
         if let Some(run) = self.run.take() {
             let target = self.node.present.borrow().clone();
             self.node.runs.borrow_mut().lost(run, target, self.node.now());
-            target_end::find_out(&self.node);
+            target_end::probe(&self.node);
         }
     }
 }
--- a/crates/sidecar/src/gate/target_end.rs
+++ b/crates/sidecar/src/gate/target_end.rs
@@ -18,19 +18,19 @@
 const ALL_BREAK_WITHIN: Duration = Duration::from_millis(15);
 
 /// Finds out whether the target has ended, after a call has broken off.
-pub(super) fn find_out(node: &Rc<Node>) {
-    if !node.finding_out.replace(true) {
-        tokio::task::spawn_local(look_and_ask(Rc::clone(node)));
+pub(super) fn probe(node: &Rc<Node>) {
+    if !node.is_probing_target.replace(true) {
+        tokio::task::spawn_local(probe_after_break(Rc::clone(node)));
     }
 }
 
-async fn look_and_ask(node: Rc<Node>) {
+async fn probe_after_break(node: Rc<Node>) {
     sleep(ALL_BREAK_WITHIN).await;
-    node.finding_out.set(false);
+    node.is_probing_target.set(false);
     if node.runs.borrow().has_survivors() {
         node.runs.borrow_mut().target_lives();
     }
-    if !node.runs.borrow().is_in_doubt() {
+    if !node.runs.borrow().has_lost() {
         return;
     }
     match present_target::ask(&node).await {
@@ -42,12 +42,12 @@
                 ended(&node, &end);
             }
         }
-        // Decided when the target tells its identity next.
+        // Decided when the target's identity is known next.
         Identity::Unknown => present_target::out_of_reach(&node),
     }
 }
 
-/// The target beside this node has told its identity.
+/// The identity of the target beside this node is known.
 pub fn identified(node: &Rc<Node>, id: &str) {
     let end = node.runs.borrow_mut().identified(id);
     if let Some(end) = end {
@@ -59,7 +59,7 @@
     log_end(node, end);
     if node.has(Mechanism::Quarantine) {
         let suspects = node.quarantine.borrow_mut().target_ended(end, node.now());
-        node.quarantine_news.suspect(suspects);
+        node.quarantine_outbox.suspect(suspects);
     }
 }
 
@@ -72,7 +72,7 @@
     for key in &cleared {
         node.log(&format!("\"event\":\"request-cleared\",\"signature\":\"{key}\""));
     }
-    node.quarantine_news.clear(cleared);
+    node.quarantine_outbox.clear(cleared);
 }
 
 /// The most signatures that one line names.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -95,11 +95,11 @@
     /// The calls that this node's target works on, and those that broke off.
     pub runs: RefCell<RunTracker>,
     /// Whether it is being found out if the target has ended.
-    pub finding_out: Cell<bool>,
+    pub is_probing_target: Cell<bool>,
     /// What is known of requests that crash targets.
     pub quarantine: RefCell<Quarantine>,
-    /// What the other gates of the service are to be told of such requests.
-    pub quarantine_news: Outbox,
+    /// Evidence for the other gates of the service.
+    pub quarantine_outbox: Outbox,
     /// Calls that wait at the gate.
     pub waiting: RefCell<HashMap<Ticket, oneshot::Sender<Admitted>>>,
     /// What is known of tenants.
@@ -203,9 +203,9 @@
             capacity: RefCell::new(CapacityMeter::new(settings.mechanisms, now)),
             health: RefCell::new(AnswerHealth::new(now)),
             runs: RefCell::default(),
-            finding_out: Cell::new(false),
+            is_probing_target: Cell::new(false),
             quarantine: RefCell::new(Quarantine::new(rand::random())),
-            quarantine_news: Outbox::default(),
+            quarantine_outbox: Outbox::default(),
             waiting: RefCell::default(),
             tenancy: Tenancy::new(&settings, rand::random()),
             budgets: RefCell::default(),
@@ -247,7 +247,7 @@
     pub fn notice_suspension(&self) {
         let Some(suspended) = self.clock.notice_suspension() else { return };
         self.log(&format!("\"event\":\"woken\",\"suspended_ms\":{}", suspended.as_millis()));
-        self.quarantine_news.ask();
+        self.quarantine_outbox.ask();
         self.gate_changed.notify_one();
         self.grace_changed.notify_one();
     }
@@ -268,7 +268,7 @@
         self.tenancy.machines.set(targets.machines().len());
         let own = self.settings.local_target.ip();
         let gates = targets.of_service(&self.settings.service).iter().map(|target| target.registration.address.ip());
-        self.quarantine_news.note_gates(gates.filter(|gate| *gate != own), self.now());
+        self.quarantine_outbox.note_gates(gates.filter(|gate| *gate != own), self.now());
     }
 
     /// What this node's target can't serve of what arrives, if anything.
--- a/crates/sidecar/src/quarantine/messages.rs
+++ b/crates/sidecar/src/quarantine/messages.rs
@@ -23,7 +23,7 @@
     }
 }
 
-/// What a record tells.
+/// Decodes a record.
 pub(super) fn read_record(record: &wire::SuspectRecord) -> SuspectRecord {
     SuspectRecord {
         key: SignatureKey(record.key),
--- a/crates/sidecar/src/quarantine/mod.rs
+++ b/crates/sidecar/src/quarantine/mod.rs
@@ -1,8 +1,9 @@
-//! What the gates of a service tell each other of requests that crash targets, in datagrams; decided in `quillhatch_mesh::quarantine`.
+//! Evidence against requests that crash targets, exchanged between the gates of a service in datagrams; decided in
+//! `quillhatch_mesh::quarantine`.
 //!
-//! A gate tells all others of an end at once and once more, since datagrams are lost now and then. While ends are held against a request more
-//! than once it tells one other gate each second, drawn at random, so that parts that were cut off learn of it. A gate that starts, or that
-//! wakes, asks. While nothing is held against any request nothing is sent.
+//! A crash is broadcast at once and once more, since datagrams are lost now and then. Evidence of more than one crash is gossiped to one random gate
+//! each second, so that parts of the fleet that were partitioned learn of it. A gate that starts, or wakes from a suspension, queries others.
+//! While no request is suspect nothing is sent.
 
 mod gates;
 mod messages;
@@ -29,17 +30,16 @@
 const SENT_AGAIN_AFTER: Duration = Duration::from_millis(300);
 /// The most messages that wait to be sent once more; each belongs to an end of the one target beside this node, or to a request that was cleared.
 const MOST_SENT_AGAIN: usize = 32;
-/// How often another gate is told of the requests against which more than one end is held: several times within the time in which a machine
-/// that was cut off must keep all bounds again.
-const TOLD_EACH: Duration = Duration::from_secs(1);
+/// How often evidence is gossiped: several times within the time in which a machine that was partitioned must keep all bounds again.
+const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
 /// How often a gate that has started asks, until it is answered.
-const ASKED_EACH: Duration = Duration::from_millis(300);
+const QUERY_PERIOD: Duration = Duration::from_millis(300);
 /// How many others it asks at a time.
-const ASKED_AT_ONCE: usize = 3;
-/// The most gates that are told at once; the others learn from these, one a second each.
-const MOST_TOLD: usize = 128;
+const QUERIED_AT_ONCE: usize = 3;
+/// The most gates that a broadcast reaches; the others learn by gossip.
+const MOST_BROADCAST: usize = 128;
 
-/// Tells the other gates of the service, and takes what they tell, until the process ends.
+/// Exchanges evidence with the other gates of the service until the process ends.
 pub async fn exchange(node: Rc<Node>, socket: UdpSocket) {
     let Some(port) = node.settings.quarantine.map(|own| own.port()) else { return };
     let mut channel = Channel { node, socket, port, again: VecDeque::new(), next_round: Timestamp::ZERO };
@@ -52,8 +52,8 @@
                 let Ok((length, from)) = received else { continue };
                 channel.take(&buf[..length], from).await;
             }
-            () = channel.node.quarantine_news.filled.notified() => channel.tell_news().await,
-            () = sleep_if_any(pause) => channel.tell_what_is_due().await,
+            () = channel.node.quarantine_outbox.filled.notified() => channel.broadcast_news().await,
+            () = sleep_if_any(pause) => channel.send_due().await,
         }
     }
 }
@@ -71,7 +71,7 @@
     port: u16,
     /// News that is sent once more, and when.
     again: VecDeque<(Timestamp, wire::QuarantineMessage)>,
-    /// When it is asked next, or another gate is told what is held against requests.
+    /// When the next query, or the next round of gossip, is due.
     next_round: Timestamp,
 }
 
@@ -79,45 +79,45 @@
     /// How long until something is due; `None` if nothing is.
     fn pause(&self) -> Option<Duration> {
         let now = self.node.now();
-        let has_round = self.node.quarantine_news.is_asking() || self.node.quarantine.borrow().has_notable();
+        let has_round = self.node.quarantine_outbox.has_queries() || self.node.quarantine.borrow().has_notable();
         let round = has_round.then_some(self.next_round);
         let again = self.again.front().map(|(at, _)| *at);
         round.into_iter().chain(again).min().map(|at| now.until(at))
     }
 
-    async fn tell_news(&mut self) {
-        let Some(message) = self.node.quarantine_news.take(&self.node.settings.service) else { return };
-        self.send_all(&message, &self.some_gates(MOST_TOLD)).await;
+    async fn broadcast_news(&mut self) {
+        let Some(message) = self.node.quarantine_outbox.take(&self.node.settings.service) else { return };
+        self.send_all(&message, &self.some_gates(MOST_BROADCAST)).await;
         if self.again.len() < MOST_SENT_AGAIN {
             self.again.push_back((self.node.now() + SENT_AGAIN_AFTER, message));
         }
     }
 
-    async fn tell_what_is_due(&mut self) {
+    async fn send_due(&mut self) {
         let now = self.node.now();
         while self.again.front().is_some_and(|(at, _)| *at <= now) {
             let Some((_, message)) = self.again.pop_front() else { break };
-            self.send_all(&message, &self.some_gates(MOST_TOLD)).await;
+            self.send_all(&message, &self.some_gates(MOST_BROADCAST)).await;
         }
         if now < self.next_round {
             return;
         }
-        if self.node.quarantine_news.has_question() {
-            self.next_round = now + ASKED_EACH;
+        if self.node.quarantine_outbox.take_query() {
+            self.next_round = now + QUERY_PERIOD;
             let question = wire::QuarantineMessage { asks: true, ..message(&self.node.settings.service, &[], &[]) };
-            self.send_all(&question, &self.some_gates(ASKED_AT_ONCE)).await;
+            self.send_all(&question, &self.some_gates(QUERIED_AT_ONCE)).await;
         } else {
-            self.next_round = now + TOLD_EACH;
-            self.tell_notable(now).await;
+            self.next_round = now + GOSSIP_PERIOD;
+            self.gossip(now).await;
         }
     }
 
     fn some_gates(&self, most: usize) -> Vec<IpAddr> {
-        self.node.quarantine_news.some_gates(&self.node, most)
+        self.node.quarantine_outbox.some_gates(&self.node, most)
     }
 
     /// Tells one other gate of the requests against which more than one end is held.
-    async fn tell_notable(&self, now: Timestamp) {
+    async fn gossip(&self, now: Timestamp) {
         let records = {
             let mut quarantine = self.node.quarantine.borrow_mut();
             quarantine.forget(now);
@@ -143,24 +143,24 @@
             return;
         }
         let node = &self.node;
-        let Some(told) = datagrams::read::<wire::QuarantineMessage>(node, bytes, from) else { return };
+        let Some(received) = datagrams::read::<wire::QuarantineMessage>(node, bytes, from) else { return };
         // Addresses are used again by other services.
-        if told.service != node.settings.service {
+        if received.service != node.settings.service {
             return;
         }
         let now = node.now();
-        let records: Vec<SuspectRecord> = told.suspects.iter().map(read_record).collect();
-        let cleared: Vec<SignatureKey> = told.cleared.iter().map(|key| SignatureKey(*key)).collect();
+        let records: Vec<SuspectRecord> = received.suspects.iter().map(read_record).collect();
+        let cleared: Vec<SignatureKey> = received.cleared.iter().map(|key| SignatureKey(*key)).collect();
         let harmless = {
             let mut quarantine = node.quarantine.borrow_mut();
             quarantine.cleared(&cleared, now);
-            quarantine.take(&records, now)
+            quarantine.merge(&records, now)
         };
-        if !told.asks {
-            node.quarantine_news.answered();
+        if !received.asks {
+            node.quarantine_outbox.answered();
         }
-        let known = if told.asks { node.quarantine.borrow().all(now) } else { Vec::new() };
-        if told.asks || !harmless.is_empty() {
+        let known = if received.asks { node.quarantine.borrow().all(now) } else { Vec::new() };
+        if received.asks || !harmless.is_empty() {
             self.send_all(&message(&node.settings.service, &known, &harmless), &[from.ip()]).await;
         }
     }
--- a/crates/sidecar/src/quarantine/outbox.rs
+++ b/crates/sidecar/src/quarantine/outbox.rs
@@ -1,4 +1,4 @@
-//! What waits to be told to the other gates of the service, and which these are.
+//! Evidence that waits to be broadcast, and the gates that it goes to.
 
 use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
@@ -13,22 +13,22 @@
 use crate::node::Node;
 
 /// How often others are asked at most. Where none has answered by then, none is there.
-const MOST_ASKED: u32 = 10;
+const MOST_QUERIES: u32 = 10;
 
-/// What the other gates are to be told.
+/// What is to be sent to the other gates.
 #[derive(Debug, Default)]
 pub struct Outbox {
     suspects: RefCell<Vec<SuspectRecord>>,
     cleared: RefCell<Vec<SignatureKey>>,
     /// How often it is still asked what others know.
-    questions: Cell<u32>,
+    queries: Cell<u32>,
     gates: RefCell<ServiceGates>,
-    /// Notified when there is something to tell, or to ask.
+    /// Notified when there is something to send.
     pub(super) filled: Notify,
 }
 
 impl Outbox {
-    /// Ends are held against these requests.
+    /// Broadcasts evidence against requests.
     pub fn suspect(&self, records: Vec<SuspectRecord>) {
         if !records.is_empty() {
             self.suspects.borrow_mut().extend(records);
@@ -36,7 +36,7 @@
         }
     }
 
-    /// These requests have run to their end here.
+    /// Broadcasts that these requests have completed here.
     pub fn clear(&self, keys: Vec<SignatureKey>) {
         if !keys.is_empty() {
             self.cleared.borrow_mut().extend(keys);
@@ -59,29 +59,29 @@
     }
 
     /// Whether it is still asked what others know.
-    pub(super) fn is_asking(&self) -> bool {
-        self.questions.get() > 0
+    pub(super) fn has_queries(&self) -> bool {
+        self.queries.get() > 0
     }
 
-    /// What others know may have passed this node by.
+    /// Evidence may have been missed: others are queried.
     pub fn ask(&self) {
-        self.questions.set(MOST_ASKED);
+        self.queries.set(MOST_QUERIES);
         self.filled.notify_one();
     }
 
-    /// Another node has told all that it knows.
+    /// Another node has answered a query.
     pub(super) fn answered(&self) {
-        self.questions.set(0);
+        self.queries.set(0);
     }
 
     /// Whether others are still to be asked; counts one question.
-    pub(super) fn has_question(&self) -> bool {
-        let left = self.questions.get();
-        self.questions.set(left.saturating_sub(1));
+    pub(super) fn take_query(&self) -> bool {
+        let left = self.queries.get();
+        self.queries.set(left.saturating_sub(1));
         left > 0
     }
 
-    /// Takes out what is to be told, if anything.
+    /// Takes out what is to be broadcast, if anything.
     pub(super) fn take(&self, service: &str) -> Option<wire::QuarantineMessage> {
         let suspects = std::mem::take(&mut *self.suspects.borrow_mut());
         let cleared = std::mem::take(&mut *self.cleared.borrow_mut());
