--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use quillhatch_platform_standins::accept::next_connection;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -45,7 +46,8 @@
         let proxy = LinkProxy::default();
         let link = proxy.clone();
         spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = next_connection(&listener).await;
                 spawn_local(link.clone().pass(stream, node));
             }
         });
