--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -267,6 +267,12 @@
         self.route_times.get(route).map(|time| Duration::from_secs_f64(time.seconds))
     }
 
+    /// Forgets what was learnt of a target that has started again; only the calls under way are still counted.
+    pub fn forget(&mut self, target: &TargetId) {
+        let Some(view) = self.views.get_mut(target) else { return };
+        *view = TargetView { in_flight: view.in_flight, ..TargetView::default() };
+    }
+
     /// Forgets targets that are neither listed nor in use.
     pub fn retain(&mut self, listed: impl Fn(&str) -> bool) {
         self.views.retain(|id, view| view.in_flight > 0 || listed(id));
--- a/crates/mesh/src/configuration.rs
+++ b/crates/mesh/src/configuration.rs
@@ -139,11 +139,12 @@
 
 impl ConfigurationInForce {
     /// Takes `offered` if it is newer than what is in force, and says whether it was taken.
-    pub fn offer(&mut self, offered: Configuration) -> bool {
+    pub fn offer(&mut self, offered: impl Into<Arc<Configuration>>) -> bool {
+        let offered = offered.into();
         if self.current.as_ref().is_some_and(|current| current.version >= offered.version) {
             return false;
         }
-        self.current = Some(Arc::new(offered));
+        self.current = Some(offered);
         true
     }
 
--- /dev/null
+++ b/crates/mesh/src/feed/turn.rs
@@ -0,0 +1,127 @@
+//! When it is a node's turn to read the platform's store.
+
+use std::time::Duration;
+
+use quillhatch_types::Timestamp;
+
+use super::{FeedLoss, FeedPlace};
+use crate::settings::Bounds;
+
+/// The part of the least bound after which the first node that is no reader asks the store while the readers can't read it.
+const TURN_PART: f64 = 0.15;
+/// By which part the turns of later nodes grow: it is ever less likely that all before them are turned away, rather than that the store is
+/// down for all.
+const TURN_GROWTH: f64 = 0.125;
+/// The pause after the first reading in which a node has found neither itself nor others; it doubles with each further one.
+const LONE_PAUSE: Duration = Duration::from_millis(400);
+/// The readings after which such a node takes itself for the only one.
+const LONE_READINGS: u32 = 4;
+/// The parts of the least bound between which a node that no other one answers asks the store itself. Each node draws its own, so that the
+/// first ones can answer the others.
+const ISOLATED_PARTS: (f64, f64) = (0.1, 0.4);
+
+/// Why the store is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadingTurn {
+    /// The node knows nothing, or nobody: a copy that may lag shows who is there.
+    Start,
+    /// It is one of the readers.
+    Reader,
+    /// Once, for what no other node can tell.
+    Once,
+}
+
+/// When the next turn is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextTurn {
+    /// Now.
+    Now(ReadingTurn),
+    /// After this time, if nothing changes.
+    After(Duration),
+    /// Not before something changes.
+    Unknown,
+}
+
+/// How often a node has read the store without finding any node in it, and when it did last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoneReadings {
+    count: u32,
+    last: Timestamp,
+}
+
+impl LoneReadings {
+    /// One more at `now`.
+    pub fn another(self, now: Timestamp) -> Self {
+        LoneReadings { count: self.count + 1, last: now }
+    }
+
+    /// The turn of a node that finds no other one. While a fleet starts, others appear.
+    fn next_turn(self, draw: f64, now: Timestamp) -> NextTurn {
+        if self.count >= LONE_READINGS {
+            return NextTurn::Now(ReadingTurn::Reader);
+        }
+        let pause = LONE_PAUSE * 2_u32.pow(self.count);
+        let left = pause.mul_f64(0.75 + draw / 2.0).saturating_sub(now.since(self.last));
+        if left.is_zero() {
+            return NextTurn::Now(ReadingTurn::Start);
+        }
+        NextTurn::After(left)
+    }
+}
+
+/// What decides on a node's turn.
+#[derive(Clone, Copy, Debug)]
+pub struct TurnInputs<'a> {
+    /// Whether it knows anything of the store.
+    pub has_view: bool,
+    /// Whether it must find out if it can get at the store.
+    pub must_probe: bool,
+    /// Its place among the others.
+    pub place: &'a FeedPlace,
+    /// Since when it has no way to the store.
+    pub loss: FeedLoss,
+    /// Whether all others that it asks have failed to answer at all.
+    pub is_isolated: bool,
+    /// The readings in which it found nobody.
+    pub lone_readings: LoneReadings,
+    /// How long its proof that keys are valid may be used before it is renewed, if that is needed.
+    pub proof_lasts: Option<Duration>,
+    /// A random number in 0..1 of the node's own.
+    pub draw: f64,
+}
+
+impl TurnInputs<'_> {
+    /// When its next turn is.
+    pub fn next_turn(&self, bounds: &Bounds, now: Timestamp) -> NextTurn {
+        if !self.has_view {
+            return NextTurn::Now(ReadingTurn::Start);
+        }
+        if self.must_probe {
+            return NextTurn::Now(ReadingTurn::Once);
+        }
+        if self.place.reads {
+            return NextTurn::Now(ReadingTurn::Reader);
+        }
+        if self.place.candidates.is_empty() {
+            return self.lone_readings.next_turn(self.draw, now);
+        }
+        match self.proof_lasts.into_iter().chain(self.loss_turn(bounds, now)).min() {
+            None => NextTurn::Unknown,
+            Some(Duration::ZERO) => NextTurn::Now(ReadingTurn::Once),
+            Some(wait) => NextTurn::After(wait),
+        }
+    }
+
+    /// How long until the node asks the store since others can't get at it.
+    fn loss_turn(&self, bounds: &Bounds, now: Timestamp) -> Option<Duration> {
+        let since = self.loss.since()?;
+        let part = match self.is_isolated {
+            true => ISOLATED_PARTS.0 + (ISOLATED_PARTS.1 - ISOLATED_PARTS.0) * self.draw,
+            false => {
+                let ahead = self.place.ahead as f64;
+                TURN_PART * (ahead + 1.0) * (1.0 + TURN_GROWTH * ahead)
+            }
+        };
+        Some(bounds.least().mul_f64(part).saturating_sub(now.since(since)))
+    }
+}
--- a/crates/mesh/src/mechanisms.rs
+++ b/crates/mesh/src/mechanisms.rs
@@ -38,8 +38,8 @@
     PresenceProbes,
     /// Changes in the store are gathered before they are read.
     GatheredChanges,
-    /// Some nodes renew their watches on the store often.
-    EarlyWatches,
+    /// Few nodes read the store and the others follow them; without it each node reads for itself.
+    SharedReads,
     /// Targets whose registrations are missing are kept where that may be the store's fault.
     KeptTargets,
     /// Nodes share the limits of tenants by demand; without it each lets in its equal part.
@@ -76,7 +76,7 @@
         Mechanism::Repeats,
         Mechanism::PresenceProbes,
         Mechanism::GatheredChanges,
-        Mechanism::EarlyWatches,
+        Mechanism::SharedReads,
         Mechanism::KeptTargets,
         Mechanism::SharedLimits,
         Mechanism::HeardFreshness,
@@ -101,7 +101,7 @@
             Mechanism::Repeats => "repeats",
             Mechanism::PresenceProbes => "presence-probes",
             Mechanism::GatheredChanges => "gathered-changes",
-            Mechanism::EarlyWatches => "early-watches",
+            Mechanism::SharedReads => "shared-reads",
             Mechanism::KeptTargets => "kept-targets",
             Mechanism::SharedLimits => "shared-limits",
             Mechanism::HeardFreshness => "heard-freshness",
--- a/crates/mesh/src/quarantine/runs.rs
+++ b/crates/mesh/src/quarantine/runs.rs
@@ -4,6 +4,7 @@
 //! until something shows whether it did.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use quillhatch_types::Timestamp;
 
@@ -13,6 +14,10 @@
 /// The most calls that broke off and are held; more than the slots of most targets.
 const MOST_LOST: usize = 1024;
 
+/// For how long calls are held that broke off at a target which then told the same identity: it may have started again under it, which its
+/// registration tells within a heartbeat and the time of a change to spread.
+const HELD_FOR: Duration = Duration::from_secs(8);
+
 /// Identifies a run of a call at the target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RunId(u64);
@@ -37,6 +42,8 @@
     lost: Vec<LostRun>,
     /// The target at which they broke off, if it was known.
     lost_at: Option<TargetId>,
+    /// Those after which the target told the identity that it had before.
+    held: Vec<LostRun>,
 }
 
 /// A target that has ended.
@@ -88,7 +95,8 @@
     /// The target with this identity answers.
     pub fn identified(&mut self, id: &str) -> Option<TargetEnd> {
         if self.lost_at.as_deref() == Some(id) {
-            self.lost.clear();
+            self.held.append(&mut self.lost);
+            self.held.truncate(MOST_LOST);
         }
         self.target_ended()
     }
@@ -104,6 +112,14 @@
         self.lost.clear();
     }
 
+    /// The target has started again under its identity `id`.
+    pub fn restarted(&mut self, id: &TargetId, now: Timestamp) -> Option<TargetEnd> {
+        let held = self.held.drain(..).filter(|lost| now.since(lost.at) <= HELD_FOR);
+        let signatures: Vec<RequestSignature> = held.chain(self.lost.drain(..)).map(|lost| lost.signature).collect();
+        self.lost_at = None;
+        (!signatures.is_empty()).then(|| TargetEnd { target: id.clone(), signatures })
+    }
+
     /// The target at which calls broke off has ended. `None` if none did, or if it was not known.
     pub fn target_ended(&mut self) -> Option<TargetEnd> {
         let signatures: Vec<RequestSignature> = self.lost.drain(..).map(|lost| lost.signature).collect();
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -61,24 +61,32 @@
     pub revocation: Option<Duration>,
     /// What is allowed beyond the limits of tenants.
     pub limits: LimitBounds,
+    /// How often a target writes its registration.
+    pub heartbeat: Duration,
 }
 
-/// The share of the time in which a change must have its effect for which others are gathered: less than half, so that it is
-/// known in time also if one answer of the store is lost.
-const GATHER_PART: f64 = 0.45;
+/// The share of the least bound for which changes are gathered after one has come, before the store is asked again.
+const GATHER_PART: f64 = 0.3;
+/// The share of the bound on drains that is left for a change to reach all nodes, also if a node on the way to them is lost.
+const SPREAD_PART: f64 = 0.45;
 /// What is left of that time for an answer of the store and for the node's own work.
 const CHANGE_RESERVE: Duration = Duration::from_millis(500);
 
 impl Bounds {
+    /// The shorter of the times within which a change of the store must have its effect.
+    pub fn least(&self) -> Duration {
+        self.drain.min(self.apply)
+    }
+
     /// For how long changes are gathered after one has come.
     pub fn gather(&self) -> Duration {
-        self.drain.min(self.apply).mul_f64(GATHER_PART)
+        self.least().mul_f64(GATHER_PART)
     }
 
     /// For how long targets are kept that were gone together with many, without a known outage of the store.
     ///
-    /// They may be gone for good, so this ends within the bound on drains, also for changes that were gathered.
+    /// They may be gone for good, so this ends within the bound on drains, also for nodes that learn of it late.
     pub fn longest_grace(&self) -> Duration {
-        self.drain.saturating_sub(self.gather() + CHANGE_RESERVE)
+        self.drain.saturating_sub(self.least().mul_f64(SPREAD_PART) + CHANGE_RESERVE)
     }
 }
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -2,16 +2,12 @@
 //!
 //! List and watch: everything is read once, then only the changes after the revision that was reached. The first list may
 //! come from a copy of the store that lags, which costs a tenth; the watch behind it brings what the copy lacked. After an
-//! outage the watch goes on where it stood. Everything is read again only if the store no longer has the changes in between,
-//! or if the view was taken from another node meanwhile.
+//! outage the watch goes on where it stood. Everything is read again only if the store no longer has the changes in between.
 
-use std::collections::HashMap;
-use std::net::IpAddr;
 use std::time::Duration;
 
-use crate::limits::place_of;
+use crate::replica::Position;
 use crate::settings::Bounds;
-use crate::targets::TargetTable;
 
 /// The pause after the first failed call in a row; it doubles with each further one.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
@@ -27,18 +23,14 @@
 /// platform promises about two seconds.
 pub const REGISTERED_AGAIN_WITHIN: Duration = Duration::from_secs(2);
 
-/// How long the store is asked to wait for a change by a node that renews its watch seldom.
-///
-/// A watch that hangs is noticed by what other nodes tell, long before this time is over.
-pub const RARE_WAIT: Duration = Duration::from_secs(25);
-/// How long it is asked to wait by a node that renews its watch often, as a part of the time after which bounds hold again:
-/// the rest is left to connect anew, and for the news to reach the other nodes with the calls between them.
-const OFTEN_WAIT_PART: f64 = 0.4;
-/// The same as a part of the bound on revocation, where keys must be refused that were taken away: all nodes live on what these know, which
-/// is up to two waits and a gathering old.
+/// How long the store is asked to wait for a change, as a part of the time after which bounds hold again. All readers' watches may hang
+/// at once on connections that stay open, and then nobody learns of a change: the rest is left to connect anew.
+const WAIT_PART: f64 = 0.4;
+/// The same as a part of the bound on revocation, where keys must be refused that were taken away: all nodes live on what the readers
+/// know, which is up to two waits and a gathering old.
 const REVOCATION_WAIT_PART: f64 = 0.15;
-/// The fewest nodes of a fleet that renew their watches often.
-const FEWEST_OFTEN: usize = 3;
+/// How often a target's registration may be late after the store came back from an older copy, beyond one heartbeat.
+const WRITTEN_AGAIN_MARGIN: Duration = Duration::from_secs(1);
 
 /// What is read next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,45 +47,30 @@
 }
 
 /// Decides what is read next, and how long to wait before.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct StoreReader {
-    next: NextRead,
-    views_taken: u64,
+    has_lost_history: bool,
     failures: u32,
 }
 
-impl Default for StoreReader {
-    fn default() -> Self {
-        StoreReader { next: NextRead::LaggingCopy, views_taken: 0, failures: 0 }
-    }
-}
-
 impl StoreReader {
-    /// What is read next.
-    pub fn next(&self) -> NextRead {
-        self.next
+    /// What is read next by a node whose view reaches to `position`.
+    pub fn next(&self, position: Position) -> NextRead {
+        match position.is_known() {
+            _ if self.has_lost_history => NextRead::Everything,
+            false => NextRead::LaggingCopy,
+            true => NextRead::Changes { after: position.revision },
+        }
     }
 
-    /// The store was read; the view is whole up to `revision`.
-    pub fn reached(&mut self, revision: u64) {
-        self.next = NextRead::Changes { after: revision };
-        self.failures = 0;
+    /// The store was read.
+    pub fn reached(&mut self) {
+        *self = StoreReader::default();
     }
 
-    /// The store no longer has the changes after the revision that was reached.
+    /// The store no longer has the changes after the revision that was reached, or its revisions have started again.
     pub fn history_lost(&mut self) {
-        self.next = NextRead::Everything;
-    }
-
-    /// The view was replaced by another node's, which may list targets for longer than the store does.
-    pub fn view_replaced(&mut self) {
-        self.next = NextRead::Everything;
-        self.views_taken += 1;
-    }
-
-    /// How often the view was replaced. An answer to a call that was sent before the last time may be older than the view.
-    pub fn views_taken(&self) -> u64 {
-        self.views_taken
+        self.has_lost_history = true;
     }
 
     /// A call failed. Returns the longest pause before the next one.
@@ -105,35 +82,15 @@
     }
 }
 
-/// How long the store is asked to wait for a change by the node on `machine`.
-///
-/// After an outage all watches may hang at once, each on a connection that stays open and silent, and then no node learns of a
-/// change that it could tell the others. So some nodes renew their watches often: in each zone the one whose address has the
-/// least hash, and the least of all. The list of targets decides, without a message; nodes with different lists disagree on
-/// one or two, which does no harm.
-pub fn watch_wait(machine: IpAddr, targets: &TargetTable, bounds: &Bounds) -> Duration {
-    if renews_often(machine, targets) {
-        let for_keys = bounds.revocation.map_or(RARE_WAIT, |bound| bound.mul_f64(REVOCATION_WAIT_PART));
-        bounds.contact.mul_f64(OFTEN_WAIT_PART).min(RARE_WAIT).min(for_keys)
-    } else {
-        RARE_WAIT
-    }
+/// How long the store is asked to wait for a change.
+pub fn watch_wait(bounds: &Bounds) -> Duration {
+    let for_keys = bounds.revocation.map_or(Duration::MAX, |bound| bound.mul_f64(REVOCATION_WAIT_PART));
+    bounds.contact.mul_f64(WAIT_PART).min(for_keys)
 }
 
-fn renews_often(machine: IpAddr, targets: &TargetTable) -> bool {
-    let mut least_of_zone: HashMap<&str, (u64, IpAddr)> = HashMap::new();
-    let mut all = Vec::with_capacity(targets.len());
-    for target in targets.iter() {
-        let ip = target.registration.address.ip();
-        let place = (place_of(ip), ip);
-        all.push(place);
-        let least = least_of_zone.entry(&target.registration.zone).or_insert(place);
-        *least = place.min(*least);
-    }
-    all.sort_unstable();
-    all.dedup();
-    let mut often = least_of_zone.values().chain(all.iter().take(FEWEST_OFTEN));
-    often.any(|(_, ip)| *ip == machine)
+/// Within what time targets are registered again that an older copy of the store lacks, since they were registered after it was made.
+pub fn written_again_within(bounds: &Bounds) -> Duration {
+    REGISTERED_AGAIN_WITHIN.max(bounds.heartbeat + WRITTEN_AGAIN_MARGIN)
 }
 
 /// Whether registrations may have run out in an outage of this length.
--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -7,7 +7,7 @@
 
 use quillhatch_types::Timestamp;
 
-/// Identifies one start of a target; a target that starts again has a new one.
+/// Identifies a target. One that starts again mostly has a new one; else its [`Registration::started`] tells its lives apart.
 pub type TargetId = Arc<str>;
 
 /// The registration of a target in the platform's store.
@@ -25,6 +25,17 @@
     pub draining: bool,
     /// For how long it will be slow after its start.
     pub cold_for: Duration,
+    /// When the target started, in milliseconds of its own clock; zero if it does not tell.
+    pub started: u64,
+    /// How often it has written its registration since.
+    pub sequence: u64,
+}
+
+impl Registration {
+    /// Orders what one target has written: by its lives, and within a life by its writes.
+    pub fn written(&self) -> (u64, u64) {
+        (self.started, self.sequence)
+    }
 }
 
 /// A listed target.
@@ -45,7 +56,8 @@
 pub struct TargetTable {
     by_id: HashMap<TargetId, Arc<Target>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Target>>>,
-    superseded: HashSet<TargetId>,
+    /// Targets that others have followed at their addresses, and the lives that they had then.
+    superseded: HashMap<TargetId, u64>,
     /// Targets whose registrations are missing and that are kept for now.
     graces: HashMap<TargetId, Grace>,
     /// When the nodes of these machines last reported that they can't read the store.
@@ -126,7 +138,7 @@
     /// Takes one target off the list, or keeps it for a while if there is a `grace`.
     fn take_off(&mut self, id: &TargetId, grace: Option<Grace>, now: Timestamp) {
         let Some(target) = self.by_id.get(id).cloned() else {
-            if self.superseded.remove(id) {
+            if self.superseded.remove(id).is_some() {
                 self.forget_removed(now);
                 self.recently_ended.push_back((now, id.clone()));
             }
@@ -213,18 +225,26 @@
         self.by_id.keys().filter(|id| !listed.contains(*id)).cloned().collect()
     }
 
-    /// Lists a target, or replaces the registration of a listed one. A target that was found to be followed by another is left out.
-    pub fn update(&mut self, id: TargetId, registration: Registration, now: Timestamp) {
-        if self.superseded.contains(&id) {
-            return;
+    /// Lists a target, or replaces the registration of a listed one. A target that was found to be followed by another is left out,
+    /// until it starts again. Says whether a listed one has started again.
+    pub fn update(&mut self, id: TargetId, registration: Registration, now: Timestamp) -> bool {
+        if self.superseded.get(&id).is_some_and(|life| *life >= registration.started) {
+            return false;
         }
-        let listed_at = self.by_id.get(&id).map_or(now, |listed| listed.listed_at);
+        self.superseded.remove(&id);
+        let listed = self.by_id.get(&id);
+        let has_restarted = listed.is_some_and(|listed| {
+            let known = listed.registration.started;
+            known != 0 && known < registration.started
+        });
+        let listed_at = listed.filter(|_| !has_restarted).map_or(now, |listed| listed.listed_at);
         self.unlist(&id);
         let cold_until = now + registration.cold_for;
         let target = Arc::new(Target { id: id.clone(), registration, cold_until, listed_at });
         let service = target.registration.service.clone();
         self.by_service.entry(service).or_default().push(target.clone());
         self.by_id.insert(id, target);
+        has_restarted
     }
 
     /// Lists the target `present` in place of `former`, which it was found to have followed at the same address.
@@ -238,9 +258,11 @@
             return;
         }
         self.unlist(former);
-        self.superseded.insert(target.id.clone());
+        self.superseded.insert(target.id.clone(), target.registration.started);
         if !self.by_id.contains_key(&present) {
-            self.update(present, Registration { draining: false, ..target.registration.clone() }, now);
+            // Nothing is known of its life: whatever it registers goes before this.
+            let registration = Registration { draining: false, started: 0, sequence: 0, ..target.registration.clone() };
+            self.update(present, registration, now);
         }
     }
 
@@ -249,7 +271,7 @@
         let was_removed = self.recently_removed.iter().any(|(_, removed)| *removed.id == *id)
             || self.recently_ended.iter().any(|(_, ended)| **ended == *id);
         let was_listed_before = self.by_id.get(id).is_some_and(|listed| listed.listed_at < target.listed_at);
-        was_removed || was_listed_before || self.superseded.contains(id)
+        was_removed || was_listed_before || self.superseded.contains_key(id)
     }
 
     /// Takes a target off the list.
@@ -268,7 +290,7 @@
 
     /// Forgets superseded identities that the platform's list no longer holds.
     pub fn forget_superseded(&mut self, listed: &HashSet<TargetId>) {
-        self.superseded.retain(|id| listed.contains(id));
+        self.superseded.retain(|id, _| listed.contains(id));
     }
 
     /// The listed targets of a service.
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod balance;
 mod capacity;
 mod cut;
+mod feed;
 mod freshness;
 mod gate;
 mod graph;
@@ -12,6 +13,7 @@
 mod mechanisms;
 
 mod quarantine;
+mod replica;
 mod retry_budget;
 mod routing;
 mod store_reader;
@@ -54,6 +56,8 @@
         slots: 10,
         draining: false,
         cold_for: Duration::ZERO,
+        started: 0,
+        sequence: 0,
     }
 }
 
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -145,6 +145,7 @@
         retry_slack: 55.0,
         revocation: None,
         limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
+        heartbeat: Duration::from_millis(1500),
     };
     assert!(bounds.gather() < drain.min(apply) / 2);
     let all = bounds.gather() + bounds.longest_grace();
--- /dev/null
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -0,0 +1,521 @@
+//! A fleet whose nodes follow the store by the real decisions, on a virtual clock, with a store and links that fail.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_mesh::feed::{
+    answer_timeout, hold_time, FeedLoss, FeedPlace, FeedTree, LoneReadings, NextTurn, ReadingTurn, SourceChoice,
+    Supply, SupplyVerdict, TurnInputs,
+};
+use quillhatch_mesh::limits::LimitBounds;
+use quillhatch_mesh::replica::{Change, Extent, Position, Replica, RevisedChange, Update};
+use quillhatch_mesh::settings::Bounds;
+use quillhatch_mesh::store_reader::{watch_wait, NextRead, StoreReader};
+use quillhatch_mesh::targets::{Registration, Target};
+use quillhatch_types::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+pub const BOUNDS: Bounds = Bounds {
+    stop_grace: Duration::from_secs(10),
+    drain: Duration::from_secs(4),
+    apply: Duration::from_secs(4),
+    contact: Duration::from_secs(5),
+    retry_ratio: 0.2,
+    retry_window: Duration::from_secs(10),
+    retry_slack: 100.0,
+    revocation: None,
+    limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
+    heartbeat: Duration::from_secs(3),
+};
+
+/// The virtual clock's step, which is also what a message takes one way.
+const TICK: Duration = Duration::from_millis(10);
+/// The calls of a node with others in a step: five a second.
+const CALLS_A_TICK: f64 = 0.05;
+/// For how long another node may be ahead before it is asked.
+const HANGING_AFTER: Duration = Duration::from_millis(400);
+/// What a watch may take beyond its wait.
+const WATCH_ALLOWANCE: Duration = Duration::from_millis(600);
+
+/// How the store treats a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Access {
+    #[default]
+    Served,
+    Refused,
+    Silent,
+}
+
+/// What is wrong with a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Ailment {
+    #[default]
+    None,
+    /// Its connections are refused.
+    Dead,
+    /// It stands still, or all its links are cut: connections to it hang.
+    Silent,
+    /// It answers that it is well and that there is nothing new.
+    Lies,
+}
+
+struct Asking {
+    peer: usize,
+    is_before: bool,
+    sent: Timestamp,
+    hold: Duration,
+    from: Position,
+}
+
+struct Reading {
+    sent: Timestamp,
+    wait: Duration,
+    read: NextRead,
+}
+
+pub struct SimNode {
+    pub machine: IpAddr,
+    pub zone: String,
+    pub replica: Replica,
+    pub place: FeedPlace,
+    pub access: Access,
+    pub ailment: Ailment,
+    pub loss: FeedLoss,
+    pub read_at: Option<Timestamp>,
+    choice: SourceChoice,
+    reader: StoreReader,
+    asking: Option<Asking>,
+    reading: Option<Reading>,
+    ask_after: Timestamp,
+    read_after: Timestamp,
+    is_isolated: bool,
+    is_unproved: bool,
+    lone_readings: LoneReadings,
+    draw: f64,
+    /// When another node was heard of that is ahead, and which.
+    heard: Option<(Timestamp, usize)>,
+    /// Questions that it has answered, and the changes in the answers.
+    pub answered: usize,
+    pub changes_told: usize,
+}
+
+impl SimNode {
+    pub fn position(&self) -> Position {
+        self.replica.position()
+    }
+
+    pub fn is_in_touch(&self) -> bool {
+        self.ailment == Ailment::None && self.access == Access::Served
+    }
+}
+
+pub struct SimStore {
+    pub position: Position,
+    pub calls: usize,
+    log: Vec<RevisedChange>,
+    is_down: bool,
+}
+
+impl SimStore {
+    fn write(&mut self, change: Change) {
+        self.position.revision += 1;
+        self.log.push(RevisedChange { revision: self.position.revision, change });
+    }
+
+    /// Comes back from a copy that was made `lost` changes ago.
+    fn restore(&mut self, lost: usize) {
+        self.log.truncate(self.log.len() - lost);
+        self.position.revision = self.log.last().map_or(1, |revised| revised.revision);
+        self.position.era += 1;
+    }
+
+    fn whole(&self) -> Update {
+        let mut last: HashMap<Arc<str>, RevisedChange> = HashMap::new();
+        for revised in &self.log {
+            let (Change::Target(id, _) | Change::TargetGone(id)) = &revised.change else { continue };
+            last.insert(id.clone(), revised.clone());
+        }
+        let mut changes: Vec<RevisedChange> =
+            last.into_values().filter(|revised| matches!(revised.change, Change::Target(..))).collect();
+        changes.sort_by_key(|revised| revised.revision);
+        Update { extent: Extent::Whole, position: self.position, changes }
+    }
+
+    fn since(&self, after: u64) -> Update {
+        let changes = self.log.iter().filter(|revised| revised.revision > after).cloned().collect();
+        let from = Position { era: self.position.era, revision: after };
+        Update { extent: Extent::After(from), position: self.position, changes }
+    }
+}
+
+pub struct Fleet {
+    pub now: Timestamp,
+    pub nodes: Vec<SimNode>,
+    pub store: SimStore,
+    random: Pcg64,
+    by_machine: HashMap<IpAddr, usize>,
+}
+
+fn registration(machine: IpAddr, zone: &str, draining: bool, sequence: u64) -> Registration {
+    Registration {
+        service: Arc::from("alpha"),
+        address: (machine, 80).into(),
+        zone: Arc::from(zone),
+        slots: 10,
+        draining,
+        cold_for: Duration::ZERO,
+        started: 1,
+        sequence,
+    }
+}
+
+fn target_id(number: usize) -> Arc<str> {
+    Arc::from(format!("t-{number}"))
+}
+
+impl Fleet {
+    /// A fleet of `count` nodes in `zones`, of which all know everything.
+    pub fn new(count: usize, zones: usize, seed: u64) -> Self {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut store = SimStore { position: Position::default(), calls: 0, log: Vec::new(), is_down: false };
+        let mut nodes = Vec::new();
+        for number in 0..count {
+            let machine =
+                IpAddr::from([10, (number % zones) as u8, (number / zones / 250) as u8, (number / zones % 250) as u8]);
+            let zone = format!("zone-{}", number % zones);
+            store.write(Change::Target(target_id(number), registration(machine, &zone, false, 1)));
+            nodes.push(SimNode {
+                machine,
+                zone,
+                replica: Replica::default(),
+                place: FeedPlace::default(),
+                access: Access::Served,
+                ailment: Ailment::None,
+                loss: FeedLoss::default(),
+                read_at: Some(Timestamp::ZERO),
+                choice: SourceChoice::default(),
+                reader: StoreReader::default(),
+                asking: None,
+                reading: None,
+                ask_after: Timestamp::ZERO,
+                read_after: Timestamp::ZERO,
+                is_isolated: false,
+                is_unproved: false,
+                lone_readings: LoneReadings::default(),
+                draw: random.gen(),
+                heard: None,
+                answered: 0,
+                changes_told: 0,
+            });
+        }
+        let by_machine = nodes.iter().enumerate().map(|(number, node)| (node.machine, number)).collect();
+        let mut fleet = Fleet { now: Timestamp::from_millis(1_000), nodes, store, random, by_machine };
+        let everything = fleet.store.whole();
+        for number in 0..count {
+            fleet.nodes[number].replica.take(everything.clone(), fleet.now).expect("the first update is taken");
+        }
+        fleet.place_all();
+        fleet.play(3_000);
+        fleet.store.calls = 0;
+        fleet
+    }
+
+    /// All nodes have the same list here, so the tree is built once.
+    fn place_all(&mut self) {
+        let targets: Vec<Arc<Target>> = self
+            .store
+            .whole()
+            .changes
+            .into_iter()
+            .filter_map(|revised| match revised.change {
+                Change::Target(id, registration) => {
+                    let (cold_until, listed_at) = (Timestamp::ZERO, Timestamp::ZERO);
+                    Some(Arc::new(Target { id, registration, cold_until, listed_at }))
+                }
+                _ => None,
+            })
+            .collect();
+        let tree = FeedTree::new(targets.iter());
+        for node in &mut self.nodes {
+            node.place = tree.place(node.machine, &node.zone);
+        }
+    }
+
+    /// The target beside a node says that it is leaving, or is back.
+    pub fn drain(&mut self, number: usize, draining: bool, sequence: u64) {
+        let node = &self.nodes[number];
+        let registration = registration(node.machine, &node.zone, draining, sequence);
+        self.store.write(Change::Target(target_id(number), registration));
+    }
+
+    pub fn set_down(&mut self, is_down: bool) {
+        self.store.is_down = is_down;
+    }
+
+    /// The store comes back from a copy that lacks its last `lost` changes.
+    pub fn restore(&mut self, lost: usize) {
+        self.store.restore(lost);
+    }
+
+    /// The numbers of the nodes that read the store.
+    pub fn readers(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|number| self.nodes[*number].place.reads).collect()
+    }
+
+    /// The numbers of the nodes that `number` asks, in order.
+    pub fn candidates(&self, number: usize) -> Vec<usize> {
+        self.nodes[number].place.candidates.iter().map(|candidate| self.by_machine[&candidate.machine]).collect()
+    }
+
+    /// Whether all nodes in touch stand where the store stands.
+    pub fn is_up_to_date(&self) -> bool {
+        self.nodes.iter().filter(|node| node.is_in_touch()).all(|node| node.position() == self.store.position)
+    }
+
+    /// Plays until all nodes in touch are up to date; returns how long it took.
+    pub fn catch_up(&mut self, longest: Duration) -> Duration {
+        let begun = self.now;
+        while !self.is_up_to_date() {
+            self.tick();
+            let took = self.now.since(begun);
+            if took > longest {
+                let behind: Vec<_> = self
+                    .nodes
+                    .iter()
+                    .filter(|node| node.is_in_touch() && node.position() != self.store.position)
+                    .map(|node| (node.machine, node.position(), node.place.clone(), node.loss))
+                    .take(3)
+                    .collect();
+                panic!("not in {longest:?}: {behind:?}, the store stands at {:?}", self.store.position);
+            }
+        }
+        self.now.since(begun)
+    }
+
+    pub fn play(&mut self, ms: u64) {
+        let end = self.now + Duration::from_millis(ms);
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.now = self.now + TICK;
+        for number in 0..self.nodes.len() {
+            if matches!(self.nodes[number].ailment, Ailment::Dead | Ailment::Silent) {
+                continue;
+            }
+            self.step_calls(number);
+            self.step_question(number);
+            self.step_reading(number);
+        }
+    }
+
+    /// A call between this node and another one tells how far their views reach; whoever is behind for long asks the other one.
+    fn step_calls(&mut self, number: usize) {
+        let now = self.now;
+        if self.random.gen_bool(CALLS_A_TICK) {
+            let other = self.random.gen_range(0..self.nodes.len());
+            let is_reached = self.nodes[other].ailment == Ailment::None;
+            if is_reached && self.nodes[other].position() > self.nodes[number].position() {
+                self.nodes[number].heard.get_or_insert((now, other));
+            }
+        }
+        let Some((heard, other)) = self.nodes[number].heard else { return };
+        if now.since(heard) < HANGING_AFTER {
+            return;
+        }
+        self.nodes[number].heard = None;
+        if self.nodes[other].ailment == Ailment::None {
+            let update = self.nodes[other].replica.since(self.nodes[number].position(), now);
+            let _ = update.map(|update| self.nodes[number].replica.take(update, now));
+        }
+    }
+
+    fn step_question(&mut self, number: usize) {
+        let now = self.now;
+        let Some(asking) = &self.nodes[number].asking else {
+            if now >= self.nodes[number].ask_after {
+                self.ask(number);
+            }
+            return;
+        };
+        if now.since(asking.sent) < TICK * 2 {
+            return;
+        }
+        let (peer, from, sent, hold) = (asking.peer, asking.from, asking.sent, asking.hold);
+        let other = &mut self.nodes[peer];
+        match other.ailment {
+            Ailment::Dead => self.question_failed(number),
+            Ailment::Silent if now.since(sent) >= answer_timeout(hold, &BOUNDS) => self.question_failed(number),
+            Ailment::Silent => {}
+            Ailment::Lies if now.since(sent) >= hold => self.question_answered(number, None, Some(now), None),
+            Ailment::Lies => {}
+            Ailment::None => {
+                let arrives = now.since(sent) == TICK * 2;
+                let is_lost = other.loss.is_confirmed() || (arrives && other.loss.since().is_some());
+                let has_news = other.position() > from || is_lost;
+                if !has_news && now.since(sent) < hold {
+                    return;
+                }
+                let update = other.replica.since(from, now);
+                other.answered += 1;
+                other.changes_told += update.as_ref().map_or(0, |update| update.changes.len());
+                let (read_at, lost) = (other.read_at, other.loss.since());
+                self.question_answered(number, update, read_at, lost);
+            }
+        }
+    }
+
+    fn ask(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let Some(candidate) = node.choice.next(&node.place.candidates, now) else { return };
+        let hold = if node.choice.is_searching() { Duration::ZERO } else { hold_time(&BOUNDS) };
+        let asking = Asking {
+            peer: self.by_machine[&candidate.machine],
+            is_before: candidate.is_before,
+            sent: now,
+            hold,
+            from: node.position(),
+        };
+        self.nodes[number].asking = Some(asking);
+    }
+
+    fn question_answered(
+        &mut self,
+        number: usize,
+        update: Option<Update>,
+        read_at: Option<Timestamp>,
+        lost: Option<Timestamp>,
+    ) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        if let Some(update) = update {
+            // What does not fit was overtaken by what the node has read itself.
+            let _ = node.replica.take(update, now);
+        }
+        let is_before = node.asking.as_ref().is_some_and(|asking| asking.is_before);
+        let supply = Supply { read_at, lost_since: lost };
+        node.read_at = node.read_at.max(read_at);
+        let verdict = supply.verdict(is_before, node.loss, &BOUNDS, now);
+        node.is_isolated = false;
+        if verdict == SupplyVerdict::Well {
+            node.loss.other_is_well(read_at);
+            node.choice.answered();
+            node.is_unproved = false;
+            node.asking = None;
+            return;
+        }
+        node.is_unproved |= verdict == SupplyVerdict::Unproved;
+        self.question_failed(number);
+    }
+
+    fn question_failed(&mut self, number: usize) {
+        let now = self.now;
+        let pause = Duration::from_millis(self.random.gen_range(250..500));
+        let node = &mut self.nodes[number];
+        let sent = node.asking.take().map_or(now, |asking| asking.sent);
+        node.choice.failed(now);
+        let is_read_here = node.place.reads && node.loss.since().is_none();
+        if !is_read_here {
+            node.loss.source_failed(sent);
+        }
+        if !node.choice.all_failed(&node.place.candidates) {
+            return;
+        }
+        node.ask_after = now + pause;
+        if !is_read_here && !node.is_unproved {
+            node.loss.others_failed(sent);
+        }
+        node.is_unproved = false;
+    }
+
+    fn step_reading(&mut self, number: usize) {
+        let now = self.now;
+        let store_is_down = self.store.is_down;
+        let store_position = self.store.position;
+        let node = &mut self.nodes[number];
+        let Some(reading) = &node.reading else {
+            if now >= node.read_after {
+                self.read(number);
+            }
+            return;
+        };
+        if now.since(reading.sent) < TICK * 2 {
+            return;
+        }
+        let access = if store_is_down { Access::Refused } else { node.access };
+        match access {
+            Access::Refused => self.reading_failed(number),
+            Access::Silent if now.since(reading.sent) >= reading.wait + WATCH_ALLOWANCE => self.reading_failed(number),
+            Access::Silent => {}
+            Access::Served => {
+                let has_news = match reading.read {
+                    NextRead::Changes { after } => {
+                        store_position.revision > after || store_position.era != node.position().era
+                    }
+                    NextRead::LaggingCopy | NextRead::Everything => true,
+                };
+                if has_news || now.since(reading.sent) >= reading.wait {
+                    self.reading_answered(number);
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let inputs = TurnInputs {
+            has_view: true,
+            must_probe: false,
+            place: &node.place,
+            loss: node.loss,
+            is_isolated: node.is_isolated,
+            lone_readings: node.lone_readings,
+            proof_lasts: None,
+            draw: node.draw,
+        };
+        let NextTurn::Now(turn) = inputs.next_turn(&BOUNDS, now) else { return };
+        let is_probing = turn == ReadingTurn::Once || node.loss.since().is_some();
+        let wait = if is_probing { Duration::from_millis(200) } else { watch_wait(&BOUNDS) };
+        node.reading = Some(Reading { sent: now, wait, read: node.reader.next(node.replica.position()) });
+        self.store.calls += 1;
+    }
+
+    fn reading_answered(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let Some(reading) = node.reading.take() else { return };
+        let update = match reading.read {
+            NextRead::Changes { .. } if self.store.position.era != node.position().era => {
+                node.reader.history_lost();
+                return;
+            }
+            NextRead::Changes { after } => self.store.since(after),
+            NextRead::LaggingCopy | NextRead::Everything => self.store.whole(),
+        };
+        let has_changes = !update.changes.is_empty();
+        // Others may have told more meanwhile.
+        let _ = node.replica.take(update, now);
+        node.reader.reached();
+        node.read_at = node.read_at.max(Some(reading.sent));
+        node.loss.store_read();
+        if has_changes {
+            node.read_after = now + BOUNDS.gather();
+        }
+    }
+
+    fn reading_failed(&mut self, number: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[number];
+        let Some(reading) = node.reading.take() else { return };
+        node.loss.call_failed(reading.sent, node.read_at);
+        let longest = node.reader.failed(true, &BOUNDS);
+        node.read_after = now + longest.mul_f64(self.random.gen_range(0.5..1.0));
+    }
+}
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -24,8 +24,8 @@
 use crate::node::Node;
 use crate::pool::{ExchangeError, Lease, SentFlag};
 use crate::presence;
+use crate::reach;
 use crate::relay::relay_answer;
-use crate::views;
 
 /// How long a target's own answer at the deadline is waited for.
 const DEADLINE_ALLOWANCE: Duration = Duration::from_millis(40);
@@ -98,8 +98,13 @@
     } else {
         begun.until(call.arrived + call.route.objective.mul_f64(UNOFFERED_PART)).min(left)
     };
-    let forwarded =
-        Forwarded { is_root: !call.is_inner, lineage: call.lineage.clone(), patience, reach: views::own_reach(node) };
+    let forwarded = Forwarded {
+        is_root: !call.is_inner,
+        lineage: call.lineage.clone(),
+        patience,
+        reach: reach::own_reach(node),
+        machine: node.settings.local_target.ip(),
+    };
     let added = [
         (HOP, forwarded.encode()),
         (headers::DEADLINE_MS, left.as_millis().to_string()),
@@ -140,7 +145,7 @@
         node.cuts.borrow_mut().report(&call.route.name, report.cut, now);
     }
     node.parents.borrow_mut().report(&call.route.name, report.called_by);
-    views::heard(node, target.registration.address.ip(), report.reach);
+    reach::heard(node, target.registration.address.ip(), report.reach);
     if let Some(proof) = report.proof {
         node.tenancy.heard(proof, &node.configuration.borrow(), begun);
     }
--- /dev/null
+++ b/crates/sidecar/src/feed/codec.rs
@@ -0,0 +1,115 @@
+//! The messages between replicas, from and to what they mean.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use quillhatch_mesh::replica::{Change, Extent, Position, RevisedChange, Update};
+use quillhatch_mesh::targets::Registration;
+use quillhatch_messages::generated::replica as wire;
+use quillhatch_platform::configuration::read_configuration;
+
+/// An update of another node that can't be read.
+#[derive(Debug, Display)]
+pub(super) enum MalformedUpdate {
+    /// It does not tell its position.
+    #[display("no position")]
+    NoPosition,
+    /// A target's address is none.
+    #[display("target {_0}: {_1:?} is no IP address with a port")]
+    Address(String, String),
+    /// The configuration can't be read.
+    #[display("configuration: {_0}")]
+    Configuration(String),
+}
+
+pub(super) fn encode_position(position: Position) -> wire::Position {
+    wire::Position { era: position.era, revision: position.revision }
+}
+
+pub(super) fn decode_position(position: &wire::Position) -> Position {
+    Position { era: position.era, revision: position.revision }
+}
+
+pub(super) fn encode_update(update: &Update) -> wire::ReplicaUpdate {
+    let mut message = wire::ReplicaUpdate {
+        after: match update.extent {
+            Extent::Whole => None,
+            Extent::After(position) => Some(encode_position(position)),
+        },
+        position: Some(encode_position(update.position)),
+        ..Default::default()
+    };
+    for RevisedChange { revision, change } in &update.changes {
+        let revision = *revision;
+        match change {
+            Change::Configuration(configuration) => {
+                let document = configuration.document.0.to_vec();
+                message.configuration = Some(wire::ConfigurationDocument { revision, document });
+            }
+            Change::Target(id, registration) => message.targets.push(encode_target(revision, id, registration)),
+            Change::TargetGone(id) => message.gone.push(wire::GoneTarget { id: id.to_string(), revision }),
+            // A replica holds only what can be used.
+            Change::UnusableConfiguration(_) | Change::UnusableTarget(..) => {}
+        }
+    }
+    message
+}
+
+fn encode_target(revision: u64, id: &str, registration: &Registration) -> wire::RegisteredTarget {
+    wire::RegisteredTarget {
+        id: id.to_owned(),
+        service: registration.service.to_string(),
+        address: registration.address.to_string(),
+        zone: registration.zone.to_string(),
+        slots: registration.slots,
+        draining: registration.draining,
+        cold_ms: u32::try_from(registration.cold_for.as_millis()).unwrap_or(u32::MAX),
+        started: registration.started,
+        sequence: registration.sequence,
+        revision,
+    }
+}
+
+/// Reads an update.
+///
+/// # Errors
+///
+/// Returns the first thing that can't be read; nothing of such an update should be used.
+pub(super) fn decode_update(message: &wire::ReplicaUpdate) -> Result<Update, MalformedUpdate> {
+    let position = message.position.as_ref().map(decode_position).ok_or(MalformedUpdate::NoPosition)?;
+    let extent = message.after.as_ref().map_or(Extent::Whole, |after| Extent::After(decode_position(after)));
+    let mut changes = Vec::with_capacity(message.targets.len() + message.gone.len() + 1);
+    if let Some(wire::ConfigurationDocument { revision, document }) = &message.configuration {
+        let configuration = read_configuration(document).map_err(|findings| {
+            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            MalformedUpdate::Configuration(findings.join("; "))
+        })?;
+        let change = Change::Configuration(Arc::new(configuration));
+        changes.push(RevisedChange { revision: *revision, change });
+    }
+    for target in &message.targets {
+        let change = Change::Target(Arc::from(target.id.as_str()), decode_target(target)?);
+        changes.push(RevisedChange { revision: target.revision, change });
+    }
+    for gone in &message.gone {
+        let change = Change::TargetGone(Arc::from(gone.id.as_str()));
+        changes.push(RevisedChange { revision: gone.revision, change });
+    }
+    changes.sort_by_key(|revised| revised.revision);
+    Ok(Update { extent, position, changes })
+}
+
+fn decode_target(target: &wire::RegisteredTarget) -> Result<Registration, MalformedUpdate> {
+    let malformed = |_| MalformedUpdate::Address(target.id.clone(), target.address.clone());
+    Ok(Registration {
+        service: Arc::from(target.service.as_str()),
+        address: target.address.parse().map_err(malformed)?,
+        zone: Arc::from(target.zone.as_str()),
+        slots: target.slots,
+        draining: target.draining,
+        cold_for: Duration::from_millis(u64::from(target.cold_ms)),
+        started: target.started,
+        sequence: target.sequence,
+    })
+}
--- /dev/null
+++ b/crates/sidecar/src/feed/question.rs
@@ -0,0 +1,98 @@
+//! Asks another node for what has changed in the platform's store, and takes its answer over.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use derive_more::Display;
+use http_body_util::BodyExt;
+use hyper::{Request, StatusCode};
+use quillhatch_mesh::feed::{answer_timeout, Supply};
+use quillhatch_mesh::freshness::FreshnessProof;
+use quillhatch_mesh::replica::UpdateError;
+use quillhatch_messages::generated::replica as wire;
+use quillhatch_messages::{decode, encode};
+use quillhatch_types::Timestamp;
+use tokio::time::timeout;
+
+use super::codec::{decode_update, encode_position, MalformedUpdate};
+use super::FEED_PATH;
+use crate::body::Body;
+use crate::node::Node;
+use crate::pool::ExchangeError;
+use crate::store::take;
+
+/// Why another node's answer is of no use.
+#[derive(Debug, Display)]
+pub(super) enum QuestionError {
+    /// There was no answer in time.
+    #[display("no answer in time")]
+    TimedOut,
+    /// There was no whole answer.
+    #[display("{_0}")]
+    Exchange(ExchangeError),
+    /// It knows nothing, or stops.
+    #[display("status {_0}")]
+    Status(StatusCode),
+    /// The answer can't be understood.
+    #[display("the answer can't be read")]
+    Unreadable,
+    /// The update in the answer can't be understood.
+    #[display("{_0}")]
+    Malformed(MalformedUpdate),
+    /// The update does not fit this node's replica.
+    #[display("the update does not fit: {_0:?}")]
+    Update(UpdateError),
+}
+
+/// Asks the node at `peer` for what is new, which may hold the question for `hold`, and takes it over.
+pub(super) async fn ask(node: &Rc<Node>, peer: IpAddr, hold: Duration) -> Result<Supply, QuestionError> {
+    let sent = node.now();
+    let answer = exchange(node, peer, hold).await?;
+    if let Some(update) = &answer.update {
+        let update = decode_update(update).map_err(QuestionError::Malformed)?;
+        // What this node has read itself may be from a copy that lags; the other one has had the time to catch up.
+        node.targets_known.set(true);
+        take(node, update).map_err(QuestionError::Update)?;
+    }
+    if let Some(proof) = &answer.proof {
+        let proof = FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms };
+        node.tenancy.learnt(proof, &node.configuration.borrow(), sent);
+    }
+    let lost = Duration::from_millis(answer.lost_ms);
+    let now = node.now();
+    let lost_since = (answer.lost_ms > 0).then(|| Timestamp::ZERO + now.since(Timestamp::ZERO).saturating_sub(lost));
+    Ok(Supply { read_at: read_at(sent, answer.read_ms), lost_since })
+}
+
+/// When the store was read that was read `age_ms` before this node's question, sent at `sent`, has arrived. What was read before this
+/// process started counts as read then.
+fn read_at(sent: Timestamp, age_ms: i64) -> Option<Timestamp> {
+    let sent_ms = i64::try_from(sent.since(Timestamp::ZERO).as_millis()).ok()?;
+    let read_ms = sent_ms.saturating_sub(age_ms).max(0);
+    Some(Timestamp::ZERO + Duration::from_millis(u64::try_from(read_ms).ok()?))
+}
+
+async fn exchange(node: &Rc<Node>, peer: IpAddr, hold: Duration) -> Result<wire::ReplicaAnswer, QuestionError> {
+    let position = node.position();
+    let question = wire::ReplicaQuestion {
+        position: position.is_known().then(|| encode_position(position)),
+        hold_ms: hold.as_millis() as u32,
+    };
+    let request = Request::post(FEED_PATH).header("host", peer.to_string()).body(Body::Whole(encode(&question).into()));
+    let request = request.expect("the path and the host are made of plain characters");
+    let address = SocketAddr::new(peer, node.settings.inbound.port());
+    let exchange = async {
+        let (response, lease) = node.peers.exchange(address, request).await.map_err(QuestionError::Exchange)?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let bytes = body.map_err(|_| QuestionError::Unreadable)?.to_bytes();
+        lease.keep();
+        if status != StatusCode::OK {
+            return Err(QuestionError::Status(status));
+        }
+        decode(&bytes).map_err(|_| QuestionError::Unreadable)
+    };
+    let longest = answer_timeout(hold, &node.settings.bounds);
+    timeout(longest, exchange).await.unwrap_or(Err(QuestionError::TimedOut))
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -4,7 +4,6 @@
 mod suspects;
 mod target_end;
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,17 +22,18 @@
 use quillhatch_types::Timestamp;
 
 use crate::body::{read_up_to, Body};
+use crate::feed::{self, FEED_PATH};
 use crate::headers::{remove_connection_headers, text};
 use crate::hop::{Forwarded, Outcome, Report, HOP};
 use crate::node::Node;
 use crate::pool::{ExchangeError, SentFlag};
 use crate::presence::PRESENCE_PATH;
 use crate::present_target;
+use crate::reach;
 use crate::relay::{relay_answer, relay_answer_holding};
-use crate::views::{self, VIEW_PATH};
 use slots::admit;
 pub use slots::{dismiss, hand_out, Slot};
-pub use target_end::identified;
+pub use target_end::{identified, target_restarted};
 
 /// The largest request that is read whole before it is handed over, in bytes.
 const KEPT_REQUEST_BYTES: usize = 64 * 1024;
@@ -52,9 +52,9 @@
 }
 
 /// Serves one request of another node.
-pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
-    if parts.uri.path() == VIEW_PATH && !parts.headers.contains_key(HOP) {
-        return views::receive(&node, body).await;
+pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>) -> Response<Body> {
+    if parts.uri.path() == FEED_PATH && !parts.headers.contains_key(HOP) {
+        return feed::answer(&node, body).await;
     }
     if parts.uri.path() == PRESENCE_PATH && !parts.headers.contains_key(HOP) {
         return Response::new(Body::empty());
@@ -69,7 +69,7 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return response;
     };
-    views::heard(&node, peer.ip(), forwarded.reach);
+    reach::heard(&node, forwarded.machine, forwarded.reach);
     let call = Call {
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: text(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
@@ -154,7 +154,7 @@
         node.callers.borrow_mut().called_by(route, || targets.machine_shares())
     });
     let health = node.health.borrow_mut().share(now);
-    let (reach, proof) = (views::own_reach(node), node.tenancy.proof(&node.configuration.borrow(), call.arrived));
+    let (reach, proof) = (reach::own_reach(node), node.tenancy.proof(&node.configuration.borrow(), call.arrived));
     let report = Report { outcome, load, cut, health, called_by, reach, proof, present };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP, value);
--- a/crates/sidecar/src/gate/target_end.rs
+++ b/crates/sidecar/src/gate/target_end.rs
@@ -8,6 +8,7 @@
 
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::quarantine::{RequestSignature, TargetEnd};
+use quillhatch_mesh::targets::TargetId;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -55,6 +56,14 @@
     }
 }
 
+/// The target beside this node has started again under its identity `id`: the calls that broke off were running when it ended.
+pub fn target_restarted(node: &Rc<Node>, id: &TargetId) {
+    let end = node.runs.borrow_mut().restarted(id, node.now());
+    if let Some(end) = end {
+        ended(node, &end);
+    }
+}
+
 fn ended(node: &Node, end: &TargetEnd) {
     log_end(node, end);
     if node.has(Mechanism::Quarantine) {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -4,6 +4,7 @@
 //! target sends.
 
 use std::fmt::Write;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use quillhatch_mesh::callers::CalledBy;
@@ -11,6 +12,7 @@
 use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::gate::Load;
 use quillhatch_mesh::parents::Lineage;
+use quillhatch_mesh::replica::Position;
 
 /// The name of the header.
 pub const HOP: &str = "quillhatch-hop";
@@ -23,20 +25,22 @@
 /// How far a node's view of the platform's store reaches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach {
-    /// The revision of the store at which its view stands; zero if it has none.
-    pub revision: u64,
+    /// The position of the store at which its view stands.
+    pub position: Position,
     /// Whether it can't read the store.
     pub is_cut_off: bool,
 }
 
 impl Reach {
     fn encode(self) -> String {
-        format!("{},{}", self.revision, u8::from(self.is_cut_off))
+        format!("{}.{},{}", self.position.era, self.position.revision, u8::from(self.is_cut_off))
     }
 
     fn decode(text: &str) -> Option<Self> {
-        let (revision, is_cut_off) = text.split_once(',')?;
-        Some(Reach { revision: revision.parse().ok()?, is_cut_off: is_cut_off == "1" })
+        let (position, is_cut_off) = text.split_once(',')?;
+        let (era, revision) = position.split_once('.')?;
+        let position = Position { era: era.parse().ok()?, revision: revision.parse().ok()? };
+        Some(Reach { position, is_cut_off: is_cut_off == "1" })
     }
 }
 
@@ -51,6 +55,8 @@
     pub patience: Duration,
     /// How far the edge's view of the store reaches.
     pub reach: Reach,
+    /// The edge's machine, at which its node can be asked for what it knows.
+    pub machine: IpAddr,
 }
 
 impl Forwarded {
@@ -59,8 +65,8 @@
         let Lineage { priority, position, is_repeat, admitted_permille } = self.lineage;
         let (is_root, is_repeat) = (u8::from(self.is_root), u8::from(is_repeat));
         let patience = self.patience.as_millis();
-        let reach = self.reach.encode();
-        format!("{is_root};{priority};{position};{is_repeat};{admitted_permille};{patience};{reach}")
+        let (reach, machine) = (self.reach.encode(), self.machine);
+        format!("{is_root};{priority};{position};{is_repeat};{admitted_permille};{patience};{reach};{machine}")
     }
 
     /// Reads the header's text.
@@ -72,7 +78,8 @@
         let lineage = Lineage { priority, position, is_repeat, admitted_permille };
         let patience = Duration::from_millis(parts.next()?.parse().ok()?);
         let reach = Reach::decode(parts.next()?)?;
-        Some(Forwarded { is_root, lineage, patience, reach })
+        let machine = parts.next()?.parse().ok()?;
+        Some(Forwarded { is_root, lineage, patience, reach, machine })
     }
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -13,12 +13,14 @@
 use quillhatch_mesh::configuration::{Configuration, ConfigurationInForce};
 use quillhatch_mesh::cut::{Cut, RouteCuts};
 use quillhatch_mesh::demand::CallGraph;
+use quillhatch_mesh::feed::LoneReadings;
 use quillhatch_mesh::gate::Gate;
 use quillhatch_mesh::health::AnswerHealth;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::parents::Parents;
 use quillhatch_mesh::quarantine::{Quarantine, RunTracker};
 use quillhatch_mesh::queue::Ticket;
+use quillhatch_mesh::replica::{Position, Replica};
 use quillhatch_mesh::retry_budget::RetryBudget;
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::store_reader::StoreReader;
@@ -30,6 +32,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::feed::FeedState;
 use crate::keyed_lock::KeyedLock;
 use crate::logging::{LineRate, LogState};
 use crate::pool::{Pool, PoolRules};
@@ -126,26 +129,30 @@
     pub counters: Counters,
     /// Wakes whoever waits for the gate's next expiry to change.
     pub gate_changed: Notify,
-    /// The latest revision of the store at which the view of another node stands.
-    pub heard_revision: Cell<u64>,
-    /// Wakes the reader of the store when another node has told of a later revision.
-    pub later_change: Notify,
     /// Wakes whoever removes targets whose grace period is over.
     pub grace_changed: Notify,
-    /// The revision of the store at which this node's view stands; zero if it has none.
-    pub revision: Cell<u64>,
+    /// What the platform's store holds, as far as this node knows.
+    pub replica: RefCell<Replica>,
+    /// This node's way to the store.
+    pub feed: FeedState,
     /// What is read of the store next.
     pub store_reader: RefCell<StoreReader>,
     /// Until when targets whose registrations ran out in the last outage of the store may be registered again.
     pub registered_again_by: Cell<Timestamp>,
-    /// Since when the store can't be read.
-    pub store_lost: Cell<Option<Timestamp>>,
+    /// Until when what an older copy of the store lacks may be written again.
+    pub written_again_by: Cell<Timestamp>,
+    /// Whether this machine's last call of the store has failed, as far as it makes any.
+    pub own_access_lost: Cell<bool>,
+    /// Whether the store must be asked once, since the own target's registration has ended.
+    pub must_probe_store: Cell<bool>,
+    /// The readings of the store in which this node has found nobody.
+    pub lone_readings: Cell<LoneReadings>,
+    /// A random number in 0..1, which spreads what nodes do by themselves.
+    pub draw: f64,
     /// What is known of the presence of other nodes.
     pub presences: RefCell<HashMap<IpAddr, Presence>>,
     /// Held while another node is asked whether it is there.
     pub asking_presence: KeyedLock<IpAddr>,
-    /// When this node's view was handed to others.
-    pub views_handed: RefCell<HashMap<IpAddr, Timestamp>>,
     log_state: LogState,
     failure_lines: RefCell<LineRate>,
     success_lines: RefCell<LineRate>,
@@ -219,16 +226,18 @@
             random: RefCell::new(Pcg64::from_entropy()),
             counters: Counters::default(),
             gate_changed: Notify::new(),
-            heard_revision: Cell::new(0),
-            later_change: Notify::new(),
             grace_changed: Notify::new(),
-            revision: Cell::new(0),
+            replica: RefCell::default(),
+            feed: FeedState::default(),
             store_reader: RefCell::default(),
             registered_again_by: Cell::new(now),
-            store_lost: Cell::new(Some(now)),
+            written_again_by: Cell::new(now),
+            own_access_lost: Cell::new(false),
+            must_probe_store: Cell::new(false),
+            lone_readings: Cell::default(),
+            draw: rand::random(),
             presences: RefCell::default(),
             asking_presence: KeyedLock::default(),
-            views_handed: RefCell::default(),
             settings,
             log_state,
             failure_lines: RefCell::new(LineRate::new(FAILURE_LINES)),
@@ -252,6 +261,11 @@
         self.grace_changed.notify_one();
     }
 
+    /// How far the view of the platform's store reaches.
+    pub fn position(&self) -> Position {
+        self.replica.borrow().position()
+    }
+
     /// Whether a mechanism is switched on.
     pub fn has(&self, mechanism: Mechanism) -> bool {
         self.settings.mechanisms.has(mechanism)
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::header::HOST;
 use hyper::Request;
-use quillhatch_mesh::targets::TargetTable;
+use quillhatch_mesh::targets::{TargetId, TargetTable};
 use quillhatch_platform::headers;
 
 use crate::body::Body;
@@ -123,6 +123,12 @@
     node.present_verified.set(false);
 }
 
+/// The list shows that the target has started again under its identity: whatever it worked on has broken off.
+pub fn restarted(node: &Rc<Node>, id: &TargetId) {
+    gate::target_restarted(node, id);
+    out_of_reach(node);
+}
+
 /// Whether the list has brought a target at this machine's address since the target told its identity, and after the one that
 /// the gate stands before, if that is still listed. Both may change in one answer of the store; compared only with a listed one, the new
 /// target was refused for 23 s in a soak.
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -23,7 +23,7 @@
 use crate::listener::{bind, serve, Connections};
 use crate::logging;
 use crate::node::Node;
-use crate::{datagrams, edge, gate, limits, metrics, quarantine, store};
+use crate::{datagrams, edge, feed, gate, limits, metrics, quarantine, store};
 
 /// How often unused connections are looked through.
 const SWEEP: Duration = Duration::from_secs(2);
@@ -161,8 +161,8 @@
         edge::serve(Rc::clone(&for_edge), parts, body, peer)
     }));
     let for_gate = Rc::clone(&node);
-    let accepting_peers = tasks.spawn_local(serve(inbound, peers.clone(), move |parts, body, peer| {
-        gate::serve(Rc::clone(&for_gate), parts, body, peer)
+    let accepting_peers = tasks.spawn_local(serve(inbound, peers.clone(), move |parts, body, _| {
+        gate::serve(Rc::clone(&for_gate), parts, body)
     }));
     let for_ready = Rc::clone(&node);
     tasks.spawn_local(serve(ready, peers.clone(), move |parts, _, _| answer_ready(Rc::clone(&for_ready), parts)));
@@ -182,6 +182,8 @@
         tasks.spawn_local(quarantine::exchange(Rc::clone(&node), socket));
     }
     tasks.spawn_local(store::follow(Rc::clone(&node)));
+    tasks.spawn_local(feed::follow(Rc::clone(&node)));
+    tasks.spawn_local(feed::catch_up(Rc::clone(&node)));
     tasks.spawn_local(store::drop_expired(Rc::clone(&node)));
     tasks.spawn_local(dismiss_expired(Rc::clone(&node)));
     tasks.spawn_local(sweep(Rc::clone(&node)));
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -1,42 +1,77 @@
-//! Takes what was read of the store over into the node's view.
+//! Takes what was learnt of the store over into the node's view.
 
+use std::collections::HashSet;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use quillhatch_mesh::mechanisms::Mechanism;
-use quillhatch_mesh::store_reader::{may_have_lapsed, REGISTERED_AGAIN_WITHIN};
-use quillhatch_platform::store::Change;
+use quillhatch_mesh::replica::{Change, Extent, Update, UpdateError};
+use quillhatch_mesh::store_reader::{may_have_lapsed, written_again_within, REGISTERED_AGAIN_WITHIN};
+use quillhatch_mesh::targets::TargetId;
 use quillhatch_types::Timestamp;
 use tokio::time::sleep;
 
+use crate::feed;
 use crate::node::Node;
 use crate::present_target;
 
-/// The store was read, and the view stands at `revision`.
-pub(super) fn reached(node: &Node, revision: u64) {
-    node.revision.set(revision);
-    node.store_reader.borrow_mut().reached(revision);
-    let Some(since) = node.store_lost.take() else { return };
+/// Takes over what the store, or another node, has told.
+///
+/// # Errors
+///
+/// Returns why nothing of it was taken.
+pub fn take(node: &Rc<Node>, update: Update) -> Result<(), UpdateError> {
     let now = node.now();
-    let outage = now.since(since);
-    if may_have_lapsed(outage) {
-        node.registered_again_by.set(now + REGISTERED_AGAIN_WITHIN);
+    // Whoever has told this could get at the store again before this node.
+    note_outage(node, node.feed.loss.get().outage_since());
+    let extent = update.extent;
+    let former = node.position();
+    let learnt = node.replica.borrow_mut().take(update, now)?;
+    let position = node.position();
+    if position == former {
+        return Ok(());
     }
-    node.log(&format!("\"event\":\"store-reached\",\"revision\":{revision},\"lost_ms\":{}", outage.as_millis()));
+    if learnt.is_new_era {
+        let until = now + written_again_within(&node.settings.bounds);
+        node.registered_again_by.set(node.registered_again_by.get().max(until));
+        node.written_again_by.set(until);
+        node.log(&format!("\"event\":\"store-era\",\"era\":{},\"before\":{}", position.era, former.era));
+    }
+    let has_changes = !learnt.changes.is_empty();
+    if has_changes {
+        apply(node, learnt.changes, now);
+    }
+    if extent == Extent::Whole {
+        drop_unregistered(node);
+    }
+    if has_changes || extent == Extent::Whole {
+        changed(node);
+    }
+    node.feed.advanced.notify_waiters();
+    Ok(())
 }
 
-/// Takes over changes in the order in which the store tells them. What is read together is listed at one moment, `now`.
-pub(super) fn apply(node: &Node, changes: Vec<Change>, now: Timestamp) {
-    // One answer may tell of a target and of its end: its last word counts.
-    let mut gone: Vec<Arc<str>> = Vec::new();
-    for change in &changes {
-        match change {
-            Change::Target(id, _) => gone.retain(|former| former != id),
-            Change::TargetGone(id) => gone.push(id.clone()),
-            _ => {}
-        }
+/// This node has a way to the store again, after it had none since `lost_since`, and the store was in an outage since `outage_since`, if it
+/// was. Registrations may have run out meanwhile.
+pub fn regained(node: &Node, lost_since: Option<Timestamp>, outage_since: Option<Timestamp>) {
+    note_outage(node, outage_since);
+    let Some(since) = lost_since else { return };
+    let revision = node.position().revision;
+    let lost_ms = node.now().since(since).as_millis();
+    node.log(&format!("\"event\":\"store-reached\",\"revision\":{revision},\"lost_ms\":{lost_ms}"));
+}
+
+fn note_outage(node: &Node, outage_since: Option<Timestamp>) {
+    let now = node.now();
+    if outage_since.is_some_and(|since| may_have_lapsed(now.since(since))) {
+        let until = now + REGISTERED_AGAIN_WITHIN;
+        node.registered_again_by.set(node.registered_again_by.get().max(until));
     }
+}
+
+/// Takes over changes in the order in which they were made. What is learnt together is listed at one moment, `now`.
+fn apply(node: &Rc<Node>, changes: Vec<Change>, now: Timestamp) {
+    let mut gone: Vec<TargetId> = Vec::new();
     for change in changes {
         match change {
             Change::Configuration(offered) => {
@@ -47,30 +82,58 @@
             }
             Change::UnusableConfiguration(findings) => {
                 node.tenancy.later_is_unusable.set(true);
-                let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
                 node.log(&format!("\"event\":\"configuration-unusable\",\"why\":{:?}", findings.join("; ")));
             }
             Change::Target(id, registration) => {
+                // One answer may tell of a target's end and of its return.
+                gone.retain(|former| *former != id);
                 node.log(&format!(
                     "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{}",
                     registration.service, registration.address, registration.draining
                 ));
-                node.targets.borrow_mut().update(id, registration, now);
+                let has_restarted = node.targets.borrow_mut().update(id.clone(), registration, now);
+                if has_restarted {
+                    restarted(node, &id);
+                }
+            }
+            Change::UnusableTarget(id, why) => {
+                node.log_failure(|| format!("\"event\":\"target-unusable\",\"target\":{id:?},\"why\":{why:?}"));
+                gone.push(id);
             }
-            Change::UnusableTarget(id) => node.log(&format!("\"event\":\"target-unusable\",\"target\":\"{id}\"")),
-            Change::TargetGone(_) => {}
+            Change::TargetGone(id) => gone.push(id),
         }
     }
+    note_own_end(node, &gone);
     remove_gone(node, &gone);
     for id in gone {
         let kept = node.targets.borrow().get(&id).is_some();
-        node.log(&format!("\"event\":\"target-gone\",\"target\":\"{id}\",\"kept_for_now\":{kept}"));
+        node.log(&format!("\"event\":\"target-gone\",\"target\":{id:?},\"kept_for_now\":{kept}"));
+    }
+}
+
+/// A target has started again under its identity: nothing that was learnt of it before holds.
+fn restarted(node: &Rc<Node>, id: &TargetId) {
+    node.log(&format!("\"event\":\"target-restarted\",\"target\":\"{id}\""));
+    node.balance.borrow_mut().forget(id);
+    if node.present.borrow().as_ref() == Some(id) {
+        present_target::restarted(node, id);
+    }
+}
+
+/// A target whose registration ends without a drain may run on at a machine that can't get at the store; its node finds out.
+fn note_own_end(node: &Node, gone: &[TargetId]) {
+    let present = node.present.borrow();
+    let Some(present) = present.as_ref().filter(|present| gone.contains(present)) else { return };
+    let is_draining = node.targets.borrow().get(present).is_some_and(|target| target.registration.draining);
+    if !is_draining {
+        node.must_probe_store.set(true);
+        node.feed.place_changed.notify_waiters();
     }
 }
 
 /// Takes targets off the list whose registrations are gone. Those that may have lapsed while the store was away are waited
 /// for.
-pub(super) fn remove_gone(node: &Node, gone: &[Arc<str>]) {
+fn remove_gone(node: &Node, gone: &[TargetId]) {
     let (now, until) = (node.now(), node.registered_again_by.get());
     let mut targets = node.targets.borrow_mut();
     if !node.has(Mechanism::KeptTargets) {
@@ -84,6 +147,21 @@
     node.grace_changed.notify_one();
 }
 
+/// Everything was told: listed targets that have no registration, since other nodes told of them, are gone too.
+fn drop_unregistered(node: &Node) {
+    let registered: HashSet<TargetId> = node.replica.borrow().ids().cloned().collect();
+    let missing = node.targets.borrow().missing_from(&registered);
+    remove_gone(node, &missing);
+    node.targets.borrow_mut().forget_superseded(&registered);
+    node.log(&format!(
+        "\"event\":\"store-read\",\"revision\":{},\"version\":{},\"targets\":{},\"missing\":{}",
+        node.position().revision,
+        node.configuration.borrow().version(),
+        registered.len(),
+        missing.len()
+    ));
+}
+
 /// Removes targets when their grace periods are over.
 pub async fn drop_expired(node: Rc<Node>) {
     loop {
@@ -106,10 +184,14 @@
     }
 }
 
-/// Lets the gate and the balance follow the list of targets.
+/// Lets the gate, the balance and the node's place among the others follow the list of targets.
 pub(super) fn changed(node: &Rc<Node>) {
     let targets = node.targets.borrow();
     node.balance.borrow_mut().retain(|id| targets.get(id).is_some());
+    let configuration = node.current_configuration();
+    // An entry that names an unknown service may have come from anyone.
+    let is_known = |service: &str| configuration.as_ref().is_none_or(|current| current.services.contains_key(service));
+    feed::place_among(node, targets.iter().filter(|target| is_known(&target.registration.service)));
     drop(targets);
     node.count_machines();
     present_target::follow_list(node);
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -7,11 +7,13 @@
 use http_body_util::BodyExt;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
+use quillhatch_platform::headers;
 use quillhatch_platform::store::{AnswerError, Page};
 use tokio::time::timeout;
 
 use crate::body::Body;
 use crate::counters::Counters;
+use crate::headers::text;
 use crate::node::Node;
 use crate::pool::ExchangeError;
 
@@ -30,9 +32,9 @@
     /// The answer can't be understood.
     #[display("{_0}")]
     Answer(AnswerError),
-    /// Another node's view was taken while the call was on its way, and the answer may be older.
-    #[display("the view of another node was taken meanwhile")]
-    ViewReplaced,
+    /// The store has come back from an older copy, or the answer is from before it did.
+    #[display("the answer is of another era")]
+    OtherEra,
 }
 
 impl StoreError {
@@ -41,18 +43,26 @@
         match self {
             StoreError::Exchange(_) | StoreError::TimedOut => true,
             StoreError::Status(status) => status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS,
-            StoreError::Answer(_) | StoreError::ViewReplaced => false,
+            StoreError::Answer(_) | StoreError::OtherEra => false,
         }
     }
 }
 
+/// An answer of the store.
+pub(super) struct StoreAnswer {
+    /// The era in which it was given; zero if it is not told.
+    pub era: u64,
+    /// What it holds.
+    pub page: Page,
+}
+
 /// Asks the store for `path` and reads its answer with `read`.
 pub(super) async fn get(
     node: &Rc<Node>,
     path: &str,
     longest: Duration,
     read: impl Fn(&[u8]) -> Result<Page, AnswerError>,
-) -> Result<Page, StoreError> {
+) -> Result<StoreAnswer, StoreError> {
     Counters::add(&node.counters.store_requests);
     let address = node.settings.store;
     let request = Request::get(path).header(HOST, address.to_string()).body(Body::empty());
@@ -60,13 +70,15 @@
     let exchange = async {
         let (response, lease) = node.store.exchange(address, request).await.map_err(StoreError::Exchange)?;
         let status = response.status();
+        let era = text(response.headers(), headers::STORE_ERA).and_then(|text| text.parse().ok()).unwrap_or_default();
         let body = response.into_body().collect().await;
         let bytes = body.map_err(|error| StoreError::Exchange(ExchangeError::NoAnswer(error.to_string())))?.to_bytes();
         lease.keep();
         if status != StatusCode::OK {
             return Err(StoreError::Status(status));
         }
-        read(&bytes).map_err(StoreError::Answer)
+        let page = read(&bytes).map_err(StoreError::Answer)?;
+        Ok(StoreAnswer { era, page })
     };
     timeout(longest, exchange).await.unwrap_or(Err(StoreError::TimedOut))
 }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -1,129 +1,156 @@
-//! Follows the platform's store: reads everything once, then waits for changes, and goes on where it stood after an outage.
+//! Reads the platform's store where it is this node's part to do so: everything once, then the changes, and on where it stood after an
+//! outage.
 //!
-//! What is read when is decided by [`StoreReader`](quillhatch_mesh::store_reader::StoreReader).
+//! What is read when is decided by [`StoreReader`](quillhatch_mesh::store_reader::StoreReader), who reads by [`quillhatch_mesh::feed`].
 
 mod apply;
 mod client;
+mod turn;
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::StatusCode;
+use quillhatch_mesh::feed::ReadingTurn;
 use quillhatch_mesh::freshness::WHOLE_ANSWER;
 use quillhatch_mesh::mechanisms::Mechanism;
-use quillhatch_mesh::store_reader::{watch_wait, NextRead, RARE_WAIT};
-use quillhatch_platform::store::{listing_path, read_page, watch_path, Change, Freshness};
+use quillhatch_mesh::replica::{Change, Extent, Position, RevisedChange, Update, UpdateError};
+use quillhatch_mesh::store_reader::{watch_wait, NextRead};
+use quillhatch_mesh::targets::Target;
+use quillhatch_platform::store::{listing_path, read_page, watch_path, Freshness};
+use quillhatch_types::Timestamp;
 use rand::Rng;
 use tokio::time::sleep;
 
 use crate::counters::Counters;
+use crate::feed;
 use crate::node::Node;
-pub use apply::drop_expired;
-use apply::{apply, changed, reached, remove_gone};
-use client::{get, StoreError};
+use apply::changed;
+pub use apply::{drop_expired, regained, take};
+use client::{get, StoreAnswer, StoreError};
+use turn::{is_due, wait_for_turn};
 
 /// How long a plain read may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// What an answer may take beyond the time that the store was asked to wait: many times what it takes, also where links are
 /// slow.
 const WATCH_ALLOWANCE: Duration = Duration::from_millis(600);
-/// How long the store is asked to wait by a watch that is to show soon whether the store can be read: after an outage, and in
-/// place of one that hangs.
+/// How long the store is asked to wait by a watch that is to show soon whether the store can be read: after an outage, and by a node that
+/// reads only now and then.
 const PROBING_WAIT: Duration = Duration::from_millis(200);
-/// For how long the view of another node may reach further before the watch is taken to hang; a watch that does not hang is
-/// answered at once, and within 0.3 s by a store that is slow.
-const HANGING_AFTER: Duration = Duration::from_millis(400);
 /// How long the first watch may take to bring what a lagging copy lacked. If it says nothing for so long there is nothing: the
 /// store answers in some milliseconds.
 const CAUGHT_UP_AFTER: Duration = Duration::from_millis(150);
 
-/// Follows the store until the process ends.
+/// Reads the store, whenever it is this node's turn, until the process ends.
 pub async fn follow(node: Rc<Node>) {
     loop {
-        let error = follow_until_lost(&node).await;
-        if matches!(error, StoreError::ViewReplaced) {
-            continue;
-        }
-        lost(&node, &error);
+        let turn = wait_for_turn(&node).await;
+        let sent = node.now();
+        let Err(error) = read_in_turn(&node, turn).await else { continue };
+        lost(&node, &error, sent);
         if !error.is_outage() {
             node.store_reader.borrow_mut().history_lost();
         }
         if matches!(error, StoreError::Status(StatusCode::GONE)) {
             continue;
         }
-        let has_view = node.revision.get() > 0;
+        let has_view = node.position().is_known();
         let longest = node.store_reader.borrow_mut().failed(has_view, &node.settings.bounds);
         let pause = node.random.borrow_mut().gen_range(longest / 2..longest);
         sleep(pause).await;
     }
 }
 
-async fn follow_until_lost(node: &Rc<Node>) -> StoreError {
-    let next = node.store_reader.borrow().next();
-    let read = match next {
-        NextRead::Changes { .. } => Ok(()),
-        NextRead::Everything => read_all(node, Freshness::Current).await,
-        NextRead::LaggingCopy => read_all(node, Freshness::MayLag).await,
-    };
-    match read {
-        Ok(()) => watch(node).await,
-        Err(error) => error,
+/// Reads until the turn is over or a call fails.
+async fn read_in_turn(node: &Rc<Node>, turn: ReadingTurn) -> Result<(), StoreError> {
+    if turn == ReadingTurn::Start {
+        node.lone_readings.set(node.lone_readings.get().another(node.now()));
+        return read_all(node, Freshness::MayLag).await;
     }
+    let next = node.store_reader.borrow().next(node.position());
+    match next {
+        NextRead::Changes { .. } => {}
+        NextRead::Everything => read_all(node, Freshness::Current).await?,
+        NextRead::LaggingCopy => read_all(node, Freshness::MayLag).await?,
+    }
+    watch(node, turn).await
 }
 
-fn lost(node: &Node, error: &StoreError) {
+fn lost(node: &Rc<Node>, error: &StoreError, sent: Timestamp) {
     Counters::add(&node.counters.store_failures);
-    if node.store_lost.get().is_none() {
-        node.store_lost.set(Some(node.now()));
+    if error.is_outage() {
+        let mut loss = node.feed.loss.get();
+        loss.call_failed(sent, node.feed.read_at.get());
+        if node.feed.place.borrow().candidates.is_empty() {
+            loss.others_failed(sent);
+        }
+        node.feed.loss.set(loss);
+        if !node.own_access_lost.replace(true) {
+            // The list keeps the own target from now on, also if its registration has ended.
+            let own = node.settings.local_target.ip();
+            let now = node.now();
+            node.targets.borrow_mut().report_store_access(own, true, now);
+            changed(node);
+        }
+        node.feed.advanced.notify_waiters();
     }
     node.log(&format!("\"event\":\"store-lost\",\"why\":{:?}", error.to_string()));
 }
 
-/// Reads the configuration and all targets.
+/// The store has answered a call that was sent at `sent`.
+fn reached(node: &Rc<Node>, sent: Timestamp) {
+    node.store_reader.borrow_mut().reached();
+    node.own_access_lost.set(false);
+    node.must_probe_store.set(false);
+    let mut loss = node.feed.loss.get();
+    // Until its first reading a process has no way to the store.
+    let lost_since = node.feed.read_at.get().map_or(Some(Timestamp::ZERO), |_| loss.since());
+    node.feed.note_read(sent);
+    let outage_since = loss.store_read();
+    node.feed.loss.set(loss);
+    regained(node, lost_since, outage_since);
+}
+
+/// Reads the configuration and all targets. From a lagging copy, the first page may do: it shows whom else to ask.
 async fn read_all(node: &Rc<Node>, freshness: Freshness) -> Result<(), StoreError> {
-    let views_taken = node.store_reader.borrow().views_taken();
     let sent = node.now();
-    let mut listed: HashSet<Arc<str>> = HashSet::new();
+    let mut changes: Vec<RevisedChange> = Vec::new();
+    let mut position: Option<Position> = None;
     let mut after = String::new();
-    let mut pages = Vec::new();
     loop {
-        let page = get(node, &listing_path(&after, freshness), READ_TIMEOUT, read_page).await?;
-        for change in &page.changes {
-            if let Change::Target(id, _) | Change::UnusableTarget(id) = change {
-                listed.insert(id.clone());
-            }
+        let answer = get(node, &listing_path(&after, freshness), READ_TIMEOUT, read_page).await?;
+        let StoreAnswer { era, page } = answer;
+        // The pages are no snapshot: whatever changed after the least of their revisions may be missing in one of them.
+        let reaches = Position { era, revision: page.revision };
+        if position.is_some_and(|position| position.era != era) {
+            return Err(StoreError::OtherEra);
         }
-        after.clone_from(&page.last_key);
-        let more = page.more;
-        pages.push(page);
-        if !more {
+        position = Some(position.map_or(reaches, |position| position.min(reaches)));
+        changes.extend(page.changes);
+        if !page.more {
             break;
         }
+        if freshness == Freshness::MayLag && after.is_empty() && others_tell_the_rest(node, &changes).await {
+            return Ok(());
+        }
+        after.clone_from(&page.last_key);
     }
-    if node.store_reader.borrow().views_taken() != views_taken {
-        return Err(StoreError::ViewReplaced);
+    let position = position.unwrap_or_default();
+    let update = Update { extent: Extent::Whole, position, changes };
+    let taken = take(node, update);
+    if position.era < node.position().era {
+        return Err(StoreError::OtherEra);
     }
-    // The pages are no snapshot: whatever changed after the least of their revisions may be missing in one of them.
-    let revision = pages.iter().map(|page| page.revision).min().unwrap_or_default();
-    reached(node, revision);
-    let now = node.now();
-    for page in pages {
-        apply(node, page.changes, now);
+    if taken.is_err() {
+        // Others have told more meanwhile.
+        node.log_failure(|| format!("\"event\":\"store-outrun\",\"revision\":{}", position.revision));
     }
-    let missing = node.targets.borrow().missing_from(&listed);
-    remove_gone(node, &missing);
-    node.targets.borrow_mut().forget_superseded(&listed);
-    node.log(&format!(
-        "\"event\":\"store-read\",\"revision\":{revision},\"version\":{},\"targets\":{},\"missing\":{}",
-        node.configuration.borrow().version(),
-        listed.len(),
-        missing.len()
-    ));
     match freshness {
         Freshness::Current => {
-            node.tenancy.is_up_to_date(sent);
+            reached(node, sent);
+            up_to_date(node, sent);
             node.targets_known.set(true);
         }
         Freshness::MayLag => {
@@ -134,100 +161,80 @@
     Ok(())
 }
 
-/// Lets callers in once the watch has had the time to bring what a lagging copy lacked.
+/// Whether other nodes, found among the targets of a first page, have told everything after a while. A node that reads the store by what the
+/// page shows does not wait for others.
+async fn others_tell_the_rest(node: &Rc<Node>, changes: &[RevisedChange]) -> bool {
+    let listed: Vec<_> = changes.iter().filter_map(|revised| hint(&revised.change)).collect();
+    feed::place_among(node, listed.iter());
+    if node.feed.place.borrow().reads || node.feed.place.borrow().candidates.is_empty() {
+        return false;
+    }
+    turn::others_answer(node).await
+}
+
+/// A target as the first page shows it, to find nodes by.
+fn hint(change: &Change) -> Option<Arc<Target>> {
+    let Change::Target(id, registration) = change else { return None };
+    let (id, registration) = (id.clone(), registration.clone());
+    Some(Arc::new(Target { id, registration, cold_until: Timestamp::ZERO, listed_at: Timestamp::ZERO }))
+}
+
+/// Lets callers in once the watch, or another node, has had the time to bring what a lagging copy lacked.
 async fn caught_up(node: Rc<Node>) {
     sleep(CAUGHT_UP_AFTER).await;
     node.targets_known.set(true);
     changed(&node);
 }
 
-/// Follows the changes until a call fails.
-async fn watch(node: &Rc<Node>) -> StoreError {
-    let own = node.settings.local_target.ip();
-    let mut is_probing = node.store_lost.get().is_some();
+/// The store was read by a call that was sent at `sent`. A copy that it has come back from may lack a configuration that was acknowledged.
+fn up_to_date(node: &Node, sent: Timestamp) {
+    if node.now() >= node.written_again_by.get() {
+        node.tenancy.is_up_to_date(sent);
+    }
+}
+
+/// Follows the changes for as long as it is this node's turn.
+async fn watch(node: &Rc<Node>, turn: ReadingTurn) -> Result<(), StoreError> {
+    let mut is_probing = turn == ReadingTurn::Once || node.feed.loss.get().since().is_some();
     loop {
-        let NextRead::Changes { after } = node.store_reader.borrow().next() else { return StoreError::ViewReplaced };
-        let is_due = node.tenancy.freshness.borrow().renew_in(node.now()).is_some_and(|left| left.is_zero());
-        is_probing |= is_due;
-        let wait = match is_probing {
-            true => PROBING_WAIT,
-            false if node.has(Mechanism::EarlyWatches) => {
-                watch_wait(own, &node.targets.borrow(), &node.settings.bounds)
-            }
-            false => RARE_WAIT,
-        };
-        let path = watch_path(after, wait);
-        let views_taken = node.store_reader.borrow().views_taken();
+        let position = node.position();
+        let wait = if is_probing { PROBING_WAIT } else { watch_wait(&node.settings.bounds) };
+        let path = watch_path(position.revision, wait);
         let sent = node.now();
-        let page = tokio::select! {
-            page = get(node, &path, wait + WATCH_ALLOWANCE, read_page) => page,
-            heard = hanging_for_long(node) => {
-                node.log(&format!("\"event\":\"watch-renewed\",\"revision\":{after},\"heard\":{heard}"));
-                is_probing = true;
-                continue;
-            }
+        let answer = tokio::select! {
+            answer = get(node, &path, wait + WATCH_ALLOWANCE, read_page) => answer?,
             () = node.clock.woken() => {
-                node.log(&format!("\"event\":\"watch-renewed\",\"revision\":{after},\"why\":\"woken\""));
-                is_probing = true;
-                continue;
-            }
-            () = proof_is_old(node), if !is_probing => {
-                node.log_failure(|| format!("\"event\":\"proof-renewed\",\"revision\":{after}"));
+                node.log(&format!("\"event\":\"watch-renewed\",\"revision\":{},\"why\":\"woken\"", position.revision));
                 is_probing = true;
                 continue;
             }
         };
         is_probing = false;
-        let page = match page {
-            Ok(page) => page,
-            Err(error) => return error,
-        };
-        if node.store_reader.borrow().views_taken() != views_taken {
-            return StoreError::ViewReplaced;
+        let StoreAnswer { era, page } = answer;
+        if era != position.era {
+            return Err(StoreError::OtherEra);
         }
-        reached(node, page.revision);
         let is_whole = page.changes.len() <= WHOLE_ANSWER;
         let has_changes = !page.changes.is_empty();
-        if has_changes {
-            apply(node, page.changes, node.now());
-            changed(node);
+        let reaches = Position { era, revision: page.revision };
+        reached(node, sent);
+        let update = Update { extent: Extent::After(position), position: reaches, changes: page.changes };
+        match take(node, update) {
+            // Others may have told more meanwhile.
+            Ok(()) | Err(UpdateError::Outdated) => {}
+            Err(UpdateError::Gap) => return Err(StoreError::OtherEra),
         }
         if is_whole {
-            node.tenancy.is_up_to_date(sent);
+            up_to_date(node, sent);
         }
-        if !has_changes {
-            continue;
+        node.targets_known.set(true);
+        if !is_due(node) {
+            return Ok(());
         }
         // Where one change is, more follow; each answer has its price. A change that comes while none was gathered is known at
         // once, since the watch waits for it.
-        if node.has(Mechanism::GatheredChanges) {
+        if has_changes && node.has(Mechanism::GatheredChanges) {
             sleep(node.settings.bounds.gather()).await;
         }
     }
 }
-
-/// Ends once this node's configuration was not known to be the newest for so long that it asks the store itself.
-async fn proof_is_old(node: &Node) {
-    loop {
-        let left = node.tenancy.freshness.borrow().renew_in(node.now());
-        match left {
-            None => std::future::pending().await,
-            Some(left) if left.is_zero() => return,
-            // Others may tell meanwhile that it was the newest later.
-            Some(left) => sleep(left).await,
-        }
-    }
-}
-
-/// Ends once the views of other nodes have reached further than this node's for longer than changes are on their way;
-/// returns how far. For each revision that others tell it ends once.
-async fn hanging_for_long(node: &Node) -> u64 {
-    loop {
-        node.later_change.notified().await;
-        sleep(HANGING_AFTER).await;
-        let heard = node.heard_revision.get();
-        if heard > node.revision.get() {
-            return heard;
-        }
-    }
-}
--- /dev/null
+++ b/crates/sidecar/src/store/turn.rs
@@ -0,0 +1,73 @@
+//! Waits until it is this node's turn to read the platform's store; decided in [`quillhatch_mesh::feed`].
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use quillhatch_mesh::feed::{NextTurn, ReadingTurn, TurnInputs};
+use quillhatch_mesh::mechanisms::Mechanism;
+use rand::Rng;
+use tokio::time::{sleep, timeout};
+
+use crate::node::Node;
+
+/// How long a node that has just started waits for others to tell everything, before it reads all pages itself.
+const OTHERS_WITHIN: Duration = Duration::from_millis(1200);
+
+/// Waits until it is this node's turn.
+pub(super) async fn wait_for_turn(node: &Rc<Node>) -> ReadingTurn {
+    loop {
+        let place_changed = node.feed.place_changed.notified();
+        let advanced = node.feed.advanced.notified();
+        let wait = match next_turn(node) {
+            NextTurn::Now(turn) => return turn,
+            NextTurn::After(wait) => wait,
+            NextTurn::Unknown => Duration::MAX,
+        };
+        tokio::select! {
+            () = sleep(wait) => {}
+            () = place_changed => {}
+            () = advanced => {}
+            () = node.clock.woken() => {}
+        }
+    }
+}
+
+/// Whether it is this node's turn now.
+pub(super) fn is_due(node: &Node) -> bool {
+    matches!(next_turn(node), NextTurn::Now(_))
+}
+
+fn next_turn(node: &Node) -> NextTurn {
+    if !node.has(Mechanism::SharedReads) {
+        return NextTurn::Now(ReadingTurn::Reader);
+    }
+    let now = node.now();
+    let inputs = TurnInputs {
+        has_view: node.position().is_known(),
+        must_probe: node.must_probe_store.get(),
+        place: &node.feed.place.borrow(),
+        loss: node.feed.loss.get(),
+        is_isolated: node.feed.is_isolated.get(),
+        lone_readings: node.lone_readings.get(),
+        proof_lasts: node.tenancy.freshness.borrow().renew_in(now),
+        draw: node.draw,
+    };
+    inputs.next_turn(&node.settings.bounds, now)
+}
+
+/// Waits for other nodes to tell everything; says whether they have.
+pub(super) async fn others_answer(node: &Rc<Node>) -> bool {
+    let longest = node.random.borrow_mut().gen_range(OTHERS_WITHIN / 2..OTHERS_WITHIN);
+    let known = async {
+        loop {
+            let advanced = node.feed.advanced.notified();
+            if node.position().is_known() {
+                return;
+            }
+            advanced.await;
+        }
+    };
+    // Over the time nobody has answered, and the position shows it.
+    let _ = timeout(longest, known).await;
+    node.position().is_known()
+}
--- a/crates/sidecar/src/tenancy.rs
+++ b/crates/sidecar/src/tenancy.rs
@@ -59,6 +59,19 @@
         is_told.then(|| freshness.proof(in_force.version(), arrived)).flatten()
     }
 
+    /// When this node's configuration was known to be the newest, for a node that takes it over with the proof.
+    pub fn own_proof(&self, in_force: &ConfigurationInForce, arrived: Timestamp) -> Option<FreshnessProof> {
+        let is_newest = !self.later_is_unusable.get() && in_force.version() > 0;
+        is_newest.then(|| self.freshness.borrow().proof(in_force.version(), arrived)).flatten()
+    }
+
+    /// Takes the proof of the node whose view was taken over, in the answer to a question that was sent at `sent`.
+    pub fn learnt(&self, proof: FreshnessProof, in_force: &ConfigurationInForce, sent: Timestamp) {
+        if !self.later_is_unusable.get() {
+            self.freshness.borrow_mut().heard(proof, in_force.version(), sent);
+        }
+    }
+
     /// Takes what another node has told of how recent its configuration is, in the answer to a call that was sent at `sent`.
     pub fn heard(&self, proof: FreshnessProof, in_force: &ConfigurationInForce, sent: Timestamp) {
         if self.hears_others && !self.later_is_unusable.get() {
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -72,6 +72,7 @@
     retry_slack: 55.0,
     revocation: None,
     limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
+    heartbeat: Duration::from_millis(1500),
 };
 
 /// Settings of the sidecar on `machine`, beside `target` of `service`.
