--- a/crates/mesh/tests/decisions/quarantine.rs
+++ b/crates/mesh/tests/decisions/quarantine.rs
@@ -45,6 +45,30 @@
     assert_ne!(one.wide, other.wide);
 }
 
+#[test]
+fn calls_that_broke_off_before_a_restart_under_the_same_identity_were_running_when_it_ended() {
+    let mut runs = RunTracker::default();
+    let signature = RequestSignature::of(&parts());
+    let first = runs.begin(signature, at(0));
+    runs.lost(first, Some("i-1".into()), at(10));
+    assert_eq!(runs.identified("i-1"), None, "the target tells its identity, which it may have had before");
+    // A call of the later life ends well before the registration tells of it.
+    let second = runs.begin(signature, at(100));
+    runs.completed(second);
+    let end = runs.restarted(&"i-1".into(), at(2_000)).expect("it had ended");
+    assert_eq!((&*end.target, end.signatures.len()), ("i-1", 1));
+    assert_eq!(runs.restarted(&"i-1".into(), at(2_100)), None, "counted once");
+}
+
+#[test]
+fn calls_that_broke_off_long_before_a_restart_are_not_laid_on_it() {
+    let mut runs = RunTracker::default();
+    let run = runs.begin(RequestSignature::of(&parts()), at(0));
+    runs.lost(run, Some("i-1".into()), at(10));
+    runs.identified("i-1");
+    assert_eq!(runs.restarted(&"i-1".into(), at(60_000)), None);
+}
+
 #[test]
 fn all_calls_that_broke_off_with_the_target_were_running_when_it_ended() {
     let mut runs = RunTracker::default();
--- a/crates/sidecar/tests/crashing_requests.rs
+++ b/crates/sidecar/tests/crashing_requests.rs
@@ -47,13 +47,23 @@
 
 impl Fleet {
     async fn start() -> Self {
+        Self::start_with(false).await
+    }
+
+    /// Targets that crash start again, under the identities that they had if they keep them.
+    async fn start_with(keeps_id: bool) -> Self {
         let store = StandInStore::start().await;
         store.configure(&document());
         let beta = Machine::start(&store, "beta", 8).await;
         let mut alphas = Vec::new();
         for _ in 0..TARGETS {
             let alpha = Machine::start(&store, "alpha", 8).await;
-            alpha.target.crash_on(CrashRule { path: CRASHING.to_owned(), after: CRASHES_AFTER, down_for: DOWN_FOR });
+            alpha.target.crash_on(CrashRule {
+                path: CRASHING.to_owned(),
+                after: CRASHES_AFTER,
+                down_for: DOWN_FOR,
+                keeps_id,
+            });
             alphas.push(alpha);
         }
         let fleet = Fleet { store, alphas, beta };
@@ -124,6 +134,17 @@
     });
 }
 
+#[test]
+fn a_target_that_starts_again_under_its_identity_has_crashed_too() {
+    run(async {
+        let fleet = Fleet::start_with(true).await;
+        fleet.copies(CRASHING, "crashing", Duration::from_secs(6)).await;
+        let ends = fleet.ends();
+        assert!(ends > 0 && ends <= MOST_ENDS, "{ends} targets ended");
+        served_everywhere(&fleet, "/read/harmless").await;
+    });
+}
+
 #[test]
 fn a_copy_is_refused_at_once_and_told_when_to_come_back() {
     run(async {
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -125,6 +125,7 @@
             path: "/pay/crash".to_owned(),
             after: Duration::from_millis(5),
             down_for: Duration::from_millis(200),
+            keeps_id: false,
         };
         alpha.target.crash_on(rule);
         let ended = alpha.target.id();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,6 +19,11 @@
 /// The part of the period in which a throttled process runs: the least share of a core that the platform's machines have (0.4).
 const QUOTA_RUNS: Duration = Duration::from_millis(40);
 
+/// How old the copy is from which the store comes back.
+const COPY_AGE: Duration = Duration::from_secs(4);
+/// How long after its return the operator and the targets write again what it lacks.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(600);
+
 /// What is done to a machine.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum FaultKind {
@@ -64,6 +69,12 @@
     StoreSilentToAll,
     /// All processes are killed and started again.
     KillAll,
+    /// Its target starts again under its identity.
+    TargetReturns,
+    /// Another writer leaves entries that name no target.
+    StoreForged,
+    /// The store is away, and comes back from an older copy.
+    StoreRestored,
 }
 
 impl FaultKind {
@@ -92,6 +103,14 @@
         FaultKind::KillAll,
     ];
 
+    /// Kinds that are drawn from a schedule of their own, so that the one of a seed stays as it was.
+    pub const LATER: [FaultKind; 3] = [FaultKind::TargetReturns, FaultKind::StoreForged, FaultKind::StoreRestored];
+
+    /// Draws one of the later kinds.
+    pub fn draw_later(random: &mut impl Rng) -> Self {
+        Self::LATER[random.gen_range(0..Self::LATER.len())]
+    }
+
     /// Draws a kind.
     pub fn draw(random: &mut impl Rng) -> Self {
         Self::ALL[random.gen_range(0..Self::ALL.len())]
@@ -99,7 +118,7 @@
 
     /// Whether it strikes all machines.
     pub fn strikes_all(self) -> bool {
-        matches!(self, FaultKind::StoreSilentToAll | FaultKind::KillAll)
+        matches!(self, FaultKind::StoreSilentToAll | FaultKind::KillAll | FaultKind::StoreRestored)
     }
 }
 
@@ -118,12 +137,51 @@
     for touched in touched(kind, machines, struck) {
         end(kind, touched);
     }
-    if kind == FaultKind::TargetRestart {
-        machine.store.unlist(&former);
+    match kind {
+        FaultKind::TargetRestart => machine.store.unlist(&former),
+        FaultKind::StoreRestored => restore(machine).await,
+        _ => {}
     }
     Disturbance { machine: (!kind.strikes_all()).then_some(struck), from, until: Instant::now() }
 }
 
+/// The store comes back from an older copy; what the operator and the targets wrote since is written again.
+async fn restore(machine: &SoakMachine) {
+    let lost = machine.store.restore(COPY_AGE);
+    sleep(WRITTEN_AGAIN_AFTER).await;
+    for write in lost {
+        machine.store.write_again(&write);
+    }
+}
+
+/// Entries of another writer: fields missing, of another type, or with what nobody knows; and what can't be read.
+fn forge(machine: &SoakMachine) {
+    let address = machine.addrs.target();
+    let entries = [
+        format!(r#"{{"service":"beta","address":"{address}","state":"ready"}}"#),
+        format!(
+            r#"{{"service":"beta","address":"{address}","zone":"zone-a","version":"v1","slots":"many","state":"ready","cold_remaining_s":0,"seq":1}}"#
+        ),
+        format!(
+            r#"{{"service":"beta","address":"{address}","zone":"zone-a","version":"v1","slots":9,"state":"odd","cold_remaining_s":0,"seq":1}}"#
+        ),
+        format!(
+            r#"{{"service":"nobody","address":"{address}","zone":"zone-a","version":"v1","slots":9,"state":"ready","cold_remaining_s":0,"seq":1}}"#
+        ),
+        "\u{1}not an entry".to_owned(),
+    ];
+    for (number, entry) in entries.iter().enumerate() {
+        machine.store.write(&forged_key(number), Some(entry));
+    }
+}
+
+/// The number of forged entries.
+const FORGED: usize = 5;
+
+fn forged_key(number: usize) -> String {
+    format!("servers/forged-{number}")
+}
+
 /// Lets a process run for a part of each period only.
 async fn throttle(machine: &SoakMachine, span: Duration) {
     let end = Instant::now() + span;
@@ -160,7 +218,11 @@
         FaultKind::TargetBreaksOff => machine.target.set_habit(Habit::BreaksOff),
         FaultKind::TargetSurplus => machine.target.set_habit(Habit::Surplus),
         FaultKind::TargetSheds => machine.target.set_habit(Habit::Sheds),
-        FaultKind::StoreSilent | FaultKind::StoreSilentToAll => machine.store.set_mode(Mode::Silent),
+        FaultKind::TargetReturns => machine.target.restart_under_its_id(),
+        FaultKind::StoreForged => forge(machine),
+        FaultKind::StoreSilent | FaultKind::StoreSilentToAll | FaultKind::StoreRestored => {
+            machine.store.set_mode(Mode::Silent)
+        }
         FaultKind::StoreBusy => machine.store.set_mode(Mode::Status(503)),
         FaultKind::StoreResets => machine.store.set_mode(Mode::Reset),
         FaultKind::Throttle => {}
@@ -177,7 +239,12 @@
         FaultKind::LinkReset => machine.link.reset(),
         FaultKind::Freeze => machine.signal(Signal::CONT),
         FaultKind::Kill | FaultKind::KillAll => machine.start_process().expect("the program that ran before starts"),
-        FaultKind::TargetRestart | FaultKind::Throttle => {}
+        FaultKind::TargetRestart | FaultKind::TargetReturns | FaultKind::Throttle => {}
+        FaultKind::StoreForged => {
+            for number in 0..FORGED {
+                machine.store.write(&forged_key(number), None);
+            }
+        }
         FaultKind::TargetLoses
         | FaultKind::TargetGarbage
         | FaultKind::TargetBreaksOff
@@ -188,6 +255,7 @@
         | FaultKind::StoreResets
         | FaultKind::StoreDeaf
         | FaultKind::StoreForgetful
-        | FaultKind::StoreSilentToAll => machine.store.set_mode(Mode::Normal),
+        | FaultKind::StoreSilentToAll
+        | FaultKind::StoreRestored => machine.store.set_mode(Mode::Normal),
     }
 }
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -59,7 +59,8 @@
         let target = StandInTarget::start_at(addrs.target(), addrs.service(), SLOTS).await;
         target.set_habit(Habit::Slow(WORK));
         let harmful = RouteKind::Harmful.path().to_owned();
-        target.crash_on(CrashRule { path: harmful, after: CRASHES_AFTER, down_for: CRASHED_FOR });
+        let keeps_id = addrs.number % 2 == 1;
+        target.crash_on(CrashRule { path: harmful, after: CRASHES_AFTER, down_for: CRASHED_FOR, keeps_id });
         let path = RouteKind::Read.path().to_owned();
         target.chain(ChainedCall { outbound: addrs.outbound(), host: HOST.to_owned(), path });
         let store = store.another_address().await;
@@ -141,15 +142,18 @@
 
     /// Registers the target anew whenever it has crashed and started again, until the machine ends.
     pub async fn register(self: Rc<Self>) {
-        let mut registered = self.target.id();
+        let mut registered = (self.target.id(), self.target.started());
         loop {
             sleep(REGISTERS_EACH).await;
-            let id = self.target.id();
-            if id != registered {
-                self.store.list(&self.target, "ready");
-                self.store.unlist(&registered);
-                registered = id;
+            let present = (self.target.id(), self.target.started());
+            if present == registered {
+                continue;
             }
+            self.store.list(&self.target, "ready");
+            if present.0 != registered.0 {
+                self.store.unlist(&registered.0);
+            }
+            registered = present;
         }
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,7 +20,7 @@
 use crate::faults::{strike, FaultKind};
 use crate::layout::{document, MachineAddrs, SoakNet, SERVICES};
 use crate::machine::SoakMachine;
-use crate::record::{ConfigWrite, DrainSpan, ProcessStart, RunRecord, SoakRecord, StopSpan};
+use crate::record::{ConfigWrite, Disturbance, DrainSpan, ProcessStart, RunRecord, SoakRecord, StopSpan};
 use crate::traffic::SoakCaller;
 
 /// Callers in all, if there are not more machines.
@@ -35,6 +35,10 @@
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 300..1400;
 /// How long a fault lasts, in milliseconds.
 const FAULT_SPAN_MS: std::ops::Range<u64> = 300..3000;
+/// How often a fault of the later kinds comes with another one.
+const LATER_SHARE: f64 = 0.2;
+/// Tells the schedule of the later kinds from the other one.
+const LATER_SEED: u64 = 0x5eed;
 /// How long a target stays draining.
 const DRAIN: Duration = Duration::from_millis(4500);
 /// For how long callers go on to come to a process that was asked to stop: two questions a second whether it is ready.
@@ -96,6 +100,8 @@
     record: Rc<RefCell<SoakRecord>>,
     faults: Vec<(FaultKind, usize)>,
     random: Pcg64,
+    /// The schedule of the later kinds of faults.
+    later: Pcg64,
     version: u64,
 }
 
@@ -123,6 +129,7 @@
 impl SoakWorld {
     async fn start(options: &SoakOptions) -> io::Result<Self> {
         let mut random = Pcg64::seed_from_u64(options.seed);
+        let later = Pcg64::seed_from_u64(options.seed ^ LATER_SEED);
         let net = SoakNet::draw(&mut Pcg64::from_entropy());
         let store = StandInStore::start().await;
         let mut machines = Vec::new();
@@ -135,7 +142,7 @@
         }
         let version = random.gen_range(1..50);
         let record = Rc::default();
-        Ok(SoakWorld { store, machines, record, faults: Vec::new(), random, version })
+        Ok(SoakWorld { store, machines, record, faults: Vec::new(), random, later, version })
     }
 
     /// Writes a configuration that moves a route to another service.
@@ -184,9 +191,13 @@
             let kind = FaultKind::draw(&mut self.random);
             let struck = self.random.gen_range(0..self.machines.len());
             let span = Duration::from_millis(self.random.gen_range(FAULT_SPAN_MS));
-            self.faults.push((kind, struck));
-            let machines = self.machines.clone();
-            strikes.push(spawn_local(async move { strike(kind, &machines, struck, span).await }));
+            strikes.push(self.strike(kind, struck, span));
+            if self.later.gen_bool(LATER_SHARE) {
+                let kind = FaultKind::draw_later(&mut self.later);
+                let struck = self.later.gen_range(0..self.machines.len());
+                let span = Duration::from_millis(self.later.gen_range(FAULT_SPAN_MS));
+                strikes.push(self.strike(kind, struck, span));
+            }
             sleep(Duration::from_millis(self.random.gen_range(FAULT_PAUSE_MS))).await;
             self.look_at_targets();
         }
@@ -201,6 +212,12 @@
         }
     }
 
+    fn strike(&mut self, kind: FaultKind, struck: usize, span: Duration) -> JoinHandle<Disturbance> {
+        self.faults.push((kind, struck));
+        let machines = self.machines.clone();
+        spawn_local(async move { strike(kind, &machines, struck, span).await })
+    }
+
     /// Planned work: one thing of each kind, or series of them that overlap.
     async fn planned_work(&mut self) -> io::Result<()> {
         if self.random.gen() {
