Targets on machines that are cut off: known before their registrations run out, and to nodes that start later

Half of the machines are cut off while the others are killed. A node that follows others makes no calls, so it learnt that it was cut off only when its own registration had run out, a second late, and the others left its target; and nodes that started meanwhile had only the store's list, where the views handed over before held the kept targets too. Ruled out: when changes are known (targets were known as early as before, by the logs of both), identities, the gathering.

Change: each node holds a connection to the store open, without a call, and probes it; when it ends or comes back the store is asked once. A node that hears from one that is cut off and not listed asks it for targets that serve without a registration.

--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -215,6 +215,26 @@
         !over.is_empty()
     }
 
+    /// The targets that are kept though they have no registration.
+    pub fn kept(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.graces.keys().filter_map(|id| self.by_id.get(id))
+    }
+
+    /// Lists a target of which another node tells that it serves without a registration, unless one is listed at its address. It is kept as
+    /// one whose machine has reported now that it is cut off.
+    pub fn keep_unregistered(&mut self, id: TargetId, registration: Registration, now: Timestamp) {
+        if registration.draining || self.at_address(registration.address).next().is_some() {
+            return;
+        }
+        self.update(id.clone(), registration, now);
+        self.graces.insert(id, Grace::unexplained(now + KEPT_AFTER_CUT));
+    }
+
+    /// Whether a target is listed on a machine.
+    pub fn has_machine(&self, machine: IpAddr) -> bool {
+        self.by_id.values().any(|target| target.registration.address.ip() == machine)
+    }
+
     /// When the next grace period is over.
     pub fn next_grace_end(&self) -> Option<Timestamp> {
         self.graces.values().map(|grace| grace.until).min()
--- a/crates/sidecar/src/feed/answer.rs
+++ b/crates/sidecar/src/feed/answer.rs
@@ -13,9 +13,10 @@
 use quillhatch_types::Timestamp;
 use tokio::time::timeout;
 
-use super::codec::{decode_position, encode_update};
+use super::codec::{decode_position, encode_target, encode_update};
 use crate::body::{read_up_to, Body, Read};
 use crate::node::Node;
+use crate::reach::own_reach;
 
 /// The largest question in bytes.
 const LARGEST_QUESTION: usize = 1024;
@@ -41,7 +42,8 @@
     if !node.position().is_known() || node.is_stopping() {
         return refusal(StatusCode::SERVICE_UNAVAILABLE);
     }
-    Response::new(Body::Whole(render(node, from, arrived)))
+    let kept = if question.wants_kept { unregistered(node) } else { Vec::new() };
+    Response::new(Body::Whole(render(node, from, arrived, kept)))
 }
 
 async fn read_question(body: Option<Incoming>) -> Option<wire::ReplicaQuestion> {
@@ -70,7 +72,7 @@
     }
 }
 
-fn render(node: &Node, from: Position, arrived: Timestamp) -> Bytes {
+fn render(node: &Node, from: Position, arrived: Timestamp, kept: Vec<wire::RegisteredTarget>) -> Bytes {
     let now = node.now();
     let lost = node.feed.loss.get().since().map_or(0, |since| now.since(since).as_millis().max(1) as u64);
     let read = node.feed.read_at.get().unwrap_or_default();
@@ -79,12 +81,22 @@
         update: encoded_update(node, from),
         lost_ms: lost,
         read_ms: age_at(arrived, read),
+        kept,
         proof: proof
             .map(|proof| wire::ReplicaProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms }),
     };
     encode(&answer).into()
 }
 
+/// The targets that serve without a registration: those that are kept, and the own one of a node that is cut off.
+fn unregistered(node: &Node) -> Vec<wire::RegisteredTarget> {
+    let targets = node.targets.borrow();
+    let present = node.present.borrow();
+    let own = present.as_ref().filter(|_| own_reach(node).is_cut_off).and_then(|present| targets.get(present));
+    let all = targets.kept().chain(own);
+    all.map(|target| encode_target(0, &target.id, &target.registration)).collect()
+}
+
 /// How long before `arrived` the moment `at` was, in milliseconds and rounded up; negative if it was after it.
 fn age_at(arrived: Timestamp, at: Timestamp) -> i64 {
     let before = arrived.since(at).as_millis() as i64;
--- a/crates/sidecar/src/feed/codec.rs
+++ b/crates/sidecar/src/feed/codec.rs
@@ -56,7 +56,7 @@
     message
 }
 
-fn encode_target(revision: u64, id: &str, registration: &Registration) -> wire::RegisteredTarget {
+pub(super) fn encode_target(revision: u64, id: &str, registration: &Registration) -> wire::RegisteredTarget {
     wire::RegisteredTarget {
         id: id.to_owned(),
         service: registration.service.to_string(),
@@ -100,7 +100,7 @@
     Ok(Update { extent, position, changes })
 }
 
-fn decode_target(target: &wire::RegisteredTarget) -> Result<Registration, MalformedUpdate> {
+pub(super) fn decode_target(target: &wire::RegisteredTarget) -> Result<Registration, MalformedUpdate> {
     let malformed = |_| MalformedUpdate::Address(target.id.clone(), target.address.clone());
     Ok(Registration {
         service: Arc::from(target.service.as_str()),
--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -26,7 +26,7 @@
 use crate::node::Node;
 use crate::store;
 use answer::EncodedUpdate;
-use question::ask;
+use question::{ask, Asked};
 
 pub use answer::answer;
 
@@ -35,6 +35,8 @@
 /// For how long the view of another node may reach further before the own source is taken to hang: a change is on its way for some round
 /// trips, and for 0.3 s more where the store is slow.
 const HANGING_AFTER: Duration = Duration::from_millis(400);
+/// The least time between two questions for targets without a registration.
+const UNREGISTERED_PAUSE: Duration = Duration::from_millis(50);
 /// The pause after all candidates have failed, as a part of the time for which a question is held.
 const ROUND_PAUSE_PART: f64 = 0.5;
 
@@ -57,6 +59,10 @@
     pub heard: Cell<Option<(Position, IpAddr)>>,
     /// Wakes the feed when another node has told of a later position.
     pub later_change: Notify,
+    /// A node that is cut off from the store, and on whose machine no target is listed.
+    pub unlisted: Cell<Option<IpAddr>>,
+    /// Wakes whoever asks such nodes.
+    pub unlisted_told: Notify,
     /// The last update that was encoded.
     pub encoded: RefCell<EncodedUpdate>,
 }
@@ -98,7 +104,7 @@
         let can_wait = !choice.is_searching() && node.position().is_known();
         let hold = if can_wait { hold_time(&node.settings.bounds) } else { Duration::ZERO };
         let asked = tokio::select! {
-            asked = ask(&node, peer, hold) => asked,
+            asked = ask(&node, peer, Asked::News { hold }) => asked,
             () = node.clock.woken() => continue,
             () = place_changed => continue,
         };
@@ -193,7 +199,7 @@
         if heard <= node.position() {
             continue;
         }
-        let outcome = match ask(&node, peer, Duration::ZERO).await {
+        let outcome = match ask(&node, peer, Asked::News { hold: Duration::ZERO }).await {
             Ok(supply) => {
                 take_supply(&node, supply, false);
                 "taken".to_owned()
@@ -208,3 +214,16 @@
         });
     }
 }
+
+/// Asks nodes that are cut off for the targets that serve beside them without a registration, until the process ends. A node that started
+/// after the registrations ran out has never seen them.
+pub async fn find_unregistered(node: Rc<Node>) {
+    loop {
+        node.feed.unlisted_told.notified().await;
+        let Some(peer) = node.feed.unlisted.take() else { continue };
+        let outcome =
+            ask(&node, peer, Asked::Unregistered).await.map_or_else(|error| error.to_string(), |_| "taken".to_owned());
+        node.log_failure(|| format!("\"event\":\"unregistered-asked\",\"peer\":\"{peer}\",\"outcome\":{outcome:?}"));
+        sleep(UNREGISTERED_PAUSE).await;
+    }
+}
--- a/crates/sidecar/src/feed/question.rs
+++ b/crates/sidecar/src/feed/question.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -15,12 +16,12 @@
 use quillhatch_types::Timestamp;
 use tokio::time::timeout;
 
-use super::codec::{decode_update, encode_position, MalformedUpdate};
+use super::codec::{decode_target, decode_update, encode_position, MalformedUpdate};
 use super::FEED_PATH;
 use crate::body::Body;
 use crate::node::Node;
 use crate::pool::ExchangeError;
-use crate::store::take;
+use crate::store::{changed, take};
 
 /// Why another node's answer is of no use.
 #[derive(Debug, Display)]
@@ -45,16 +46,29 @@
     Update(UpdateError),
 }
 
-/// Asks the node at `peer` for what is new, which may hold the question for `hold`, and takes it over.
-pub(super) async fn ask(node: &Rc<Node>, peer: IpAddr, hold: Duration) -> Result<Supply, QuestionError> {
+/// What another node is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Asked {
+    /// What is new; the question may be held if there is nothing.
+    News {
+        /// For how long.
+        hold: Duration,
+    },
+    /// Besides, the targets that serve without a registration.
+    Unregistered,
+}
+
+/// Asks the node at `peer` and takes over what it tells.
+pub(super) async fn ask(node: &Rc<Node>, peer: IpAddr, asked: Asked) -> Result<Supply, QuestionError> {
     let sent = node.now();
-    let answer = exchange(node, peer, hold).await?;
+    let answer = exchange(node, peer, asked).await?;
     if let Some(update) = &answer.update {
         let update = decode_update(update).map_err(QuestionError::Malformed)?;
         // What this node has read itself may be from a copy that lags; the other one has had the time to catch up.
         node.targets_known.set(true);
         take(node, update).map_err(QuestionError::Update)?;
     }
+    keep_unregistered(node, &answer.kept);
     if let Some(proof) = &answer.proof {
         let proof = FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms };
         node.tenancy.learnt(proof, &node.configuration.borrow(), sent);
@@ -73,11 +87,30 @@
     Some(Timestamp::ZERO + Duration::from_millis(u64::try_from(read_ms).ok()?))
 }
 
-async fn exchange(node: &Rc<Node>, peer: IpAddr, hold: Duration) -> Result<wire::ReplicaAnswer, QuestionError> {
+/// Lists targets that serve without a registration. One that can't be read is left out.
+fn keep_unregistered(node: &Rc<Node>, kept: &[wire::RegisteredTarget]) {
+    if kept.is_empty() {
+        return;
+    }
+    let now = node.now();
+    for target in kept {
+        let Ok(registration) = decode_target(target) else { continue };
+        node.targets.borrow_mut().keep_unregistered(Arc::from(target.id.as_str()), registration, now);
+    }
+    node.grace_changed.notify_one();
+    changed(node);
+}
+
+async fn exchange(node: &Rc<Node>, peer: IpAddr, asked: Asked) -> Result<wire::ReplicaAnswer, QuestionError> {
     let position = node.position();
+    let hold = match asked {
+        Asked::News { hold } => hold,
+        Asked::Unregistered => Duration::ZERO,
+    };
     let question = wire::ReplicaQuestion {
         position: position.is_known().then(|| encode_position(position)),
         hold_ms: hold.as_millis() as u32,
+        wants_kept: asked == Asked::Unregistered,
     };
     let request = Request::post(FEED_PATH).header("host", peer.to_string()).body(Body::Whole(encode(&question).into()));
     let request = request.expect("the path and the host are made of plain characters");
--- a/crates/sidecar/src/reach.rs
+++ b/crates/sidecar/src/reach.rs
@@ -16,9 +16,14 @@
 
 /// Takes how far the view of the node at `peer` reaches.
 ///
-/// If it reaches further than this node's own, the own source may hang, and the feed is told.
+/// If it reaches further than this node's own, the own source may hang, and the feed is told. A node that is cut off and not listed may stand
+/// beside a target whose registration has run out; it is asked.
 pub fn heard(node: &Rc<Node>, peer: IpAddr, reach: Reach) {
     note_cuts(node, peer, reach);
+    if has_lost_the_store(reach) && !node.targets.borrow().has_machine(peer) {
+        node.feed.unlisted.set(Some(peer));
+        node.feed.unlisted_told.notify_one();
+    }
     let known = node.feed.heard.get().map_or(node.position(), |(heard, _)| heard.max(node.position()));
     if reach.position > known {
         node.feed.heard.set(Some((reach.position, peer)));
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -9,7 +9,7 @@
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use quillhatch_mesh::configuration::CallerLimits;
-use quillhatch_mesh::mechanisms::Mechanisms;
+use quillhatch_mesh::mechanisms::{Mechanism, Mechanisms};
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_platform::headers::READY_PATH;
 use quillhatch_platform::settings::{read_settings, SettingsError};
@@ -184,7 +184,11 @@
     tasks.spawn_local(store::follow(Rc::clone(&node)));
     tasks.spawn_local(feed::follow(Rc::clone(&node)));
     tasks.spawn_local(feed::catch_up(Rc::clone(&node)));
+    tasks.spawn_local(feed::find_unregistered(Rc::clone(&node)));
     tasks.spawn_local(store::drop_expired(Rc::clone(&node)));
+    if node.has(Mechanism::SharedReads) {
+        tasks.spawn_local(store::watch_access(Rc::clone(&node)));
+    }
     tasks.spawn_local(dismiss_expired(Rc::clone(&node)));
     tasks.spawn_local(sweep(Rc::clone(&node)));
     node.log(&format!(
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -185,7 +185,7 @@
 }
 
 /// Lets the gate, the balance and the node's place among the others follow the list of targets.
-pub(super) fn changed(node: &Rc<Node>) {
+pub fn changed(node: &Rc<Node>) {
     let targets = node.targets.borrow();
     node.balance.borrow_mut().retain(|id| targets.get(id).is_some());
     let configuration = node.current_configuration();
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! What is read when is decided by [`StoreReader`](quillhatch_mesh::store_reader::StoreReader), who reads by [`quillhatch_mesh::feed`].
 
+mod access;
 mod apply;
 mod client;
 mod turn;
@@ -26,8 +27,8 @@
 use crate::counters::Counters;
 use crate::feed;
 use crate::node::Node;
-use apply::changed;
-pub use apply::{drop_expired, regained, take};
+pub use access::watch_access;
+pub use apply::{changed, drop_expired, regained, take};
 use client::{get, StoreAnswer, StoreError};
 use turn::{is_due, wait_for_turn};
 
--- a/crates/sidecar/tests/feed.rs
+++ b/crates/sidecar/tests/feed.rs
@@ -265,3 +265,32 @@
         }
     });
 }
+
+#[test]
+fn a_node_that_started_after_a_registration_ran_out_learns_of_the_target_from_its_node() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.configure(&document(5, "alpha"));
+        let others = machines(&store, 4).await;
+        let cut = store.another_address().await;
+        let alpha = Machine::start(&cut, "alpha", 8).await;
+        eventually("it is listed", || others[0].node().targets.borrow().len() == 5).await;
+        cut.set_mode(Mode::Silent);
+        alpha.node().must_probe_store.set(true);
+        alpha.node().feed.place_changed.notify_waiters();
+        eventually("it knows that it is cut off", || quillhatch_sidecar::reach::own_reach(alpha.node()).is_cut_off)
+            .await;
+        store.unlist(&alpha.target.id());
+        sleep(Duration::from_millis(100)).await;
+        let late = Machine::start(&store, "alpha", 8).await;
+        let id = alpha.target.id();
+        let knows = || late.node().targets.borrow().get(&id).is_some();
+        assert!(!knows(), "the store does not list it");
+        // Callers of the machine that is cut off reach the new one.
+        for number in 0..40 {
+            call(alpha.outbound(), &read(&format!("call-{number}"))).await.expect("an answer");
+        }
+        eventually("the new node lists it", knows).await;
+        drop(others);
+    });
+}
