--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -93,6 +93,7 @@
     read_after: Timestamp,
     is_isolated: bool,
     is_unproved: bool,
+    is_answered: bool,
     lone_readings: LoneReadings,
     draw: f64,
     /// When another node was heard of that is ahead, and which.
@@ -204,6 +205,7 @@
                 read_after: Timestamp::ZERO,
                 is_isolated: false,
                 is_unproved: false,
+                is_answered: false,
                 lone_readings: LoneReadings::default(),
                 draw: random.gen(),
                 heard: None,
@@ -402,14 +404,16 @@
         let supply = Supply { read_at, lost_since: lost };
         node.read_at = node.read_at.max(read_at);
         let verdict = supply.verdict(is_before, node.loss, &BOUNDS, now);
-        node.is_isolated = false;
         if verdict == SupplyVerdict::Well {
+            node.is_isolated = false;
+            node.is_answered = false;
             node.loss.other_is_well(read_at);
             node.choice.answered();
             node.is_unproved = false;
             node.asking = None;
             return;
         }
+        node.is_answered = true;
         node.is_unproved |= verdict == SupplyVerdict::Unproved;
         self.question_failed(number);
     }
@@ -428,6 +432,8 @@
             return;
         }
         node.ask_after = now + pause;
+        node.is_isolated = !node.is_answered;
+        node.is_answered = false;
         if !is_read_here && !node.is_unproved {
             node.loss.others_failed(sent);
         }
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -114,6 +114,18 @@
     }
 }
 
+#[test_case(Ailment::Dead; "killed")]
+#[test_case(Ailment::Silent; "silent")]
+fn a_node_that_nobody_answers_reads_the_store_itself(ailment: Ailment) {
+    let mut fleet = Fleet::new(300, 5, 8);
+    let alone = (0..300).max_by_key(|number| fleet.nodes[*number].place.ahead).expect("nodes");
+    let candidates = fleet.candidates(alone);
+    strike(&mut fleet, &candidates, ailment, Access::Served);
+    fleet.play(4_000);
+    fleet.drain(alone, true, 2);
+    fleet.catch_up(in_time());
+}
+
 #[test_case(12, 3)]
 #[test_case(100, 5)]
 #[test_case(1000, 5)]
--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -87,10 +87,19 @@
     }
 }
 
+/// What has come of the questions since another node was well.
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    /// Whether any node has answered.
+    is_answered: bool,
+    /// Whether one was well by its own word, which could not be relied on.
+    is_unproved: bool,
+}
+
 /// Follows other nodes until the process ends.
 pub async fn follow(node: Rc<Node>) {
     let mut choice = SourceChoice::default();
-    let mut is_unproved = false;
+    let mut round = Round::default();
     loop {
         let place_changed = node.feed.place_changed.notified();
         let candidates = node.feed.place.borrow().candidates.clone();
@@ -111,12 +120,12 @@
         match asked.map(|supply| take_supply(&node, supply, candidate.is_before)) {
             Ok(SupplyVerdict::Well) => {
                 choice.answered();
-                is_unproved = false;
+                round = Round::default();
                 continue;
             }
             Ok(verdict) => {
-                node.feed.is_isolated.set(false);
-                is_unproved |= verdict == SupplyVerdict::Unproved;
+                round.is_answered = true;
+                round.is_unproved |= verdict == SupplyVerdict::Unproved;
             }
             Err(error) => {
                 let why = error.to_string();
@@ -126,10 +135,7 @@
         choice.failed(node.now());
         note_failure(&node, now);
         if choice.all_failed(&candidates) {
-            if !is_unproved {
-                all_failed(&node, now);
-            }
-            is_unproved = false;
+            end_round(&node, std::mem::take(&mut round), now);
             pause(&node).await;
         }
     }
@@ -161,9 +167,10 @@
     }
 }
 
-/// No other node can get at the store, or none answers.
-fn all_failed(node: &Node, since: Timestamp) {
-    if is_read_here(node) {
+/// All candidates have failed, the last one asked at `since`.
+fn end_round(node: &Node, round: Round, since: Timestamp) {
+    node.feed.is_isolated.set(!round.is_answered);
+    if round.is_unproved || is_read_here(node) {
         return;
     }
     let mut loss = node.feed.loss.get();
--- a/crates/sidecar/src/feed/question.rs
+++ b/crates/sidecar/src/feed/question.rs
@@ -66,7 +66,11 @@
         let update = decode_update(update).map_err(QuestionError::Malformed)?;
         // What this node has read itself may be from a copy that lags; the other one has had the time to catch up.
         node.targets_known.set(true);
-        take(node, update).map_err(QuestionError::Update)?;
+        match take(node, update) {
+            // Others may have told more meanwhile.
+            Ok(()) | Err(UpdateError::Outdated) => {}
+            Err(error) => return Err(QuestionError::Update(error)),
+        }
     }
     keep_unregistered(node, &answer.kept);
     if let Some(proof) = &answer.proof {
