Heads read the store when the readers' readings are overdue

Half of the machines were turned away silently, all three readers among them; each noticed that its watch hung only 2.2 s later, and a drain that was acknowledged 1.2 s after the begin was known at 3.5 s. Ruled out: the tree (all nodes learnt it in the same 10 ms). Change: a head that does not read takes its turn when the last reading that it knows of is older than a watch, its own hold and a margin; heads are held for 0.1 of the bound, not 0.25; there are at least five heads, so some don't read. Test: all watches hang, on the virtual clock; fails without.

--- a/crates/mesh/src/feed/mod.rs
+++ b/crates/mesh/src/feed/mod.rs
@@ -29,6 +29,7 @@
 
 /// The part of the least bound for which a parent without news holds a question. A parent that has gone silent is noticed after it.
 const HOLD_PART: f64 = 0.25;
+const HEAD_HOLD_PART: f64 = 0.1;
 /// The part of the least bound that an answer may take beyond that, and what it may take at least.
 const ANSWER_PART: f64 = 0.1;
 const ANSWER_LEAST: Duration = Duration::from_millis(100);
@@ -38,9 +39,9 @@
 /// For how long the store must be out of reach before a node says that it is cut off.
 pub const CUT_OFF_AFTER: Duration = Duration::from_millis(700);
 
-/// For how long a node without news holds the question of another.
-pub fn hold_time(bounds: &Bounds) -> Duration {
-    bounds.least().mul_f64(HOLD_PART)
+/// For how long a node without news holds the question of another. Heads are held for less: they must know soon when the store was read.
+pub fn hold_time(is_head: bool, bounds: &Bounds) -> Duration {
+    bounds.least().mul_f64(if is_head { HEAD_HOLD_PART } else { HOLD_PART })
 }
 
 /// How long the answer to a question may take that is held for `hold` at most.
--- a/crates/mesh/src/feed/tree.rs
+++ b/crates/mesh/src/feed/tree.rs
@@ -35,6 +35,8 @@
 pub struct FeedPlace {
     /// Whether it reads the store.
     pub reads: bool,
+    /// Whether it is a head of its zone.
+    pub is_head: bool,
     /// The nodes that go before it when readers fail: among the heads, or a head and nodes of its zone.
     pub ahead: usize,
     /// Whom it asks: the first one that answers and can get at the store.
@@ -69,9 +71,9 @@
         FeedTree { zones }
     }
 
-    /// The heads of each zone: the first one, and more where there are few zones.
+    /// The heads of each zone: the first one, and more where there are few zones, so that some heads do not read.
     fn heads_each(&self) -> usize {
-        READERS.div_ceil(self.zones.len().max(1))
+        HEADS_ASKED.div_ceil(self.zones.len().max(1))
     }
 
     /// The heads of all zones. The first ones of them read the store.
@@ -119,7 +121,7 @@
             Some(number) => number.saturating_sub(readers),
             None => 1 + rank.saturating_sub(each),
         };
-        FeedPlace { reads, ahead, candidates }
+        FeedPlace { reads, is_head: among_heads.is_some(), ahead, candidates }
     }
 }
 
--- a/crates/mesh/src/feed/turn.rs
+++ b/crates/mesh/src/feed/turn.rs
@@ -4,14 +4,17 @@
 
 use quillhatch_types::Timestamp;
 
-use super::{FeedLoss, FeedPlace};
+use super::{hold_time, FeedLoss, FeedPlace};
 use crate::settings::Bounds;
+use crate::store_reader::watch_wait;
 
 /// The part of the least bound after which the first node that is no reader asks the store while the readers can't read it.
 const TURN_PART: f64 = 0.15;
 /// By which part the turns of later nodes grow: it is ever less likely that all before them are turned away, rather than that the store is
 /// down for all.
 const TURN_GROWTH: f64 = 0.125;
+/// How much later than expected a reading of the store may be known to a head: what an answer takes where the store is slow.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(300);
 /// The pause after the first reading in which a node has found neither itself nor others; it doubles with each further one.
 const LONE_PAUSE: Duration = Duration::from_millis(400);
 /// The readings after which such a node takes itself for the only one.
@@ -80,6 +83,8 @@
     pub place: &'a FeedPlace,
     /// Since when it has no way to the store.
     pub loss: FeedLoss,
+    /// When the store was read last on the way to it, if that is known.
+    pub read_at: Option<Timestamp>,
     /// Whether all others that it asks have failed to answer at all.
     pub is_isolated: bool,
     /// The readings in which it found nobody.
@@ -112,9 +117,16 @@
         }
     }
 
+    /// From when on the readers should have read the store again. All their watches may hang, which each of them notices only after a
+    /// while. Nodes further down learn of readings too late to judge by them.
+    fn overdue_since(&self, bounds: &Bounds) -> Option<Timestamp> {
+        let allowed = watch_wait(bounds) + hold_time(true, bounds) + OVERDUE_MARGIN;
+        self.read_at.filter(|_| self.place.is_head).map(|read_at| read_at + allowed)
+    }
+
     /// How long until the node asks the store since others can't get at it.
     fn loss_turn(&self, bounds: &Bounds, now: Timestamp) -> Option<Duration> {
-        let since = self.loss.since()?;
+        let since = self.loss.since().or_else(|| self.overdue_since(bounds))?;
         let part = match self.is_isolated {
             true => ISOLATED_PARTS.0 + (ISOLATED_PARTS.1 - ISOLATED_PARTS.0) * self.draw,
             false => {
@@ -122,6 +134,6 @@
                 TURN_PART * (ahead + 1.0) * (1.0 + TURN_GROWTH * ahead)
             }
         };
-        Some(bounds.least().mul_f64(part).saturating_sub(now.since(since)))
+        Some((now.until(since) + bounds.least().mul_f64(part)).saturating_sub(now.since(since)))
     }
 }
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -376,7 +376,7 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         let Some(candidate) = node.choice.next(&node.place.candidates, now) else { return };
-        let hold = if node.choice.is_searching() { Duration::ZERO } else { hold_time(&BOUNDS) };
+        let hold = if node.choice.is_searching() { Duration::ZERO } else { hold_time(node.place.is_head, &BOUNDS) };
         let asking = Asking {
             peer: self.by_machine[&candidate.machine],
             is_before: candidate.is_before,
@@ -481,6 +481,7 @@
             must_probe: false,
             place: &node.place,
             loss: node.loss,
+            read_at: node.read_at,
             is_isolated: node.is_isolated,
             lone_readings: node.lone_readings,
             proof_lasts: None,
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -80,6 +80,7 @@
 #[test_case(Ailment::None, Access::Refused, 2; "turned away")]
 #[test_case(Ailment::None, Access::Refused, 3; "all turned away")]
 #[test_case(Ailment::None, Access::Silent, 2; "watches that hang")]
+#[test_case(Ailment::None, Access::Silent, 3; "all watches that hang")]
 fn a_change_reaches_all_in_time_though_readers_fail(ailment: Ailment, access: Access, count: usize) {
     for (nodes, zones) in [(10, 3), (100, 5), (1000, 5), (60, 1)] {
         for phase in [0, 170, 450, 900, 1_700] {
--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -111,7 +111,8 @@
         };
         let peer = candidate.machine;
         let can_wait = !choice.is_searching() && node.position().is_known();
-        let hold = if can_wait { hold_time(&node.settings.bounds) } else { Duration::ZERO };
+        let hold =
+            if can_wait { hold_time(node.feed.place.borrow().is_head, &node.settings.bounds) } else { Duration::ZERO };
         let asked = tokio::select! {
             asked = ask(&node, peer, Asked::News { hold }) => asked,
             () = node.clock.woken() => continue,
@@ -184,7 +185,7 @@
 
 /// Waits before the candidates are asked once more.
 async fn pause(node: &Rc<Node>) {
-    let pause = hold_time(&node.settings.bounds).mul_f64(ROUND_PAUSE_PART);
+    let pause = hold_time(false, &node.settings.bounds).mul_f64(ROUND_PAUSE_PART);
     let pause = node.random.borrow_mut().gen_range(pause / 2..pause);
     sleep(pause).await;
 }
--- a/crates/sidecar/src/store/turn.rs
+++ b/crates/sidecar/src/store/turn.rs
@@ -47,6 +47,7 @@
         must_probe: node.must_probe_store.get(),
         place: &node.feed.place.borrow(),
         loss: node.feed.loss.get(),
+        read_at: node.feed.read_at.get(),
         is_isolated: node.feed.is_isolated.get(),
         lone_readings: node.lone_readings.get(),
         proof_lasts: node.tenancy.freshness.borrow().renew_in(now),
