--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
 use quillhatch_types::Timestamp;
 
 /// Identifies a target. One that starts again mostly has a new one; else its [`Registration::started`] tells its lives apart.
@@ -69,24 +70,31 @@
 }
 
 /// Why a target is kept whose registration is missing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Missing {
-    /// Many were gone at once, or its machine can't read the store and so can't renew the registration.
-    Unexplained,
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum GraceReason {
+    /// Many were gone at once.
+    #[display("many are missing")]
+    ManyMissing,
+    /// Its machine can't read the store and so can't renew the registration.
+    #[display("its machine is cut off")]
+    MachineCutOff,
     /// It ran out in an outage of the store, after which it must come back by itself.
+    #[display("after an outage")]
     AfterOutage,
 }
 
 /// For how long a target is kept whose registration is missing.
-#[derive(Clone, Copy, Debug)]
-struct Grace {
-    until: Timestamp,
-    why: Missing,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grace {
+    /// When it ends.
+    pub until: Timestamp,
+    /// Why there is one.
+    pub reason: GraceReason,
 }
 
 impl Grace {
-    fn unexplained(until: Timestamp) -> Self {
-        Grace { until, why: Missing::Unexplained }
+    fn cut_off(until: Timestamp) -> Self {
+        Grace { until, reason: GraceReason::MachineCutOff }
     }
 }
 
@@ -110,13 +118,14 @@
     pub fn remove_reported(&mut self, gone: &[TargetId], grace: Duration, now: Timestamp) {
         let listed = gone.iter().filter(|id| self.by_id.contains_key(*id)).count();
         let is_suspicious = listed >= SUSPICIOUS_COUNT && listed as f64 >= SUSPICIOUS_SHARE * self.by_id.len() as f64;
-        let grace = (is_suspicious && !grace.is_zero()).then(|| Grace::unexplained(now + grace));
+        let grace =
+            (is_suspicious && !grace.is_zero()).then(|| Grace { until: now + grace, reason: GraceReason::ManyMissing });
         for id in gone {
             let target = self.by_id.get(id).filter(|target| !target.registration.draining);
             let said = target.and_then(|target| self.last_cut_off_report(target, now));
             match said {
                 Some(said) => {
-                    self.graces.insert(id.clone(), Grace::unexplained(said + KEPT_AFTER_CUT));
+                    self.graces.insert(id.clone(), Grace::cut_off(said + KEPT_AFTER_CUT));
                 }
                 None => self.take_off(id, grace, now),
             }
@@ -130,7 +139,7 @@
     pub fn remove_after_outage(&mut self, missing: &[TargetId], until: Timestamp, now: Timestamp) {
         for id in missing {
             let is_draining = self.by_id.get(id).is_some_and(|target| target.registration.draining);
-            let grace = (until > now && !is_draining).then_some(Grace { until, why: Missing::AfterOutage });
+            let grace = (until > now && !is_draining).then_some(Grace { until, reason: GraceReason::AfterOutage });
             self.take_off(id, grace, now);
         }
     }
@@ -178,12 +187,12 @@
             }
             if self.at_address(target.registration.address).next().is_none() {
                 self.update(target.id.clone(), target.registration.clone(), now);
-                self.graces.insert(target.id.clone(), Grace::unexplained(now + KEPT_AFTER_CUT));
+                self.graces.insert(target.id.clone(), Grace::cut_off(now + KEPT_AFTER_CUT));
             }
         }
         for (id, grace) in &mut self.graces {
             let is_there = self.by_id.get(id).is_some_and(|target| target.registration.address.ip() == machine);
-            if is_there && grace.why == Missing::Unexplained {
+            if is_there && grace.reason != GraceReason::AfterOutage {
                 grace.until = now + KEPT_AFTER_CUT;
             }
         }
@@ -201,20 +210,34 @@
 
     /// When the target's node last reported that it can't read the store, if the report still holds.
     fn last_cut_off_report(&self, target: &Target, now: Timestamp) -> Option<Timestamp> {
-        let said = self.cut_off.get(&target.registration.address.ip()).copied();
-        said.filter(|said| now.since(*said) <= CUT_OFF_REPORT_HOLDS)
+        let machine = target.registration.address.ip();
+        self.cut_off.get(&machine).copied().filter(|_| self.is_reported_cut_off(machine, now))
+    }
+
+    /// The targets whose grace period is over.
+    pub fn expired(&self, now: Timestamp) -> Vec<TargetId> {
+        self.graces.iter().filter(|(_, grace)| grace.until <= now).map(|(id, _)| id.clone()).collect()
     }
 
     /// Takes the targets off the list whose grace period is over; returns whether there were any.
     pub fn drop_expired(&mut self, now: Timestamp) -> bool {
-        let over: Vec<TargetId> =
-            self.graces.iter().filter(|(_, grace)| grace.until <= now).map(|(id, _)| id.clone()).collect();
+        let over = self.expired(now);
         for id in &over {
             self.remove(id);
         }
         !over.is_empty()
     }
 
+    /// The grace period of a target that is kept though it has no registration.
+    pub fn grace(&self, id: &str) -> Option<Grace> {
+        self.graces.get(id).copied()
+    }
+
+    /// Whether the node of a machine has reported lately that it can't read the store.
+    pub fn is_reported_cut_off(&self, machine: IpAddr, now: Timestamp) -> bool {
+        self.cut_off.get(&machine).is_some_and(|said| now.since(*said) <= CUT_OFF_REPORT_HOLDS)
+    }
+
     /// The targets that are kept though they have no registration.
     pub fn kept(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.graces.keys().filter_map(|id| self.by_id.get(id))
@@ -227,7 +250,7 @@
             return;
         }
         self.update(id.clone(), registration, now);
-        self.graces.insert(id, Grace::unexplained(now + KEPT_AFTER_CUT));
+        self.graces.insert(id, Grace::cut_off(now + KEPT_AFTER_CUT));
     }
 
     /// Whether a target is listed on a machine.
--- a/crates/sidecar/src/reach.rs
+++ b/crates/sidecar/src/reach.rs
@@ -43,7 +43,11 @@
     let own = node.settings.local_target.ip();
     let mut targets = node.targets.borrow_mut();
     let grace_end = targets.next_grace_end();
+    let was_cut_off = targets.is_reported_cut_off(peer, now);
     targets.report_store_access(peer, has_lost_the_store(reach), now);
+    if was_cut_off != has_lost_the_store(reach) {
+        node.log_failure(|| format!("\"event\":\"peer-store-access\",\"peer\":\"{peer}\",\"lost\":{}", !was_cut_off));
+    }
     targets.report_store_access(own, has_lost_the_store(own_reach(node)), now);
     if grace_end != targets.next_grace_end() {
         node.grace_changed.notify_one();
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -7,7 +7,7 @@
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::replica::{Change, Extent, Update, UpdateError};
 use quillhatch_mesh::store_reader::{may_have_lapsed, written_again_within, REGISTERED_AGAIN_WITHIN};
-use quillhatch_mesh::targets::TargetId;
+use quillhatch_mesh::targets::{Grace, TargetId};
 use quillhatch_types::Timestamp;
 use tokio::time::sleep;
 
@@ -105,12 +105,21 @@
     }
     note_own_end(node, &gone);
     remove_gone(node, &gone);
-    for id in gone {
-        let kept = node.targets.borrow().get(&id).is_some();
-        node.log(&format!("\"event\":\"target-gone\",\"target\":{id:?},\"kept_for_now\":{kept}"));
+    for id in &gone {
+        log_gone(node, id, now);
     }
 }
 
+/// Writes whether a target whose registration is gone is kept, why and for how long.
+fn log_gone(node: &Node, id: &TargetId, now: Timestamp) {
+    let targets = node.targets.borrow();
+    let is_kept = targets.get(id).is_some();
+    let grace = targets.grace(id).map_or_else(String::new, |Grace { until, reason }| {
+        format!(",\"why\":\"{reason}\",\"kept_ms\":{}", now.until(until).as_millis())
+    });
+    node.log(&format!("\"event\":\"target-gone\",\"target\":{id:?},\"kept_for_now\":{is_kept}{grace}"));
+}
+
 /// A target has started again under its identity: nothing that was learnt of it before holds.
 fn restarted(node: &Rc<Node>, id: &TargetId) {
     node.log(&format!("\"event\":\"target-restarted\",\"target\":\"{id}\""));
@@ -177,8 +186,11 @@
             }
         }
         let now = node.now();
-        let dropped = node.targets.borrow_mut().drop_expired(now);
-        if dropped {
+        let over = node.targets.borrow().expired(now);
+        for id in &over {
+            node.log(&format!("\"event\":\"target-dropped\",\"target\":{id:?}"));
+        }
+        if node.targets.borrow_mut().drop_expired(now) {
             changed(&node);
         }
     }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -89,6 +89,7 @@
         }
         node.feed.loss.set(loss);
         if !node.own_access_lost.replace(true) {
+            node.log(&format!("\"event\":\"store-access\",\"lost\":true,\"why\":{:?}", error.to_string()));
             // The list keeps the own target from now on, also if its registration has ended.
             let own = node.settings.local_target.ip();
             let now = node.now();
@@ -103,7 +104,9 @@
 /// The store has answered a call that was sent at `sent`.
 fn reached(node: &Rc<Node>, sent: Timestamp) {
     node.store_reader.borrow_mut().reached();
-    node.own_access_lost.set(false);
+    if node.own_access_lost.replace(false) {
+        node.log("\"event\":\"store-access\",\"lost\":false");
+    }
     node.must_probe_store.set(false);
     let mut loss = node.feed.loss.get();
     // Until its first reading a process has no way to the store.
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::cut::Cut;
+use quillhatch_sidecar::reach::{heard, own_reach};
 use support::caller::{call, request};
 use support::store::{Mode, StandInStore};
 use support::target::{CrashRule, Habit};
@@ -152,7 +153,7 @@
         eventually("the new era is told", || !lines_of("store-era", "\"era\":2").is_empty()).await;
         let position = quillhatch_mesh::replica::Position { era: 9, revision: 1_000_000 };
         let later = quillhatch_sidecar::hop::Reach { position, is_cut_off: false };
-        quillhatch_sidecar::reach::heard(beta.node(), alpha.address.into(), later);
+        heard(beta.node(), alpha.address.into(), later);
         eventually("another node is asked", || !lines_of("caught-up", "\"heard\":\"9.1000000\"").is_empty()).await;
         store.configure("{");
         eventually("the broken one is told", || !lines_of("configuration-unusable", "").is_empty()).await;
@@ -168,10 +169,25 @@
         call(beta.outbound(), &read("after-restart")).await;
         eventually("the view is taken", || !lines_of("caught-up", &format!("sidecar-{address}")).is_empty()).await;
         eventually("the loss of the store is told", || !lines_of("store-lost", "").is_empty()).await;
+        eventually("its own access is told", || !lines_of("store-access", "\"lost\":true").is_empty()).await;
+        let beta_lost = quillhatch_sidecar::hop::Reach { is_cut_off: true, ..own_reach(beta.node()) };
+        heard(beta.node(), address.into(), beta_lost);
+        one("peer-store-access", &address.to_string());
         store.set_mode(Mode::Normal);
+        eventually("its own access is back", || !lines_of("store-access", "\"lost\":false").is_empty()).await;
         eventually("the store is reached", || lines_of("store-reached", &address.to_string()).len() > 1).await;
         one("started", &address.to_string());
         one("target", &alpha.target.id());
+
+        // A target that is gone while its machine reports that it can't read the store.
+        let id = alpha.target.id();
+        eventually("it is listed", || beta.node().targets.borrow().get(&id).is_some()).await;
+        let beta_lost = quillhatch_sidecar::hop::Reach { is_cut_off: true, ..own_reach(beta.node()) };
+        heard(beta.node(), address.into(), beta_lost);
+        store.unlist(&id);
+        let is_kept = || lines_of("target-gone", &id).iter().any(|line| line["why"] == "its machine is cut off");
+        eventually("why it is kept is told", is_kept).await;
+        eventually("that it is dropped is told", || !lines_of("target-dropped", &id).is_empty()).await;
         drop(restarted);
     });
 }
