Failing test: a target that leaves after an outage is called beyond the bound on drains

The fleet: eight nodes, each with an address of the store of its own; an outage in which a node that only reads when others can't has called the store in vain; all follow a reader again, then the store answers that node too; 3 s later its target leaves without a drain.

--- /dev/null
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -0,0 +1,98 @@
+//! Targets that leave shortly after the store was in trouble.
+
+mod support;
+
+use std::time::Duration;
+
+use quillhatch_sidecar::reach::own_reach;
+use support::caller::call;
+use support::shop::{document, read};
+use support::store::{Mode, StandInStore};
+use support::{eventually, run, Machine, BOUNDS};
+use tokio::time::{sleep, Instant};
+
+/// Longer than any call of the store takes until it is given up.
+const CALL_TIME: Duration = Duration::from_millis(1600);
+
+/// The machines of one service, each with an address of the store of its own.
+struct Fleet {
+    store: StandInStore,
+    addresses: Vec<StandInStore>,
+    machines: Vec<Machine>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Self {
+        let store = StandInStore::start().await;
+        store.configure(&document(5, "alpha"));
+        let mut addresses = Vec::new();
+        let mut machines = Vec::new();
+        for _ in 0..count {
+            let address = store.another_address().await;
+            machines.push(Machine::start(&address, "alpha", 8).await);
+            addresses.push(address);
+        }
+        let all_know = || machines.iter().all(|machine| machine.node().targets.borrow().len() == count);
+        eventually("all are listed everywhere", all_know).await;
+        Fleet { store, addresses, machines }
+    }
+
+    /// The store is in an outage, which ends for one node that had called it after the others have told that one of the end. Returns the
+    /// number of the node.
+    async fn outage(&self) -> usize {
+        self.addresses.iter().for_each(|address| address.set_mode(Mode::Silent));
+        let has_failed = |machine: &Machine| {
+            let node = machine.node();
+            !node.feed.place.borrow().is_head && node.own_access_lost.get()
+        };
+        eventually("a follower has called the store", || self.machines.iter().any(has_failed)).await;
+        let last = self.machines.iter().position(has_failed).expect("one has");
+        for (number, address) in self.addresses.iter().enumerate() {
+            if number != last {
+                address.set_mode(Mode::Normal);
+            }
+        }
+        let follows = |machine: &Machine| machine.node().feed.loss.get().since().is_none();
+        eventually("all have a way to the store", || self.machines.iter().all(follows)).await;
+        sleep(CALL_TIME).await;
+        eventually("all still have one", || self.machines.iter().all(follows)).await;
+        self.addresses[last].set_mode(Mode::Normal);
+        last
+    }
+
+    /// Calls through all machines but one in turn for a time.
+    async fn keep_calling(&self, but: usize, name: &str, longest: Duration) {
+        let begun = Instant::now();
+        for round in 0.. {
+            if begun.elapsed() >= longest {
+                return;
+            }
+            for (number, machine) in self.machines.iter().enumerate() {
+                if number == but {
+                    continue;
+                }
+                let answer = call(machine.outbound(), &read(&format!("{name}-{round}-{number}"))).await;
+                assert_eq!(answer.expect("an answer").status, 200, "{name}, after {:?}", begun.elapsed());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+#[test]
+fn a_target_that_leaves_after_an_outage_gets_no_calls_beyond_the_bound_on_drains() {
+    run(async {
+        let fleet = Fleet::start(8).await;
+        let number = fleet.outage().await;
+        fleet.keep_calling(number, "recovery", BOUNDS.contact).await;
+        let leaving = &fleet.machines[number];
+        let reports_loss = own_reach(leaving.node()).is_cut_off;
+
+        fleet.store.unlist(&leaving.target.id());
+        fleet.keep_calling(number, "leaving", BOUNDS.drain).await;
+        leaving.target.take_ran();
+        fleet.keep_calling(number, "left", Duration::from_secs(2)).await;
+        let late = leaving.target.take_ran().len();
+        assert_eq!((late, reports_loss), (0, false), "late calls, and whether its node reported a lost store before");
+    });
+}
