A node whose own call of the store failed calls it again once others can read it

What callers saw: their requests reached a target 2.3 s after it had left; 2 s are allowed.

Cause: a node whose turn to read the store came in an outage took its own access for lost until a later call of its own succeeded. Once a reader was back it followed that one and made no more calls, so it went on reporting a lost store with every call. When its target left without a drain, the other nodes took the end of the registration for a lapse on a machine that is cut off, and kept the target for 2.9 s after the last such report. Class: a failure that was observed once is told as a present state, with nothing that looks again.

Ruled out: an outage's grace (a node that started after the outage keeps the target too), a late change (all nodes knew within 0.53 s).

Change: while the last own call has failed and others have read the store since, the node calls the store once; it goes on, with the pauses of failed calls, until one succeeds. Then the report ends, or it is true. Waiting nodes are woken when another node is well again.

--- a/crates/mesh/tests/decisions/feed.rs
+++ b/crates/mesh/tests/decisions/feed.rs
@@ -3,13 +3,17 @@
 use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use quillhatch_mesh::feed::{FeedCandidate, FeedLoss, FeedPlace, FeedTree, SourceChoice, CUT_OFF_AFTER, FANOUT};
+use quillhatch_mesh::feed::{
+    FeedCandidate, FeedLoss, FeedPlace, FeedTree, LoneReadings, NextTurn, ReadingTurn, SourceChoice, TurnInputs,
+    CUT_OFF_AFTER, FANOUT,
+};
 use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
-use crate::registration;
+use crate::{registration, BOUNDS};
 
 const fn ms(milliseconds: u64) -> Timestamp {
     Timestamp::from_millis(milliseconds)
@@ -202,3 +206,31 @@
     assert_eq!(loss.store_read(), None);
     assert!(!loss.is_cut_off(ms(9000)));
 }
+
+#[test_case(true, None, NextTurn::Now(ReadingTurn::Once); "others have read the store since")]
+#[test_case(true, Some(500), NextTurn::After(Duration::from_millis(300)); "nobody can, as far as it knows")]
+#[test_case(false, None, NextTurn::Unknown; "no call has failed")]
+fn a_node_whose_call_has_failed_calls_again_once_others_can(
+    has_failed: bool,
+    lost_at: Option<u64>,
+    expected: NextTurn,
+) {
+    let mut loss = FeedLoss::default();
+    if let Some(at) = lost_at {
+        loss.call_failed(ms(at), None);
+    }
+    let place = FeedPlace { ahead: 0, candidates: machines(2), ..FeedPlace::default() };
+    let inputs = TurnInputs {
+        has_view: true,
+        must_probe: false,
+        has_failed,
+        place: &place,
+        loss,
+        read_at: None,
+        is_isolated: false,
+        lone_readings: LoneReadings::default(),
+        proof_lasts: None,
+        draw: 0.0,
+    };
+    assert_eq!(inputs.next_turn(&BOUNDS, ms(500)), expected);
+}
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -24,9 +24,24 @@
 use std::time::Duration;
 
 use quillhatch_mesh::configuration::{Destination, Repeatability, Route};
+use quillhatch_mesh::limits::LimitBounds;
+use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_types::Timestamp;
 
+const BOUNDS: Bounds = Bounds {
+    stop_grace: Duration::from_secs(6),
+    drain: Duration::from_secs(2),
+    apply: Duration::from_secs(2),
+    contact: Duration::from_secs(3),
+    retry_ratio: 0.2,
+    retry_window: Duration::from_secs(10),
+    retry_slack: 55.0,
+    revocation: None,
+    limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
+    heartbeat: Duration::from_millis(1500),
+};
+
 fn milliseconds(count: u64) -> Timestamp {
     Timestamp::from_millis(count)
 }
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::targets::{Registration, TargetTable};
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
-use crate::{milliseconds, registration};
+use crate::{milliseconds, registration, BOUNDS};
 
 #[test]
 fn a_target_that_follows_another_takes_its_place_for_good() {
@@ -135,18 +134,7 @@
 #[test_case(0.5, 0.5; "bounds too short for any grace")]
 fn the_grace_of_many_targets_ends_within_the_bound_on_drains(drain_s: f64, apply_s: f64) {
     let (drain, apply) = (Duration::from_secs_f64(drain_s), Duration::from_secs_f64(apply_s));
-    let bounds = Bounds {
-        stop_grace: Duration::from_secs(6),
-        drain,
-        apply,
-        contact: Duration::from_secs(3),
-        retry_ratio: 0.2,
-        retry_window: Duration::from_secs(10),
-        retry_slack: 55.0,
-        revocation: None,
-        limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
-        heartbeat: Duration::from_millis(1500),
-    };
+    let bounds = Bounds { drain, apply, ..BOUNDS };
     assert!(bounds.gather() < drain.min(apply) / 2);
     let all = bounds.gather() + bounds.longest_grace();
     assert!(all + Duration::from_millis(500) <= drain || bounds.longest_grace().is_zero(), "{all:?} of {drain:?}");
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -84,6 +84,8 @@
     pub access: Access,
     pub ailment: Ailment,
     pub loss: FeedLoss,
+    /// Whether its own last call of the store has failed.
+    pub has_failed: bool,
     pub read_at: Option<Timestamp>,
     choice: SourceChoice,
     reader: StoreReader,
@@ -196,6 +198,7 @@
                 access: Access::Served,
                 ailment: Ailment::None,
                 loss: FeedLoss::default(),
+                has_failed: false,
                 read_at: Some(Timestamp::ZERO),
                 choice: SourceChoice::default(),
                 reader: StoreReader::default(),
@@ -479,6 +482,7 @@
         let inputs = TurnInputs {
             has_view: true,
             must_probe: false,
+            has_failed: node.has_failed,
             place: &node.place,
             loss: node.loss,
             read_at: node.read_at,
@@ -510,6 +514,7 @@
         // Others may have told more meanwhile.
         let _ = node.replica.take(update, now);
         node.reader.reached();
+        node.has_failed = false;
         node.read_at = node.read_at.max(Some(reading.sent));
         node.loss.store_read();
         if has_changes {
@@ -521,6 +526,7 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         let Some(reading) = node.reading.take() else { return };
+        node.has_failed = true;
         node.loss.call_failed(reading.sent, node.read_at);
         let longest = node.reader.failed(true, &BOUNDS);
         node.read_after = now + longest.mul_f64(self.random.gen_range(0.5..1.0));
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -145,6 +145,41 @@
     assert!(fleet.nodes.iter().all(|node| node.loss.since().is_none()), "all know that it is back");
 }
 
+#[test_case(12, 3)]
+#[test_case(100, 5)]
+#[test_case(1000, 5)]
+fn after_an_outage_no_node_takes_its_own_access_for_lost(nodes: usize, zones: usize) {
+    for outage in [900, 2_300, 4_100, 8_000] {
+        let mut fleet = Fleet::new(nodes, zones, 9);
+        fleet.set_down(true);
+        fleet.play(outage);
+        let failed = fleet.nodes.iter().filter(|node| node.has_failed).count();
+        let calls = fleet.store.calls;
+        fleet.set_down(false);
+        fleet.play(BOUNDS.contact.as_millis() as u64);
+        let still = fleet.nodes.iter().filter(|node| node.has_failed).count();
+        assert_eq!(still, 0, "of {failed} after {outage} ms");
+        let verified = fleet.store.calls - calls;
+        let watched = 3 * 6 + 10;
+        assert!(verified <= failed + watched, "{verified} calls to verify {failed} failed ones");
+    }
+}
+
+#[test]
+fn machines_that_are_turned_away_for_long_call_the_store_seldom() {
+    let mut fleet = Fleet::new(300, 5, 10);
+    let readers = fleet.readers();
+    strike(&mut fleet, &readers, Ailment::None, Access::Refused);
+    fleet.play(4_000);
+    let turned_away: Vec<usize> = (0..300).filter(|number| fleet.nodes[*number].has_failed).collect();
+    let (before, longest_pause) = (fleet.store.calls, BOUNDS.contact / 2);
+    fleet.play(20_000);
+    let calls = fleet.store.calls - before;
+    let often = Duration::from_secs(20).div_duration_f64(longest_pause / 2) as usize;
+    let watched = 3 * 20;
+    assert!(calls <= often * turned_away.len() + watched, "{calls} calls of {} turned away", turned_away.len());
+}
+
 #[test]
 fn all_follow_a_store_that_came_back_from_an_older_copy_and_none_goes_back() {
     let mut fleet = Fleet::new(100, 5, 7);
--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -154,7 +154,11 @@
         let lost_since = loss.since();
         let outage_since = loss.other_is_well(supply.read_at);
         node.feed.loss.set(loss);
-        store::regained(node, lost_since.filter(|_| loss.since().is_none()), outage_since);
+        let regained = lost_since.filter(|_| loss.since().is_none());
+        store::regained(node, regained, outage_since);
+        if regained.is_some() {
+            node.feed.advanced.notify_waiters();
+        }
     }
     verdict
 }
