A target that is kept without a registration is asked whether it leaves

What callers may see: requests reach a target after the bound on drains when its machine is cut off from the store within a moment after it has left, or when it leaves as the cut ends (its registration has run out by then, and no change of the store shows that it leaves).

Cause, of the same class: that a registration ended and that a machine is cut off were taken together for a lapse. Which of the two it was, only the target knows, and nobody asked it.

Change: while the target beside a node has no registration and is kept, its node asks it by its health check every 0.3 s. If it says that it leaves, the gate closes: calls of nodes that still keep it are turned away unrun and go elsewhere, and the node no longer tells others of it. An answer that it is full tells nothing. A target whose check fails for another reason while it has no registration gets no calls either, until it is registered again.

Tests changed: log_lines gives the restarted node an address of the store of its own and takes the identity of the crashed target off the list, as a lapse does; that the store is reached is now told by any node that had lost it, counted from the moment when it is back, since the restarted node itself may not have been without a way to it.

--- a/crates/sidecar/src/feed/answer.rs
+++ b/crates/sidecar/src/feed/answer.rs
@@ -16,6 +16,7 @@
 use super::codec::{decode_position, encode_target, encode_update};
 use crate::body::{read_up_to, Body, Read};
 use crate::node::Node;
+use crate::present_target;
 use crate::reach::own_reach;
 
 /// The largest question in bytes.
@@ -93,7 +94,7 @@
     let targets = node.targets.borrow();
     let present = node.present.borrow();
     let own = present.as_ref().filter(|_| own_reach(node).is_cut_off).and_then(|present| targets.get(present));
-    let all = targets.kept().chain(own);
+    let all = targets.kept().chain(own).filter(|target| !present_target::leaves(node, &target.id));
     all.map(|target| encode_target(0, &target.id, &target.registration)).collect()
 }
 
--- /dev/null
+++ b/crates/sidecar/src/gate/kept_target.rs
@@ -0,0 +1,42 @@
+//! Asks the target beside this node whether it is leaving while it has no registration.
+//!
+//! A registration ends when its target leaves, and also when the target's machine can't get at the store. The target itself tells which, and
+//! its node closes the gate for calls of nodes that still keep it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::node::Node;
+use crate::present_target::{self, HealthAnswer, Identity};
+
+/// How often the target is asked: several times within the shortest bound on drains.
+const ASKED_EACH: Duration = Duration::from_millis(300);
+
+/// Watches over the target until the process ends.
+pub async fn watch_kept_target(node: Rc<Node>) {
+    loop {
+        if present_target::kept(&node).is_none() {
+            node.target_kept.notified().await;
+            continue;
+        }
+        let HealthAnswer { identity, is_leaving } = present_target::ask_health(&node).await;
+        if let Identity::Known(id) = identity {
+            present_target::learn(&node, &id);
+            note(&node, is_leaving);
+        }
+        sleep(ASKED_EACH).await;
+    }
+}
+
+/// Takes note of what the target has told. One that takes itself for well again is called again.
+fn note(node: &Rc<Node>, is_leaving: bool) {
+    let leaving = present_target::kept(node).filter(|_| is_leaving);
+    if *node.leaving_target.borrow() == leaving {
+        return;
+    }
+    node.log(&format!("\"event\":\"target-leaving\",\"leaving\":{is_leaving}"));
+    *node.leaving_target.borrow_mut() = leaving;
+    present_target::follow_list(node);
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -1,5 +1,6 @@
 //! The gate: takes calls of other nodes for this node's target, and hands over what the target can work on.
 
+mod kept_target;
 mod slots;
 mod suspects;
 mod target_end;
@@ -31,6 +32,7 @@
 use crate::present_target;
 use crate::reach;
 use crate::relay::{relay_answer, relay_answer_holding};
+pub use kept_target::watch_kept_target;
 use slots::admit;
 pub use slots::{dismiss, hand_out, Slot};
 pub use target_end::{identified, target_restarted};
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -77,6 +77,10 @@
     pub present_told_at: Cell<Timestamp>,
     /// Held while the target is asked for its identity.
     pub verifying: tokio::sync::Mutex<()>,
+    /// The target beside this node, if it has told that it is leaving while it had no registration.
+    pub leaving_target: RefCell<Option<TargetId>>,
+    /// Wakes whoever asks the target beside this node while it has no registration.
+    pub target_kept: Notify,
     /// Whether the list of targets was read at least once.
     pub targets_known: Cell<bool>,
     /// What is known of other targets.
@@ -200,6 +204,8 @@
             present_verified: Cell::new(false),
             present_told_at: Cell::new(now),
             verifying: tokio::sync::Mutex::default(),
+            leaving_target: RefCell::default(),
+            target_kept: Notify::new(),
             targets_known: Cell::new(false),
             balance: RefCell::new(Balance::new(settings.mechanisms)),
             cuts: RefCell::default(),
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -9,7 +9,7 @@
 
 use http_body_util::BodyExt;
 use hyper::header::HOST;
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use quillhatch_mesh::targets::{TargetId, TargetTable};
 use quillhatch_platform::headers;
 
@@ -27,7 +27,8 @@
 pub fn present(node: &Node) -> Option<PresentTarget> {
     let id = node.present.borrow().clone()?;
     let is_draining = node.targets.borrow().get(&id).is_some_and(|target| target.registration.draining);
-    (!is_draining).then(|| PresentTarget { id: id.to_string(), service: node.settings.service.clone() })
+    (!is_draining && !leaves(node, &id))
+        .then(|| PresentTarget { id: id.to_string(), service: node.settings.service.clone() })
 }
 
 /// Whether calls for the target with this identity are taken.
@@ -74,25 +75,48 @@
     Unknown,
 }
 
+/// What the target's health check tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HealthAnswer {
+    /// Who the target is.
+    pub identity: Identity,
+    /// Whether it is leaving, or takes itself for unhealthy. A target that is only full does not tell.
+    pub is_leaving: bool,
+}
+
+impl HealthAnswer {
+    fn without_answer(identity: Identity) -> Self {
+        HealthAnswer { identity, is_leaving: false }
+    }
+}
+
 /// Asks the target for its identity.
 pub async fn ask(node: &Rc<Node>) -> Identity {
-    let Some(path) = health_path(node) else { return Identity::Unknown };
+    ask_health(node).await.identity
+}
+
+/// Asks the target for its identity and whether it is leaving.
+pub async fn ask_health(node: &Rc<Node>) -> HealthAnswer {
+    let unknown = HealthAnswer::without_answer(Identity::Unknown);
+    let Some(path) = health_path(node) else { return unknown };
     let address = node.settings.local_target;
     let request = Request::get(path).header(HOST, address.to_string()).body(Body::empty());
-    let Ok(request) = request else { return Identity::Unknown };
+    let Ok(request) = request else { return unknown };
     let exchange = async {
         let (response, lease) = match node.target.exchange(address, request).await {
             Ok(answered) => answered,
-            Err(ExchangeError::Refused) => return Identity::Refused,
-            Err(_) => return Identity::Unknown,
+            Err(ExchangeError::Refused) => return HealthAnswer::without_answer(Identity::Refused),
+            Err(_) => return HealthAnswer::without_answer(Identity::Unknown),
         };
         let id = text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
+        let is_full = response.headers().contains_key(headers::REQUEST_NOT_RUN);
+        let is_leaving = response.status() == StatusCode::SERVICE_UNAVAILABLE && !is_full;
         if response.into_body().collect().await.is_ok() {
             lease.keep();
         }
-        id.map_or(Identity::Unknown, Identity::Known)
+        HealthAnswer { identity: id.map_or(Identity::Unknown, Identity::Known), is_leaving }
     };
-    tokio::time::timeout(VERIFY_TIMEOUT, exchange).await.unwrap_or(Identity::Unknown)
+    tokio::time::timeout(VERIFY_TIMEOUT, exchange).await.unwrap_or(unknown)
 }
 
 fn health_path(node: &Node) -> Option<String> {
@@ -141,6 +165,17 @@
     others.any(|other| other.listed_at > since && *other.registration.service == *node.settings.service)
 }
 
+/// The target beside this node, if it is kept though it has no registration.
+pub fn kept(node: &Node) -> Option<TargetId> {
+    let present = node.present.borrow();
+    present.as_ref().filter(|id| node.targets.borrow().grace(id).is_some()).cloned()
+}
+
+/// Whether the target beside this node has no registration and has told that it is leaving.
+pub fn leaves(node: &Node, id: &TargetId) -> bool {
+    node.leaving_target.borrow().as_ref() == Some(id) && node.targets.borrow().grace(id).is_some()
+}
+
 /// Lets the gate follow the list of targets.
 pub fn follow_list(node: &Rc<Node>) {
     let targets = node.targets.borrow();
@@ -161,13 +196,16 @@
     if let Some(target) = &listed {
         node.gate.borrow_mut().set_slots(target.registration.slots);
     }
-    let is_leaving = listed.as_ref().is_some_and(|target| target.registration.draining);
+    let is_leaving = listed.as_ref().is_some_and(|target| target.registration.draining || leaves(node, &target.id));
     // A target that is not listed yet may be told of before; one that was listed and is not has left.
     let has_left = listed.is_none() && told.as_ref().is_none_or(|id| node.seen_listed.borrow().as_ref() == Some(id));
     if let Some(target) = &listed {
         *node.seen_listed.borrow_mut() = Some(target.id.clone());
         *node.present.borrow_mut() = Some(target.id.clone());
     }
+    if kept(node).is_some() {
+        node.target_kept.notify_one();
+    }
     if is_leaving || has_left || node.is_stopping() {
         node.gate.borrow_mut().close();
     } else {
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -185,6 +185,7 @@
     tasks.spawn_local(feed::follow(Rc::clone(&node)));
     tasks.spawn_local(feed::catch_up(Rc::clone(&node)));
     tasks.spawn_local(feed::find_unregistered(Rc::clone(&node)));
+    tasks.spawn_local(gate::watch_kept_target(Rc::clone(&node)));
     tasks.spawn_local(store::drop_expired(Rc::clone(&node)));
     if node.has(Mechanism::SharedReads) {
         tasks.spawn_local(store::watch_access(Rc::clone(&node)));
--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -60,17 +60,14 @@
         last
     }
 
-    /// Calls through all machines but one in turn for a time.
-    async fn keep_calling(&self, but: usize, name: &str, longest: Duration) {
+    /// Calls through all machines in turn for a time.
+    async fn keep_calling(&self, name: &str, longest: Duration) {
         let begun = Instant::now();
         for round in 0.. {
             if begun.elapsed() >= longest {
                 return;
             }
             for (number, machine) in self.machines.iter().enumerate() {
-                if number == but {
-                    continue;
-                }
                 let answer = call(machine.outbound(), &read(&format!("{name}-{round}-{number}"))).await;
                 assert_eq!(answer.expect("an answer").status, 200, "{name}, after {:?}", begun.elapsed());
             }
@@ -79,19 +76,61 @@
     }
 }
 
+/// The number of a node that no other one follows.
+fn follower(fleet: &Fleet) -> usize {
+    let follows = |machine: &Machine| !machine.node().feed.place.borrow().is_head;
+    fleet.machines.iter().position(follows).expect("few nodes are heads")
+}
+
+#[test]
+fn a_target_that_leaves_before_its_machine_is_cut_off_gets_no_calls_beyond_the_bound_on_drains() {
+    run(async {
+        let fleet = Fleet::start(8).await;
+        let number = follower(&fleet);
+        let leaving = &fleet.machines[number];
+        fleet.keep_calling("before", Duration::from_secs(1)).await;
+        leaving.target.leave();
+        fleet.store.unlist(&leaving.target.id());
+        fleet.addresses[number].set_mode(Mode::Silent);
+        fleet.keep_calling("leaving", BOUNDS.drain).await;
+        leaving.target.take_ran();
+        fleet.keep_calling("left", Duration::from_secs(3)).await;
+        assert_eq!(leaving.target.take_ran().len(), 0, "late calls");
+    });
+}
+
+#[test]
+fn a_target_that_leaves_when_its_machine_is_no_longer_cut_off_gets_no_calls_beyond_the_bound_on_drains() {
+    run(async {
+        let fleet = Fleet::start(8).await;
+        let number = follower(&fleet);
+        let leaving = &fleet.machines[number];
+        fleet.addresses[number].set_mode(Mode::Silent);
+        fleet.store.unlist(&leaving.target.id());
+        fleet.keep_calling("cut off", Duration::from_secs(4)).await;
+        assert!(!leaving.target.take_ran().is_empty(), "its registration has run out, and it serves");
+        fleet.addresses[number].set_mode(Mode::Normal);
+        leaving.target.leave();
+        fleet.keep_calling("leaving", BOUNDS.drain).await;
+        leaving.target.take_ran();
+        fleet.keep_calling("left", Duration::from_secs(3)).await;
+        assert_eq!(leaving.target.take_ran().len(), 0, "late calls");
+    });
+}
+
 #[test]
 fn a_target_that_leaves_after_an_outage_gets_no_calls_beyond_the_bound_on_drains() {
     run(async {
         let fleet = Fleet::start(8).await;
         let number = fleet.outage().await;
-        fleet.keep_calling(number, "recovery", BOUNDS.contact).await;
+        fleet.keep_calling("recovery", BOUNDS.contact).await;
         let leaving = &fleet.machines[number];
         let reports_loss = own_reach(leaving.node()).is_cut_off;
 
         fleet.store.unlist(&leaving.target.id());
-        fleet.keep_calling(number, "leaving", BOUNDS.drain).await;
+        fleet.keep_calling("leaving", BOUNDS.drain).await;
         leaving.target.take_ran();
-        fleet.keep_calling(number, "left", Duration::from_secs(2)).await;
+        fleet.keep_calling("left", Duration::from_secs(2)).await;
         let late = leaving.target.take_ran().len();
         assert_eq!((late, reports_loss), (0, false), "late calls, and whether its node reported a lost store before");
     });
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -137,6 +137,7 @@
         let signature = line["signatures"][0].as_str().expect("a signature").to_owned();
         assert!(one("gate", "crashing")["why"].as_str().is_some_and(|why| why.contains(&signature)));
         eventually("the target is back", || alpha.target.id() != ended).await;
+        store.unlist(&ended);
         store.list(&alpha.target, "ready");
 
         // What changes a node's belief.
@@ -164,7 +165,9 @@
             one(event, &address.to_string());
         }
         alpha.target.set_habit(Habit::Good);
-        let restarted = start_sidecar(address, "alpha", local, store.address);
+        let turned_away = store.another_address().await;
+        turned_away.set_mode(Mode::Silent);
+        let restarted = start_sidecar(address, "alpha", local, turned_away.address);
         sleep(Duration::from_millis(300)).await;
         call(beta.outbound(), &read("after-restart")).await;
         eventually("the view is taken", || !lines_of("caught-up", &format!("sidecar-{address}")).is_empty()).await;
@@ -173,15 +176,24 @@
         let beta_lost = quillhatch_sidecar::hop::Reach { is_cut_off: true, ..own_reach(beta.node()) };
         heard(beta.node(), address.into(), beta_lost);
         one("peer-store-access", &address.to_string());
+        let reached = || lines_of("store-reached", "").len();
+        let before = reached();
         store.set_mode(Mode::Normal);
+        turned_away.set_mode(Mode::Normal);
         eventually("its own access is back", || !lines_of("store-access", "\"lost\":false").is_empty()).await;
-        eventually("the store is reached", || lines_of("store-reached", &address.to_string()).len() > 1).await;
+        eventually("the store is reached", || reached() > before).await;
         one("started", &address.to_string());
         one("target", &alpha.target.id());
 
         // A target that is gone while its machine reports that it can't read the store.
         let id = alpha.target.id();
         eventually("it is listed", || beta.node().targets.borrow().get(&id).is_some()).await;
+        alpha.target.leave();
+        turned_away.set_mode(Mode::Silent);
+        store.unlist(&id);
+        eventually("that it leaves is told", || !lines_of("target-leaving", &address.to_string()).is_empty()).await;
+        store.list(&alpha.target, "ready");
+        eventually("it is listed", || beta.node().targets.borrow().get(&id).is_some()).await;
         let beta_lost = quillhatch_sidecar::hop::Reach { is_cut_off: true, ..own_reach(beta.node()) };
         heard(beta.node(), address.into(), beta_lost);
         store.unlist(&id);
