Targets that a node has at second hand are kept no longer than by the node that tells of them

What callers may see: requests reach a target that left long ago.

Nodes that ask each other in turn, as while several machines are cut off, can keep a target that has left for as long as they ask.

Change: the answer tells for how long the node keeps each target, and the one that asks keeps it no longer. Only the target's own node, which reports for itself, gives the full time; its target comes first in the answer.

Test: four tables that tell each other every 0.8 s; all drop the target when the first one does (3.9 s); with 2.9 s from each one's own moment the last one would keep it until 6.5 s.

--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets.rs
@@ -106,7 +106,7 @@
 const CUT_OFF_REPORT_HOLDS: Duration = Duration::from_secs(2);
 /// For how long a target is kept after its node's last such report: one heartbeat of the target, and the lag of the list.
 /// Shorter than the time after a cut from which a machine must keep the bound on drains again (3 s).
-const KEPT_AFTER_CUT: Duration = Duration::from_millis(2900);
+pub const KEPT_AFTER_CUT: Duration = Duration::from_millis(2900);
 /// For how long removed targets are remembered.
 const REMEMBERED_FOR: Duration = Duration::from_secs(3);
 
@@ -238,19 +238,21 @@
         self.cut_off.get(&machine).is_some_and(|said| now.since(*said) <= CUT_OFF_REPORT_HOLDS)
     }
 
-    /// The targets that are kept though they have no registration.
-    pub fn kept(&self) -> impl Iterator<Item = &Arc<Target>> {
-        self.graces.keys().filter_map(|id| self.by_id.get(id))
+    /// The targets that are kept though they have no registration, and until when.
+    pub fn kept(&self) -> impl Iterator<Item = (&Arc<Target>, Timestamp)> {
+        self.graces.iter().filter_map(|(id, grace)| Some((self.by_id.get(id)?, grace.until)))
     }
 
-    /// Lists a target of which another node tells that it serves without a registration, unless one is listed at its address. It is kept as
-    /// one whose machine has reported now that it is cut off.
-    pub fn keep_unregistered(&mut self, id: TargetId, registration: Registration, now: Timestamp) {
-        if registration.draining || self.at_address(registration.address).next().is_some() {
+    /// Lists a target of which another node tells that it serves without a registration, unless one is listed at its address.
+    ///
+    /// It is kept for `left`, as long as the other node would keep it, so that nodes that only have it from each other don't keep it for ever.
+    /// A report of the target's own machine prolongs it.
+    pub fn keep_unregistered(&mut self, id: TargetId, registration: Registration, left: Duration, now: Timestamp) {
+        if left.is_zero() || registration.draining || self.at_address(registration.address).next().is_some() {
             return;
         }
         self.update(id.clone(), registration, now);
-        self.graces.insert(id, Grace::cut_off(now + KEPT_AFTER_CUT));
+        self.graces.insert(id, Grace::cut_off(now + left.min(KEPT_AFTER_CUT)));
     }
 
     /// Whether a target is listed on a machine.
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -85,6 +85,26 @@
     assert_eq!(targets.len(), 1, "it had said that it leaves");
 }
 
+#[test]
+fn nodes_that_have_an_unregistered_target_only_from_each_other_drop_it_when_the_first_one_does() {
+    let id: Arc<str> = Arc::from("unregistered");
+    let listed = registration("alpha", "10.0.0.1:80", "here");
+    let mut tables = vec![TargetTable::default(); 4];
+    tables[0].update(id.clone(), listed.clone(), Timestamp::ZERO);
+    tables[0].report_store_access(listed.address.ip(), true, milliseconds(1_000));
+    tables[0].remove_reported(std::slice::from_ref(&id), Duration::ZERO, milliseconds(1_200));
+    for number in 1..tables.len() {
+        let now = milliseconds(1_200 + 800 * number as u64);
+        let told: Vec<_> =
+            tables[number - 1].kept().map(|(target, until)| (target.clone(), now.until(until))).collect();
+        for (target, left) in told {
+            tables[number].keep_unregistered(target.id.clone(), target.registration.clone(), left, now);
+        }
+    }
+    let ends: Vec<_> = tables.iter().filter_map(TargetTable::next_grace_end).collect();
+    assert_eq!(ends, [milliseconds(3_900); 4]);
+}
+
 #[test]
 fn targets_that_are_gone_together_with_many_are_kept_for_a_grace_period() {
     let mut targets = TargetTable::default();
--- a/crates/sidecar/src/feed/answer.rs
+++ b/crates/sidecar/src/feed/answer.rs
@@ -8,12 +8,13 @@
 use hyper::{Response, StatusCode};
 use quillhatch_mesh::feed::hold_time;
 use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::targets::KEPT_AFTER_CUT;
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
 use tokio::time::timeout;
 
-use super::codec::{decode_position, encode_target, encode_update};
+use super::codec::{decode_position, encode_kept, encode_update};
 use crate::body::{read_up_to, Body, Read};
 use crate::node::Node;
 use crate::present_target;
@@ -73,7 +74,7 @@
     }
 }
 
-fn render(node: &Node, from: Position, arrived: Timestamp, kept: Vec<wire::RegisteredTarget>) -> Bytes {
+fn render(node: &Node, from: Position, arrived: Timestamp, kept: Vec<wire::KeptTarget>) -> Bytes {
     let now = node.now();
     let lost = node.feed.loss.get().since().map_or(0, |since| now.since(since).as_millis().max(1) as u64);
     let read = node.feed.read_at.get().unwrap_or_default();
@@ -90,12 +91,14 @@
 }
 
 /// The targets that serve without a registration: those that are kept, and the own one of a node that is cut off.
-fn unregistered(node: &Node) -> Vec<wire::RegisteredTarget> {
+fn unregistered(node: &Node) -> Vec<wire::KeptTarget> {
+    let now = node.now();
     let targets = node.targets.borrow();
     let present = node.present.borrow();
     let own = present.as_ref().filter(|_| own_reach(node).is_cut_off).and_then(|present| targets.get(present));
-    let all = targets.kept().chain(own).filter(|target| !present_target::leaves(node, &target.id));
-    all.map(|target| encode_target(0, &target.id, &target.registration)).collect()
+    let own = own.map(|target| (target, now + KEPT_AFTER_CUT));
+    let all = own.into_iter().chain(targets.kept()).filter(|(target, _)| !present_target::leaves(node, &target.id));
+    all.map(|(target, until)| encode_kept(target, now.until(until))).collect()
 }
 
 /// How long before `arrived` the moment `at` was, in milliseconds and rounded up; negative if it was after it.
--- a/crates/sidecar/src/feed/codec.rs
+++ b/crates/sidecar/src/feed/codec.rs
@@ -5,7 +5,7 @@
 
 use derive_more::Display;
 use quillhatch_mesh::replica::{Change, Extent, Position, RevisedChange, Update};
-use quillhatch_mesh::targets::Registration;
+use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_platform::configuration::read_configuration;
 
@@ -56,7 +56,13 @@
     message
 }
 
-pub(super) fn encode_target(revision: u64, id: &str, registration: &Registration) -> wire::RegisteredTarget {
+/// A target without a registration that is kept for `left`.
+pub(super) fn encode_kept(target: &Target, left: Duration) -> wire::KeptTarget {
+    let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+    wire::KeptTarget { target: Some(encode_target(0, &target.id, &target.registration)), left_ms }
+}
+
+fn encode_target(revision: u64, id: &str, registration: &Registration) -> wire::RegisteredTarget {
     wire::RegisteredTarget {
         id: id.to_owned(),
         service: registration.service.to_string(),
--- a/crates/sidecar/src/feed/question.rs
+++ b/crates/sidecar/src/feed/question.rs
@@ -92,14 +92,16 @@
 }
 
 /// Lists targets that serve without a registration. One that can't be read is left out.
-fn keep_unregistered(node: &Rc<Node>, kept: &[wire::RegisteredTarget]) {
+fn keep_unregistered(node: &Rc<Node>, kept: &[wire::KeptTarget]) {
     if kept.is_empty() {
         return;
     }
     let now = node.now();
-    for target in kept {
+    for wire::KeptTarget { target, left_ms } in kept {
+        let Some(target) = target else { continue };
         let Ok(registration) = decode_target(target) else { continue };
-        node.targets.borrow_mut().keep_unregistered(Arc::from(target.id.as_str()), registration, now);
+        let (id, left) = (Arc::from(target.id.as_str()), Duration::from_millis(u64::from(*left_ms)));
+        node.targets.borrow_mut().keep_unregistered(id, registration, left, now);
     }
     node.grace_changed.notify_one();
     changed(node);
