Test of starting nodes: the pages allowed follow from whom the first page shows

Cause: the bound took for granted that at most one of the three new nodes reads all pages. A node does if the first page, which holds the configuration and the least identity, shows only its own target; identities are drawn, so two of three may.

--- a/crates/sidecar/tests/feed.rs
+++ b/crates/sidecar/tests/feed.rs
@@ -61,15 +61,20 @@
         store.set_page(2);
         sleep(Duration::from_millis(500)).await;
         let before = store.calls_to("/kv-range");
-        let mut late = Vec::new();
+        let mut late: Vec<Machine> = Vec::new();
+        let mut shown_first = 0;
         for _ in 0..3 {
-            late.push(Machine::start(&store, "beta", 8).await);
+            let machine = Machine::start(&store, "beta", 8).await;
+            let id = machine.target.id();
+            let is_least = machines.iter().chain(&late).all(|other| id < other.target.id());
+            shown_first += usize::from(is_least);
+            late.push(machine);
         }
         let all_know = || late.iter().all(|machine| machine.node().targets.borrow().len() == 9);
         eventually("they know all targets", all_know).await;
         let pages = store.calls_to("/kv-range") - before;
-        // One that stands first among all reads everything itself.
-        assert!(pages <= 3 + 5, "{pages} pages");
+        // One that finds only itself on the first page reads the other pages too, of which there are four.
+        assert!(pages <= 3 + 4 * shown_first, "{pages} pages, {shown_first} found themselves");
         drop(machines);
     });
 }
