Soak: half of the targets that leave do so without a drain

Now half of them take their registration away, their health check tells that they leave, and the check of drains is the same for both.

--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -89,7 +89,7 @@
         let number = follower(&fleet);
         let leaving = &fleet.machines[number];
         fleet.keep_calling("before", Duration::from_secs(1)).await;
-        leaving.target.leave();
+        leaving.target.set_leaving(true);
         fleet.store.unlist(&leaving.target.id());
         fleet.addresses[number].set_mode(Mode::Silent);
         fleet.keep_calling("leaving", BOUNDS.drain).await;
@@ -110,7 +110,7 @@
         fleet.keep_calling("cut off", Duration::from_secs(4)).await;
         assert!(!leaving.target.take_ran().is_empty(), "its registration has run out, and it serves");
         fleet.addresses[number].set_mode(Mode::Normal);
-        leaving.target.leave();
+        leaving.target.set_leaving(true);
         fleet.keep_calling("leaving", BOUNDS.drain).await;
         leaving.target.take_ran();
         fleet.keep_calling("left", Duration::from_secs(3)).await;
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -188,7 +188,7 @@
         // A target that is gone while its machine reports that it can't read the store.
         let id = alpha.target.id();
         eventually("it is listed", || beta.node().targets.borrow().get(&id).is_some()).await;
-        alpha.target.leave();
+        alpha.target.set_leaving(true);
         turned_away.set_mode(Mode::Silent);
         store.unlist(&id);
         eventually("that it leaves is told", || !lines_of("target-leaving", &address.to_string()).is_empty()).await;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -70,7 +70,7 @@
     /// In calm a configuration is in force in time.
     #[display("in-force")]
     InForce,
-    /// In calm a draining target gets nothing new.
+    /// In calm a target that is draining or has left gets nothing new.
     #[display("drained")]
     Drained,
     /// In calm nearly everything is served.
@@ -279,7 +279,7 @@
     found
 }
 
-/// Requests that reached a target long after its drain was acknowledged.
+/// Requests that reached a target long after its drain, or its end, was acknowledged.
 fn not_left(record: &SoakRecord) -> Vec<Violation> {
     let mut found = Vec::new();
     for run in &record.runs {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -88,14 +88,14 @@
     pub acked: Instant,
 }
 
-/// A time in which a target's entry said that it is draining.
+/// A time in which a target's entry said that it is draining, or in which it had none since it had left.
 #[derive(Clone, Copy, Debug)]
 pub struct DrainSpan {
     /// The target's machine.
     pub machine: usize,
     /// When the store acknowledged it.
     pub acked: Instant,
-    /// When its entry was taken back.
+    /// When it was registered as before.
     pub until: Instant,
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -39,6 +39,8 @@
 const LATER_SHARE: f64 = 0.2;
 /// Tells the schedule of the later kinds from the other one.
 const LATER_SEED: u64 = 0x5eed;
+/// Tells the schedule of the ways in which targets leave from the others.
+const LEAVING_SEED: u64 = 0x1eaf;
 /// How long a target stays draining.
 const DRAIN: Duration = Duration::from_millis(4500);
 /// For how long callers go on to come to a process that was asked to stop: two questions a second whether it is ready.
@@ -102,6 +104,8 @@
     random: Pcg64,
     /// The schedule of the later kinds of faults.
     later: Pcg64,
+    /// The schedule of the ways in which targets leave.
+    leaving: Pcg64,
     version: u64,
 }
 
@@ -130,6 +134,7 @@
     async fn start(options: &SoakOptions) -> io::Result<Self> {
         let mut random = Pcg64::seed_from_u64(options.seed);
         let later = Pcg64::seed_from_u64(options.seed ^ LATER_SEED);
+        let leaving = Pcg64::seed_from_u64(options.seed ^ LEAVING_SEED);
         let net = SoakNet::draw(&mut Pcg64::from_entropy());
         let store = StandInStore::start().await;
         let mut machines = Vec::new();
@@ -142,7 +147,7 @@
         }
         let version = random.gen_range(1..50);
         let record = Rc::default();
-        Ok(SoakWorld { store, machines, record, faults: Vec::new(), random, later, version })
+        Ok(SoakWorld { store, machines, record, faults: Vec::new(), random, later, leaving, version })
     }
 
     /// Writes a configuration that moves a route to another service.
@@ -227,14 +232,19 @@
         }
     }
 
-    /// A change of the configuration, a drain and a planned stop, on machines of different services.
+    /// A change of the configuration, a target that leaves with or without a drain, and a planned stop, on machines of different services.
     async fn one_of_each(&mut self) -> io::Result<()> {
         self.configure();
         let drained = self.random.gen_range(0..self.machines.len());
         let stopped = self.of_another_service(drained);
         let draining = Rc::clone(&self.machines[drained]);
         let id = draining.target.id();
-        self.store.list(&draining.target, "draining");
+        if self.leaving.gen() {
+            self.store.list(&draining.target, "draining");
+        } else {
+            draining.target.set_leaving(true);
+            self.store.unlist(&id);
+        }
         let acked = Instant::now();
         self.stop_and_start(stopped).await?;
         sleep(DRAIN.saturating_sub(acked.elapsed())).await;
@@ -242,6 +252,7 @@
         if draining.target.id() == id {
             self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
         }
+        draining.target.set_leaving(false);
         self.store.list(&draining.target, "ready");
         self.look_at_targets();
         sleep(Duration::from_secs(1)).await;
