--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -62,6 +62,21 @@
     Lies,
 }
 
+/// A rule of the decisions that is left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WrongRule {
+    /// A node starts from nothing when the store comes back from an older copy.
+    ForgetsOnNewEra,
+    /// An update of an earlier era is taken as if it were a later one.
+    TakesEarlierEras,
+    /// Whoever calls itself well is followed.
+    BelievesAnySource,
+    /// No other node reads while readers say nothing.
+    WaitsForReaders,
+    /// A node whose call failed calls no more while it follows others.
+    NeverVerifiesAccess,
+}
+
 struct Asking {
     peer: usize,
     is_before: bool,
@@ -158,6 +173,7 @@
     pub now: Timestamp,
     pub nodes: Vec<SimNode>,
     pub store: SimStore,
+    pub wrong_rule: Option<WrongRule>,
     random: Pcg64,
     by_machine: HashMap<IpAddr, usize>,
 }
@@ -217,7 +233,8 @@
             });
         }
         let by_machine = nodes.iter().enumerate().map(|(number, node)| (node.machine, number)).collect();
-        let mut fleet = Fleet { now: Timestamp::from_millis(1_000), nodes, store, random, by_machine };
+        let mut fleet =
+            Fleet { now: Timestamp::from_millis(1_000), nodes, store, wrong_rule: None, random, by_machine };
         let everything = fleet.store.whole();
         for number in 0..count {
             fleet.nodes[number].replica.take(everything.clone(), fleet.now).expect("the first update is taken");
@@ -307,7 +324,7 @@
         }
     }
 
-    fn tick(&mut self) {
+    pub fn tick(&mut self) {
         self.now = self.now + TICK;
         for number in 0..self.nodes.len() {
             if matches!(self.nodes[number].ailment, Ailment::Dead | Ailment::Silent) {
@@ -390,6 +407,19 @@
         self.nodes[number].asking = Some(asking);
     }
 
+    /// Takes an update over. What does not fit was overtaken by what others have told.
+    fn take(&mut self, number: usize, update: Update) {
+        let replica = &mut self.nodes[number].replica;
+        let is_new_era = replica.position().era < update.position.era;
+        let is_earlier = replica.position().era > update.position.era;
+        match self.wrong_rule {
+            Some(WrongRule::ForgetsOnNewEra) if is_new_era => *replica = Replica::default(),
+            Some(WrongRule::TakesEarlierEras) if is_earlier => *replica = Replica::default(),
+            _ => {}
+        }
+        let _ = replica.take(update, self.now);
+    }
+
     fn question_answered(
         &mut self,
         number: usize,
@@ -398,15 +428,18 @@
         lost: Option<Timestamp>,
     ) {
         let now = self.now;
-        let node = &mut self.nodes[number];
         if let Some(update) = update {
-            // What does not fit was overtaken by what the node has read itself.
-            let _ = node.replica.take(update, now);
+            self.take(number, update);
         }
+        let node = &mut self.nodes[number];
         let is_before = node.asking.as_ref().is_some_and(|asking| asking.is_before);
         let supply = Supply { read_at, lost_since: lost };
         node.read_at = node.read_at.max(read_at);
-        let verdict = supply.verdict(is_before, node.loss, &BOUNDS, now);
+        let believes_all = self.wrong_rule == Some(WrongRule::BelievesAnySource);
+        let verdict = match lost {
+            None if believes_all => SupplyVerdict::Well,
+            _ => supply.verdict(is_before, node.loss, &BOUNDS, now),
+        };
         if verdict == SupplyVerdict::Well {
             node.is_isolated = false;
             node.is_answered = false;
@@ -482,10 +515,10 @@
         let inputs = TurnInputs {
             has_view: true,
             must_probe: false,
-            has_failed: node.has_failed,
+            has_failed: node.has_failed && self.wrong_rule != Some(WrongRule::NeverVerifiesAccess),
             place: &node.place,
             loss: node.loss,
-            read_at: node.read_at,
+            read_at: node.read_at.filter(|_| self.wrong_rule != Some(WrongRule::WaitsForReaders)),
             is_isolated: node.is_isolated,
             lone_readings: node.lone_readings,
             proof_lasts: None,
@@ -511,8 +544,8 @@
             NextRead::LaggingCopy | NextRead::Everything => self.store.whole(),
         };
         let has_changes = !update.changes.is_empty();
-        // Others may have told more meanwhile.
-        let _ = node.replica.take(update, now);
+        self.take(number, update);
+        let node = &mut self.nodes[number];
         node.reader.reached();
         node.has_failed = false;
         node.read_at = node.read_at.max(Some(reading.sent));
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -1,5 +1,6 @@
 //! Changes of the store reach a whole fleet in time whatever fails, and cost no more calls in a large one.
 
+mod exploration;
 mod fleet;
 
 use std::time::Duration;
