A coordinator of limits tells no shares before all nodes had the time to report

Cause: a coordinator that has just started answers the first reports with what it knows, which is next to nothing; a tenant far beyond its limit is not named, and each node then lets its calls in whole until its next report.

Change: until it was reported to for 1.2 periods, a coordinator says that it is settling, and its nodes go on with their own parts, or with what the coordinator before it had told.

--- a/crates/mesh/src/limits/coordinator.rs
+++ b/crates/mesh/src/limits/coordinator.rs
@@ -10,6 +10,8 @@
 use super::{LimitBounds, TenantShare, TenantUsage};
 use crate::tenants::RateLimit;
 
+/// For how long nodes must have reported before shares are told, in periods: each of them has reported once by then.
+const SETTLED_AFTER: f64 = 1.2;
 /// For how long a node's report counts, in periods. A node that is not heard for longer falls back to its own part.
 const REPORT_HOLDS: f64 = 4.5;
 /// The part of the window in which a burst is let in: more than the time until a share that was told has its effect on what is reported.
@@ -99,6 +101,12 @@
         shares
     }
 
+    /// Whether all nodes have had the time to report. Until then the demand of most is not known, and a tenant beyond its limit seems to be
+    /// below it; each node has its own part meanwhile.
+    pub fn is_settled(&self, period: Duration, now: Timestamp) -> bool {
+        self.since.is_some_and(|since| now.since(since) >= period.mul_f64(SETTLED_AFTER))
+    }
+
     /// The nodes that report to this one.
     pub fn nodes(&self) -> usize {
         self.nodes.len()
--- a/crates/mesh/tests/decisions/limits.rs
+++ b/crates/mesh/tests/decisions/limits.rs
@@ -158,3 +158,13 @@
     assert_eq!(report_period(82), PERIOD);
     assert_eq!(report_period(300), Duration::from_millis(375));
 }
+
+#[test]
+fn a_coordinator_tells_no_shares_before_all_nodes_had_the_time_to_report() {
+    let mut coordinator = LimitCoordinator::new(BOUNDS);
+    assert!(!coordinator.is_settled(PERIOD, milliseconds(0)), "nobody has reported");
+    let limit = RateLimit { rate: 10.0, burst: 10.0 };
+    coordinator.take(machine(1), Vec::new(), |_| Some(limit), (2, PERIOD), milliseconds(1_000));
+    assert!(!coordinator.is_settled(PERIOD, milliseconds(1_000) + PERIOD.mul_f64(1.1)), "the slowest reports now");
+    assert!(coordinator.is_settled(PERIOD, milliseconds(1_000) + PERIOD.mul_f64(1.2)));
+}
--- a/crates/mesh/tests/limits/fleet.rs
+++ b/crates/mesh/tests/limits/fleet.rs
@@ -61,7 +61,8 @@
 
 enum Message {
     Report(Vec<TenantUsage>),
-    Answer(Vec<TenantShare>),
+    /// The shares, unless the coordinator does not know the demand yet.
+    Answer(Option<Vec<TenantShare>>),
 }
 
 struct Datagram {
@@ -195,11 +196,14 @@
                     let limit = self.limit;
                     let fleet = (machines, period);
                     let shares = node.coordinator.take(address(from), usages, |_| Some(limit), fleet, now);
+                    let shares = Some(shares).filter(|_| node.coordinator.is_settled(period, now));
                     self.send(to, from, Message::Answer(shares));
                 }
                 Message::Answer(shares) => {
                     node.choice.answered();
-                    node.limits.answered(&shares, now);
+                    if let Some(shares) = shares {
+                        node.limits.answered(&shares, now);
+                    }
                 }
             }
         }
--- a/crates/mesh/tests/limits/main.rs
+++ b/crates/mesh/tests/limits/main.rs
@@ -139,6 +139,24 @@
     }
 }
 
+#[test_case(82, 40.0)]
+#[test_case(150, 40.0)]
+#[test_case(150, 400.0; "far beyond")]
+#[test_case(300, 400.0)]
+fn all_nodes_of_a_large_fleet_that_start_again_at_once_keep_a_small_limit(nodes: usize, rate: f64) {
+    for seed in 0..10 {
+        let limit = limit(8.0);
+        let mut fleet = Fleet::new(Way::Coordinator, nodes, limit, seed);
+        fleet.play(6000, rate, everywhere);
+        for node in 0..nodes {
+            fleet.strike(node, Fault::Restart(100));
+        }
+        fleet.play(10_000, rate, everywhere);
+        let worst = fleet.worst_window(limit, 0);
+        assert!(worst <= 1.0, "{worst} of the bound, seed {seed}");
+    }
+}
+
 /// The two ways side by side: overrun, wrong refusals below the limit, datagrams a second.
 #[test_case(12, 1)]
 #[test_case(12, 3)]
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -131,8 +131,10 @@
     let Some(answer) = message.answer else { return };
     let Some(sent) = awaited.answered(answer.sequence) else { return };
     choice.answered();
-    let shares: Vec<TenantShare> = answer.shares.iter().filter_map(decode_share).collect();
-    node.tenancy.limits.borrow_mut().answered(&shares, arrived);
+    if !answer.settling {
+        let shares: Vec<TenantShare> = answer.shares.iter().filter_map(decode_share).collect();
+        node.tenancy.limits.borrow_mut().answered(&shares, arrived);
+    }
     if let Some(proof) = answer.proof {
         let proof = FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms };
         node.tenancy.heard(proof, &node.configuration.borrow(), sent);
@@ -146,11 +148,15 @@
     let machines = node.tenancy.machines.get();
     let usages = report.usages.iter().filter_map(decode_usage).collect();
     let fleet = (machines, report_period(machines));
-    let shares = node.tenancy.coordinator.borrow_mut().take(from, usages, limit_of, fleet, arrived);
+    let mut coordinator = node.tenancy.coordinator.borrow_mut();
+    let shares = coordinator.take(from, usages, limit_of, fleet, arrived);
+    let settling = !coordinator.is_settled(report_period(machines), arrived);
+    drop(coordinator);
     let proof = node.tenancy.proof(&node.configuration.borrow(), arrived);
     wire::UsageAnswer {
         sequence: report.sequence,
-        shares: shares.iter().map(encode_share).collect(),
+        shares: shares.iter().filter(|_| !settling).map(encode_share).collect(),
+        settling,
         proof: proof
             .map(|proof| wire::FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms }),
     }
