A burst is let in over two periods of reports at least

Cause: a burst was let in within 0.15 of the window, 0.75 s, so that what was let in is reported before it is let in again. Reports come each 1.23 s at 985 nodes, since a coordinator takes 800 a second at most; the constant held only while the fleet was small.

Change: two periods at least. Up to 300 nodes (0.375 s) nothing changes.

--- a/crates/mesh/src/limits/coordinator.rs
+++ b/crates/mesh/src/limits/coordinator.rs
@@ -14,8 +14,10 @@
 const SETTLED_AFTER: f64 = 1.2;
 /// For how long a node's report counts, in periods. A node that is not heard for longer falls back to its own part.
 const REPORT_HOLDS: f64 = 4.5;
-/// The part of the window in which a burst is let in: more than the time until a share that was told has its effect on what is reported.
+/// The part of the window in which a burst is let in, and the periods that this takes at least: more than the time until a share that was
+/// told has its effect on what is reported.
 const BURST_IN: f64 = 0.15;
+const BURST_PERIODS: u32 = 2;
 /// The part of the window in which calls are made up for that were let in beyond the limit. A shorter one swings and refuses nearly all
 /// for a second or two.
 const REPAID_IN: f64 = 0.4;
@@ -47,9 +49,12 @@
         self.level = (self.level + (limit.rate - self.admitted) * elapsed).clamp(least, limit.burst);
     }
 
-    fn share(&self, limit: RateLimit, window: Duration) -> f64 {
-        let within = if self.level > 0.0 { BURST_IN } else { REPAID_IN };
-        let allowed = limit.rate + self.level / window.mul_f64(within).as_secs_f64();
+    fn share(&self, limit: RateLimit, window: Duration, period: Duration) -> f64 {
+        let within = match self.level > 0.0 {
+            true => window.mul_f64(BURST_IN).max(period * BURST_PERIODS),
+            false => window.mul_f64(REPAID_IN),
+        };
+        let allowed = limit.rate + self.level / within.as_secs_f64();
         let allowed = allowed.max(limit.rate * LEAST_PART);
         if self.arriving <= allowed {
             return 1.0;
@@ -93,7 +98,7 @@
         for (tenant, level) in &mut self.levels {
             let Some(limit) = limit_of(tenant).map(|limit| self.bounds.handed_out(limit, self.part)) else { continue };
             level.advance(limit, self.bounds.window, now);
-            let share = level.share(limit, self.bounds.window);
+            let share = level.share(limit, self.bounds.window, period);
             if share < 1.0 {
                 shares.push(TenantShare { tenant: tenant.clone(), share });
             }
--- a/crates/mesh/tests/limits/main.rs
+++ b/crates/mesh/tests/limits/main.rs
@@ -143,6 +143,7 @@
 #[test_case(150, 40.0)]
 #[test_case(150, 400.0; "far beyond")]
 #[test_case(300, 400.0)]
+#[test_case(985, 400.0; "the whole fleet")]
 fn all_nodes_of_a_large_fleet_that_start_again_at_once_keep_a_small_limit(nodes: usize, rate: f64) {
     for seed in 0..10 {
         let limit = limit(8.0);
