--- a/crates/mesh/src/targets.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -1,56 +1,17 @@
 //! The targets of all services, as the platform's store lists them.
 
+mod grace;
+mod registration;
+
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::Display;
 use quillhatch_types::Timestamp;
 
-/// Identifies a target. One that starts again mostly has a new one; else its [`Registration::started`] tells its lives apart.
-pub type TargetId = Arc<str>;
-
-/// The registration of a target in the platform's store.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Registration {
-    /// The service that it serves.
-    pub service: Arc<str>,
-    /// Where it listens; its node listens at the same IP address.
-    pub address: SocketAddr,
-    /// The zone in which it stands.
-    pub zone: Arc<str>,
-    /// The calls that it works on at a time.
-    pub slots: u32,
-    /// Whether it is about to leave.
-    pub draining: bool,
-    /// For how long it will be slow after its start.
-    pub cold_for: Duration,
-    /// When the target started, in milliseconds of its own clock; zero if it does not tell.
-    pub started: u64,
-    /// How often it has written its registration since.
-    pub sequence: u64,
-}
-
-impl Registration {
-    /// Orders what one target has written: by its lives, and within a life by its writes.
-    pub fn written(&self) -> (u64, u64) {
-        (self.started, self.sequence)
-    }
-}
-
-/// A listed target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Target {
-    /// Its identity.
-    pub id: TargetId,
-    /// Its registration.
-    pub registration: Registration,
-    /// Until when it is slow after its start.
-    pub cold_until: Timestamp,
-    /// When it was listed first; of two targets at one address the later one is the present one.
-    pub listed_at: Timestamp,
-}
+pub use grace::{Grace, GraceReason, KEPT_AFTER_CUT};
+pub use registration::{Registration, Target, TargetId};
 
 /// All listed targets.
 #[derive(Clone, Debug, Default)]
@@ -69,44 +30,12 @@
     recently_ended: VecDeque<(Timestamp, TargetId)>,
 }
 
-/// Why a target is kept whose registration is missing.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum GraceReason {
-    /// Many were gone at once.
-    #[display("many are missing")]
-    ManyMissing,
-    /// Its machine can't read the store and so can't renew the registration.
-    #[display("its machine is cut off")]
-    MachineCutOff,
-    /// It ran out in an outage of the store, after which it must come back by itself.
-    #[display("after an outage")]
-    AfterOutage,
-}
-
-/// For how long a target is kept whose registration is missing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grace {
-    /// When it ends.
-    pub until: Timestamp,
-    /// Why there is one.
-    pub reason: GraceReason,
-}
-
-impl Grace {
-    fn cut_off(until: Timestamp) -> Self {
-        Grace { until, reason: GraceReason::MachineCutOff }
-    }
-}
-
 /// The share of all targets that must be gone at once for the report to be suspicious.
 const SUSPICIOUS_SHARE: f64 = 0.3;
 /// The fewest targets that must be gone at once for the report to be suspicious.
 const SUSPICIOUS_COUNT: usize = 2;
 /// For how long a node's report that it can't read the store holds.
 const CUT_OFF_REPORT_HOLDS: Duration = Duration::from_secs(2);
-/// For how long a target is kept after its node's last such report: one heartbeat of the target, and the lag of the list.
-/// Shorter than the time after a cut from which a machine must keep the bound on drains again (3 s).
-pub const KEPT_AFTER_CUT: Duration = Duration::from_millis(2900);
 /// For how long removed targets are remembered.
 const REMEMBERED_FOR: Duration = Duration::from_secs(3);
 
