--- a/crates/sidecar/src/gate/kept_target.rs
+++ b/crates/sidecar/src/gate/kept_target.rs
@@ -3,9 +3,12 @@
 //! A registration ends when its target leaves, and also when the target's machine can't get at the store. The target itself tells which, and
 //! its node closes the gate for calls of nodes that still keep it.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use quillhatch_mesh::targets::TargetId;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::node::Node;
@@ -14,11 +17,20 @@
 /// How often the target is asked: several times within the shortest bound on drains.
 const ASKED_EACH: Duration = Duration::from_millis(300);
 
+/// What the target beside this node tells while it has no registration.
+#[derive(Default)]
+pub struct KeptTargetState {
+    /// The target, if it has told that it is leaving.
+    pub leaving: RefCell<Option<TargetId>>,
+    /// Wakes whoever asks the target.
+    pub is_kept: Notify,
+}
+
 /// Watches over the target until the process ends.
 pub async fn watch_kept_target(node: Rc<Node>) {
     loop {
         if present_target::kept(&node).is_none() {
-            node.target_kept.notified().await;
+            node.kept_target.is_kept.notified().await;
             continue;
         }
         let HealthAnswer { identity, is_leaving } = present_target::ask_health(&node).await;
@@ -33,10 +45,10 @@
 /// Takes note of what the target has told. One that takes itself for well again is called again.
 fn note(node: &Rc<Node>, is_leaving: bool) {
     let leaving = present_target::kept(node).filter(|_| is_leaving);
-    if *node.leaving_target.borrow() == leaving {
+    if *node.kept_target.leaving.borrow() == leaving {
         return;
     }
     node.log(&format!("\"event\":\"target-leaving\",\"leaving\":{is_leaving}"));
-    *node.leaving_target.borrow_mut() = leaving;
+    *node.kept_target.leaving.borrow_mut() = leaving;
     present_target::follow_list(node);
 }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -32,7 +32,7 @@
 use crate::present_target;
 use crate::reach;
 use crate::relay::{relay_answer, relay_answer_holding};
-pub use kept_target::watch_kept_target;
+pub use kept_target::{watch_kept_target, KeptTargetState};
 use slots::admit;
 pub use slots::{dismiss, hand_out, Slot};
 pub use target_end::{identified, target_restarted};
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -33,6 +33,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::feed::FeedState;
+use crate::gate::KeptTargetState;
 use crate::keyed_lock::KeyedLock;
 use crate::logging::{LineRate, LogState};
 use crate::pool::{Pool, PoolRules};
@@ -77,10 +78,8 @@
     pub present_told_at: Cell<Timestamp>,
     /// Held while the target is asked for its identity.
     pub verifying: tokio::sync::Mutex<()>,
-    /// The target beside this node, if it has told that it is leaving while it had no registration.
-    pub leaving_target: RefCell<Option<TargetId>>,
-    /// Wakes whoever asks the target beside this node while it has no registration.
-    pub target_kept: Notify,
+    /// What the target beside this node tells while it has no registration.
+    pub kept_target: KeptTargetState,
     /// Whether the list of targets was read at least once.
     pub targets_known: Cell<bool>,
     /// What is known of other targets.
@@ -204,8 +203,7 @@
             present_verified: Cell::new(false),
             present_told_at: Cell::new(now),
             verifying: tokio::sync::Mutex::default(),
-            leaving_target: RefCell::default(),
-            target_kept: Notify::new(),
+            kept_target: KeptTargetState::default(),
             targets_known: Cell::new(false),
             balance: RefCell::new(Balance::new(settings.mechanisms)),
             cuts: RefCell::default(),
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -173,7 +173,7 @@
 
 /// Whether the target beside this node has no registration and has told that it is leaving.
 pub fn leaves(node: &Node, id: &TargetId) -> bool {
-    node.leaving_target.borrow().as_ref() == Some(id) && node.targets.borrow().grace(id).is_some()
+    node.kept_target.leaving.borrow().as_ref() == Some(id) && node.targets.borrow().grace(id).is_some()
 }
 
 /// Lets the gate follow the list of targets.
@@ -204,7 +204,7 @@
         *node.present.borrow_mut() = Some(target.id.clone());
     }
     if kept(node).is_some() {
-        node.target_kept.notify_one();
+        node.kept_target.is_kept.notify_one();
     }
     if is_leaving || has_left || node.is_stopping() {
         node.gate.borrow_mut().close();
