--- a/crates/mesh/src/feed/turn.rs
+++ b/crates/mesh/src/feed/turn.rs
@@ -80,7 +80,7 @@
     /// Whether it must find out if it can get at the store.
     pub must_probe: bool,
     /// Whether its own last call of the store has failed.
-    pub has_failed: bool,
+    pub own_call_failed: bool,
     /// Its place among the others.
     pub place: &'a FeedPlace,
     /// Since when it has no way to the store.
@@ -122,7 +122,7 @@
     /// Whether its own call failed and others have read the store since. Either only its machine is cut off, or the trouble is over; a node that
     /// follows others has no other reason to call the store, and would report the loss for ever.
     fn must_verify_access(&self) -> bool {
-        self.has_failed && self.loss.since().is_none()
+        self.own_call_failed && self.loss.since().is_none()
     }
 
     /// From when on the readers should have read the store again. All their watches may hang, which each of them notices only after a
--- a/crates/mesh/src/limits/coordinator.rs
+++ b/crates/mesh/src/limits/coordinator.rs
@@ -14,9 +14,9 @@
 const SETTLED_AFTER: f64 = 1.2;
 /// For how long a node's report counts, in periods. A node that is not heard for longer falls back to its own part.
 const REPORT_HOLDS: f64 = 4.5;
-/// The part of the window in which a burst is let in, and the periods that this takes at least: more than the time until a share that was
-/// told has its effect on what is reported.
+/// The part of the window in which a burst is let in: more than the time until a share that was told has its effect on what is reported.
 const BURST_IN: f64 = 0.15;
+/// The periods in which a burst is let in at least: in a large fleet that effect takes longer than a part of the window.
 const BURST_PERIODS: u32 = 2;
 /// The part of the window in which calls are made up for that were let in beyond the limit. A shorter one swings and refuses nearly all
 /// for a second or two.
--- a/crates/mesh/src/targets/grace.rs
+++ b/crates/mesh/src/targets/grace.rs
@@ -5,8 +5,8 @@
 use derive_more::Display;
 use quillhatch_types::Timestamp;
 
-/// For how long a target is kept after its node has last reported that it can't read the store: one heartbeat of the target, and the lag of the list.
-/// Shorter than the time after a cut from which a machine must keep the bound on drains again (3 s).
+/// For how long a target is kept after its node has last reported that it can't read the store: one heartbeat of the target, and the lag of
+/// the list. Shorter than the time after a cut from which a machine must keep the bound on drains again (3 s).
 pub const KEPT_AFTER_CUT: Duration = Duration::from_millis(2900);
 
 /// Why a target is kept whose registration is missing.
--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -51,10 +51,10 @@
             (is_suspicious && !grace.is_zero()).then(|| Grace { until: now + grace, reason: GraceReason::ManyMissing });
         for id in gone {
             let target = self.by_id.get(id).filter(|target| !target.registration.draining);
-            let said = target.and_then(|target| self.last_cut_off_report(target, now));
-            match said {
-                Some(said) => {
-                    self.graces.insert(id.clone(), Grace::cut_off(said + KEPT_AFTER_CUT));
+            let reported = target.and_then(|target| self.last_cut_off_report(target, now));
+            match reported {
+                Some(reported) => {
+                    self.graces.insert(id.clone(), Grace::cut_off(reported + KEPT_AFTER_CUT));
                 }
                 None => self.take_off(id, grace, now),
             }
@@ -106,7 +106,7 @@
             return;
         }
         if self.cut_off.insert(machine, now).is_none() {
-            self.cut_off.retain(|_, said| now.since(*said) <= CUT_OFF_REPORT_HOLDS);
+            self.cut_off.retain(|_, reported| now.since(*reported) <= CUT_OFF_REPORT_HOLDS);
         }
         self.forget_removed(now);
         for (left, target) in std::mem::take(&mut self.recently_removed) {
@@ -164,7 +164,7 @@
 
     /// Whether the node of a machine has reported lately that it can't read the store.
     pub fn is_reported_cut_off(&self, machine: IpAddr, now: Timestamp) -> bool {
-        self.cut_off.get(&machine).is_some_and(|said| now.since(*said) <= CUT_OFF_REPORT_HOLDS)
+        self.cut_off.get(&machine).is_some_and(|reported| now.since(*reported) <= CUT_OFF_REPORT_HOLDS)
     }
 
     /// The targets that are kept though they have no registration, and until when.
--- a/crates/mesh/tests/decisions/feed.rs
+++ b/crates/mesh/tests/decisions/feed.rs
@@ -211,7 +211,7 @@
 #[test_case(true, Some(500), NextTurn::After(Duration::from_millis(300)); "nobody can, as far as it knows")]
 #[test_case(false, None, NextTurn::Unknown; "no call has failed")]
 fn a_node_whose_call_has_failed_calls_again_once_others_can(
-    has_failed: bool,
+    own_call_failed: bool,
     lost_at: Option<u64>,
     expected: NextTurn,
 ) {
@@ -223,7 +223,7 @@
     let inputs = TurnInputs {
         has_view: true,
         must_probe: false,
-        has_failed,
+        own_call_failed,
         place: &place,
         loss,
         read_at: None,
--- a/crates/mesh/tests/feed/exploration.rs
+++ b/crates/mesh/tests/feed/exploration.rs
@@ -16,9 +16,9 @@
 const MOMENTS: [u64; 3] = [0, 350, 1_100];
 /// How long the store is away before an era change, in milliseconds.
 const OUTAGES: [u64; 2] = [0, 2_600];
-/// How long before the drain the copy was made from which the store comes back, in changes.
+/// The changes that the copy lacks from which the store comes back.
 const LOST_CHANGES: usize = 1;
-/// After its return the targets write again what the copy lacks.
+/// How long after its return the targets write again what the copy lacks, in milliseconds.
 const WRITTEN_AGAIN_AFTER: u64 = 600;
 
 /// How a reader fails.
@@ -192,7 +192,7 @@
         watched.strike(*reader, FAILURES[0]);
     }
     watched.play(BOUNDS.contact.as_millis() as u64)?;
-    let lost = watched.fleet.nodes.iter().position(|node| node.has_failed || node.loss.since().is_some());
+    let lost = watched.fleet.nodes.iter().position(|node| node.own_call_failed || node.loss.since().is_some());
     lost.map_or(Ok(()), |number| Err(format!("node {number} still reports a loss")))
 }
 
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -100,7 +100,7 @@
     pub ailment: Ailment,
     pub loss: FeedLoss,
     /// Whether its own last call of the store has failed.
-    pub has_failed: bool,
+    pub own_call_failed: bool,
     pub read_at: Option<Timestamp>,
     choice: SourceChoice,
     reader: StoreReader,
@@ -214,7 +214,7 @@
                 access: Access::Served,
                 ailment: Ailment::None,
                 loss: FeedLoss::default(),
-                has_failed: false,
+                own_call_failed: false,
                 read_at: Some(Timestamp::ZERO),
                 choice: SourceChoice::default(),
                 reader: StoreReader::default(),
@@ -515,7 +515,7 @@
         let inputs = TurnInputs {
             has_view: true,
             must_probe: false,
-            has_failed: node.has_failed && self.wrong_rule != Some(WrongRule::NeverVerifiesAccess),
+            own_call_failed: node.own_call_failed && self.wrong_rule != Some(WrongRule::NeverVerifiesAccess),
             place: &node.place,
             loss: node.loss,
             read_at: node.read_at.filter(|_| self.wrong_rule != Some(WrongRule::WaitsForReaders)),
@@ -547,7 +547,7 @@
         self.take(number, update);
         let node = &mut self.nodes[number];
         node.reader.reached();
-        node.has_failed = false;
+        node.own_call_failed = false;
         node.read_at = node.read_at.max(Some(reading.sent));
         node.loss.store_read();
         if has_changes {
@@ -559,7 +559,7 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         let Some(reading) = node.reading.take() else { return };
-        node.has_failed = true;
+        node.own_call_failed = true;
         node.loss.call_failed(reading.sent, node.read_at);
         let longest = node.reader.failed(true, &BOUNDS);
         node.read_after = now + longest.mul_f64(self.random.gen_range(0.5..1.0));
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -154,11 +154,11 @@
         let mut fleet = Fleet::new(nodes, zones, 9);
         fleet.set_down(true);
         fleet.play(outage);
-        let failed = fleet.nodes.iter().filter(|node| node.has_failed).count();
+        let failed = fleet.nodes.iter().filter(|node| node.own_call_failed).count();
         let calls = fleet.store.calls;
         fleet.set_down(false);
         fleet.play(BOUNDS.contact.as_millis() as u64);
-        let still = fleet.nodes.iter().filter(|node| node.has_failed).count();
+        let still = fleet.nodes.iter().filter(|node| node.own_call_failed).count();
         assert_eq!(still, 0, "of {failed} after {outage} ms");
         let verified = fleet.store.calls - calls;
         let watched = 3 * 6 + 10;
@@ -172,7 +172,7 @@
     let readers = fleet.readers();
     strike(&mut fleet, &readers, Ailment::None, Access::Refused);
     fleet.play(4_000);
-    let turned_away: Vec<usize> = (0..300).filter(|number| fleet.nodes[*number].has_failed).collect();
+    let turned_away: Vec<usize> = (0..300).filter(|number| fleet.nodes[*number].own_call_failed).collect();
     let (before, longest_pause) = (fleet.store.calls, BOUNDS.contact / 2);
     fleet.play(20_000);
     let calls = fleet.store.calls - before;
--- a/crates/sidecar/src/gate/kept_target.rs
+++ b/crates/sidecar/src/gate/kept_target.rs
@@ -22,15 +22,15 @@
 pub struct KeptTargetState {
     /// The target, if it has told that it is leaving.
     pub leaving: RefCell<Option<TargetId>>,
-    /// Wakes whoever asks the target.
-    pub is_kept: Notify,
+    /// Wakes whoever asks the target once it has no registration.
+    pub registration_ended: Notify,
 }
 
 /// Watches over the target until the process ends.
 pub async fn watch_kept_target(node: Rc<Node>) {
     loop {
         if present_target::kept(&node).is_none() {
-            node.kept_target.is_kept.notified().await;
+            node.kept_target.registration_ended.notified().await;
             continue;
         }
         let HealthAnswer { identity, is_leaving } = present_target::ask_health(&node).await;
--- a/crates/sidecar/src/present_target.rs
+++ b/crates/sidecar/src/present_target.rs
@@ -204,7 +204,7 @@
         *node.present.borrow_mut() = Some(target.id.clone());
     }
     if kept(node).is_some() {
-        node.kept_target.is_kept.notify_one();
+        node.kept_target.registration_ended.notify_one();
     }
     if is_leaving || has_left || node.is_stopping() {
         node.gate.borrow_mut().close();
--- a/crates/sidecar/src/store/turn.rs
+++ b/crates/sidecar/src/store/turn.rs
@@ -45,7 +45,7 @@
     let inputs = TurnInputs {
         has_view: node.position().is_known(),
         must_probe: node.must_probe_store.get(),
-        has_failed: node.own_access_lost.get(),
+        own_call_failed: node.own_access_lost.get(),
         place: &node.feed.place.borrow(),
         loss: node.feed.loss.get(),
         read_at: node.feed.read_at.get(),
