--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -8,6 +8,7 @@
 use support::caller::call;
 use support::shop::{document, read};
 use support::store::{Mode, StandInStore};
+use support::target::Health;
 use support::{eventually, run, Machine, BOUNDS};
 use tokio::time::{sleep, Instant};
 
@@ -89,7 +90,7 @@
         let number = follower(&fleet);
         let leaving = &fleet.machines[number];
         fleet.keep_calling("before", Duration::from_secs(1)).await;
-        leaving.target.set_leaving(true);
+        leaving.target.set_health(Health::Leaving);
         fleet.store.unlist(&leaving.target.id());
         fleet.addresses[number].set_mode(Mode::Silent);
         fleet.keep_calling("leaving", BOUNDS.drain).await;
@@ -110,7 +111,7 @@
         fleet.keep_calling("cut off", Duration::from_secs(4)).await;
         assert!(!leaving.target.take_ran().is_empty(), "its registration has run out, and it serves");
         fleet.addresses[number].set_mode(Mode::Normal);
-        leaving.target.set_leaving(true);
+        leaving.target.set_health(Health::Leaving);
         fleet.keep_calling("leaving", BOUNDS.drain).await;
         leaving.target.take_ran();
         fleet.keep_calling("left", Duration::from_secs(3)).await;
@@ -118,6 +119,22 @@
     });
 }
 
+#[test]
+fn a_full_target_whose_machine_is_cut_off_is_not_taken_for_one_that_leaves() {
+    run(async {
+        let fleet = Fleet::start(8).await;
+        let number = follower(&fleet);
+        let full = &fleet.machines[number];
+        full.target.set_health(Health::Full);
+        fleet.addresses[number].set_mode(Mode::Silent);
+        fleet.store.unlist(&full.target.id());
+        fleet.keep_calling("cut off", Duration::from_secs(4)).await;
+        full.target.take_ran();
+        fleet.keep_calling("still cut off", Duration::from_secs(1)).await;
+        assert!(!full.target.take_ran().is_empty(), "its registration has run out, and it serves");
+    });
+}
+
 #[test]
 fn a_target_that_leaves_after_an_outage_gets_no_calls_beyond_the_bound_on_drains() {
     run(async {
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -9,7 +9,7 @@
 use quillhatch_sidecar::reach::{heard, own_reach};
 use support::caller::{call, request};
 use support::store::{Mode, StandInStore};
-use support::target::{CrashRule, Habit};
+use support::target::{CrashRule, Habit, Health};
 use support::{eventually, run, start_sidecar, Machine};
 use tokio::time::sleep;
 
@@ -188,7 +188,7 @@
         // A target that is gone while its machine reports that it can't read the store.
         let id = alpha.target.id();
         eventually("it is listed", || beta.node().targets.borrow().get(&id).is_some()).await;
-        alpha.target.set_leaving(true);
+        alpha.target.set_health(Health::Leaving);
         turned_away.set_mode(Mode::Silent);
         store.unlist(&id);
         eventually("that it leaves is told", || !lines_of("target-leaving", &address.to_string()).is_empty()).await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 
 use quillhatch_platform_standins::caller::Caller;
 use quillhatch_platform_standins::store::StandInStore;
-use quillhatch_platform_standins::target::Seen;
+use quillhatch_platform_standins::target::{Health, Seen};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
@@ -242,7 +242,7 @@
         if self.leaving.gen() {
             self.store.list(&draining.target, "draining");
         } else {
-            draining.target.set_leaving(true);
+            draining.target.set_health(Health::Leaving);
             self.store.unlist(&id);
         }
         let acked = Instant::now();
@@ -252,7 +252,7 @@
         if draining.target.id() == id {
             self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
         }
-        draining.target.set_leaving(false);
+        draining.target.set_health(Health::Good);
         self.store.list(&draining.target, "ready");
         self.look_at_targets();
         sleep(Duration::from_secs(1)).await;
