A watch is as long as the bound on changes leaves: the times on the way are added up in one place

What callers may see: with bounds of 2 s, calls reach a target up to 2.1 s after it has left when the watches of all readers hang at once (machines cut off, answers lost).

Cause: a change then waits until a head that does not read finds the last reading overdue, which adds up a watch (0.4 of contact_s), its hold (0.1 of the least bound), 300 ms, and its turn (0.15). With bounds of 4 and 5 s that is 3.3 s; with 2 and 3 s it is 2.0 s and the way down. Each figure was a constant of its own, nothing added them up, and the virtual fleet was played with the long bounds only.

Change: feed::watch_wait takes from the least bound what the rest of the way needs, and gives the watch what is left, at most 0.4 of contact_s: 0.7 s for 1.2 s with 2 and 3 s, 1.08 s with 2.5 and 3 s, 1.45 s with 3 and 4 s, unchanged with 4 and 5 s.

Test: all readers fail in four ways at 12, 15, 100 nodes and 20 phases, bounds of 2 and 3 s.

--- a/crates/mesh/src/feed/mod.rs
+++ b/crates/mesh/src/feed/mod.rs
@@ -25,7 +25,7 @@
 
 pub use choice::SourceChoice;
 pub use tree::{FeedCandidate, FeedPlace, FeedTree, FANOUT};
-pub use turn::{LoneReadings, NextTurn, ReadingTurn, TurnInputs};
+pub use turn::{watch_wait, LoneReadings, NextTurn, ReadingTurn, TurnInputs};
 
 /// The part of the least bound for which a parent without news holds a question. A parent that has gone silent is noticed after it.
 const HOLD_PART: f64 = 0.25;
--- a/crates/mesh/src/feed/turn.rs
+++ b/crates/mesh/src/feed/turn.rs
@@ -6,7 +6,7 @@
 
 use super::{hold_time, FeedLoss, FeedPlace};
 use crate::settings::Bounds;
-use crate::store_reader::watch_wait;
+use crate::store_reader::longest_watch;
 
 /// The part of the least bound after which the first node that is no reader asks the store while the readers can't read it.
 const TURN_PART: f64 = 0.15;
@@ -15,6 +15,10 @@
 const TURN_GROWTH: f64 = 0.125;
 /// How much later than expected a reading of the store may be known to a head: what an answer takes where the store is slow.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(300);
+/// What is left of the bound on changes for the reading itself, for the way down the tree and for the node's own work.
+const SPREAD_RESERVE: Duration = Duration::from_millis(500);
+/// The shortest watch, where bounds leave no room for one: each has its price.
+const SHORTEST_WATCH: Duration = Duration::from_millis(300);
 /// The pause after the first reading in which a node has found neither itself nor others; it doubles with each further one.
 const LONE_PAUSE: Duration = Duration::from_millis(400);
 /// The readings after which such a node takes itself for the only one.
@@ -72,6 +76,15 @@
     }
 }
 
+/// How long the store is asked to wait for a change.
+///
+/// All readers' watches may hang at once. Then a change is known only once the first other head has found the last reading overdue and had its
+/// turn; the watch is so short that all of this ends within the least bound.
+pub fn watch_wait(bounds: &Bounds) -> Duration {
+    let found_after = hold_time(true, bounds) + OVERDUE_MARGIN + bounds.least().mul_f64(TURN_PART) + SPREAD_RESERVE;
+    longest_watch(bounds).min(bounds.least().saturating_sub(found_after)).max(SHORTEST_WATCH)
+}
+
 /// What decides on a node's turn.
 #[derive(Clone, Copy, Debug)]
 pub struct TurnInputs<'a> {
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -82,8 +82,8 @@
     }
 }
 
-/// How long the store is asked to wait for a change.
-pub fn watch_wait(bounds: &Bounds) -> Duration {
+/// The longest time for which the store may be asked to wait for a change, by what readers alone must keep.
+pub fn longest_watch(bounds: &Bounds) -> Duration {
     let for_keys = bounds.revocation.map_or(Duration::MAX, |bound| bound.mul_f64(REVOCATION_WAIT_PART));
     bounds.contact.mul_f64(WAIT_PART).min(for_keys)
 }
--- a/crates/mesh/tests/decisions/store_reader.rs
+++ b/crates/mesh/tests/decisions/store_reader.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use quillhatch_mesh::feed::watch_wait;
 use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::replica::Position;
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::store_reader::{may_have_lapsed, watch_wait, written_again_within, NextRead, StoreReader};
+use quillhatch_mesh::store_reader::{may_have_lapsed, written_again_within, NextRead, StoreReader};
 
 const BOUNDS: Bounds = Bounds {
     stop_grace: Duration::from_secs(6),
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use quillhatch_mesh::feed::{
-    answer_timeout, hold_time, FeedLoss, FeedPlace, FeedTree, LoneReadings, NextTurn, ReadingTurn, SourceChoice,
-    Supply, SupplyVerdict, TurnInputs,
+    answer_timeout, hold_time, watch_wait, FeedLoss, FeedPlace, FeedTree, LoneReadings, NextTurn, ReadingTurn,
+    SourceChoice, Supply, SupplyVerdict, TurnInputs,
 };
 use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::replica::{Change, Extent, Position, Replica, RevisedChange, Update};
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::store_reader::{watch_wait, NextRead, StoreReader};
+use quillhatch_mesh::store_reader::{NextRead, StoreReader};
 use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
@@ -31,6 +31,15 @@
     heartbeat: Duration::from_secs(3),
 };
 
+/// The bounds of a small deployment.
+pub const SHORT_BOUNDS: Bounds = Bounds {
+    drain: Duration::from_secs(2),
+    apply: Duration::from_secs(2),
+    contact: Duration::from_secs(3),
+    heartbeat: Duration::from_millis(1500),
+    ..BOUNDS
+};
+
 /// The virtual clock's step, which is also what a message takes one way.
 const TICK: Duration = Duration::from_millis(10);
 /// The calls of a node with others in a step: five a second.
@@ -174,6 +183,7 @@
     pub nodes: Vec<SimNode>,
     pub store: SimStore,
     pub wrong_rule: Option<WrongRule>,
+    bounds: Bounds,
     random: Pcg64,
     by_machine: HashMap<IpAddr, usize>,
 }
@@ -198,6 +208,11 @@
 impl Fleet {
     /// A fleet of `count` nodes in `zones`, of which all know everything.
     pub fn new(count: usize, zones: usize, seed: u64) -> Self {
+        Self::with_bounds(count, zones, seed, BOUNDS)
+    }
+
+    /// The same with other bounds.
+    pub fn with_bounds(count: usize, zones: usize, seed: u64, bounds: Bounds) -> Self {
         let mut random = Pcg64::seed_from_u64(seed);
         let mut store = SimStore { position: Position::default(), calls: 0, log: Vec::new(), is_down: false };
         let mut nodes = Vec::new();
@@ -234,7 +249,7 @@
         }
         let by_machine = nodes.iter().enumerate().map(|(number, node)| (node.machine, number)).collect();
         let mut fleet =
-            Fleet { now: Timestamp::from_millis(1_000), nodes, store, wrong_rule: None, random, by_machine };
+            Fleet { now: Timestamp::from_millis(1_000), nodes, store, wrong_rule: None, bounds, random, by_machine };
         let everything = fleet.store.whole();
         for number in 0..count {
             fleet.nodes[number].replica.take(everything.clone(), fleet.now).expect("the first update is taken");
@@ -372,7 +387,7 @@
         let other = &mut self.nodes[peer];
         match other.ailment {
             Ailment::Dead => self.question_failed(number),
-            Ailment::Silent if now.since(sent) >= answer_timeout(hold, &BOUNDS) => self.question_failed(number),
+            Ailment::Silent if now.since(sent) >= answer_timeout(hold, &self.bounds) => self.question_failed(number),
             Ailment::Silent => {}
             Ailment::Lies if now.since(sent) >= hold => self.question_answered(number, None, Some(now), None),
             Ailment::Lies => {}
@@ -396,7 +411,8 @@
         let now = self.now;
         let node = &mut self.nodes[number];
         let Some(candidate) = node.choice.next(&node.place.candidates, now) else { return };
-        let hold = if node.choice.is_searching() { Duration::ZERO } else { hold_time(node.place.is_head, &BOUNDS) };
+        let hold =
+            if node.choice.is_searching() { Duration::ZERO } else { hold_time(node.place.is_head, &self.bounds) };
         let asking = Asking {
             peer: self.by_machine[&candidate.machine],
             is_before: candidate.is_before,
@@ -438,7 +454,7 @@
         let believes_all = self.wrong_rule == Some(WrongRule::BelievesAnySource);
         let verdict = match lost {
             None if believes_all => SupplyVerdict::Well,
-            _ => supply.verdict(is_before, node.loss, &BOUNDS, now),
+            _ => supply.verdict(is_before, node.loss, &self.bounds, now),
         };
         if verdict == SupplyVerdict::Well {
             node.is_isolated = false;
@@ -524,9 +540,9 @@
             proof_lasts: None,
             draw: node.draw,
         };
-        let NextTurn::Now(turn) = inputs.next_turn(&BOUNDS, now) else { return };
+        let NextTurn::Now(turn) = inputs.next_turn(&self.bounds, now) else { return };
         let is_probing = turn == ReadingTurn::Once || node.loss.since().is_some();
-        let wait = if is_probing { Duration::from_millis(200) } else { watch_wait(&BOUNDS) };
+        let wait = if is_probing { Duration::from_millis(200) } else { watch_wait(&self.bounds) };
         node.reading = Some(Reading { sent: now, wait, read: node.reader.next(node.replica.position()) });
         self.store.calls += 1;
     }
@@ -551,7 +567,7 @@
         node.read_at = node.read_at.max(Some(reading.sent));
         node.loss.store_read();
         if has_changes {
-            node.read_after = now + BOUNDS.gather();
+            node.read_after = now + self.bounds.gather();
         }
     }
 
@@ -561,7 +577,7 @@
         let Some(reading) = node.reading.take() else { return };
         node.own_call_failed = true;
         node.loss.call_failed(reading.sent, node.read_at);
-        let longest = node.reader.failed(true, &BOUNDS);
+        let longest = node.reader.failed(true, &self.bounds);
         node.read_after = now + longest.mul_f64(self.random.gen_range(0.5..1.0));
     }
 }
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use fleet::{Access, Ailment, Fleet, BOUNDS};
+use fleet::{Access, Ailment, Fleet, BOUNDS, SHORT_BOUNDS};
 use test_case::test_case;
 
 /// What remains of the bound for the node's own work, its calls under way included.
@@ -97,6 +97,27 @@
     }
 }
 
+#[test_case(Ailment::None, Access::Silent; "watches that hang")]
+#[test_case(Ailment::None, Access::Refused; "turned away")]
+#[test_case(Ailment::Dead, Access::Served; "killed")]
+#[test_case(Ailment::Silent, Access::Served; "frozen")]
+fn a_change_reaches_all_within_a_short_bound_though_all_readers_fail(ailment: Ailment, access: Access) {
+    let bound = SHORT_BOUNDS.least();
+    for (nodes, zones) in [(12, 3), (15, 3), (100, 5)] {
+        for phase in (0..2_000).step_by(100) {
+            let mut fleet = Fleet::with_bounds(nodes, zones, 12, SHORT_BOUNDS);
+            fleet.drain(0, false, 2);
+            fleet.play(phase);
+            let readers = fleet.readers();
+            strike(&mut fleet, &readers, ailment, access);
+            let leaving = (0..nodes).find(|number| !readers.contains(number)).expect("another node");
+            fleet.drain(leaving, true, 3);
+            let took = fleet.catch_up(bound * 2);
+            assert!(took <= bound, "{took:?} of {bound:?}: {nodes} nodes, {phase} ms after another change");
+        }
+    }
+}
+
 #[test_case(Ailment::Dead; "killed")]
 #[test_case(Ailment::Silent; "frozen")]
 #[test_case(Ailment::Lies; "saying that they are well")]
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -13,11 +13,11 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use quillhatch_mesh::feed::ReadingTurn;
+use quillhatch_mesh::feed::{watch_wait, ReadingTurn};
 use quillhatch_mesh::freshness::WHOLE_ANSWER;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::replica::{Change, Extent, Position, RevisedChange, Update, UpdateError};
-use quillhatch_mesh::store_reader::{watch_wait, NextRead};
+use quillhatch_mesh::store_reader::NextRead;
 use quillhatch_mesh::targets::Target;
 use quillhatch_platform::store::{listing_path, read_page, watch_path, Freshness};
 use quillhatch_types::Timestamp;
