Soak: a broken limit tells the fullest window, when it began, and the process starts around it

The check stopped at the first call too many, so that a limit passed by 1 and by 100 looked the same, and nothing tied it to a fault. Condition and bound are as before.

So the starts are not the cause, as was suspected. The nodes' logs of that time: the store is silent for all, all 150 nodes refuse keys as their configuration is too old (3,432 lines in a second), and two seconds later all take calls again at once.

--- a/crates/soak/src/tenancy.rs
+++ b/crates/soak/src/tenancy.rs
@@ -113,7 +113,7 @@
             SoakKey::Rotating(_) | SoakKey::Steady => {}
         }
     }
-    found.extend(over_limit(limited));
+    found.extend(over_limit(record, limited));
     found
 }
 
@@ -123,21 +123,34 @@
     replaced.is_some_and(|next| sent > next.acked + Duration::from_secs(REVOCATION_S) + SLACK)
 }
 
-/// A window in which more calls of the limited tenant ran than may; a call that ran twice counts once.
-fn over_limit(mut runs: Vec<(&str, Instant)>) -> Option<Violation> {
+/// The window in which most calls of the limited tenant ran, if they are more than may; a call that ran twice counts once.
+fn over_limit(record: &SoakRecord, mut runs: Vec<(&str, Instant)>) -> Option<Violation> {
     runs.sort_by_key(|(id, at)| (*id, *at));
     runs.dedup_by_key(|(id, _)| *id);
-    runs.sort_by_key(|(_, at)| *at);
+    let mut times: Vec<Instant> = runs.into_iter().map(|(_, at)| at).collect();
+    times.sort();
     let (tolerance, slack) = LIMIT_TOLERANCE;
     let allowed = (LIMIT * LIMIT_WINDOW.as_secs_f64() + LIMIT) * (1.0 + tolerance) + slack;
-    let mut first = 0;
-    for (last, (_, at)) in runs.iter().enumerate() {
-        while runs[first].1 + LIMIT_WINDOW <= *at {
-            first += 1;
-        }
-        if (last + 1 - first) as f64 > allowed {
-            return Some(broken(Promise::Limits, format!("{} calls in a window, {allowed} allowed", last + 1 - first)));
-        }
+    let (begin, most) = fullest_window(&times)?;
+    if most as f64 <= allowed {
+        return None;
     }
-    None
+    let end = begin + LIMIT_WINDOW;
+    let first_call = record.calls.iter().map(|call| call.sent).min().unwrap_or(begin);
+    let since_first_call = begin.saturating_duration_since(first_call).as_secs_f64();
+    let started = |from: Instant| record.starts.iter().filter(|start| start.at >= from && start.at <= end).count();
+    let (before, within) = (started(begin - LIMIT_WINDOW), started(begin));
+    Some(broken(
+        Promise::Limits,
+        format!(
+            "{most} calls in the window from {since_first_call:.1} s on, {allowed} allowed; {within} processes started in it, {} in the window before",
+            before - within
+        ),
+    ))
+}
+
+/// When the window begins that holds most of `times`, which are in order, and how many it holds.
+fn fullest_window(times: &[Instant]) -> Option<(Instant, usize)> {
+    let count = |first: &Instant| times.iter().filter(|at| *at >= first && **at < *first + LIMIT_WINDOW).count();
+    times.iter().map(|first| (*first, count(first))).max_by_key(|(_, count)| *count)
 }
