Limits: a surge of a tenant's calls is reported at once, and a steep fall of its share is told to all nodes

Cause: while all nodes refuse a tenant's calls for another reason (keys that can't be checked), or the tenant pauses, the coordinator sees no demand and the share goes back to 1. When calls come back at all nodes at once, each lets its own in whole until its next report, 0.3 s to 1.2 s later. Ruled out: starts of processes (none near the window), load (idle machine). Class: unknown demand taken for none. The same at any start of a tenant that many nodes serve.

--- a/crates/mesh/src/limits/local.rs
+++ b/crates/mesh/src/limits/local.rs
@@ -6,15 +6,18 @@
 
 use quillhatch_types::Timestamp;
 
-use super::{LimitBounds, TenantShare, TenantUsage};
+use super::rate::FadingRate;
+use super::{LimitBounds, TenantShare, TenantSurge, TenantUsage, SURGE_FACTOR};
 use crate::tenants::{RateLimit, Tenant};
 
-/// The time over which rates are measured. Half of it passes until a change is seen, so it is about a report's period.
+/// The time over which rates are measured that are reported: about a report's period.
 const MEASURED_OVER: Duration = Duration::from_millis(400);
 /// A rate below which a tenant is no longer reported, in calls a second: one call, two seconds ago.
 const REPORTED_FROM: f64 = 0.02;
 /// For how long an answer of the coordinator is believed, in periods: as long as it is asked, and once more for the next one to answer.
 const BELIEVED_FOR: f64 = 4.5;
+/// The least time between two reports of surges, in periods.
+const SURGE_PAUSE: f64 = 0.1;
 /// The bounds of what a caller that is over its limit is told to wait, in seconds.
 const COME_BACK: (f64, f64) = (0.5, 5.0);
 
@@ -27,30 +30,15 @@
     pub share: f64,
 }
 
-/// Events a second, fading.
-#[derive(Clone, Copy, Debug, Default)]
-struct FadingRate {
-    per_second: f64,
-    at: Timestamp,
-}
-
-impl FadingRate {
-    fn at(self, now: Timestamp) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.per_second * (-age / MEASURED_OVER.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, events: f64, now: Timestamp) {
-        self.per_second = (self.at(now) + events / MEASURED_OVER.as_secs_f64()).max(0.0);
-        self.at = now;
-    }
-}
-
 /// The calls of one tenant at this node.
 #[derive(Clone, Debug)]
 struct LocalUsage {
     arriving: FadingRate,
     admitted: FadingRate,
+    /// Calls a second that arrived at the last regular report.
+    reported: f64,
+    /// Calls that have arrived since any report.
+    unreported: u32,
     /// Shares of calls that were not let in yet; with each whole one a call is.
     due: f64,
     /// What is left of this node's own part of the limit, while no coordinator answers.
@@ -89,12 +77,23 @@
     /// small tenant's calls are the first one at their node for a second or more.
     shares: HashMap<Arc<str>, f64>,
     answered: Option<Timestamp>,
+    /// Whether calls of some tenant have risen since the last report.
+    has_surge: bool,
+    /// When surges were reported last.
+    surges_reported: Timestamp,
 }
 
 impl LocalLimits {
     /// No call has arrived yet, and no coordinator has answered.
     pub fn new(bounds: LimitBounds) -> Self {
-        LocalLimits { bounds, usages: HashMap::new(), shares: HashMap::new(), answered: None }
+        LocalLimits {
+            bounds,
+            usages: HashMap::new(),
+            shares: HashMap::new(),
+            answered: None,
+            has_surge: false,
+            surges_reported: Timestamp::ZERO,
+        }
     }
 
     /// A call of `tenant` arrives, at one of `machines` nodes that each report once in `period`. `draw` in 0..1 is random.
@@ -117,6 +116,8 @@
         let part = self.bounds.part_scale() / machines.max(1) as f64;
         let usage = self.usages.entry(tenant.name.clone()).or_insert_with(|| LocalUsage::new(whole, draw, now));
         usage.arriving.add(1.0, now);
+        usage.unreported += 1;
+        self.has_surge |= usage.is_surging(now);
         usage.whole.fill(whole, now);
         let is_admitted = if has_coordinator {
             // The node's own part begins when no coordinator answers, and owes nothing for the time before.
@@ -146,10 +147,26 @@
     /// What is reported now. Tenants without calls for some time are forgotten.
     pub fn report(&mut self, now: Timestamp) -> Vec<TenantUsage> {
         self.usages.retain(|_, usage| usage.arriving.at(now) >= REPORTED_FROM);
-        let reported = self.usages.iter().map(|(tenant, usage)| TenantUsage {
+        self.has_surge = false;
+        let reported = self.usages.iter_mut().map(|(tenant, usage)| {
+            (usage.reported, usage.unreported) = (usage.arriving.at(now), 0);
+            TenantUsage { tenant: tenant.clone(), arriving: usage.reported, admitted: usage.admitted.at(now) }
+        });
+        reported.collect()
+    }
+
+    /// How long until surges are to be reported, if there are any.
+    pub fn surge_report_in(&self, period: Duration, now: Timestamp) -> Option<Duration> {
+        self.has_surge.then(|| now.until(self.surges_reported + period.mul_f64(SURGE_PAUSE)))
+    }
+
+    /// The surges that are reported now.
+    pub fn report_surges(&mut self, now: Timestamp) -> Vec<TenantSurge> {
+        (self.has_surge, self.surges_reported) = (false, now);
+        let surging = self.usages.iter_mut().filter(|(_, usage)| usage.is_surging(now));
+        let reported = surging.map(|(tenant, usage)| TenantSurge {
             tenant: tenant.clone(),
-            arriving: usage.arriving.at(now),
-            admitted: usage.admitted.at(now),
+            calls: std::mem::take(&mut usage.unreported),
         });
         reported.collect()
     }
@@ -169,10 +186,12 @@
 
 impl LocalUsage {
     fn new(whole: RateLimit, draw: f64, now: Timestamp) -> Self {
-        let rate = FadingRate { per_second: 0.0, at: now };
+        let rate = FadingRate::new(MEASURED_OVER, now);
         LocalUsage {
             arriving: rate,
             admitted: rate,
+            reported: 0.0,
+            unreported: 0,
             // These begin at random, so that all nodes together let in what is due, not each one call at first.
             due: draw,
             part: TokenBucket { tokens: draw, filled: now },
@@ -180,6 +199,11 @@
         }
     }
 
+    /// Whether its calls arrive so much more often than reported that the coordinator can't wait for the regular report.
+    fn is_surging(&self, now: Timestamp) -> bool {
+        self.unreported > 0 && self.arriving.at(now) > self.reported * SURGE_FACTOR
+    }
+
     fn spend_share(&mut self, share: f64) -> bool {
         if !self.whole.spend() {
             return false;
--- a/crates/mesh/src/limits/mod.rs
+++ b/crates/mesh/src/limits/mod.rs
@@ -9,12 +9,16 @@
 //! that report to it, and a node that no coordinator answers has the part that falls to one node. These parts add up to the rate and a
 //! piece of the tolerance, so that a few missing nodes take nothing away from the others.
 //!
+//! Calls of a tenant that begin at many nodes at once would pass its limit within one period, so a node at which a tenant's calls rise reports
+//! that at once ([`TenantSurge`]), and the coordinator tells all nodes as soon as a share falls steeply.
+//!
 //! A report holds rates, not counts, and the coordinator keeps nothing that it can't learn anew from one report of each node. So a lost
 //! message does no harm, and the next coordinator knows the demand within one period.
 
 mod choice;
 mod coordinator;
 mod local;
+mod rate;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::IpAddr;
@@ -33,6 +37,8 @@
 const MOST_REPORTS: f64 = 800.0;
 /// The part of the tolerance that is handed out beyond the rate; the rest is for what reports lag behind.
 const TOLERANCE_PART: f64 = 0.6;
+/// By which factor calls must arrive more often than regular reports show to be a surge.
+const SURGE_FACTOR: f64 = 2.0;
 
 /// The part of the slack that counts as burst: the rate of a tenant with some calls a second is measured from one or two of them, and a
 /// burst as small would refuse it below its limit.
@@ -73,6 +79,15 @@
     pub admitted: f64,
 }
 
+/// Calls of a tenant that have arrived at a node since it reported last, told before the next regular report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TenantSurge {
+    /// The tenant's name.
+    pub tenant: Arc<str>,
+    /// The calls.
+    pub calls: u32,
+}
+
 /// The share of a tenant's calls that is let in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TenantShare {
--- a/crates/mesh/tests/limits/fleet.rs
+++ b/crates/mesh/tests/limits/fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use quillhatch_mesh::limits::{
-    candidates, report_period, CoordinatorChoice, LimitBounds, LimitCoordinator, LocalLimits, TenantShare, TenantUsage,
+    candidates, report_period, CoordinatorChoice, LimitBounds, LimitCoordinator, LocalLimits, TenantShare, TenantSurge,
+    TenantUsage,
 };
 use quillhatch_mesh::tenants::{RateLimit, Tenant};
 use quillhatch_types::Timestamp;
@@ -16,6 +17,8 @@
 pub const BOUNDS: LimitBounds = LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 };
 /// How long a datagram is on its way, in milliseconds.
 const ON_THE_WAY_MS: u64 = 2;
+/// Tells the losses of datagrams besides regular ones from the other draws.
+const SEED_BESIDES: u64 = 0x5u64 << 32;
 /// The share of datagrams that is lost.
 const LOST: f64 = 0.01;
 
@@ -42,6 +45,7 @@
     coordinator: LimitCoordinator,
     choice: CoordinatorChoice,
     next_report: u64,
+    reports_to: usize,
     down_until: u64,
     side: u8,
 }
@@ -53,6 +57,7 @@
             coordinator: LimitCoordinator::new(BOUNDS),
             choice: CoordinatorChoice::default(),
             next_report: now + random.gen_range(0..300),
+            reports_to: 0,
             down_until: now,
             side: 0,
         }
@@ -61,8 +66,11 @@
 
 enum Message {
     Report(Vec<TenantUsage>),
+    Surges(Vec<TenantSurge>),
     /// The shares, unless the coordinator does not know the demand yet.
     Answer(Option<Vec<TenantShare>>),
+    /// The shares, not in answer to a regular report.
+    Update(Vec<TenantShare>),
 }
 
 struct Datagram {
@@ -79,6 +87,8 @@
     order: Vec<IpAddr>,
     limit: RateLimit,
     random: Pcg64,
+    /// For datagrams besides regular reports and their answers, so that the calls of a seed do not depend on them.
+    random_besides: Pcg64,
     now: u64,
     on_the_way: Vec<Datagram>,
     /// When calls were let in, and when calls were refused that an ideal limit would have let in; in milliseconds.
@@ -102,6 +112,7 @@
             order: candidates((0..nodes).map(address).collect()),
             limit,
             random,
+            random_besides: Pcg64::seed_from_u64(seed ^ SEED_BESIDES),
             now: 0,
             on_the_way: Vec::new(),
             admitted: Vec::new(),
@@ -173,14 +184,25 @@
         let period = report_period(self.nodes.len());
         for from in 0..self.nodes.len() {
             let node = &mut self.nodes[from];
-            if node.down_until > self.now || node.next_report > self.now {
+            if node.down_until > self.now {
+                continue;
+            }
+            let has_surge = node.limits.surge_report_in(period, now).is_some_and(|wait| wait.is_zero());
+            let is_regular = node.next_report <= self.now;
+            if !is_regular && !has_surge {
+                continue;
+            }
+            if !is_regular {
+                let (to, surges) = (node.reports_to, node.limits.report_surges(now));
+                self.send(from, to, Message::Surges(surges), false);
                 continue;
             }
             node.next_report = self.now + self.random.gen_range(9..=11) * period.as_millis() as u64 / 10;
             let to = node.choice.next(&self.order, now).expect("there are machines");
             let usages = node.limits.report(now);
             let to = (0..self.nodes.len()).find(|node| address(*node) == to).expect("a node");
-            self.send(from, to, Message::Report(usages));
+            self.nodes[from].reports_to = to;
+            self.send(from, to, Message::Report(usages), true);
         }
         let (arrived, waiting): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.on_the_way).into_iter().partition(|datagram| datagram.arrives <= self.now);
@@ -196,9 +218,17 @@
                     let limit = self.limit;
                     let fleet = (machines, period);
                     let shares = node.coordinator.take(address(from), usages, |_| Some(limit), fleet, now);
-                    let shares = Some(shares).filter(|_| node.coordinator.is_settled(period, now));
-                    self.send(to, from, Message::Answer(shares));
+                    let told = node.coordinator.is_settled(period, now).then(|| shares.clone());
+                    self.send(to, from, Message::Answer(told), true);
+                    self.update(to, None, &shares);
+                }
+                Message::Surges(surges) => {
+                    let limit = self.limit;
+                    let shares = node.coordinator.take_surges(&surges, |_| Some(limit), period, now);
+                    self.update(to, Some(from), &shares);
                 }
+                Message::Update(shares) if node.reports_to == from => node.limits.answered(&shares, now),
+                Message::Update(_) => {}
                 Message::Answer(shares) => {
                     node.choice.answered();
                     if let Some(shares) = shares {
@@ -209,9 +239,25 @@
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, message: Message) {
+    /// Tells the shares to the node that has reported a surge, and to all nodes if these must know before they report again.
+    fn update(&mut self, coordinator: usize, reporter: Option<usize>, shares: &[TenantShare]) {
+        let now = Timestamp::from_millis(self.now);
+        let period = report_period(self.nodes.len());
+        let deciding = &mut self.nodes[coordinator].coordinator;
+        let reporter = reporter.filter(|_| deciding.is_settled(period, now));
+        let at_once = deciding.tell_at_once(period, now);
+        for to in 0..self.nodes.len() {
+            if Some(to) == reporter || at_once.contains(&address(to)) {
+                self.send(coordinator, to, Message::Update(shares.to_vec()), false);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message, is_regular: bool) {
         self.datagrams += 1;
-        if self.nodes[from].side == self.nodes[to].side && self.random.gen::<f64>() >= LOST {
+        let random = if is_regular { &mut self.random } else { &mut self.random_besides };
+        let is_connected = self.nodes[from].side == self.nodes[to].side;
+        if is_connected && random.gen::<f64>() >= LOST {
             self.on_the_way.push(Datagram { arrives: self.now + ON_THE_WAY_MS, from, to, message });
         }
     }
--- a/crates/mesh/tests/limits/main.rs
+++ b/crates/mesh/tests/limits/main.rs
@@ -158,6 +158,25 @@
     }
 }
 
+#[test_case(12, 400.0)]
+#[test_case(82, 400.0)]
+#[test_case(150, 400.0)]
+#[test_case(300, 400.0)]
+#[test_case(985, 400.0; "the whole fleet")]
+fn calls_that_stop_and_come_back_all_at_once_keep_a_small_limit(nodes: usize, rate: f64) {
+    for pause in [800, 2_000, 6_000] {
+        for seed in 0..10 {
+            let limit = limit(8.0);
+            let mut fleet = Fleet::new(Way::Coordinator, nodes, limit, seed);
+            fleet.play(6000, rate, everywhere);
+            fleet.play(pause, 0.0, everywhere);
+            fleet.play(8000, rate, everywhere);
+            let worst = fleet.worst_window(limit, 0);
+            assert!(worst <= 1.0, "{worst} of the bound, seed {seed}");
+        }
+    }
+}
+
 /// The two ways side by side: overrun, wrong refusals below the limit, datagrams a second.
 #[test_case(12, 1)]
 #[test_case(12, 3)]
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -2,13 +2,15 @@
 //!
 //! The answer to a report also tells how recent the coordinator's configuration is, so that nodes without traffic know it too.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use quillhatch_mesh::freshness::FreshnessProof;
-use quillhatch_mesh::limits::{candidates, report_period, CoordinatorChoice, TenantShare, TenantUsage};
+use quillhatch_mesh::limits::{candidates, report_period, CoordinatorChoice, TenantShare, TenantSurge, TenantUsage};
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_messages::encode;
 use quillhatch_messages::generated::limits as wire;
@@ -28,12 +30,15 @@
 /// Reports that were sent and not answered yet.
 #[derive(Default)]
 struct Awaited {
+    /// To whom the last one was sent.
+    coordinator: Option<IpAddr>,
     last_sequence: u64,
     sent: VecDeque<(u64, Timestamp)>,
 }
 
 impl Awaited {
-    fn send(&mut self, now: Timestamp) -> u64 {
+    fn send(&mut self, coordinator: IpAddr, now: Timestamp) -> u64 {
+        self.coordinator = Some(coordinator);
         self.last_sequence += 1;
         self.sent.push_back((self.last_sequence, now));
         if self.sent.len() > MOST_AWAITED {
@@ -64,6 +69,10 @@
         loop {
             let received = tokio::select! {
                 () = &mut next_report => break,
+                () = surge(&node, period) => {
+                    report_surges(&node, &socket, awaited.coordinator).await;
+                    continue;
+                }
                 received = socket.recv_from(&mut buf) => received,
             };
             // A machine without a node refuses datagrams, which the next call reports; its nodes report elsewhere meanwhile.
@@ -77,6 +86,17 @@
     }
 }
 
+/// Waits until a surge is to be reported.
+async fn surge(node: &Node, period: Duration) {
+    loop {
+        let due = node.tenancy.limits.borrow().surge_report_in(period, node.now());
+        match due {
+            Some(wait) => return sleep(wait).await,
+            None => node.tenancy.surge.notified().await,
+        }
+    }
+}
+
 /// Whether there is anything to agree on.
 fn is_needed(node: &Node) -> bool {
     let Some(configuration) = node.current_configuration() else { return false };
@@ -92,13 +112,30 @@
     }
     let now = node.now();
     let Some(coordinator) = choice.next(&candidates(machines), now) else { return };
+    let sequence = awaited.send(coordinator, now);
+    let report = usage_report(node, sequence, now);
+    send(node, socket, &wire::LimitMessage { report: Some(report), ..Default::default() }, coordinator).await;
+}
+
+/// Tells the coordinator of the last report of surges.
+async fn report_surges(node: &Rc<Node>, socket: &UdpSocket, coordinator: Option<IpAddr>) {
+    let report = surge_report(node, node.now());
+    let Some(coordinator) = coordinator.filter(|_| is_needed(node)) else { return };
+    send(node, socket, &wire::LimitMessage { surge_report: Some(report), ..Default::default() }, coordinator).await;
+}
+
+fn usage_report(node: &Node, sequence: u64, now: Timestamp) -> wire::UsageReport {
     let mut usages = node.tenancy.limits.borrow_mut().report(now);
     usages.sort_unstable_by(|one, other| other.arriving.total_cmp(&one.arriving));
     usages.truncate(MOST_REPORTED);
-    let usages = usages.iter().map(encode_usage).collect();
-    let sequence = awaited.send(now);
-    let message = wire::LimitMessage { report: Some(wire::UsageReport { sequence, usages }), answer: None };
-    send(node, socket, &message, coordinator).await;
+    wire::UsageReport { sequence, usages: usages.iter().map(encode_usage).collect() }
+}
+
+fn surge_report(node: &Node, now: Timestamp) -> wire::SurgeReport {
+    let mut surges = node.tenancy.limits.borrow_mut().report_surges(now);
+    surges.sort_unstable_by_key(|surge| Reverse(surge.calls));
+    surges.truncate(MOST_REPORTED);
+    wire::SurgeReport { surges: surges.iter().map(encode_surge).collect() }
 }
 
 /// The machines whose targets are not leaving.
@@ -125,8 +162,17 @@
     let arrived = node.now();
     let Some(message) = datagrams::read::<wire::LimitMessage>(node, bytes, from) else { return };
     if let Some(report) = message.report {
-        let answer = coordinate(node, report, from.ip(), arrived);
-        send(node, socket, &wire::LimitMessage { report: None, answer: Some(answer) }, from.ip()).await;
+        let shares = take_usages(node, &report, from.ip(), arrived);
+        send(node, socket, &answer(node, report.sequence, &shares, arrived), from.ip()).await;
+        update(node, socket, &shares, None, arrived).await;
+    }
+    if let Some(report) = message.surge_report {
+        let shares = take_surges(node, &report, arrived);
+        update(node, socket, &shares, Some(from.ip()), arrived).await;
+    }
+    if let Some(update) = message.update.filter(|_| awaited.coordinator == Some(from.ip())) {
+        let shares: Vec<TenantShare> = update.shares.iter().filter_map(decode_share).collect();
+        node.tenancy.limits.borrow_mut().answered(&shares, arrived);
     }
     let Some(answer) = message.answer else { return };
     let Some(sent) = awaited.answered(answer.sequence) else { return };
@@ -141,24 +187,55 @@
     }
 }
 
-/// Answers the report of the node at `from`.
-fn coordinate(node: &Node, report: wire::UsageReport, from: IpAddr, arrived: Timestamp) -> wire::UsageAnswer {
+/// Takes a report of usage as the coordinator; the shares that hold now.
+fn take_usages(node: &Node, report: &wire::UsageReport, from: IpAddr, arrived: Timestamp) -> Vec<TenantShare> {
     let configuration = node.current_configuration();
     let limit_of = |tenant: &str| configuration.as_ref()?.tenants.get(tenant)?.limit;
     let machines = node.tenancy.machines.get();
     let usages = report.usages.iter().filter_map(decode_usage).collect();
     let fleet = (machines, report_period(machines));
-    let mut coordinator = node.tenancy.coordinator.borrow_mut();
-    let shares = coordinator.take(from, usages, limit_of, fleet, arrived);
-    let settling = !coordinator.is_settled(report_period(machines), arrived);
-    drop(coordinator);
+    node.tenancy.coordinator.borrow_mut().take(from, usages, limit_of, fleet, arrived)
+}
+
+/// Takes a report of surges as the coordinator; the shares that hold now.
+fn take_surges(node: &Node, report: &wire::SurgeReport, arrived: Timestamp) -> Vec<TenantShare> {
+    let configuration = node.current_configuration();
+    let limit_of = |tenant: &str| configuration.as_ref()?.tenants.get(tenant)?.limit;
+    let surges: Vec<TenantSurge> = report.surges.iter().map(decode_surge).collect();
+    let period = report_period(node.tenancy.machines.get());
+    node.tenancy.coordinator.borrow_mut().take_surges(&surges, limit_of, period, arrived)
+}
+
+/// The answer to a report of usage.
+fn answer(node: &Node, sequence: u64, shares: &[TenantShare], arrived: Timestamp) -> wire::LimitMessage {
+    let period = report_period(node.tenancy.machines.get());
+    let settling = !node.tenancy.coordinator.borrow().is_settled(period, arrived);
     let proof = node.tenancy.proof(&node.configuration.borrow(), arrived);
-    wire::UsageAnswer {
-        sequence: report.sequence,
+    let answer = wire::UsageAnswer {
+        sequence,
         shares: shares.iter().filter(|_| !settling).map(encode_share).collect(),
         settling,
         proof: proof
             .map(|proof| wire::FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms }),
+    };
+    wire::LimitMessage { answer: Some(answer), ..Default::default() }
+}
+
+/// Tells the shares to the node that has reported a surge, and to all nodes if these must know before they report again.
+async fn update(node: &Node, socket: &UdpSocket, shares: &[TenantShare], reporter: Option<IpAddr>, now: Timestamp) {
+    let period = report_period(node.tenancy.machines.get());
+    let (is_settled, at_once) = {
+        let mut coordinator = node.tenancy.coordinator.borrow_mut();
+        (coordinator.is_settled(period, now), coordinator.tell_at_once(period, now))
+    };
+    if !at_once.is_empty() {
+        node.log_failure(|| format!("\"event\":\"shares-fall\",\"told\":{}", at_once.len()));
+    }
+    let reporter = reporter.filter(|reporter| is_settled && !at_once.contains(reporter));
+    let update = wire::SharesUpdate { shares: shares.iter().map(encode_share).collect() };
+    let message = wire::LimitMessage { update: Some(update), ..Default::default() };
+    for to in at_once.into_iter().chain(reporter) {
+        send(node, socket, &message, to).await;
     }
 }
 
@@ -180,6 +257,14 @@
     })
 }
 
+fn encode_surge(surge: &TenantSurge) -> wire::TenantSurge {
+    wire::TenantSurge { tenant: surge.tenant.to_string(), calls: surge.calls }
+}
+
+fn decode_surge(surge: &wire::TenantSurge) -> TenantSurge {
+    TenantSurge { tenant: Arc::from(surge.tenant.as_str()), calls: surge.calls }
+}
+
 fn encode_share(share: &TenantShare) -> wire::TenantShare {
     wire::TenantShare { tenant: share.tenant.to_string(), share: share.share as f32 }
 }
--- a/crates/sidecar/src/tenancy.rs
+++ b/crates/sidecar/src/tenancy.rs
@@ -9,6 +9,7 @@
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::tenants::Tenant;
 use quillhatch_types::Timestamp;
+use tokio::sync::Notify;
 
 /// The part of a node's state that is about tenants.
 pub struct Tenancy {
@@ -20,6 +21,8 @@
     pub limits: RefCell<LocalLimits>,
     /// What other nodes report of the limits of tenants, if this one coordinates them.
     pub coordinator: RefCell<LimitCoordinator>,
+    /// Wakes whoever reports to the coordinator once calls of a tenant surge.
+    pub surge: Notify,
     /// The machines that hold a target, each once.
     pub machines: Cell<usize>,
     hears_others: bool,
@@ -34,6 +37,7 @@
             later_is_unusable: Cell::new(false),
             limits: RefCell::new(LocalLimits::new(bounds.limits)),
             coordinator: RefCell::new(LimitCoordinator::new(bounds.limits)),
+            surge: Notify::new(),
             machines: Cell::new(0),
             hears_others: settings.mechanisms.has(Mechanism::HeardFreshness),
         }
@@ -86,7 +90,13 @@
     /// Returns when to come back if the call is beyond the tenant's limit.
     pub fn admit(&self, tenant: &Tenant, draw: f64, now: Timestamp) -> Result<(), OverLimit> {
         let machines = self.machines.get().max(1);
-        self.limits.borrow_mut().admit(tenant, machines, report_period(machines), draw, now)
+        let period = report_period(machines);
+        let mut limits = self.limits.borrow_mut();
+        let admitted = limits.admit(tenant, machines, period, draw, now);
+        if limits.surge_report_in(period, now).is_some() {
+            self.surge.notify_one();
+        }
+        admitted
     }
 
     /// A call of `tenant` that was let in has not run.
