--- a/crates/mesh/tests/decisions/store_reader.rs
+++ b/crates/mesh/tests/decisions/store_reader.rs
@@ -3,22 +3,16 @@
 use std::time::Duration;
 
 use quillhatch_mesh::feed::watch_wait;
-use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::replica::Position;
 use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::store_reader::{may_have_lapsed, written_again_within, NextRead, StoreReader};
 
+/// Longer than those of the other decisions: a watch has its full length.
 const BOUNDS: Bounds = Bounds {
-    stop_grace: Duration::from_secs(6),
     drain: Duration::from_secs(3),
     apply: Duration::from_secs(3),
     contact: Duration::from_secs(4),
-    retry_ratio: 0.2,
-    retry_window: Duration::from_secs(10),
-    retry_slack: 55.0,
-    revocation: None,
-    limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
-    heartbeat: Duration::from_millis(1500),
+    ..crate::BOUNDS
 };
 
 fn at(revision: u64) -> Position {
