--- a/crates/sidecar/tests/support/tenancy.rs
+++ b/crates/sidecar/tests/support/tenancy.rs
@@ -12,8 +12,12 @@
 pub const HOST: &str = "shop.example";
 /// The key of the tenant that is not limited.
 pub const FREE_KEY: &str = "key-of-free";
-/// The key of the tenant that may send three calls a second.
+/// The key of the tenant that may send few calls.
 pub const LIMITED_KEY: &str = "key-of-limited";
+/// How many a second.
+pub const LIMITED_RATE: f64 = 3.0;
+/// And how many beyond that at once.
+pub const LIMITED_BURST: f64 = 3.0;
 /// The bound on revocation of machines that keep one: keys are believed for 1.485 s after a proof.
 pub const REVOCATION: Duration = Duration::from_millis(2500);
 
@@ -22,7 +26,7 @@
     format!(
         r#"{{"version":"r{version}",
         "tenants":[{{"name":"free","api_keys":{keys:?},"priority":1}},
-          {{"name":"limited","api_keys":["{LIMITED_KEY}"],"rate_per_s":3,"burst":3}}],
+          {{"name":"limited","api_keys":["{LIMITED_KEY}"],"rate_per_s":{LIMITED_RATE},"burst":{LIMITED_BURST}}}],
         "listeners":[{{"host":"{HOST}","rules":[
           {{"name":"read","kind":"safe","aim_s":1,"match":{{"prefix":"/read/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}},
           {{"name":"chain","kind":"safe","aim_s":1,"match":{{"prefix":"/chain/"}},"action":{{"service":"alpha","timeout_s":2,"max_attempts":1}}}},
--- a/crates/sidecar/tests/tenants.rs
+++ b/crates/sidecar/tests/tenants.rs
@@ -5,13 +5,15 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_sidecar::metrics;
 use quillhatch_sidecar::node::Node;
 use support::caller::{call, Caller};
 use support::store::{Mode, StandInStore};
 use support::target::ChainedCall;
 use support::tenancy::{
-    document, get, read, strictly, two_machines, with_key, FREE_KEY, HOST, LIMITED_KEY, REVOCATION,
+    document, get, read, strictly, two_machines, with_key, FREE_KEY, HOST, LIMITED_BURST, LIMITED_KEY, LIMITED_RATE,
+    REVOCATION,
 };
 use support::{eventually, run, Machine};
 use test_case::test_case;
@@ -155,6 +157,46 @@
     });
 }
 
+#[test]
+fn calls_that_begin_at_all_machines_at_once_keep_their_limit() {
+    run(async {
+        let (store, alpha, beta) = started().await;
+        let mut machines = vec![alpha, beta];
+        for _ in 0..8 {
+            machines.push(Machine::start(&store, "alpha", 8).await);
+        }
+        eventually("one coordinates all", || {
+            machines.iter().any(|machine| machine.node().tenancy.coordinator.borrow().nodes() == machines.len())
+        })
+        .await;
+        sleep(Duration::from_secs(1)).await;
+        let BoundedCalls { window, allowed } = bounded_calls();
+        let mut served = 0;
+        let begun = Instant::now();
+        for (number, machine) in machines.iter().cycle().enumerate() {
+            if begun.elapsed() >= window {
+                break;
+            }
+            let answer = read(machine, &format!("l{number}"), LIMITED_KEY).await;
+            served += usize::from(answer.status == 200);
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert!(served <= allowed, "{served} of {allowed}");
+    });
+}
+
+/// How many calls of the limited tenant may run in a window.
+struct BoundedCalls {
+    window: Duration,
+    allowed: usize,
+}
+
+fn bounded_calls() -> BoundedCalls {
+    let LimitBounds { window, tolerance, slack } = support::BOUNDS.limits;
+    let limit = LIMITED_RATE * window.as_secs_f64() + LIMITED_BURST;
+    BoundedCalls { window, allowed: (limit * (1.0 + tolerance) + slack) as usize }
+}
+
 #[test]
 fn with_a_silent_store_keys_are_believed_for_a_part_of_the_bound_only() {
     run(async {
