--- a/crates/mesh/tests/feed/exploration.rs
+++ b/crates/mesh/tests/feed/exploration.rs
@@ -8,7 +8,8 @@
 use quillhatch_mesh::replica::{Change, Position};
 use test_case::test_case;
 
-use crate::fleet::{Access, Ailment, Fleet, WrongRule, BOUNDS};
+use crate::fleet::{Fleet, WrongRule, BOUNDS};
+use crate::node::{Access, Ailment};
 
 const NODES: usize = 8;
 const ZONES: usize = 2;
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -10,14 +10,17 @@
     SourceChoice, Supply, SupplyVerdict, TurnInputs,
 };
 use quillhatch_mesh::limits::LimitBounds;
-use quillhatch_mesh::replica::{Change, Extent, Position, Replica, RevisedChange, Update};
+use quillhatch_mesh::replica::{Change, Position, Replica, Update};
 use quillhatch_mesh::settings::Bounds;
 use quillhatch_mesh::store_reader::{NextRead, StoreReader};
-use quillhatch_mesh::targets::{Registration, Target};
+use quillhatch_mesh::targets::Target;
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
+use crate::node::{Access, Ailment, Asking, Reading, SimNode};
+use crate::store::{registration, target_id, SimStore};
+
 pub const BOUNDS: Bounds = Bounds {
     stop_grace: Duration::from_secs(10),
     drain: Duration::from_secs(4),
@@ -49,28 +52,6 @@
 /// What a watch may take beyond its wait.
 const WATCH_ALLOWANCE: Duration = Duration::from_millis(600);
 
-/// How the store treats a node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Access {
-    #[default]
-    Served,
-    Refused,
-    Silent,
-}
-
-/// What is wrong with a node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Ailment {
-    #[default]
-    None,
-    /// Its connections are refused.
-    Dead,
-    /// It stands still, or all its links are cut: connections to it hang.
-    Silent,
-    /// It answers that it is well and that there is nothing new.
-    Lies,
-}
-
 /// A rule of the decisions that is left out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WrongRule {
@@ -86,98 +67,6 @@
     NeverVerifiesAccess,
 }
 
-struct Asking {
-    peer: usize,
-    is_before: bool,
-    sent: Timestamp,
-    hold: Duration,
-    from: Position,
-}
-
-struct Reading {
-    sent: Timestamp,
-    wait: Duration,
-    read: NextRead,
-}
-
-pub struct SimNode {
-    pub machine: IpAddr,
-    pub zone: String,
-    pub replica: Replica,
-    pub place: FeedPlace,
-    pub access: Access,
-    pub ailment: Ailment,
-    pub loss: FeedLoss,
-    /// Whether its own last call of the store has failed.
-    pub own_call_failed: bool,
-    pub read_at: Option<Timestamp>,
-    choice: SourceChoice,
-    reader: StoreReader,
-    asking: Option<Asking>,
-    reading: Option<Reading>,
-    ask_after: Timestamp,
-    read_after: Timestamp,
-    is_isolated: bool,
-    is_unproved: bool,
-    is_answered: bool,
-    lone_readings: LoneReadings,
-    draw: f64,
-    /// When another node was heard of that is ahead, and which.
-    heard: Option<(Timestamp, usize)>,
-    /// Questions that it has answered, and the changes in the answers.
-    pub answered: usize,
-    pub changes_told: usize,
-}
-
-impl SimNode {
-    pub fn position(&self) -> Position {
-        self.replica.position()
-    }
-
-    pub fn is_in_touch(&self) -> bool {
-        self.ailment == Ailment::None && self.access == Access::Served
-    }
-}
-
-pub struct SimStore {
-    pub position: Position,
-    pub calls: usize,
-    log: Vec<RevisedChange>,
-    is_down: bool,
-}
-
-impl SimStore {
-    fn write(&mut self, change: Change) {
-        self.position.revision += 1;
-        self.log.push(RevisedChange { revision: self.position.revision, change });
-    }
-
-    /// Comes back from a copy that was made `lost` changes ago.
-    fn restore(&mut self, lost: usize) {
-        self.log.truncate(self.log.len() - lost);
-        self.position.revision = self.log.last().map_or(1, |revised| revised.revision);
-        self.position.era += 1;
-    }
-
-    fn whole(&self) -> Update {
-        let mut last: HashMap<Arc<str>, RevisedChange> = HashMap::new();
-        for revised in &self.log {
-            let (Change::Target(id, _) | Change::TargetGone(id)) = &revised.change else { continue };
-            last.insert(id.clone(), revised.clone());
-        }
-        let mut changes: Vec<RevisedChange> =
-            last.into_values().filter(|revised| matches!(revised.change, Change::Target(..))).collect();
-        changes.sort_by_key(|revised| revised.revision);
-        Update { extent: Extent::Whole, position: self.position, changes }
-    }
-
-    fn since(&self, after: u64) -> Update {
-        let changes = self.log.iter().filter(|revised| revised.revision > after).cloned().collect();
-        let from = Position { era: self.position.era, revision: after };
-        Update { extent: Extent::After(from), position: self.position, changes }
-    }
-}
-
 pub struct Fleet {
     pub now: Timestamp,
     pub nodes: Vec<SimNode>,
@@ -188,23 +77,6 @@
     by_machine: HashMap<IpAddr, usize>,
 }
 
-fn registration(machine: IpAddr, zone: &str, draining: bool, sequence: u64) -> Registration {
-    Registration {
-        service: Arc::from("alpha"),
-        address: (machine, 80).into(),
-        zone: Arc::from(zone),
-        slots: 10,
-        draining,
-        cold_for: Duration::ZERO,
-        started: 1,
-        sequence,
-    }
-}
-
-fn target_id(number: usize) -> Arc<str> {
-    Arc::from(format!("t-{number}"))
-}
-
 impl Fleet {
     /// A fleet of `count` nodes in `zones`, of which all know everything.
     pub fn new(count: usize, zones: usize, seed: u64) -> Self {
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -2,10 +2,13 @@
 
 mod exploration;
 mod fleet;
+mod node;
+mod store;
 
 use std::time::Duration;
 
-use fleet::{Access, Ailment, Fleet, BOUNDS, SHORT_BOUNDS};
+use fleet::{Fleet, BOUNDS, SHORT_BOUNDS};
+use node::{Access, Ailment};
 use test_case::test_case;
 
 /// What remains of the bound for the node's own work, its calls under way included.
--- /dev/null
+++ b/crates/mesh/tests/feed/store.rs
@@ -0,0 +1,68 @@
+//! The platform's store: a log of targets' registrations.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quillhatch_mesh::replica::{Change, Extent, Position, RevisedChange, Update};
+use quillhatch_mesh::targets::Registration;
+
+/// The store.
+pub struct SimStore {
+    pub position: Position,
+    pub calls: usize,
+    pub(super) log: Vec<RevisedChange>,
+    pub(super) is_down: bool,
+}
+
+impl SimStore {
+    pub(super) fn write(&mut self, change: Change) {
+        self.position.revision += 1;
+        self.log.push(RevisedChange { revision: self.position.revision, change });
+    }
+
+    /// Comes back from a copy that was made `lost` changes ago.
+    pub(super) fn restore(&mut self, lost: usize) {
+        self.log.truncate(self.log.len() - lost);
+        self.position.revision = self.log.last().map_or(1, |revised| revised.revision);
+        self.position.era += 1;
+    }
+
+    pub(super) fn whole(&self) -> Update {
+        let mut last: HashMap<Arc<str>, RevisedChange> = HashMap::new();
+        for revised in &self.log {
+            let (Change::Target(id, _) | Change::TargetGone(id)) = &revised.change else { continue };
+            last.insert(id.clone(), revised.clone());
+        }
+        let mut changes: Vec<RevisedChange> =
+            last.into_values().filter(|revised| matches!(revised.change, Change::Target(..))).collect();
+        changes.sort_by_key(|revised| revised.revision);
+        Update { extent: Extent::Whole, position: self.position, changes }
+    }
+
+    pub(super) fn since(&self, after: u64) -> Update {
+        let changes = self.log.iter().filter(|revised| revised.revision > after).cloned().collect();
+        let from = Position { era: self.position.era, revision: after };
+        Update { extent: Extent::After(from), position: self.position, changes }
+    }
+}
+
+/// What the target beside the node at `machine` registers.
+pub(super) fn registration(machine: IpAddr, zone: &str, draining: bool, sequence: u64) -> Registration {
+    Registration {
+        service: Arc::from("alpha"),
+        address: (machine, 80).into(),
+        zone: Arc::from(zone),
+        slots: 10,
+        draining,
+        cold_for: Duration::ZERO,
+        started: 1,
+        sequence,
+    }
+}
+
+/// The identity of the target beside a node.
+pub(super) fn target_id(number: usize) -> Arc<str> {
+    Arc::from(format!("t-{number}"))
+}
