Soak: links of each 25 machines run in a process of their own

With 150 machines the soak's one process ran out of its 20,000 descriptors (4,136 refused connections in 45 s), so nodes and callers met faults that nobody had brought in. The soak's program starts processes of links and tells them what to do by lines; tests that run a soak of few machines keep them in their own process.

--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -27,5 +27,6 @@
         &load::Load,
         &bench::Bench,
         &soak::Soak,
+        &soak::SoakLinks,
     ]
 }
--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -1,12 +1,14 @@
 //! `soak`: real sidecar processes on loopback under random faults, judged by what callers and targets see.
 
 use std::collections::BTreeMap;
+use std::io::BufReader;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use getopts::Options;
 use quillhatch_soak::checks::Promise;
 use quillhatch_soak::layout::{MOST_TARGETS_EACH, TARGETS_EACH};
+use quillhatch_soak::links::{serve, LINKS_ARGUMENT};
 use quillhatch_soak::run::{make_folder, run, SoakOptions, SoakReport};
 
 use crate::command_line::{Arguments, Command, CommandError, Verdict};
@@ -56,13 +58,40 @@
         let folder = make_folder(&parent, seed)?;
         println!("seed {seed}, {seconds} s, settings and logs in {}", folder.display());
         let time = Duration::from_secs(seconds);
-        let options = SoakOptions { program: program?, folder, seed, time, targets_each, has_faults };
+        let links = Some(std::env::current_exe()?);
+        let options = SoakOptions { program: program?, links, folder, seed, time, targets_each, has_faults };
         let report = run(&options)?;
         print(&report);
         Ok(Verdict::of(report.violations.is_empty()))
     }
 }
 
+/// Runs links for a soak, which starts it.
+pub struct SoakLinks;
+
+impl Command for SoakLinks {
+    fn name(&self) -> &'static str {
+        LINKS_ARGUMENT
+    }
+
+    fn summary(&self) -> &'static str {
+        "run links between machines as the lines of the input tell (started by soak)"
+    }
+
+    fn operands(&self) -> &'static str {
+        ""
+    }
+
+    fn declare(&self, _options: &mut Options) {}
+
+    fn run(&self, arguments: &Arguments) -> Result<Verdict, CommandError> {
+        arguments.limit_operands(0);
+        arguments.check()?;
+        serve(BufReader::new(std::io::stdin()), std::io::stdout())?;
+        Ok(Verdict::of(true))
+    }
+}
+
 fn beside_this_program() -> std::io::Result<PathBuf> {
     Ok(std::env::current_exe()?.with_file_name("quillhatch"))
 }
--- a/crates/quillhatch/tests/soak.rs
+++ b/crates/quillhatch/tests/soak.rs
@@ -12,6 +12,7 @@
     let folder = make_folder(&std::env::temp_dir(), seed).expect("a folder");
     let options = SoakOptions {
         program: Path::new(env!("CARGO_BIN_EXE_quillhatch")).to_owned(),
+        links: None,
         folder: folder.clone(),
         seed,
         time: Duration::from_secs(8),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod faults;
 mod harm;
 pub mod layout;
+pub mod links;
 pub mod machine;
 pub mod proxy;
 pub mod record;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::layout::{MachineAddrs, RouteKind, CRASHED_FOR, HOST, SLOTS};
-use crate::proxy::LinkProxy;
+use crate::links::{LinkProcess, MachineLink};
 
 /// How long a request takes at a target.
 const WORK: Duration = Duration::from_millis(15);
@@ -34,7 +34,7 @@
     /// The store as this machine meets it.
     pub store: StandInStore,
     /// The link from the other machines.
-    pub link: LinkProxy,
+    pub link: MachineLink,
     /// Whether callers send new work here.
     pub takes_callers: Cell<bool>,
     process: RefCell<Option<Child>>,
@@ -45,7 +45,8 @@
 }
 
 impl SoakMachine {
-    /// Sets a machine up and starts its process; its settings and its log lie in `folder`.
+    /// Sets a machine up and starts `program` as its process; its settings and its log lie in `folder`, and its link runs in `links` if there is
+    /// such a process.
     ///
     /// # Errors
     ///
@@ -53,8 +54,8 @@
     pub async fn start(
         addrs: MachineAddrs,
         store: &StandInStore,
-        program: &Path,
-        folder: &Path,
+        (program, folder): (&Path, &Path),
+        links: Option<&Rc<RefCell<LinkProcess>>>,
     ) -> io::Result<SoakMachine> {
         let target = StandInTarget::start_at(addrs.target(), addrs.service(), SLOTS).await;
         target.set_habit(Habit::Slow(WORK));
@@ -65,7 +66,7 @@
         target.chain(ChainedCall { outbound: addrs.outbound(), host: HOST.to_owned(), path });
         let store = store.another_address().await;
         store.list(&target, "ready");
-        let link = LinkProxy::open(addrs.proxy(), addrs.inbound()).await?;
+        let link = MachineLink::open(links, addrs.number, addrs.proxy(), addrs.inbound()).await?;
         let node = format!("machine-{}", addrs.number);
         let settings = folder.join(format!("{node}.json"));
         let document = settings_document(&MachineSettings {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,12 +19,15 @@
 use crate::checks::{self, Violation};
 use crate::faults::{strike, FaultKind};
 use crate::layout::{document, MachineAddrs, SoakNet, SERVICES};
+use crate::links::LinkProcess;
 use crate::machine::SoakMachine;
 use crate::record::{ConfigWrite, Disturbance, DrainSpan, ProcessStart, RunRecord, SoakRecord, StopSpan};
 use crate::traffic::SoakCaller;
 
 /// Callers in all, if there are not more machines.
 const CALLERS: usize = 24;
+/// The machines whose links one process runs. Each may be connected to all others, with two descriptors a connection.
+const LINKS_EACH: usize = 25;
 /// How long the processes get to start.
 const START: Duration = Duration::from_secs(10);
 /// How long a round of faults lasts.
@@ -62,6 +65,8 @@
 pub struct SoakOptions {
     /// The quillhatch program.
     pub program: PathBuf,
+    /// A program that runs links in processes of their own ([`serve`](crate::links::serve)); without one they run in this process.
+    pub links: Option<PathBuf>,
     /// Where settings and logs are written; it must exist.
     pub folder: PathBuf,
     /// The seed of the schedule.
@@ -138,9 +143,14 @@
         let net = SoakNet::draw(&mut Pcg64::from_entropy());
         let store = StandInStore::start().await;
         let mut machines = Vec::new();
+        let mut links = None;
         for number in 0..SERVICES.len() * options.targets_each {
             let addrs = MachineAddrs::new(net, number);
-            let machine = SoakMachine::start(addrs, &store, &options.program, &options.folder).await?;
+            if let Some(program) = options.links.as_ref().filter(|_| number % LINKS_EACH == 0) {
+                links = Some(Rc::new(RefCell::new(LinkProcess::start(program)?)));
+            }
+            let files = (options.program.as_path(), options.folder.as_path());
+            let machine = SoakMachine::start(addrs, &store, files, links.as_ref()).await?;
             let machine = Rc::new(machine);
             spawn_local(Rc::clone(&machine).register());
             machines.push(machine);
