A node that starts does not tell others that the store was read when it started

What callers may see: calls reach a target after it has left, or by an old configuration, for longer than the bounds: a node whose own watches fail takes itself for well since a node that has just started says that the store was read a moment ago.

Cause: clocks began at zero with the process, and a time before that was cut off to zero. A node that starts takes over the view of another one that read the store 2.4 s ago, and tells that it was read at its own start, 0.1 s ago. That proves the store for nodes that failed to read it since (FeedLoss::other_is_well, call_failed), which then neither report the loss nor read in their turn. A node without any reading told the same.

The watches of 0.7 s only made it visible. Traced by lines of read_at: store silent from 9.2 s on, the other node told 11.40 s, which is when its process started, and the loss of 11.05 s was never noted.

Change: the clock shows a minute when the process starts; what is older is too old for anyone. Looked for elsewhere: ages of configurations, leases and kept targets travel as spans and are not cut off; the start of a node's state no longer counts from zero.

--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -17,7 +17,11 @@
 /// A suspension that is noticed. Shorter ones are within what timers may be late.
 const SHORTEST_SUSPENSION: Duration = Duration::from_millis(150);
 
-/// A clock that counts the time for which the machine is suspended, from the start of the process.
+/// What the clock shows when the process starts: far enough from zero for what others tell of the time before. What happened longer ago is too
+/// old to be used.
+const STARTED: Timestamp = Timestamp::from_millis(60_000);
+
+/// A clock that counts the time for which the machine is suspended.
 #[derive(Clone, Debug)]
 pub struct Clock(Rc<State>);
 
@@ -56,10 +60,19 @@
 }
 
 impl Clock {
-    /// The time since the process started.
+    /// The time now.
     pub fn now(&self) -> Timestamp {
-        let elapsed = since_boot().saturating_sub(self.0.booted) + self.0.ahead.get();
-        Timestamp(elapsed.as_micros() as u64)
+        STARTED + self.elapsed()
+    }
+
+    /// When the process started.
+    pub fn started(&self) -> Timestamp {
+        STARTED
+    }
+
+    /// The time since the process started.
+    pub fn elapsed(&self) -> Duration {
+        since_boot().saturating_sub(self.0.booted) + self.0.ahead.get()
     }
 
     /// Sets this clock ahead and not the runtime's, as a suspension of the machine does.
@@ -69,8 +82,7 @@
 
     /// For how long the machine was suspended since this was asked last, if at all. Wakes whoever waits for a moment on this clock.
     pub fn notice_suspension(&self) -> Option<Duration> {
-        let elapsed = Duration::from_micros(self.now().0);
-        let missed = elapsed.saturating_sub(self.0.steady.elapsed()).saturating_sub(self.0.suspended.get());
+        let missed = self.elapsed().saturating_sub(self.0.steady.elapsed()).saturating_sub(self.0.suspended.get());
         if missed < SHORTEST_SUSPENSION {
             return None;
         }
--- a/crates/sidecar/src/feed/question.rs
+++ b/crates/sidecar/src/feed/question.rs
@@ -84,7 +84,7 @@
 }
 
 /// When the store was read that was read `age_ms` before this node's question, sent at `sent`, has arrived. What was read before this
-/// process started counts as read then.
+/// process's clock begins counts as read then.
 fn read_at(sent: Timestamp, age_ms: i64) -> Option<Timestamp> {
     let sent_ms = i64::try_from(sent.since(Timestamp::ZERO).as_millis()).ok()?;
     let read_ms = sent_ms.saturating_sub(age_ms).max(0);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -171,7 +171,7 @@
 
     /// The same with a clock of the caller's.
     pub fn with_clock(settings: SidecarSettings, log_state: LogState, clock: Clock) -> Rc<Self> {
-        let now = Timestamp::ZERO;
+        let now = clock.now();
         let peers = PoolRules {
             connect_timeout: Duration::from_millis(600),
             // The last one given back is used first, so that those that only a burst needed end soon: each holds a
@@ -365,7 +365,7 @@
 
     /// Writes a line: JSON fields without the braces.
     pub fn log(&self, fields: &str) {
-        let at = self.now().since(Timestamp::ZERO).as_secs_f64();
+        let at = self.clock.elapsed().as_secs_f64();
         log::info!("{{\"up_s\":{at:.3},\"node\":\"{}\",{fields}}}", self.settings.node);
     }
 }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -110,7 +110,7 @@
     node.must_probe_store.set(false);
     let mut loss = node.feed.loss.get();
     // Until its first reading a process has no way to the store.
-    let lost_since = node.feed.read_at.get().map_or(Some(Timestamp::ZERO), |_| loss.since());
+    let lost_since = node.feed.read_at.get().map_or(Some(node.clock.started()), |_| loss.since());
     node.feed.note_read(sent);
     let outage_since = loss.store_read();
     node.feed.loss.set(loss);
--- a/crates/sidecar/tests/feed.rs
+++ b/crates/sidecar/tests/feed.rs
@@ -8,7 +8,7 @@
 use support::caller::call;
 use support::shop::{document, read, two_machines};
 use support::store::{Mode, StandInStore};
-use support::{eventually, run, FullListener, Machine, BOUNDS};
+use support::{eventually, run, start_sidecar, FullListener, Machine, BOUNDS};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
 
@@ -51,6 +51,30 @@
     });
 }
 
+#[test]
+fn a_node_that_starts_does_not_take_for_recent_what_others_have_read_before() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.configure(&document(5, "alpha"));
+        let mut machines = machines(&store, 2).await;
+        let silent_store = store.another_address().await;
+        silent_store.set_mode(Mode::Silent);
+        store.set_mode(Mode::Silent);
+        let lost = Instant::now();
+        sleep(Duration::from_millis(1500)).await;
+        let Machine { target, sidecar, address } = machines.remove(0);
+        sidecar.stop().await;
+        let restarted = start_sidecar(address, "alpha", target.address, silent_store.address);
+        sleep(Duration::from_millis(100)).await;
+        call(machines[0].outbound(), &read("shows-who-to-ask")).await;
+        eventually("it has the view of the other", || restarted.node.position().is_known()).await;
+        let unread_for = restarted.node.feed.read_at.get().map(|read_at| restarted.node.now().since(read_at));
+        // A watch that waited when the store fell silent was answered at its end.
+        let least = lost.elapsed() - BOUNDS.contact / 2;
+        assert!(unread_for >= Some(least), "{unread_for:?} of {least:?}");
+    });
+}
+
 #[test]
 fn a_node_that_starts_asks_the_store_once_and_the_others_for_the_rest() {
     run(async {
