--- a/crates/mesh/src/limits/coordinator.rs
+++ b/crates/mesh/src/limits/coordinator.rs
@@ -27,10 +27,10 @@
 
 /// The time over which surges are measured. A shorter one takes the burst of a single caller for a surge.
 const SURGE_OVER: Duration = Duration::from_millis(200);
-/// A share that falls within a period to less than this part of what nodes know is told to all of them at once.
+/// The part of the share that nodes know below which a new one is told to all of them at once.
 const STEEP_FALL: f64 = 0.75;
-/// The most answers a second that are sent without a report.
-const MOST_UNASKED: f64 = 30_000.0;
+/// The most updates of shares a second: a tenth of a core, at a few microseconds each.
+const MOST_UPDATES: f64 = 30_000.0;
 
 /// The last report of a node.
 #[derive(Clone, Debug, Default)]
@@ -47,7 +47,7 @@
     /// Calls that may be let in beyond the rate; negative if too many were.
     level: f64,
     updated: Timestamp,
-    /// Calls that nodes told before their regular reports.
+    /// Calls in reports of surges.
     surge: FadingRate,
     /// The share that was told last.
     share: f64,
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Calls a second that nodes have told before their regular reports, if these show far fewer.
+    /// Calls a second by reports of surges, if regular reports show far fewer.
     fn surge(&self, now: Timestamp) -> Option<f64> {
         Some(self.surge.at_least(now)).filter(|surge| *surge > self.arriving * SURGE_FACTOR)
     }
@@ -83,7 +83,7 @@
         self.level = (self.level + (limit.rate - admitted) * elapsed).clamp(least, limit.burst);
     }
 
-    /// The share that holds now. Remembers it, and since when all nodes know of one that is as small.
+    /// The share that holds now. All nodes hear it with their reports, so after a period none knows a greater one.
     fn tell(&mut self, limit: RateLimit, window: Duration, period: Duration) -> f64 {
         let now = self.updated;
         self.share = self.share_at(limit, window, period);
@@ -118,7 +118,7 @@
     since: Option<Timestamp>,
     /// The part of each limit that falls to the nodes that report here.
     part: f64,
-    /// When all nodes were told the shares without a report.
+    /// When all nodes were told the shares at once.
     told_all: Timestamp,
 }
 
@@ -187,7 +187,7 @@
     /// The nodes to which the shares that were told last must go at once: a share has fallen so steeply that nodes would let in far more of
     /// the tenant's calls until their next reports. None mostly.
     pub fn tell_at_once(&mut self, period: Duration, now: Timestamp) -> Vec<IpAddr> {
-        let pause = Duration::from_secs_f64(self.nodes.len() as f64 / MOST_UNASKED);
+        let pause = Duration::from_secs_f64(self.nodes.len() as f64 / MOST_UPDATES);
         let falls = self.levels.values().any(|level| level.share < level.known * STEEP_FALL);
         if !falls || !self.is_settled(period, now) || now.since(self.told_all) < pause {
             return Vec::new();
