Log and count the rate limit that a target sends and the requests that it gets

Cause of this change: neither logs nor metrics showed whether a node had received a limit, which one, and how many requests it sent to its target, so the hypotheses could not be told apart. The gate now reads Server-Limit and Server-Leaving of each response that belongs to its request, and of health checks; platform/ parses them. No decision uses them yet.

--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -2,6 +2,7 @@
 
 mod grace;
 mod registration;
+mod status;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -12,6 +13,7 @@
 
 pub use grace::{GracePeriod, GraceReason, PARTITION_GRACE};
 pub use registration::{Registration, Target, TargetId};
+pub use status::TargetStatus;
 
 /// All listed targets.
 #[derive(Clone, Debug, Default)]
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -24,6 +24,8 @@
     latency: RefCell<Histogram>,
     /// Retries of calls whose previous attempt a target may have received.
     pub retries: Cell<u64>,
+    /// Calls forwarded to the local target, whether it ran them or not.
+    pub target_requests: Cell<u64>,
     /// Requests to the platform's store.
     pub store_requests: Cell<u64>,
     /// Requests to the platform's store without a usable response.
@@ -64,6 +66,7 @@
         }
         let counters = [
             ("repeats", self.retries.get()),
+            ("target_requests", self.target_requests.get()),
             ("store_requests", self.store_requests.get()),
             ("store_failures", self.store_failures.get()),
             ("log_lines_dropped", dropped_lines),
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -4,6 +4,7 @@
 mod slots;
 mod suspects;
 mod target_crash;
+mod target_status;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use quillhatch_types::Timestamp;
 
 use crate::body::{read_up_to, Body};
+use crate::counters::Counters;
 use crate::feed::{self, FEED_PATH};
 use crate::headers::{header_text, remove_hop_by_hop_headers};
 use crate::hop::{GateOutcome, HopContext, HopReport, HOP_HEADER};
@@ -36,6 +38,7 @@
 use slots::admit;
 pub use slots::{admit_waiting_calls, evict_waiting_calls, Slot};
 pub use target_crash::{target_identified, target_restarted};
+pub use target_status::{record_response, LocalTargetStatus};
 
 /// The maximum size of a request body that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
@@ -242,6 +245,7 @@
     let target_timeout = Duration::from_millis(remaining.as_millis() as u64);
     let RunRecord { inherited, signature } = record;
     slot.start_run(node.now() + target_timeout, inherited, signature);
+    Counters::increment(&node.counters.target_requests);
     let sent = SentFlag::default();
     let exchange = node.target.exchange_tracking_sent(node.settings.local_target, request, &sent);
     let exchange = node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, exchange).await;
@@ -269,12 +273,17 @@
     if response.status() == StatusCode::MISDIRECTED_REQUEST || response.headers().contains_key(headers::REQUEST_NOT_RUN)
     {
         let status = response.status();
-        if let Some(id) = header_text(response.headers(), headers::INSTANCE_ID) {
+        let responder = header_text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
+        if let Some(id) = &responder {
             local_target::record_identity(node, id);
         }
+        if status != StatusCode::MISDIRECTED_REQUEST || responder.is_some() {
+            record_response(node, responder.as_ref().unwrap_or(&call.expected), response.headers());
+        }
         let _ = relay_response(response, lease).await;
         return Err(Failure::new(GateOutcome::Rejected, format!("target refused the call with status {status}")));
     }
+    record_response(node, &call.expected, response.headers());
     let has_stamp = response.headers().contains_key(headers::SERVER_STAMP);
     if response.status().is_success() && (!has_stamp || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
--- /dev/null
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -0,0 +1,77 @@
+//! The status that the local target sends in the headers of its responses.
+
+use std::cell::{Cell, RefCell};
+
+use hyper::HeaderMap;
+use quillhatch_mesh::targets::{TargetId, TargetStatus};
+use quillhatch_platform::headers;
+use quillhatch_platform::target_status::{is_leaving, read_rate_limit};
+
+use crate::node::Node;
+
+/// The status that the local target last sent.
+#[derive(Default)]
+pub struct LocalTargetStatus {
+    /// The target that sent it.
+    target: RefCell<Option<TargetId>>,
+    status: Cell<TargetStatus>,
+    /// The last rate limit that could not be parsed, while the target keeps sending it.
+    invalid_rate_limit: RefCell<Option<String>>,
+}
+
+impl LocalTargetStatus {
+    /// The status that the local target last sent.
+    pub fn current(&self) -> TargetStatus {
+        self.status.get()
+    }
+}
+
+/// Records the status in the headers of a response of `target`, and logs what has changed.
+pub fn record_response(node: &Node, target: &str, headers: &HeaderMap) {
+    let local = &node.local_target_status;
+    if local.target.borrow().as_deref() != Some(target) {
+        *local.target.borrow_mut() = Some(TargetId::from(target));
+        local.status.take();
+    }
+    let status = TargetStatus {
+        rate_limit: rate_limit(node, target, headers),
+        is_draining: headers.get(headers::TARGET_LEAVING).is_some_and(|value| is_leaving(value.as_bytes())),
+    };
+    let before = local.status.replace(status);
+    if before.rate_limit != status.rate_limit {
+        node.log(&format!(
+            "\"event\":\"target-rate-limit\",\"target\":{target:?},\"per_second\":{},\"before\":{}",
+            json_number(status.rate_limit),
+            json_number(before.rate_limit)
+        ));
+    }
+    if before.is_draining != status.is_draining {
+        let leaving = status.is_draining;
+        node.log(&format!("\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":{leaving}"));
+    }
+}
+
+/// Parses the rate limit in the headers of a response. One that can't be parsed counts as none, and is logged when the
+/// target starts to send it.
+fn rate_limit(node: &Node, target: &str, headers: &HeaderMap) -> Option<f64> {
+    let parsed = headers.get(headers::TARGET_RATE_LIMIT).map(|value| read_rate_limit(value.as_bytes())).transpose();
+    let mut invalid = node.local_target_status.invalid_rate_limit.borrow_mut();
+    match parsed {
+        Ok(limit) => {
+            *invalid = None;
+            limit
+        }
+        Err(error) => {
+            if invalid.as_ref() != Some(&error.value) {
+                let why = error.to_string();
+                node.log(&format!("\"event\":\"target-rate-limit-unusable\",\"target\":{target:?},\"why\":{why:?}"));
+                *invalid = Some(error.value);
+            }
+            None
+        }
+    }
+}
+
+fn json_number(number: Option<f64>) -> String {
+    number.map_or_else(|| "null".to_owned(), |number| number.to_string())
+}
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -111,6 +111,9 @@
             Err(_) => return HealthResponse::no_response(Identity::Unknown),
         };
         let id = header_text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
+        if let Some(id) = &id {
+            gate::record_response(node, id, response.headers());
+        }
         let is_full = response.headers().contains_key(headers::REQUEST_NOT_RUN);
         let is_draining = response.status() == StatusCode::SERVICE_UNAVAILABLE && !is_full;
         if response.into_body().collect().await.is_ok() {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -5,6 +5,7 @@
 /// Renders the metrics of the node in the Prometheus text format.
 pub fn render(node: &Node) -> String {
     let load = node.gate.borrow().load();
+    let status = node.local_target_status.current();
     let gauges = [
         ("configuration_version", node.configuration.borrow().version() as f64),
         ("targets", node.targets.borrow().len() as f64),
@@ -13,6 +14,8 @@
         ("gate_waiting", f64::from(load.waiting)),
         ("gate_is_short", f64::from(u8::from(node.shortage().is_some()))),
         ("target_health", node.target_health.borrow_mut().good_share(node.now())),
+        ("target_rate_limit", status.rate_limit.unwrap_or(-1.0)),
+        ("target_leaving", f64::from(u8::from(status.is_draining))),
         ("quarantine_suspects", node.quarantine.borrow().len() as f64),
         ("edge_running", node.edge_calls.get() as f64),
         ("tenants", node.current_configuration().map_or(0.0, |current| current.tenants.len() as f64)),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -33,7 +33,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::feed::FeedState;
-use crate::gate::RetainedTargetState;
+use crate::gate::{LocalTargetStatus, RetainedTargetState};
 use crate::keyed_lock::KeyedLock;
 use crate::liveness::ProbeResult;
 use crate::logging::{LineRateLimit, LogState};
@@ -81,6 +81,8 @@
     pub identity_query_lock: tokio::sync::Mutex<()>,
     /// The state of the local target while it is retained without a registration.
     pub retained_target: RetainedTargetState,
+    /// The status that the local target last sent in its responses.
+    pub local_target_status: LocalTargetStatus,
     /// Whether the list of targets was received at least once.
     pub targets_known: Cell<bool>,
     /// The measured load, latency and health of targets, for load balancing.
@@ -207,6 +209,7 @@
             identity_received_at: Cell::new(now),
             identity_query_lock: tokio::sync::Mutex::default(),
             retained_target: RetainedTargetState::default(),
+            local_target_status: LocalTargetStatus::default(),
             targets_known: Cell::new(false),
             load_balancer: RefCell::new(LoadBalancer::new(settings.mechanisms)),
             admission_levels: RefCell::default(),
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -82,6 +82,19 @@
             (&"broken".into(), &true.into(), &5.into())
         );
 
+        // A target that names a rate limit, and then one that is no number.
+        alpha.target.set_behaviour(TargetBehaviour::Normal);
+        for (limit, id) in
+            [(Some("9000.5"), "limited"), (Some("many"), "unusable"), (Some("many"), "again"), (None, "free")]
+        {
+            alpha.target.set_rate_limit(limit);
+            assert_eq!(call(beta.outbound(), &read(id)).await.expect("a response").status, 200);
+        }
+        let limits = lines_of("target-rate-limit", &alpha.target.id());
+        let named: Vec<_> = limits.iter().map(|line| &line["per_second"]).collect();
+        assert_eq!(named, [&serde_json::json!(9000.5), &serde_json::Value::Null]);
+        assert_eq!(lines_of("target-rate-limit-unusable", &alpha.target.id()).len(), 1);
+
         // A call that is refused because the gate is full, and one that is refused at entry.
         alpha.target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(700)));
         let calls: Vec<_> = (0..12)
