--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -10,6 +10,7 @@
 
 use crate::gate::GateLoad;
 use crate::mechanisms::{Mechanism, Mechanisms};
+use crate::target_limit::{RateLimitReport, RateLimitTable};
 use crate::targets::{Target, TargetId};
 
 /// The maximum number of candidates that one attempt compares in the local zone, and in all other zones together.
@@ -107,6 +108,24 @@
     pub cross_zone_cost: f64,
 }
 
+/// The targets that are left out of a choice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Exclusions<'a> {
+    /// The targets that were tried already.
+    pub tried: &'a [TargetId],
+    /// Whether targets that would exceed their rate limits are left out even if there is no other.
+    pub over_limit: bool,
+}
+
+/// The target of an attempt.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The target.
+    pub target: Arc<Target>,
+    /// Whether the call will probably exceed the target's rate limit: there was no other target.
+    pub is_over_limit: bool,
+}
+
 /// The mean response time of a route's calls, as an exponentially weighted moving average.
 #[derive(Clone, Copy, Debug, Default)]
 struct RouteLatency {
@@ -128,6 +147,7 @@
 pub struct LoadBalancer {
     target_states: HashMap<TargetId, TargetState>,
     route_latencies: HashMap<Arc<str>, RouteLatency>,
+    rate_limits: RateLimitTable,
     mechanisms: Mechanisms,
 }
 
@@ -137,19 +157,21 @@
         LoadBalancer { mechanisms, ..LoadBalancer::default() }
     }
 
-    /// Returns the target with the lowest cost among `targets` that is neither draining nor listed in `tried`.
+    /// Returns the target with the lowest cost among `targets` that is neither draining nor excluded.
     ///
-    /// Targets that failed recently are left out unless there is no other.
+    /// A target with a rate limit takes part only in the share of calls that its gate reports. Targets that don't take
+    /// part, and those that failed recently, are left out unless there is no other.
     pub fn choose(
         &self,
         targets: &[Arc<Target>],
-        tried: &[TargetId],
+        excluded: Exclusions<'_>,
         preference: ZonePreference<'_>,
         now: Timestamp,
         random: &mut impl Rng,
-    ) -> Option<Arc<Target>> {
+    ) -> Option<Choice> {
         let zone = preference.local_zone;
-        let is_available = |target: &&Arc<Target>| !target.registration.draining && !tried.contains(&target.id);
+        let is_available =
+            |target: &&Arc<Target>| !target.registration.draining && !excluded.tried.contains(&target.id);
         // Limits the candidates of a large service, starting at a random one; a small service is compared whole.
         let start = random.gen_range(0..targets.len().max(1));
         let (before_start, from_start) = targets.split_at(start.min(targets.len()));
@@ -157,11 +179,15 @@
         let local = available.clone().filter(|target| *target.registration.zone == *zone).take(MAX_CANDIDATES);
         let remote = available.filter(|target| *target.registration.zone != *zone).take(MAX_CANDIDATES);
         let costed = local.chain(remote).map(|target| {
+            let share = self.rate_limits.share(&target.id, now);
+            let is_over_limit = share < 1.0 && random.gen::<f64>() >= share;
             let is_avoided = self.target_states.get(&target.id).is_some_and(|state| state.avoided_until > now);
-            (is_avoided, self.cost(target, preference, now) * random.gen_range(1.0..1.0 + MAX_COST_JITTER), target)
+            let cost = self.cost(target, preference, now) * random.gen_range(1.0..1.0 + MAX_COST_JITTER);
+            ((is_over_limit, is_avoided), cost, target)
         });
-        let best = costed.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
-        best.map(|(_, _, target)| target.clone())
+        let candidates = costed.filter(|((is_over_limit, _), ..)| !(excluded.over_limit && *is_over_limit));
+        let best = candidates.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        best.map(|((is_over_limit, _), _, target)| Choice { target: target.clone(), is_over_limit })
     }
 
     fn cost(&self, target: &Target, preference: ZonePreference<'_>, now: Timestamp) -> f64 {
@@ -249,6 +275,16 @@
         state.last_contact = now;
     }
 
+    /// Records the rate limit that a target's gate has reported; `None` if the target has none.
+    pub fn record_rate_limit(&mut self, target: &TargetId, report: Option<RateLimitReport>, now: Timestamp) {
+        self.rate_limits.record(target, report, now);
+    }
+
+    /// The rate limit of a target in calls per second, if it is known to have one.
+    pub fn rate_limit(&self, target: &str) -> Option<f64> {
+        self.rate_limits.per_second(target)
+    }
+
     /// Records that a target's gate responded to a liveness probe.
     pub fn record_contact(&mut self, target: &TargetId, now: Timestamp) {
         self.target_states.entry(target.clone()).or_default().last_contact = now;
@@ -286,6 +322,7 @@
 
     /// Discards the measurements of a target that has restarted; only its calls in flight are still counted.
     pub fn reset_target(&mut self, target: &TargetId) {
+        self.rate_limits.forget(target);
         let Some(state) = self.target_states.get_mut(target) else { return };
         *state = TargetState { in_flight: state.in_flight, ..TargetState::default() };
     }
--- a/crates/mesh/src/limits/coordinator.rs
+++ b/crates/mesh/src/limits/coordinator.rs
@@ -8,8 +8,8 @@
 
 use quillhatch_types::Timestamp;
 
-use super::rate::DecayingRate;
 use super::{LimitBounds, TenantShare, TenantSurge, TenantUsage, SURGE_FACTOR};
+use crate::rate::DecayingRate;
 use crate::tenants::RateLimit;
 
 /// How long nodes must have reported before shares are sent, in periods ([`super::report_period`]): by then each of
--- a/crates/mesh/src/limits/local.rs
+++ b/crates/mesh/src/limits/local.rs
@@ -6,8 +6,8 @@
 
 use quillhatch_types::Timestamp;
 
-use super::rate::DecayingRate;
 use super::{LimitBounds, TenantShare, TenantSurge, TenantUsage, SURGE_FACTOR};
+use crate::rate::DecayingRate;
 use crate::tenants::{RateLimit, Tenant};
 
 /// The time constant of the reported rates: about the period of the reports.
--- a/crates/mesh/src/limits/mod.rs
+++ b/crates/mesh/src/limits/mod.rs
@@ -20,7 +20,6 @@
 mod choice;
 mod coordinator;
 mod local;
-mod rate;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::IpAddr;
--- /dev/null
+++ b/crates/mesh/src/target_limit.rs
@@ -0,0 +1,268 @@
+//! The rate limit that a target names in its responses, for all machines together.
+//!
+//! Every call to a target passes the gate on the target's machine, so the gate enforces the limit: a token bucket
+//! counts each request that it sends. Nothing is divided among the nodes, so their number doesn't matter.
+//!
+//! The edges keep the calls that don't fit away from the gate. The gate reports a **share**: the part of its service's
+//! calls for which an edge should consider the target. It follows from the calls that arrive, whichever nodes they come
+//! from. While an edge has an old share, the gate refuses what exceeds the limit, and the edge chooses another target.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use quillhatch_types::Timestamp;
+
+use crate::rate::DecayingRate;
+use crate::targets::TargetId;
+
+/// The time in which a bucket fills. Calls of many callers arrive in clusters; with a shorter time a target whose limit
+/// is in demand would get less than it accepts.
+const BURST_TIME: Duration = Duration::from_secs(1);
+/// The minimum size of a bucket, in calls.
+const MIN_BURST: f64 = 1.0;
+/// The part of a bucket that is reserved for calls with a higher priority than the lowest one.
+const RESERVED_FRACTION: f64 = 0.5;
+/// The minimum rate, in calls per second, at which a target is called whatever its limit: only its responses show that
+/// it accepts more calls again.
+const MIN_RATE: f64 = 0.25;
+/// The maximum time that a refused call is told to wait.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// The time constant of the measured rate of calls.
+const ARRIVAL_TIME_CONSTANT: Duration = Duration::from_millis(500);
+/// The rate of calls that the share aims for, as a multiple of the limit. Slightly more than fits, so that chance
+/// doesn't leave a part of the limit unused.
+const DESIRED_OVERLOAD: f64 = 1.3;
+/// The change of the share per second, as a power of the ratio of desired to arriving calls. With the time constant of
+/// the measurement this is a damped control loop.
+const SHARE_GAIN_PER_S: f64 = 1.0;
+/// The minimum and maximum of that ratio, so that a single measurement has a bounded effect.
+const RATIO_BOUNDS: (f64, f64) = (0.1, 10.0);
+/// The maximum time for which one measurement changes the share.
+const MAX_SHARE_STEP: Duration = Duration::from_millis(500);
+/// The minimum share: even the last of many nodes finds out that a target accepts calls again.
+const MIN_SHARE: f64 = 0.001;
+/// The time after which an edge considers a target for all calls again if its gate has reported nothing.
+const SHARE_LIFETIME: Duration = Duration::from_secs(10);
+/// How long an edge remembers the limit of a target that it doesn't call.
+const LIMIT_RETENTION: Duration = Duration::from_secs(600);
+
+/// The rate limit of a target, as its gate reports it to edges.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimitReport {
+    /// The calls per second that the target accepts.
+    pub per_second: f64,
+    /// The share of the calls of the target's service for which an edge should consider it.
+    pub share: f64,
+}
+
+/// The refusal of a call that exceeds the rate limit of its target. The call has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RateLimited {
+    /// The time after which such a call will probably be accepted.
+    pub wait: Duration,
+}
+
+/// The precedence of a call among those that compete for a limit: 0 is the highest, and all are below 1.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Precedence(f64);
+
+impl Precedence {
+    /// The precedence of a call with this priority, of `priorities` in use. Of the same priority, nested calls come
+    /// first, since work was already done for them.
+    pub fn new(priority: u8, is_root: bool, priorities: u32) -> Self {
+        let step = f64::from(priority) + if is_root { 0.5 } else { 0.0 };
+        Precedence((step / f64::from(priorities.max(1))).min(1.0))
+    }
+}
+
+/// The tokens of a limit, and the share that edges use.
+#[derive(Clone, Copy, Debug)]
+struct RateLimitBucket {
+    per_second: f64,
+    tokens: f64,
+    filled: Timestamp,
+    share: f64,
+    share_updated: Timestamp,
+}
+
+impl RateLimitBucket {
+    fn new(per_second: f64, arriving: f64, now: Timestamp) -> Self {
+        let per_second = per_second.max(MIN_RATE);
+        let share = (per_second * DESIRED_OVERLOAD / arriving.max(f64::MIN_POSITIVE)).clamp(MIN_SHARE, 1.0);
+        let tokens = MIN_BURST.min(per_second);
+        RateLimitBucket { per_second, tokens, filled: now, share, share_updated: now }
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.per_second * BURST_TIME.as_secs_f64()).max(MIN_BURST)
+    }
+
+    fn fill(&mut self, now: Timestamp) {
+        let added = self.per_second * now.since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + added).min(self.capacity());
+        self.filled = now;
+    }
+
+    /// The tokens that must be there for a call of this precedence. Nothing is reserved while the limit suffices for
+    /// all calls that arrive.
+    fn required_tokens(&self, precedence: Precedence, arriving: f64) -> f64 {
+        if arriving <= self.per_second {
+            return 1.0;
+        }
+        1.0 + (self.capacity() - 1.0) * RESERVED_FRACTION * precedence.0
+    }
+
+    fn refusal(&self, required: f64) -> RateLimited {
+        let seconds = (required - self.tokens) / self.per_second / self.share;
+        let wait = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_WAIT);
+        RateLimited { wait: wait.min(MAX_WAIT) }
+    }
+
+    fn set_rate(&mut self, per_second: f64, now: Timestamp) {
+        self.fill(now);
+        let per_second = per_second.max(MIN_RATE);
+        self.share = (self.share * per_second / self.per_second).clamp(MIN_SHARE, 1.0);
+        self.per_second = per_second;
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    fn update_share(&mut self, arriving: f64, now: Timestamp) {
+        let elapsed = now.since(self.share_updated).min(MAX_SHARE_STEP).as_secs_f64();
+        self.share_updated = now;
+        let (min, max) = RATIO_BOUNDS;
+        let ratio = (self.per_second * DESIRED_OVERLOAD / arriving.max(f64::MIN_POSITIVE)).clamp(min, max);
+        self.share = (self.share * ratio.powf(SHARE_GAIN_PER_S * elapsed)).clamp(MIN_SHARE, 1.0);
+    }
+}
+
+/// Keeps the requests that a gate sends to its target within the target's rate limit.
+#[derive(Clone, Debug)]
+pub struct TargetRateLimiter {
+    target: Option<TargetId>,
+    bucket: Option<RateLimitBucket>,
+    arriving: DecayingRate,
+}
+
+impl TargetRateLimiter {
+    /// A limiter that knows no limit.
+    pub fn new(now: Timestamp) -> Self {
+        TargetRateLimiter { target: None, bucket: None, arriving: DecayingRate::new(ARRIVAL_TIME_CONSTANT, now) }
+    }
+
+    /// Forgets the limit: the target's process has restarted.
+    pub fn reset(&mut self) {
+        (self.target, self.bucket) = (None, None);
+    }
+
+    fn select(&mut self, target: &str) {
+        if self.target.as_deref() != Some(target) {
+            self.reset();
+            self.target = Some(TargetId::from(target));
+        }
+    }
+
+    /// Records the limit in a response of `target`, or that the response names none.
+    pub fn record_response(&mut self, target: &str, per_second: Option<f64>, now: Timestamp) {
+        self.select(target);
+        self.set_rate(per_second, now);
+    }
+
+    fn set_rate(&mut self, per_second: Option<f64>, now: Timestamp) {
+        match (&mut self.bucket, per_second) {
+            (Some(bucket), Some(per_second)) if bucket.per_second == per_second => {}
+            (Some(bucket), Some(per_second)) => bucket.set_rate(per_second, now),
+            (bucket, Some(per_second)) => {
+                *bucket = Some(RateLimitBucket::new(per_second, self.arriving.at(now), now));
+            }
+            (bucket, None) => *bucket = None,
+        }
+    }
+
+    /// Decides whether a call that arrives may be sent. Calls that an edge sends although it expects them to exceed the
+    /// limit have `is_over_limit`; they don't count for the share, which couldn't keep them away.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to retry if it exceeds the limit.
+    pub fn admit(&mut self, precedence: Precedence, is_over_limit: bool, now: Timestamp) -> Result<(), RateLimited> {
+        if !is_over_limit {
+            self.arriving.add(1.0, now);
+        }
+        let Some(bucket) = &mut self.bucket else { return Ok(()) };
+        bucket.fill(now);
+        let arriving = self.arriving.at(now);
+        bucket.update_share(arriving, now);
+        let required = bucket.required_tokens(precedence, arriving);
+        if bucket.tokens >= required {
+            Ok(())
+        } else {
+            Err(bucket.refusal(required))
+        }
+    }
+
+    /// Takes the token of a request that is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to retry if there is none: since the call was admitted, others have taken the tokens.
+    pub fn take(&mut self, now: Timestamp) -> Result<(), RateLimited> {
+        let Some(bucket) = &mut self.bucket else { return Ok(()) };
+        bucket.fill(now);
+        if bucket.tokens < 1.0 {
+            return Err(bucket.refusal(1.0));
+        }
+        bucket.tokens -= 1.0;
+        Ok(())
+    }
+
+    /// Returns the token of a request that did not reach the target.
+    pub fn refund(&mut self) {
+        let Some(bucket) = &mut self.bucket else { return };
+        bucket.tokens = (bucket.tokens + 1.0).min(bucket.capacity());
+    }
+
+    /// The report for edges; `None` if there is no limit.
+    pub fn report(&mut self, now: Timestamp) -> Option<RateLimitReport> {
+        let bucket = self.bucket.as_mut()?;
+        bucket.update_share(self.arriving.at(now), now);
+        Some(RateLimitReport { per_second: bucket.per_second, share: bucket.share })
+    }
+}
+
+/// The rate limits of targets that an edge knows.
+#[derive(Clone, Debug, Default)]
+pub struct RateLimitTable {
+    reports: HashMap<TargetId, (RateLimitReport, Timestamp)>,
+}
+
+impl RateLimitTable {
+    /// Records what the gate of `target` reports; `None` if it has no limit.
+    pub fn record(&mut self, target: &TargetId, report: Option<RateLimitReport>, now: Timestamp) {
+        match report {
+            Some(report) => {
+                let is_new = self.reports.insert(target.clone(), (report, now)).is_none();
+                if is_new {
+                    self.reports.retain(|_, (_, reported)| now.since(*reported) < LIMIT_RETENTION);
+                }
+            }
+            None if self.reports.is_empty() => {}
+            None => self.forget(target),
+        }
+    }
+
+    /// Forgets the limit of a target whose process has restarted.
+    pub fn forget(&mut self, target: &str) {
+        self.reports.remove(target);
+    }
+
+    /// The limit of a target in calls per second, if it has one.
+    pub fn per_second(&self, target: &str) -> Option<f64> {
+        self.reports.get(target).map(|(report, _)| report.per_second)
+    }
+
+    /// The share of calls for which a target is considered.
+    pub fn share(&self, target: &str, now: Timestamp) -> f64 {
+        let report = self.reports.get(target).filter(|(_, reported)| now.since(*reported) < SHARE_LIFETIME);
+        report.map_or(1.0, |(report, _)| report.share)
+    }
+}
--- a/crates/mesh/tests/decisions/balance.rs
+++ b/crates/mesh/tests/decisions/balance.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::{milliseconds, target};
-use quillhatch_mesh::balance::{LoadBalancer, ZonePreference};
+use quillhatch_mesh::balance::{Exclusions, LoadBalancer, ZonePreference};
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_types::Timestamp;
 use rand::SeedableRng;
@@ -20,7 +20,14 @@
     let targets = [target("local", "here"), target("remote", "there")];
     let mut balancer = LoadBalancer::default();
     let mut chosen = |balancer: &LoadBalancer, now| {
-        let choose = |_| balancer.choose(&targets, &[], LOCAL_ZONE, now, &mut random).expect("a target").id.to_string();
+        let choose = |_| {
+            balancer
+                .choose(&targets, Exclusions::default(), LOCAL_ZONE, now, &mut random)
+                .expect("a target")
+                .target
+                .id
+                .to_string()
+        };
         let picks: Vec<String> = (0..100).map(choose).collect();
         picks.iter().filter(|id| *id == "local").count()
     };
@@ -45,7 +52,9 @@
     let mut balancer = LoadBalancer::default();
     balancer.record_refusal(&Arc::from("one"), Timestamp::ZERO);
     let mut choose = |tried: &[Arc<str>], now| {
-        balancer.choose(&targets, tried, LOCAL_ZONE, now, &mut random).map(|target| target.id.to_string())
+        balancer
+            .choose(&targets, Exclusions { tried, ..Exclusions::default() }, LOCAL_ZONE, now, &mut random)
+            .map(|choice| choice.target.id.to_string())
     };
     for _ in 0..20 {
         assert_eq!(choose(&[], milliseconds(100)).as_deref(), Some("two"));
@@ -62,12 +71,15 @@
     let balancer = LoadBalancer::default();
     let mut chosen: HashMap<Arc<str>, u32> = HashMap::new();
     for _ in 0..20_000 {
-        let target = balancer.choose(&targets, &[], LOCAL_ZONE, Timestamp::ZERO, &mut random).expect("a target");
+        let target = balancer
+            .choose(&targets, Exclusions::default(), LOCAL_ZONE, Timestamp::ZERO, &mut random)
+            .expect("a target")
+            .target;
         *chosen.entry(target.id.clone()).or_default() += 1;
     }
     assert_eq!(chosen.len(), 500);
     assert!(chosen.values().all(|count| *count < 120), "40 each on average");
-    assert!(balancer.choose(&[], &[], LOCAL_ZONE, Timestamp::ZERO, &mut random).is_none());
+    assert!(balancer.choose(&[], Exclusions::default(), LOCAL_ZONE, Timestamp::ZERO, &mut random).is_none());
 }
 
 #[test]
@@ -84,7 +96,10 @@
     }
     let mut picks = 0;
     for _ in 0..100 {
-        let chosen = balancer.choose(&targets, &[], LOCAL_ZONE, milliseconds(600), &mut random).expect("a target");
+        let chosen = balancer
+            .choose(&targets, Exclusions::default(), LOCAL_ZONE, milliseconds(600), &mut random)
+            .expect("a target")
+            .target;
         picks += usize::from(*chosen.id == *"slow");
     }
     assert_eq!(picks, 0);
@@ -114,12 +129,13 @@
                 let chosen = balancer
                     .choose(
                         targets,
-                        &[],
+                        Exclusions::default(),
                         ZonePreference { local_zone: &zone(edge as u64), ..LOCAL_ZONE },
                         now,
                         &mut random,
                     )
-                    .expect("a target");
+                    .expect("a target")
+                    .target;
                 balancer.record_response_time(&chosen.id, &read, Duration::from_millis(200), now);
                 has_called |= *chosen.id == *"joined";
             }
@@ -151,7 +167,14 @@
     let now = milliseconds(1_000);
     let mut stays = |balancer: &LoadBalancer, objective| {
         let preference = balancer.zone_preference("here", "read", Duration::from_millis(objective));
-        let choose = |_| balancer.choose(&targets, &[], preference, now, &mut random).expect("a target").id.clone();
+        let choose = |_| {
+            balancer
+                .choose(&targets, Exclusions::default(), preference, now, &mut random)
+                .expect("a target")
+                .target
+                .id
+                .clone()
+        };
         (0..100).map(choose).filter(|id| *id == local).count()
     };
     assert_eq!(stays(&balancer, 300), 100);
@@ -173,7 +196,14 @@
         balancer.record_response_time(&good, &read, Duration::from_millis(15), Timestamp::ZERO);
     }
     let mut chosen = |balancer: &LoadBalancer, now| {
-        let choose = |_| balancer.choose(&targets, &[], LOCAL_ZONE, now, &mut random).expect("a target").id.clone();
+        let choose = |_| {
+            balancer
+                .choose(&targets, Exclusions::default(), LOCAL_ZONE, now, &mut random)
+                .expect("a target")
+                .target
+                .id
+                .clone()
+        };
         (0..100).map(choose).filter(|id| *id == bad).count()
     };
     balancer.record_load(&bad, idle, 0.6, Timestamp::ZERO);
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
+use quillhatch_mesh::balance::Choice;
 use quillhatch_mesh::configuration::Retryability;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::targets::{Target, TargetId};
@@ -58,6 +59,8 @@
     TargetReplaced,
     /// The call has not run: a target received it and refused it.
     Rejected,
+    /// The call has not run: it exceeds the rate limit of the target, and may be retried after this delay.
+    RateLimited(Duration),
     /// The call has not run: requests with its signature crash targets. It may be retried after this delay.
     Quarantined(Duration),
     /// The call may have run, and there is no valid response, for this reason.
@@ -85,10 +88,11 @@
 pub(super) async fn attempt(
     node: &Rc<Node>,
     call: &Call,
-    target: &Target,
+    choice: &Choice,
     body: Body,
     may_abandon: impl FnOnce() -> bool,
 ) -> Attempt {
+    let Choice { target, is_over_limit } = choice;
     let started = node.now();
     let remaining = started.until(call.deadline);
     let mut request = Request::new(body);
@@ -108,6 +112,7 @@
         max_wait,
         store_view: store_view::own_store_view(node),
         edge_ip: node.settings.local_target.ip(),
+        is_over_limit: *is_over_limit,
     };
     let added = [
         (HOP_HEADER, context.encode()),
@@ -148,7 +153,11 @@
     let report = response.headers().get(HOP_HEADER).and_then(|value| value.to_str().ok()).and_then(HopReport::decode);
     let Some(report) = report else { return Attempt::NoResponse("no valid quillhatch-hop header".to_owned()) };
     let now = node.now();
-    node.load_balancer.borrow_mut().record_load(&target.id, report.load, report.health, now);
+    {
+        let mut load_balancer = node.load_balancer.borrow_mut();
+        load_balancer.record_load(&target.id, report.load, report.health, now);
+        load_balancer.record_rate_limit(&target.id, report.rate_limit, now);
+    }
     if matches!(report.outcome, GateOutcome::Answered | GateOutcome::Full) {
         node.admission_levels.borrow_mut().record_report(&call.route.name, report.admission_level, now);
     }
@@ -189,10 +198,15 @@
             discard_response(response, lease).await;
             Attempt::Rejected
         }
+        GateOutcome::RateLimited => {
+            let retry_after = retry_after(&response).unwrap_or_default();
+            discard_response(response, lease).await;
+            Attempt::RateLimited(retry_after)
+        }
         GateOutcome::Quarantined => {
-            let retry_after = header_text(response.headers(), RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
+            let retry_after = retry_after(&response).unwrap_or(DEFAULT_QUARANTINE_DELAY);
             discard_response(response, lease).await;
-            Attempt::Quarantined(retry_after.map_or(DEFAULT_QUARANTINE_DELAY, Duration::from_secs))
+            Attempt::Quarantined(retry_after)
         }
         GateOutcome::NoResponse => {
             discard_response(response, lease).await;
@@ -206,6 +220,12 @@
     }
 }
 
+/// The delay in a gate's `Retry-After` header, in seconds with fractions.
+fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+    let seconds = header_text(response.headers(), RETRY_AFTER.as_str())?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// How the exchange with the target's node ended.
 enum Exchanged {
     /// The head of a response has arrived.
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -1,14 +1,15 @@
 //! Sends a call to one target after another until one responds or no further attempt is allowed.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Response;
 use quillhatch_mesh::admission_level::AdmissionLevel;
+use quillhatch_mesh::balance::{Choice, Exclusions};
 use quillhatch_mesh::configuration::Retryability;
 use quillhatch_mesh::routing::choose_service;
 use quillhatch_mesh::targets::{Target, TargetId};
+use rand::Rng;
 
 use super::attempt::{attempt, should_abandon, Attempt};
 use super::responses::{self, refuse};
@@ -27,6 +28,9 @@
 /// The `Retry-After` of a call whose route has no service with a share of its traffic.
 const NO_DESTINATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The factor by which the wait for a rate limit is varied, so that refused callers don't return together.
+const RATE_LIMIT_WAIT_SPREAD: std::ops::Range<f64> = 0.7..1.3;
+
 /// The attempts of a call so far.
 #[derive(Default)]
 struct Progress {
@@ -36,6 +40,8 @@
     full: usize,
     /// The number of attempts that may have run.
     runs: u32,
+    /// The shortest delay after which a target whose rate limit refused the call accepts it again.
+    rate_limited: Option<Duration>,
 }
 
 impl Progress {
@@ -72,7 +78,12 @@
             let why = if progress.may_have_run() { "late" } else { "late-not-run" };
             return give_up(&call, &progress, why);
         }
-        let Some(target) = choose_target(node, &call, &service, &progress.tried) else {
+        let Some(choice) = choose_target(node, &call, &service, &progress) else {
+            if let Some(wait) = progress.rate_limited {
+                let spread_wait = wait.mul_f64(node.random.borrow_mut().gen_range(RATE_LIMIT_WAIT_SPREAD));
+                let retry_after = spread_wait.max(responses::retry_delay(node, &call.route));
+                return give_up_with(&call, &progress, "rate-limited", retry_after);
+            }
             if progress.full == 0 && now < dispatch_until && !progress.may_have_run() {
                 tokio::time::sleep(UNREACHABLE_RETRY_DELAY).await;
                 progress.tried.clear();
@@ -85,10 +96,11 @@
             );
             return give_up(&call, &progress, "no-target");
         };
+        let target = &choice.target;
         let runs_once = call.route.retryability == Retryability::AtMostOnce;
-        if runs_once && !liveness::is_live_now(node, &target).await {
+        if runs_once && !liveness::is_live_now(node, target).await {
             node.log_failure(|| {
-                failed_attempt_line(&call, &target, "node did not respond to the liveness probe; not sent")
+                failed_attempt_line(&call, target, "node did not respond to the liveness probe; not sent")
             });
             progress.tried.push(target.id.clone());
             continue;
@@ -99,15 +111,15 @@
         let may_abandon = || {
             let can_be_retried = body.is_some() && progress.runs == 0 && call.route.max_attempts > 1;
             can_be_retried
-                && has_other_target(node, &service, &target, &progress.tried)
+                && has_other_target(node, &service, target, &progress.tried)
                 && should_abandon(node, &call)
                 && node.try_retry(&service)
         };
-        let outcome = attempt(node, &call, &target, attempt_body, may_abandon).await;
+        let outcome = attempt(node, &call, &choice, attempt_body, may_abandon).await;
         progress.tried.push(target.id.clone());
         match outcome {
             Attempt::Response(response) => {
-                record_response(node, &call, &target, &response, progress.tried.len());
+                record_response(node, &call, target, &response, progress.tried.len());
                 return *response;
             }
             Attempt::Full => {
@@ -118,12 +130,15 @@
                 }
             }
             Attempt::NotRun(why) => {
-                node.log_failure(|| failed_attempt_line(&call, &target, why));
+                node.log_failure(|| failed_attempt_line(&call, target, why));
                 node.load_balancer.borrow_mut().record_refusal(&target.id, node.now());
             }
             Attempt::TargetReplaced => {}
+            Attempt::RateLimited(wait) => {
+                progress.rate_limited = Some(progress.rate_limited.map_or(wait, |shortest| shortest.min(wait)));
+            }
             Attempt::Rejected => {
-                node.log_failure(|| failed_attempt_line(&call, &target, "rejected"));
+                node.log_failure(|| failed_attempt_line(&call, target, "rejected"));
                 // The target refuses quickly, so it would attract calls, each of which costs a retry.
                 node.load_balancer.borrow_mut().record_refusal(&target.id, node.now());
                 if !node.try_retry(&service) {
@@ -134,7 +149,7 @@
             // The other gates of the service have the same quarantine entries.
             Attempt::Quarantined(retry_after) => return give_up_with(&call, &progress, "quarantined", retry_after),
             Attempt::NoResponse(why) => {
-                node.log_failure(|| failed_attempt_line(&call, &target, &why));
+                node.log_failure(|| failed_attempt_line(&call, target, &why));
                 progress.runs += 1;
                 if !progress.may_retry(&call) || !node.try_retry(&service) {
                     return give_up(&call, &progress, "broken");
@@ -143,7 +158,7 @@
             }
             Attempt::Abandoned => {
                 // The retry was taken from the budget when the attempt was abandoned.
-                node.log_failure(|| failed_attempt_line(&call, &target, "target is slow; trying another one"));
+                node.log_failure(|| failed_attempt_line(&call, target, "target is slow; trying another one"));
                 progress.runs += 1;
                 record_retry(node, &mut call);
             }
@@ -155,7 +170,7 @@
     }
 }
 
-fn choose_target(node: &Node, call: &Call, service: &str, tried: &[TargetId]) -> Option<Arc<Target>> {
+fn choose_target(node: &Node, call: &Call, service: &str, progress: &Progress) -> Option<Choice> {
     let targets = node.targets.borrow();
     let members = targets.of_service(service);
     let mut random = node.random.borrow_mut();
@@ -163,14 +178,17 @@
     let now = node.now();
     let response_time = call.route.latency_objective.min(now.until(call.deadline));
     let zone_preference = load_balancer.zone_preference(&node.settings.zone, &call.route.name, response_time);
-    load_balancer.choose(members, tried, zone_preference, now, &mut *random)
+    let excluded = Exclusions { tried: &progress.tried, over_limit: progress.rate_limited.is_some() };
+    load_balancer.choose(members, excluded, zone_preference, now, &mut *random)
 }
 
-/// Whether the service has another target that is not draining and was not tried yet.
+/// Whether the service has another target that is not draining, has no rate limit and was not tried yet.
 fn has_other_target(node: &Node, service: &str, target: &Target, tried: &[TargetId]) -> bool {
     let targets = node.targets.borrow();
+    let load_balancer = node.load_balancer.borrow();
     let not_draining = targets.of_service(service).iter().filter(|other| !other.registration.draining);
-    not_draining.filter(|other| other.id != target.id).any(|other| !tried.contains(&other.id))
+    let untried = not_draining.filter(|other| other.id != target.id && !tried.contains(&other.id));
+    untried.into_iter().any(|other| load_balancer.rate_limit(&other.id).is_none())
 }
 
 /// Whether the services that calls of this route need have spare capacity.
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -20,6 +20,7 @@
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::quarantine::RequestSignature;
 use quillhatch_mesh::routing::find_route;
+use quillhatch_mesh::target_limit::RateLimited;
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
 
@@ -38,7 +39,8 @@
 use slots::admit;
 pub use slots::{admit_waiting_calls, evict_waiting_calls, Slot};
 pub use target_crash::{target_identified, target_restarted};
-pub use target_status::{record_response, LocalTargetStatus};
+use target_status::record_response;
+pub use target_status::{record_health_check, LocalTargetStatus};
 
 /// The maximum size of a request body that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
@@ -100,8 +102,9 @@
             log_failure(&node, &call, outcome, &why, arrived);
             let mut response = Response::new(Body::empty());
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            if let Some(delay) = retry_after {
-                response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(delay.as_secs().max(1)));
+            let retry_after = retry_after.map(|delay| format!("{:.3}", delay.as_secs_f64()));
+            if let Some(value) = retry_after.and_then(|seconds| HeaderValue::try_from(seconds).ok()) {
+                response.headers_mut().insert(RETRY_AFTER, value);
             }
             attach_report(&node, &call, outcome, &mut response);
             response
@@ -167,7 +170,18 @@
     let health = node.target_health.borrow_mut().good_share(now);
     let (store_view, proof) =
         (store_view::own_store_view(node), node.tenancy.peer_proof(&node.configuration.borrow(), call.arrived));
-    let report = HopReport { outcome, load, admission_level, health, caller_kind, store_view, proof, current_target };
+    let rate_limit = node.target_limiter.borrow_mut().report(now);
+    let report = HopReport {
+        outcome,
+        load,
+        admission_level,
+        health,
+        caller_kind,
+        store_view,
+        proof,
+        current_target,
+        rate_limit,
+    };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP_HEADER, value);
     }
@@ -193,6 +207,13 @@
     }
 }
 
+impl From<RateLimited> for Failure {
+    fn from(refusal: RateLimited) -> Self {
+        let retry_after = Some(refusal.wait);
+        Failure { outcome: GateOutcome::RateLimited, why: "rate limit of the target".to_owned(), retry_after }
+    }
+}
+
 /// Reads the request, waits for its admission, and forwards it to the target.
 async fn admit_and_forward(
     node: &Rc<Node>,
@@ -236,6 +257,7 @@
     if remaining < MIN_FORWARD_TIME {
         return Err(Failure::new(GateOutcome::Full, "too little time until the deadline"));
     }
+    node.target_limiter.borrow_mut().take(node.now())?;
     remove_hop_by_hop_headers(&mut parts.headers);
     parts.headers.remove(HOP_HEADER);
     if let Ok(value) = HeaderValue::from_str(&remaining.as_millis().to_string()) {
@@ -252,11 +274,13 @@
     let (response, lease) = match exchange {
         // The call was still waiting for a connection, so the target has not received it.
         Err(_) if !sent.is_set() => {
+            node.target_limiter.borrow_mut().refund();
             local_target::mark_unverified(node);
             return Err(Failure::new(GateOutcome::Closed, "no connection in time"));
         }
         Err(_) => return Err(Failure::new(GateOutcome::DeadlineExceeded, "no response before the deadline")),
         Ok(Err(error @ (ExchangeError::ConnectionRefused | ExchangeError::NotSent(_)))) => {
+            node.target_limiter.borrow_mut().refund();
             local_target::mark_unverified(node);
             return Err(Failure::new(GateOutcome::Closed, error.to_string()));
         }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -8,10 +8,11 @@
 use quillhatch_mesh::parents::{InheritedContext, RunningCallId, ALL_ADMITTED_PERMILLE};
 use quillhatch_mesh::quarantine::{RequestSignature, RunId};
 use quillhatch_mesh::queue::{QueueTicket, Rank};
+use quillhatch_mesh::target_limit::{Precedence, RateLimited};
 use quillhatch_types::Timestamp;
 use tokio::sync::oneshot;
 
-use super::{target_crash, Call};
+use super::{target_crash, Call, Failure};
 use crate::hop::HopContext;
 use crate::local_target;
 use crate::node::{Admitted, Node};
@@ -152,21 +153,25 @@
     }
 }
 
+/// Refuses a call that exceeds the rate limit of the target.
+fn check_rate_limit(node: &Node, context: &HopContext) -> Result<(), RateLimited> {
+    let now = node.now();
+    let priorities = node.current_configuration().map_or(1, |configuration| configuration.priority_count());
+    let precedence = Precedence::new(context.inherited.priority, context.is_root, priorities);
+    node.target_limiter.borrow_mut().admit(precedence, context.is_over_limit, now)
+}
+
 /// Waits until a call gets a slot of the target, or is refused.
-pub(super) async fn admit(
-    node: &Rc<Node>,
-    call: &Call,
-    context: &HopContext,
-    now: Timestamp,
-) -> Result<Slot, GateRefusal> {
+pub(super) async fn admit(node: &Rc<Node>, call: &Call, context: &HopContext, now: Timestamp) -> Result<Slot, Failure> {
     // The edge treats a call as possibly run if the gate does not respond by the deadline, so the call is refused by
     // then.
     if node.clock.timeout_at(call.deadline, local_target::verify_identity(node)).await.is_err() {
-        return Err(GateRefusal::Overloaded);
+        return Err(GateRefusal::Overloaded.into());
     }
     if !local_target::accepts_calls_for(node, &call.expected) {
-        return Err(GateRefusal::Closed);
+        return Err(GateRefusal::Closed.into());
     }
+    check_rate_limit(node, context)?;
     let InheritedContext { priority, position, admitted_permille, .. } = context.inherited;
     if let Some(route) = &call.route {
         let share = f64::from(admitted_permille) / f64::from(ALL_ADMITTED_PERMILLE);
@@ -190,7 +195,7 @@
         GateDecision::Runs => Ok(Slot::new(node, call.route.clone())),
         GateDecision::Refused(refusal) => {
             record_refusal(node, context, refusal);
-            Err(refusal)
+            Err(refusal.into())
         }
         GateDecision::Waits(ticket) => {
             let (sender, receiver) = oneshot::channel();
@@ -200,13 +205,13 @@
                 let refusal =
                     if node.gate.borrow().is_closed() { GateRefusal::Closed } else { GateRefusal::Overloaded };
                 record_refusal(node, context, refusal);
-                return Err(refusal);
+                return Err(refusal.into());
             }
             let slot = Slot::new(node, call.route.clone());
             if local_target::accepts_calls_for(node, &call.expected) {
                 Ok(slot)
             } else {
-                Err(GateRefusal::Closed)
+                Err(GateRefusal::Closed.into())
             }
         }
     }
--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -26,18 +26,39 @@
     }
 }
 
-/// Records the status in the headers of a response of `target`, and logs what has changed.
+/// Records the status in the headers of a response of `target` to a call.
 pub fn record_response(node: &Node, target: &str, headers: &HeaderMap) {
+    record_status(node, target, read_status(node, target, headers));
+}
+
+/// Records the status in the headers of a response of `target` to a health check, which may leave the headers out.
+pub fn record_health_check(node: &Node, target: &str, headers: &HeaderMap) {
+    let local = &node.local_target_status;
+    let is_known = local.target.borrow().as_deref() == Some(target);
+    let known = if is_known { local.status.get() } else { TargetStatus::default() };
+    let status = read_status(node, target, headers);
+    if status != TargetStatus::default() {
+        let rate_limit = status.rate_limit.or(known.rate_limit);
+        record_status(node, target, TargetStatus { rate_limit, is_draining: status.is_draining || known.is_draining });
+    }
+}
+
+fn read_status(node: &Node, target: &str, headers: &HeaderMap) -> TargetStatus {
+    TargetStatus {
+        rate_limit: rate_limit(node, target, headers),
+        is_draining: headers.get(headers::TARGET_LEAVING).is_some_and(|value| is_leaving(value.as_bytes())),
+    }
+}
+
+/// Records the status of `target`, and logs what has changed.
+fn record_status(node: &Node, target: &str, status: TargetStatus) {
     let local = &node.local_target_status;
     if local.target.borrow().as_deref() != Some(target) {
         *local.target.borrow_mut() = Some(TargetId::from(target));
         local.status.take();
     }
-    let status = TargetStatus {
-        rate_limit: rate_limit(node, target, headers),
-        is_draining: headers.get(headers::TARGET_LEAVING).is_some_and(|value| is_leaving(value.as_bytes())),
-    };
     let before = local.status.replace(status);
+    node.target_limiter.borrow_mut().record_response(target, status.rate_limit, node.now());
     if before.rate_limit != status.rate_limit {
         node.log(&format!(
             "\"event\":\"target-rate-limit\",\"target\":{target:?},\"per_second\":{},\"before\":{}",
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -14,6 +14,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::target_limit::RateLimitReport;
 
 /// The name of the header.
 pub const HOP_HEADER: &str = "quillhatch-hop";
@@ -45,6 +46,11 @@
     }
 }
 
+/// Decodes a number of calls per second; `None` if there is none.
+fn decode_rate(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
+}
+
 /// The metadata of a call that an edge sends to a gate.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopContext {
@@ -58,6 +64,8 @@
     pub store_view: StoreView,
     /// The address of the edge's machine, at which its node can be queried for its view of the store.
     pub edge_ip: IpAddr,
+    /// Whether the edge expects that the call exceeds the target's rate limit, and has no other target for it.
+    pub is_over_limit: bool,
 }
 
 impl HopContext {
@@ -67,7 +75,10 @@
         let (is_root, is_retry) = (u8::from(self.is_root), u8::from(is_retry));
         let max_wait = self.max_wait.as_millis();
         let (store_view, edge_ip) = (self.store_view.encode(), self.edge_ip);
-        format!("{is_root};{priority};{position};{is_retry};{admitted_permille};{max_wait};{store_view};{edge_ip}")
+        let is_over_limit = u8::from(self.is_over_limit);
+        format!(
+            "{is_root};{priority};{position};{is_retry};{admitted_permille};{max_wait};{store_view};{edge_ip};{is_over_limit}"
+        )
     }
 
     /// Decodes the value of the header.
@@ -80,7 +91,8 @@
         let max_wait = Duration::from_millis(parts.next()?.parse().ok()?);
         let store_view = StoreView::decode(parts.next()?)?;
         let edge_ip = parts.next()?.parse().ok()?;
-        Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip })
+        let is_over_limit = parts.next() == Some("1");
+        Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip, is_over_limit })
     }
 }
 
@@ -96,6 +108,8 @@
     Closed,
     /// The call has not run: the target received it and refused it.
     Rejected,
+    /// The call has not run: it exceeds the rate limit of the target. `Retry-After` says when it may be retried.
+    RateLimited,
     /// The call has not run: requests with its signature crash targets. `Retry-After` says when it may be retried.
     Quarantined,
     /// The call may have run, and there is no valid response.
@@ -106,11 +120,12 @@
 
 impl GateOutcome {
     /// All outcomes.
-    pub const ALL: [GateOutcome; 7] = [
+    pub const ALL: [GateOutcome; 8] = [
         GateOutcome::Answered,
         GateOutcome::Full,
         GateOutcome::Closed,
         GateOutcome::Rejected,
+        GateOutcome::RateLimited,
         GateOutcome::Quarantined,
         GateOutcome::NoResponse,
         GateOutcome::DeadlineExceeded,
@@ -123,6 +138,7 @@
             GateOutcome::Full => "full",
             GateOutcome::Closed => "closed",
             GateOutcome::Rejected => "rejected",
+            GateOutcome::RateLimited => "rate-limited",
             GateOutcome::Quarantined => "quarantined",
             GateOutcome::NoResponse => "broken",
             GateOutcome::DeadlineExceeded => "late",
@@ -135,6 +151,7 @@
             GateOutcome::Full => 'f',
             GateOutcome::Closed => 'c',
             GateOutcome::Rejected => 'r',
+            GateOutcome::RateLimited => 't',
             GateOutcome::Quarantined => 'q',
             GateOutcome::NoResponse => 'b',
             GateOutcome::DeadlineExceeded => 'l',
@@ -166,6 +183,8 @@
     pub proof: Option<FreshnessProof>,
     /// The gate's current target, if the call was meant for another one.
     pub current_target: Option<LocalTarget>,
+    /// The rate limit of the target, if it has one.
+    pub rate_limit: Option<RateLimitReport>,
 }
 
 /// The target that currently runs on a node's machine.
@@ -202,6 +221,11 @@
     Some(Some(FreshnessProof { version: version.parse().ok()?, age_at_arrival_ms: age.parse().ok()? }))
 }
 
+fn decode_rate_limit(text: &str) -> Option<RateLimitReport> {
+    let (per_second, share) = text.split_once(',')?;
+    Some(RateLimitReport { per_second: decode_rate(per_second)?, share: decode_rate(share)?.min(1.0) })
+}
+
 impl HopReport {
     /// Encodes the value of the header.
     pub fn encode(&self) -> String {
@@ -217,8 +241,11 @@
         if let Some(FreshnessProof { version, age_at_arrival_ms }) = self.proof {
             let _ = write!(text, "{version},{age_at_arrival_ms}");
         }
-        if let Some(current_target) = &self.current_target {
-            let _ = write!(text, ";{};{}", current_target.id, current_target.service);
+        let current_target = self.current_target.as_ref();
+        let (id, service) = current_target.map_or(("", ""), |target| (&target.id, &target.service));
+        let _ = write!(text, ";{id};{service};");
+        if let Some(RateLimitReport { per_second, share }) = self.rate_limit {
+            let _ = write!(text, "{per_second},{share:.4}");
         }
         text
     }
@@ -235,9 +262,22 @@
         let store_view = StoreView::decode(parts.next()?)?;
         let proof = decode_proof(parts.next()?)?;
         let current_target = match (parts.next(), parts.next()) {
-            (Some(id), Some(service)) => Some(LocalTarget { id: id.to_owned(), service: service.to_owned() }),
+            (Some(id), Some(service)) if !id.is_empty() => {
+                Some(LocalTarget { id: id.to_owned(), service: service.to_owned() })
+            }
             _ => None,
         };
-        Some(HopReport { outcome, load, admission_level, health, caller_kind, store_view, proof, current_target })
+        let rate_limit = parts.next().and_then(decode_rate_limit);
+        Some(HopReport {
+            outcome,
+            load,
+            admission_level,
+            health,
+            caller_kind,
+            store_view,
+            proof,
+            current_target,
+            rate_limit,
+        })
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -24,6 +24,7 @@
 use quillhatch_mesh::retry_budget::RetryBudget;
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::store_reader::StoreReader;
+use quillhatch_mesh::target_limit::TargetRateLimiter;
 use quillhatch_mesh::targets::{TargetId, TargetTable};
 use quillhatch_types::Timestamp;
 use rand::SeedableRng;
@@ -81,6 +82,8 @@
     pub identity_query_lock: tokio::sync::Mutex<()>,
     /// The state of the local target while it is retained without a registration.
     pub retained_target: RetainedTargetState,
+    /// Keeps the local target's rate limit.
+    pub target_limiter: RefCell<TargetRateLimiter>,
     /// The status that the local target last sent in its responses.
     pub local_target_status: LocalTargetStatus,
     /// Whether the list of targets was received at least once.
@@ -209,6 +212,7 @@
             identity_received_at: Cell::new(now),
             identity_query_lock: tokio::sync::Mutex::default(),
             retained_target: RetainedTargetState::default(),
+            target_limiter: RefCell::new(TargetRateLimiter::new(now)),
             local_target_status: LocalTargetStatus::default(),
             targets_known: Cell::new(false),
             load_balancer: RefCell::new(LoadBalancer::new(settings.mechanisms)),
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -10,6 +10,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::target_limit::RateLimitReport;
 use quillhatch_messages::generated::limits::LimitMessage;
 use quillhatch_messages::generated::quarantine::QuarantineMessage;
 use quillhatch_sidecar::counters::Counters;
@@ -26,6 +27,7 @@
         max_wait: Duration::from_millis(330),
         store_view: StoreView { position: Position { era: 2, revision: 77 }, store_unreachable: true },
         edge_ip: IpAddr::from([10, 1, 0, 8]),
+        is_over_limit: true,
     };
     assert_eq!(HopContext::decode(&context.encode()), Some(context));
 }
@@ -35,9 +37,13 @@
     let current_target = LocalTarget { id: "i-1".to_owned(), service: "alpha".to_owned() };
     for outcome in GateOutcome::ALL {
         let proof = FreshnessProof { version: 17, age_at_arrival_ms: -250 };
-        for (current_target, proof) in
-            [(None, Some(proof)), (Some(current_target.clone()), None), (Some(current_target.clone()), Some(proof))]
-        {
+        let rate_limit = RateLimitReport { per_second: 4.1, share: 0.0625 };
+        for (current_target, proof, rate_limit) in [
+            (None, Some(proof), Some(rate_limit)),
+            (Some(current_target.clone()), None, Some(rate_limit)),
+            (Some(current_target.clone()), Some(proof), None),
+            (None, None, None),
+        ] {
             let report = HopReport {
                 outcome,
                 load: GateLoad { running: 3, limit: 36, waiting: 144 },
@@ -47,12 +53,19 @@
                 store_view: StoreView { position: Position::default(), store_unreachable: false },
                 proof,
                 current_target,
+                rate_limit,
             };
             assert_eq!(HopReport::decode(&report.encode()), Some(report));
         }
     }
 }
 
+#[test]
+fn a_hop_report_without_the_fields_of_newer_nodes_is_decoded() {
+    let report = HopReport::decode("a;3;36;144;1250;75;1;0.0,0;").expect("a report");
+    assert_eq!((report.current_target, report.rate_limit), (None, None));
+}
+
 #[test_case("")]
 #[test_case("1;2")]
 #[test_case("x;1;2;3;4;5;6;7,0")]
--- a/crates/sidecar/tests/target_limits.rs
+++ b/crates/sidecar/tests/target_limits.rs
@@ -22,7 +22,7 @@
 /// How long a target works on a call.
 const WORK_TIME: Duration = Duration::from_millis(4);
 
-/// The machines of one service.
+/// Machines whose first target has a limit.
 struct Fleet {
     store: StandInStore,
     machines: Vec<Machine>,
@@ -30,11 +30,17 @@
 
 impl Fleet {
     async fn start(count: usize) -> Self {
+        Self::start_with(&vec!["alpha"; count]).await
+    }
+
+    /// Starts a machine for a target of each of these services. Calls go to `alpha`.
+    async fn start_with(services: &[&str]) -> Self {
+        let count = services.len();
         let store = StandInStore::start().await;
         store.write_configuration(&document(5, "alpha"));
         let mut machines = Vec::new();
-        for _ in 0..count {
-            let machine = Machine::start(&store, "alpha", 64).await;
+        for service in services {
+            let machine = Machine::start(&store, service, 64).await;
             machine.target.set_behaviour(TargetBehaviour::Slow(WORK_TIME));
             machines.push(machine);
         }
@@ -122,21 +128,100 @@
 #[test]
 fn the_limit_holds_after_a_restart_of_the_process_beside_a_slow_target() {
     run(async {
-        let mut fleet = Fleet::start(6).await;
+        let mut fleet = Fleet::start_with(&["alpha", "beta", "beta", "beta", "beta", "beta"]).await;
         let outbound: Vec<SocketAddr> = fleet.machines[1..].iter().map(Machine::outbound).collect();
         fleet.limited().target.set_rate_limit(Some("5.5"));
+        fleet.limited().target.set_health_shows_status(false);
         send(&outbound, "before", 200, Duration::from_secs(1)).await;
         let Machine { target, sidecar, address } = fleet.machines.remove(0);
         sidecar.stop().await;
         target.take_arrivals();
-        for other in fleet.machines.iter().map(|machine| &machine.target).chain([&target]) {
-            other.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(900)));
-        }
+        target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(700)));
         let _restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
-        let responses = send(&outbound, "restarted", 200, Duration::from_secs(2)).await;
+        send(&outbound, "restarted", 200, Duration::from_secs(2)).await;
         let arrivals: Vec<Instant> = target.take_arrivals().into_iter().map(|arrival| arrival.at).collect();
         let most = max_in_window(&arrivals);
         assert!(most <= max_allowed(5.5), "{most} requests in {WINDOW:?}, {} are allowed", max_allowed(5.5));
-        assert_eq!(responses.served, 400, "the other targets have room");
+        assert!(most > 0, "it still gets calls");
+    });
+}
+
+#[test]
+fn calls_beyond_the_limits_of_all_targets_are_refused_at_once_and_told_when_to_return() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.machines.iter().for_each(|machine| machine.target.set_rate_limit(Some("8")));
+        fleet.send("notice", 100, NOTICE_TIME).await;
+        fleet.machines.iter().for_each(|machine| drop(machine.target.take_arrivals()));
+        let responses = fleet.send("limited", 100, WINDOW).await;
+        assert_eq!(responses.other, 0);
+        for (response, took) in &responses.refused {
+            let delay: f64 = response.header("retry-after").parse().expect("a delay in seconds");
+            assert!((0.1..=10.0).contains(&delay), "{delay}");
+            assert!(*took < Duration::from_millis(250), "{took:?}");
+        }
+        let arrivals: usize = fleet.machines.iter().map(|machine| machine.target.take_arrivals().len()).sum();
+        assert_eq!(arrivals, responses.served, "a refused call reaches no target");
+        let accepted = 3.0 * 8.0 * WINDOW.as_secs_f64();
+        assert!(responses.served as f64 >= 0.9 * accepted, "{} served, {accepted} accepted", responses.served);
+        let retries: u64 = fleet.machines.iter().map(|machine| machine.node().counters.retries.get()).sum();
+        assert_eq!(retries, 0, "calls that reached no target are not retries");
+    });
+}
+
+#[test]
+fn a_target_that_gives_up_a_limit_of_zero_is_called_again() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        fleet.limited().target.set_rate_limit(Some("0"));
+        fleet.send("notice", 100, NOTICE_TIME).await;
+        fleet.limited().target.take_arrivals();
+        fleet.send("limited", 100, Duration::from_secs(2)).await;
+        let received = fleet.limited().target.take_arrivals().len();
+        assert!(received <= max_allowed(0.0), "{received} requests");
+        fleet.limited().target.set_rate_limit(None);
+        fleet.send("given up", 100, Duration::from_secs(16)).await;
+        let received = fleet.limited().target.take_arrivals().len();
+        assert!(received > 50, "{received} requests");
+    });
+}
+
+#[test]
+fn a_limit_in_rejections_counts() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.limited().target.set_behaviour(TargetBehaviour::RefusesRequests);
+        fleet.limited().target.set_rate_limit(Some("2"));
+        fleet.send("notice", 100, NOTICE_TIME).await;
+        fleet.limited().target.take_arrivals();
+        fleet.send("limited", 100, WINDOW).await;
+        let most = fleet.limited().target.take_arrivals().len();
+        assert!(most <= max_allowed(2.0), "{most} requests");
+    });
+}
+
+#[test]
+fn a_limit_that_is_no_number_is_passed_on_unchanged_and_limits_nothing() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        fleet.limited().target.set_rate_limit(Some("2 a second"));
+        let responses = fleet.send("all", 100, Duration::from_secs(1)).await;
+        assert_eq!(responses.served, 100);
+        let response = call(fleet.limited().outbound(), &read("one")).await.expect("a response");
+        assert_eq!(response.header("server-limit"), "2 a second");
+    });
+}
+
+#[test]
+fn a_target_that_restarts_with_its_id_has_the_limit_no_more() {
+    run(async {
+        let fleet = Fleet::start(1).await;
+        fleet.limited().target.set_rate_limit(Some("0.2"));
+        fleet.send("notice", 100, NOTICE_TIME).await;
+        fleet.limited().target.restart_with_same_id();
+        fleet.store.register(&fleet.limited().target, "ready");
+        sleep(Duration::from_millis(500)).await;
+        let responses = fleet.send("restarted", 100, Duration::from_secs(1)).await;
+        assert_eq!(responses.served, 100);
     });
 }
