Send the known rate limit of a target with calls, for a gate that has just started

What callers saw: LIMIT again after the process beside a limited target restarts, until its first response comes back, which may take as long as the route allows.

Cause: after a restart only the other machines know the limit, and no message told the gate. Class: knowledge that lives in one process only, while others that have it send it calls. Ruled out: that the identity query suffices. A health check may leave the headers out, wait for a slot or fail.

Change: an edge that knows the limit of a target sends it with each call to it. A gate whose target has not responded yet applies the lowest of them; the target's own response replaces it.

A test of the decision: the lowest limit counts, and a target that gave its limit up is believed over the edges.

--- a/crates/mesh/src/target_limit.rs
+++ b/crates/mesh/src/target_limit.rs
@@ -6,6 +6,9 @@
 //! The edges keep the calls that don't fit away from the gate. The gate reports a **share**: the part of its service's
 //! calls for which an edge should consider the target. It follows from the calls that arrive, whichever nodes they come
 //! from. While an edge has an old share, the gate refuses what exceeds the limit, and the edge chooses another target.
+//!
+//! A gate that has just started knows no limit until the target has responded, which may take as long as a call. The
+//! edges that know the limit send it with their calls, and the gate uses it until then.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -75,6 +78,17 @@
     }
 }
 
+/// Where a gate has its knowledge of the limit from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LimitSource {
+    #[default]
+    None,
+    /// Edges that know the limit. The target has not responded yet.
+    Edges,
+    /// Responses of the target.
+    Target,
+}
+
 /// The tokens of a limit, and the share that edges use.
 #[derive(Clone, Copy, Debug)]
 struct RateLimitBucket {
@@ -139,6 +153,7 @@
 #[derive(Clone, Debug)]
 pub struct TargetRateLimiter {
     target: Option<TargetId>,
+    source: LimitSource,
     bucket: Option<RateLimitBucket>,
     arriving: DecayingRate,
 }
@@ -146,12 +161,17 @@
 impl TargetRateLimiter {
     /// A limiter that knows no limit.
     pub fn new(now: Timestamp) -> Self {
-        TargetRateLimiter { target: None, bucket: None, arriving: DecayingRate::new(ARRIVAL_TIME_CONSTANT, now) }
+        TargetRateLimiter {
+            target: None,
+            source: LimitSource::None,
+            bucket: None,
+            arriving: DecayingRate::new(ARRIVAL_TIME_CONSTANT, now),
+        }
     }
 
     /// Forgets the limit: the target's process has restarted.
     pub fn reset(&mut self) {
-        (self.target, self.bucket) = (None, None);
+        (self.target, self.source, self.bucket) = (None, LimitSource::None, None);
     }
 
     fn select(&mut self, target: &str) {
@@ -164,9 +184,22 @@
     /// Records the limit in a response of `target`, or that the response names none.
     pub fn record_response(&mut self, target: &str, per_second: Option<f64>, now: Timestamp) {
         self.select(target);
+        self.source = LimitSource::Target;
         self.set_rate(per_second, now);
     }
 
+    /// Records the limit of `target` that an edge knows. It counts until the target itself has responded; of several
+    /// limits the lowest one.
+    pub fn record_edge_knowledge(&mut self, target: &str, per_second: f64, now: Timestamp) {
+        self.select(target);
+        if self.source == LimitSource::Target {
+            return;
+        }
+        self.source = LimitSource::Edges;
+        let lowest = self.bucket.map_or(per_second, |bucket| bucket.per_second.min(per_second));
+        self.set_rate(Some(lowest), now);
+    }
+
     fn set_rate(&mut self, per_second: Option<f64>, now: Timestamp) {
         match (&mut self.bucket, per_second) {
             (Some(bucket), Some(per_second)) if bucket.per_second == per_second => {}
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -265,3 +265,18 @@
     // Ten calls compete for each of ten tokens a second.
     assert!((0.3..3.0).contains(&mean), "{mean:.2} s on average");
 }
+
+#[test]
+fn a_restarted_gate_takes_the_lowest_limit_of_edges_until_its_target_responds() {
+    let now = Timestamp::from_millis;
+    let mut gate = TargetRateLimiter::new(now(0));
+    for (known, counts) in [(4.0, 4.0), (2.5, 2.5), (4.0, 2.5)] {
+        gate.record_edge_knowledge("t", known, now(0));
+        assert_eq!(gate.report(now(0)).map(|report| report.per_second), Some(counts));
+    }
+    gate.record_response("t", None, now(10));
+    gate.record_edge_knowledge("t", 4.0, now(20));
+    assert_eq!(gate.report(now(20)), None, "the target knows better");
+    gate.record_edge_knowledge("other", 3.0, now(30));
+    assert_eq!(gate.report(now(30)).map(|report| report.per_second), Some(3.0), "another target has not responded");
+}
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -113,6 +113,7 @@
         store_view: store_view::own_store_view(node),
         edge_ip: node.settings.local_target.ip(),
         is_over_limit: *is_over_limit,
+        rate_limit: node.load_balancer.borrow().rate_limit(&target.id),
     };
     let added = [
         (HOP_HEADER, context.encode()),
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -154,11 +154,15 @@
 }
 
 /// Refuses a call that exceeds the rate limit of the target.
-fn check_rate_limit(node: &Node, context: &HopContext) -> Result<(), RateLimited> {
+fn check_rate_limit(node: &Node, call: &Call, context: &HopContext) -> Result<(), RateLimited> {
     let now = node.now();
+    let mut limiter = node.target_limiter.borrow_mut();
+    if let Some(rate_limit) = context.rate_limit {
+        limiter.record_edge_knowledge(&call.expected, rate_limit, now);
+    }
     let priorities = node.current_configuration().map_or(1, |configuration| configuration.priority_count());
     let precedence = Precedence::new(context.inherited.priority, context.is_root, priorities);
-    node.target_limiter.borrow_mut().admit(precedence, context.is_over_limit, now)
+    limiter.admit(precedence, context.is_over_limit, now)
 }
 
 /// Waits until a call gets a slot of the target, or is refused.
@@ -171,7 +175,7 @@
     if !local_target::accepts_calls_for(node, &call.expected) {
         return Err(GateRefusal::Closed.into());
     }
-    check_rate_limit(node, context)?;
+    check_rate_limit(node, call, context)?;
     let InheritedContext { priority, position, admitted_permille, .. } = context.inherited;
     if let Some(route) = &call.route {
         let share = f64::from(admitted_permille) / f64::from(ALL_ADMITTED_PERMILLE);
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -52,7 +52,7 @@
 }
 
 /// The metadata of a call that an edge sends to a gate.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HopContext {
     /// Whether the call is a root call, which enters the call graph at the edge. Otherwise a target makes it.
     pub is_root: bool,
@@ -66,6 +66,8 @@
     pub edge_ip: IpAddr,
     /// Whether the edge expects that the call exceeds the target's rate limit, and has no other target for it.
     pub is_over_limit: bool,
+    /// The target's rate limit in calls per second, if the edge knows one. A gate that has just started does not.
+    pub rate_limit: Option<f64>,
 }
 
 impl HopContext {
@@ -76,8 +78,9 @@
         let max_wait = self.max_wait.as_millis();
         let (store_view, edge_ip) = (self.store_view.encode(), self.edge_ip);
         let is_over_limit = u8::from(self.is_over_limit);
+        let rate_limit = self.rate_limit.map(|limit| limit.to_string()).unwrap_or_default();
         format!(
-            "{is_root};{priority};{position};{is_retry};{admitted_permille};{max_wait};{store_view};{edge_ip};{is_over_limit}"
+            "{is_root};{priority};{position};{is_retry};{admitted_permille};{max_wait};{store_view};{edge_ip};{is_over_limit};{rate_limit}"
         )
     }
 
@@ -92,7 +95,8 @@
         let store_view = StoreView::decode(parts.next()?)?;
         let edge_ip = parts.next()?.parse().ok()?;
         let is_over_limit = parts.next() == Some("1");
-        Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip, is_over_limit })
+        let rate_limit = parts.next().and_then(decode_rate);
+        Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip, is_over_limit, rate_limit })
     }
 }
 
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -28,6 +28,7 @@
         store_view: StoreView { position: Position { era: 2, revision: 77 }, store_unreachable: true },
         edge_ip: IpAddr::from([10, 1, 0, 8]),
         is_over_limit: true,
+        rate_limit: Some(0.125),
     };
     assert_eq!(HopContext::decode(&context.encode()), Some(context));
 }
