Failing tests: targets that say only in their responses that they are leaving

Nothing reads the header but a log line. Two hold already and must go on holding: the same id after a new start is called again, and a health check that denies it.

--- /dev/null
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -0,0 +1,138 @@
+//! Targets that say in their responses that they are leaving, whatever the store says.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use support::caller::call;
+use support::shop::{document, read};
+use support::store::{StandInStore, StoreMode};
+use support::target::{HealthStatus, TargetBehaviour};
+use support::{eventually, run, start_sidecar, Machine, BOUNDS};
+use tokio::time::{sleep, Instant};
+
+/// How long a target works on a call.
+const WORK_TIME: Duration = Duration::from_millis(4);
+
+struct Fleet {
+    store: StandInStore,
+    machines: Vec<Machine>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> Self {
+        let store = StandInStore::start().await;
+        store.write_configuration(&document(5, "alpha"));
+        let mut machines = Vec::new();
+        for _ in 0..count {
+            let machine = Machine::start(&store, "alpha", 8).await;
+            machine.target.set_behaviour(TargetBehaviour::Slow(WORK_TIME));
+            machines.push(machine);
+        }
+        let all_know = || machines.iter().all(|machine| machine.node().targets.borrow().len() == count);
+        eventually("all are listed everywhere", all_know).await;
+        Fleet { store, machines }
+    }
+
+    fn outbound(&self) -> Vec<SocketAddr> {
+        self.machines.iter().map(Machine::outbound).collect()
+    }
+}
+
+/// Sends calls through these nodes in turn for some time, one after the other. All must be served.
+async fn keep_calling(outbound: &[SocketAddr], name: &str, duration: Duration) {
+    let started = Instant::now();
+    for round in 0.. {
+        if started.elapsed() >= duration {
+            return;
+        }
+        for (number, address) in outbound.iter().enumerate() {
+            let response = call(*address, &read(&format!("{name}-{round}-{number}"))).await;
+            assert_eq!(response.expect("a response").status, 200, "{name}, after {:?}", started.elapsed());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[test]
+fn a_target_that_says_in_its_responses_that_it_is_leaving_gets_no_calls_after_the_drain_bound() {
+    run(async {
+        let fleet = Fleet::start(4).await;
+        let leaving = &fleet.machines[0].target;
+        keep_calling(&fleet.outbound(), "before", Duration::from_secs(1)).await;
+        leaving.set_leaving(true);
+        fleet.store.set_mode(StoreMode::Unresponsive);
+        keep_calling(&fleet.outbound(), "leaving", BOUNDS.drain).await;
+        leaving.take_arrivals();
+        keep_calling(&fleet.outbound(), "left", Duration::from_secs(2)).await;
+        assert_eq!(leaving.take_arrivals().len(), 0, "calls after the drain bound");
+    });
+}
+
+#[test]
+fn a_leaving_target_gets_no_calls_from_machines_that_know_after_a_restart_of_its_node() {
+    run(async {
+        let mut fleet = Fleet::start(4).await;
+        let outbound = fleet.outbound()[1..].to_vec();
+        fleet.machines[0].target.set_leaving(true);
+        fleet.machines[0].target.set_health_shows_status(false);
+        keep_calling(&outbound, "leaving", BOUNDS.drain).await;
+        let Machine { target, sidecar, address } = fleet.machines.remove(0);
+        sidecar.stop().await;
+        let restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
+        eventually("its node has restarted", || restarted.node.is_ready()).await;
+        target.take_arrivals();
+        keep_calling(&outbound, "left", Duration::from_secs(2)).await;
+        assert_eq!(target.take_arrivals().len(), 0, "calls of machines that know");
+    });
+}
+
+#[test]
+fn a_leaving_target_gets_no_calls_when_its_registration_lapses_and_comes_back() {
+    run(async {
+        let fleet = Fleet::start(4).await;
+        let leaving = &fleet.machines[0].target;
+        leaving.set_leaving(true);
+        keep_calling(&fleet.outbound(), "leaving", BOUNDS.drain).await;
+        fleet.store.deregister(&leaving.id());
+        keep_calling(&fleet.outbound(), "lapsed", Duration::from_millis(300)).await;
+        fleet.store.register(leaving, "ready");
+        keep_calling(&fleet.outbound(), "registered", Duration::from_millis(500)).await;
+        leaving.take_arrivals();
+        keep_calling(&fleet.outbound(), "left", Duration::from_secs(1)).await;
+        assert_eq!(leaving.take_arrivals().len(), 0, "calls after the drain bound");
+    });
+}
+
+#[test]
+fn a_target_that_starts_again_with_its_id_after_it_was_leaving_is_called_again() {
+    run(async {
+        let fleet = Fleet::start(2).await;
+        let leaving = &fleet.machines[0].target;
+        leaving.set_leaving(true);
+        keep_calling(&fleet.outbound(), "leaving", BOUNDS.drain).await;
+        leaving.restart_with_same_id();
+        fleet.store.register(leaving, "ready");
+        sleep(Duration::from_millis(500)).await;
+        leaving.take_arrivals();
+        keep_calling(&fleet.outbound(), "again", Duration::from_secs(2)).await;
+        assert!(leaving.take_arrivals().len() > 10, "it is another target");
+    });
+}
+
+#[test]
+fn a_health_check_that_denies_it_does_not_end_the_leaving() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        let leaving = &fleet.machines[0].target;
+        leaving.set_leaving(true);
+        leaving.set_health_shows_status(false);
+        leaving.set_health(HealthStatus::Healthy);
+        keep_calling(&fleet.outbound(), "leaving", BOUNDS.drain).await;
+        fleet.store.deregister(&leaving.id());
+        leaving.take_arrivals();
+        keep_calling(&fleet.outbound(), "left", Duration::from_secs(4)).await;
+        assert_eq!(leaving.take_arrivals().len(), 0, "calls after the drain bound");
+    });
+}
