Treat a target as draining as soon as one of its responses says so

What callers would see: DRAIN, requests that reach a target later than drain_s after their machine passed on an answer with Server-Leaving, in touch or not.

Cause: draining was known from registrations in the store only. A target may never write it, and the store may be away.

Change: the table of targets keeps a notice of the drain that outlasts the registration; all that asks whether a target drains sees it, so the gate closes and edges choose others. The gate reports it with each response, and each node keeps it, so a restart of the process beside the target changes nothing. It holds for one process of the target: a registration with a later start ends it, and a report about an earlier process is ignored. A health check without the header ends nothing.

--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -24,6 +24,9 @@
     superseded: HashMap<TargetId, u64>,
     /// The grace periods of targets that are retained although their registrations are missing.
     grace_periods: HashMap<TargetId, GracePeriod>,
+    /// Targets that say in their responses that they are draining. It holds whatever their registrations say, also while
+    /// they are not listed.
+    draining: HashMap<TargetId, DrainNotice>,
     /// When the nodes of these machines last reported that they can't reach the store.
     partitioned: HashMap<IpAddr, Timestamp>,
     /// Targets that were recently removed, and when.
@@ -32,6 +35,16 @@
     recently_ended: VecDeque<(Timestamp, TargetId)>,
 }
 
+/// The statement of a target, in its responses, that it is draining.
+#[derive(Clone, Copy, Debug)]
+struct DrainNotice {
+    /// The [`Registration::started`] of the process that is draining; zero if it is not known yet.
+    started: u64,
+    received: Timestamp,
+}
+
+/// How long a drain notice of a target that is not listed is remembered.
+const DRAIN_NOTICE_RETENTION: Duration = Duration::from_secs(600);
 /// The minimum share of all targets that must be missing at once for the store's list to be suspicious: it may have
 /// lost entries of targets that still serve.
 const MIN_SUSPICIOUS_SHARE: f64 = 0.3;
@@ -214,11 +227,12 @@
 
     /// Lists a target, or replaces the registration of a listed one. A superseded target is ignored until it is
     /// restarted. Returns whether a listed target has been restarted.
-    pub fn update(&mut self, id: TargetId, registration: Registration, now: Timestamp) -> bool {
+    pub fn update(&mut self, id: TargetId, mut registration: Registration, now: Timestamp) -> bool {
         if self.superseded.get(&id).is_some_and(|started| *started >= registration.started) {
             return false;
         }
         self.superseded.remove(&id);
+        registration.draining |= self.applies_drain_notice(&id, &registration);
         let listed = self.by_id.get(&id);
         let has_restarted = listed.is_some_and(|listed| {
             let known = listed.registration.started;
@@ -234,6 +248,52 @@
         has_restarted
     }
 
+    /// Whether a target has said that it is draining, in its current process. The notice of an earlier process is
+    /// forgotten.
+    fn applies_drain_notice(&mut self, id: &str, registration: &Registration) -> bool {
+        let Some(notice) = self.draining.get_mut(id) else { return false };
+        if notice.started != 0 && registration.started > notice.started {
+            self.draining.remove(id);
+            return false;
+        }
+        notice.started = notice.started.max(registration.started);
+        true
+    }
+
+    /// Records that a target has said in a response that it is draining. `started` is the [`Registration::started`] of
+    /// its process as far as its gate knows it, else zero. Returns whether this is new.
+    ///
+    /// It is final for that process. The store may not know of it, or may still list the target as ready.
+    pub fn record_drain_notice(&mut self, id: &str, started: u64, now: Timestamp) -> bool {
+        let listed = self.by_id.get(id).cloned();
+        let known = listed.as_ref().map_or(0, |target| target.registration.started);
+        let is_outdated = started != 0 && started < known;
+        if is_outdated || self.draining.contains_key(id) {
+            return false;
+        }
+        let by_id = &self.by_id;
+        self.draining
+            .retain(|other, notice| by_id.contains_key(other) || now.since(notice.received) < DRAIN_NOTICE_RETENTION);
+        let notice = DrainNotice { started: started.max(known), received: now };
+        self.draining.insert(TargetId::from(id), notice);
+        if let Some(target) = listed {
+            let grace = self.grace_period(id);
+            self.update(target.id.clone(), target.registration.clone(), now);
+            self.grace_periods.extend(grace.map(|grace| (target.id.clone(), grace)));
+        }
+        true
+    }
+
+    /// The start of the process of a target that has said in a response that it is draining; zero if it is not known.
+    pub fn drain_notice(&self, id: &str) -> Option<u64> {
+        self.draining.get(id).map(|notice| notice.started)
+    }
+
+    /// Whether a target is draining, according to its registration or to its responses.
+    pub fn is_draining(&self, id: &str) -> bool {
+        self.draining.contains_key(id) || self.by_id.get(id).is_some_and(|target| target.registration.draining)
+    }
+
     /// Lists the target `current` in place of `previous`, since it was found to have replaced it at the same address.
     ///
     /// Does nothing if `previous` is not listed, or if the address now belongs to another service. A gate may not have
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -163,3 +163,46 @@
     let total = bounds.batch_window() + bounds.max_grace();
     assert!(total + Duration::from_millis(500) <= drain || bounds.max_grace().is_zero(), "{total:?} of {drain:?}");
 }
+
+fn started_at(started: u64) -> Registration {
+    Registration { started, ..registration("alpha", "10.0.0.1:80", "here") }
+}
+
+#[test]
+fn a_drain_notice_of_a_target_outlasts_its_registration_until_it_starts_again() {
+    let mut targets = TargetTable::default();
+    let id: Arc<str> = Arc::from("t");
+    let is_draining = |targets: &TargetTable| targets.get("t").map(|target| target.registration.draining);
+    targets.update(id.clone(), started_at(5), Timestamp::ZERO);
+    assert!(targets.record_drain_notice("t", 5, milliseconds(10)));
+    assert!(!targets.record_drain_notice("t", 5, milliseconds(20)), "it is known already");
+    targets.update(id.clone(), started_at(5), milliseconds(30));
+    assert_eq!(is_draining(&targets), Some(true), "the store still lists it as ready");
+    targets.remove("t");
+    targets.update(id.clone(), started_at(5), milliseconds(40));
+    assert_eq!(is_draining(&targets), Some(true), "the registration lapsed and came back");
+    targets.update(id.clone(), started_at(4), milliseconds(50));
+    assert_eq!(is_draining(&targets), Some(true), "a backup of the store has an older registration");
+    targets.update(id, started_at(6), milliseconds(60));
+    assert_eq!((is_draining(&targets), targets.drain_notice("t")), (Some(false), None), "another process");
+}
+
+#[test]
+fn a_drain_notice_of_an_earlier_process_does_not_stop_the_calls_to_its_successor() {
+    let mut targets = TargetTable::default();
+    targets.update(Arc::from("t"), started_at(6), Timestamp::ZERO);
+    assert!(!targets.record_drain_notice("t", 5, milliseconds(10)));
+    assert!(!targets.is_draining("t"));
+    assert!(targets.record_drain_notice("t", 0, milliseconds(20)), "its gate does not know when it started");
+    assert_eq!(targets.drain_notice("t"), Some(6));
+}
+
+#[test]
+fn a_drain_notice_does_not_extend_a_grace_period() {
+    let mut targets = TargetTable::default();
+    targets.update(Arc::from("t"), started_at(5), Timestamp::ZERO);
+    targets.remove_after_outage(&[Arc::from("t")], milliseconds(100), milliseconds(10));
+    targets.record_drain_notice("t", 5, milliseconds(20));
+    assert!(targets.drop_expired(milliseconds(100)));
+    assert!(targets.get("t").is_none());
+}
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -162,6 +162,11 @@
     if matches!(report.outcome, GateOutcome::Answered | GateOutcome::Full) {
         node.admission_levels.borrow_mut().record_report(&call.route.name, report.admission_level, now);
     }
+    if let Some(started) = report.drain_notice {
+        if node.targets.borrow_mut().record_drain_notice(&target.id, started, now) {
+            node.log(&format!("\"event\":\"target-leaving\",\"target\":\"{}\",\"leaving\":true", target.id));
+        }
+    }
     node.parent_tracker.borrow_mut().record_caller_kind(&call.route.name, report.caller_kind);
     store_view::record_peer_view(node, target.registration.address.ip(), report.store_view);
     if let Some(proof) = report.proof {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -181,6 +181,7 @@
         proof,
         current_target,
         rate_limit,
+        drain_notice: node.targets.borrow().drain_notice(&call.expected),
     };
     if let Ok(value) = HeaderValue::from_str(&report.encode()) {
         response.headers_mut().insert(HOP_HEADER, value);
--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -1,12 +1,14 @@
 //! The status that the local target sends in the headers of its responses.
 
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 
 use hyper::HeaderMap;
 use quillhatch_mesh::targets::{TargetId, TargetStatus};
 use quillhatch_platform::headers;
 use quillhatch_platform::target_status::{is_leaving, read_rate_limit};
 
+use crate::local_target;
 use crate::node::Node;
 
 /// The status that the local target last sent.
@@ -24,15 +26,20 @@
     pub fn current(&self) -> TargetStatus {
         self.status.get()
     }
+
+    /// Forgets the status: the target's process has restarted.
+    pub fn reset(&self) {
+        self.status.take();
+    }
 }
 
 /// Records the status in the headers of a response of `target` to a call.
-pub fn record_response(node: &Node, target: &str, headers: &HeaderMap) {
+pub fn record_response(node: &Rc<Node>, target: &str, headers: &HeaderMap) {
     record_status(node, target, read_status(node, target, headers));
 }
 
 /// Records the status in the headers of a response of `target` to a health check, which may leave the headers out.
-pub fn record_health_check(node: &Node, target: &str, headers: &HeaderMap) {
+pub fn record_health_check(node: &Rc<Node>, target: &str, headers: &HeaderMap) {
     let local = &node.local_target_status;
     let is_known = local.target.borrow().as_deref() == Some(target);
     let known = if is_known { local.status.get() } else { TargetStatus::default() };
@@ -51,7 +58,7 @@
 }
 
 /// Records the status of `target`, and logs what has changed.
-fn record_status(node: &Node, target: &str, status: TargetStatus) {
+fn record_status(node: &Rc<Node>, target: &str, status: TargetStatus) {
     let local = &node.local_target_status;
     if local.target.borrow().as_deref() != Some(target) {
         *local.target.borrow_mut() = Some(TargetId::from(target));
@@ -66,9 +73,9 @@
             json_number(before.rate_limit)
         ));
     }
-    if before.is_draining != status.is_draining {
-        let leaving = status.is_draining;
-        node.log(&format!("\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":{leaving}"));
+    if status.is_draining && node.targets.borrow_mut().record_drain_notice(target, 0, node.now()) {
+        node.log(&format!("\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":true"));
+        local_target::update_gate(node);
     }
 }
 
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -189,6 +189,9 @@
     pub current_target: Option<LocalTarget>,
     /// The rate limit of the target, if it has one.
     pub rate_limit: Option<RateLimitReport>,
+    /// If the target has said in a response that it is draining, the start of its process
+    /// ([`quillhatch_mesh::targets::Registration::started`]), zero if the gate does not know it.
+    pub drain_notice: Option<u64>,
 }
 
 /// The target that currently runs on a node's machine.
@@ -251,6 +254,9 @@
         if let Some(RateLimitReport { per_second, share }) = self.rate_limit {
             let _ = write!(text, "{per_second},{share:.4}");
         }
+        if let Some(started) = self.drain_notice {
+            let _ = write!(text, ";{started}");
+        }
         text
     }
 
@@ -272,6 +278,7 @@
             _ => None,
         };
         let rate_limit = parts.next().and_then(decode_rate_limit);
+        let drain_notice = parts.next().and_then(|started| started.parse().ok());
         Some(HopReport {
             outcome,
             load,
@@ -282,6 +289,7 @@
             proof,
             current_target,
             rate_limit,
+            drain_notice,
         })
     }
 }
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -27,7 +27,7 @@
 /// The local target, if its identity is known and it accepts calls.
 pub fn available_target(node: &Node) -> Option<LocalTarget> {
     let id = node.local_target_id.borrow().clone()?;
-    let is_draining = node.targets.borrow().get(&id).is_some_and(|target| target.registration.draining);
+    let is_draining = node.targets.borrow().is_draining(&id);
     (!is_draining && !is_retained_and_draining(node, &id))
         .then(|| LocalTarget { id: id.to_string(), service: node.settings.service.clone() })
 }
@@ -37,7 +37,7 @@
     let targets = node.targets.borrow();
     let listed = targets.get(expected);
     if node.local_target_id.borrow().as_deref() == Some(expected) {
-        return !listed.is_some_and(|target| target.registration.draining);
+        return !targets.is_draining(expected);
     }
     if node.identity_verified.get() {
         return false;
@@ -46,7 +46,7 @@
         return node.local_target_id.borrow().is_none();
     }
     listed.is_some_and(|target| {
-        !target.registration.draining && target.registration.address == node.settings.local_target
+        !targets.is_draining(expected) && target.registration.address == node.settings.local_target
     })
 }
 
@@ -157,6 +157,7 @@
 pub fn handle_restart(node: &Rc<Node>, id: &TargetId) {
     gate::target_restarted(node, id);
     node.target_limiter.borrow_mut().reset();
+    node.local_target_status.reset();
     mark_unverified(node);
 }
 
@@ -201,13 +202,15 @@
             .max_by_key(|target| target.listed_at)
             .cloned(),
     };
+    let is_verified_draining = verified.as_ref().is_some_and(|id| targets.is_draining(id));
     drop(targets);
     if let Some(target) = &listed {
         node.gate.borrow_mut().set_slots(target.registration.slots);
     }
-    let is_draining = listed
-        .as_ref()
-        .is_some_and(|target| target.registration.draining || is_retained_and_draining(node, &target.id));
+    let is_draining = is_verified_draining
+        || listed
+            .as_ref()
+            .is_some_and(|target| target.registration.draining || is_retained_and_draining(node, &target.id));
     // A verified target may not be listed yet. One that was listed before and no longer is was removed.
     let is_removed =
         listed.is_none() && verified.as_ref().is_none_or(|id| node.last_listed_target.borrow().as_ref() == Some(id));
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -135,7 +135,7 @@
 fn probe_if_local_target_gone(node: &Node, gone: &[TargetId]) {
     let local_id = node.local_target_id.borrow();
     let Some(local_id) = local_id.as_ref().filter(|id| gone.contains(id)) else { return };
-    let is_draining = node.targets.borrow().get(local_id).is_some_and(|target| target.registration.draining);
+    let is_draining = node.targets.borrow().is_draining(local_id);
     if !is_draining {
         node.must_probe_store.set(true);
         node.feed.role_changed.notify_waiters();
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -55,6 +55,7 @@
                 proof,
                 current_target,
                 rate_limit,
+                drain_notice: rate_limit.map(|_| 1_790_000_000_000),
             };
             assert_eq!(HopReport::decode(&report.encode()), Some(report));
         }
@@ -64,7 +65,7 @@
 #[test]
 fn a_hop_report_without_the_fields_of_newer_nodes_is_decoded() {
     let report = HopReport::decode("a;3;36;144;1250;75;1;0.0,0;").expect("a report");
-    assert_eq!((report.current_target, report.rate_limit), (None, None));
+    assert_eq!((report.current_target, report.rate_limit, report.drain_notice), (None, None, None));
 }
 
 #[test_case("")]
