Soak: targets name rate limits and leave by their responses only, and both promises are checked

Checked from what callers received and what arrived at targets: a target gets no more than 1.5 x its limit x 4 s + 5 requests from machines that had passed on such a response for half a second; none from a machine that had passed on Server-Leaving for 2 s. The check of what is served leaves out calls during a statement and planned work together: two targets of a service are then one or none.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,6 +9,7 @@
 use crate::crashes;
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
 use crate::record::{CallEnd, CallRecord, RunRecord, SoakRecord};
+use crate::target_status;
 use crate::tenancy;
 
 /// The time without faults after which the time bounds of guarantees apply again.
@@ -62,6 +63,14 @@
     /// The calls of a tenant stay within its rate limit.
     #[display("limits")]
     Limits,
+    /// A target receives no more requests than the rate limit that it names in its responses allows, from all machines
+    /// that know.
+    #[display("target-limits")]
+    TargetLimits,
+    /// A target that says in its responses that it is leaving receives no new requests from machines that know, after
+    /// the bound.
+    #[display("left")]
+    Left,
     /// After a request has crashed three targets, it reaches only a few more.
     #[display("bounded-harm")]
     BoundedCrashes,
@@ -154,6 +163,7 @@
     found.extend(retry_budget_violations(record));
     found.extend(crashes::check(record));
     found.extend(tenancy::check(record));
+    found.extend(target_status::check(record));
     found
 }
 
@@ -228,7 +238,7 @@
         if !record.is_fault_and_crash_free(SETTLE_TIME, call.sent, call.ended) {
             continue;
         }
-        let is_counted = call.key.is_steady() && call.kind != RouteKind::Crashing;
+        let is_counted = call.key.is_steady() && call.kind != RouteKind::Crashing && !may_lack_capacity(record, call);
         counted += usize::from(is_counted);
         match call.end {
             CallEnd::Answered { status: 200, .. } => served += usize::from(is_counted),
@@ -259,6 +269,17 @@
     found
 }
 
+/// Whether no target may have had room for a call: while one of a service named a rate limit or was leaving, planned
+/// work may have taken another one away.
+fn may_lack_capacity(record: &SoakRecord, call: &CallRecord) -> bool {
+    let (begin, end) = (call.sent.checked_sub(SETTLE_TIME).unwrap_or(call.sent), call.ended);
+    let overlaps = |from: Instant, until: Instant| from <= end && until >= begin;
+    let is_stated = record.statements.iter().any(|span| overlaps(span.from, span.until));
+    let is_drained = || record.drains.iter().any(|drain| overlaps(drain.acked, drain.until));
+    let is_stopped = || record.stops.iter().any(|stop| overlaps(stop.requested, stop.requested + stop.grace));
+    is_stated && (is_drained() || is_stopped())
+}
+
 fn was_stopping(record: &SoakRecord, call: &CallRecord) -> bool {
     record.stops.iter().any(|stop| {
         stop.machine == call.machine
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod proxy;
 pub mod record;
 pub mod run;
+pub mod target_status;
 pub mod tenancy;
 pub mod traffic;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::layout::{RouteKind, CRASH_DOWNTIME};
+use crate::target_status::{ArrivalRecord, RateLimitSpan, ResponderStatus, StatementSpan};
 use crate::tenancy::SoakKey;
 
 /// How a call ended for its caller. The soak prints the names of the variants.
@@ -41,6 +42,8 @@
     pub ended: Instant,
     /// How the call ended.
     pub end: CallEnd,
+    /// What the response said of the target that sent it.
+    pub responder: ResponderStatus,
 }
 
 /// A request as observed by a target.
@@ -139,6 +142,12 @@
     pub crashes: Vec<Instant>,
     /// Restarts of processes.
     pub restarts: Vec<ProcessRestart>,
+    /// Arrivals of requests at targets.
+    pub arrivals: Vec<ArrivalRecord>,
+    /// Rate limits that targets named.
+    pub rate_limits: Vec<RateLimitSpan>,
+    /// When targets named rate limits or were leaving by their responses.
+    pub statements: Vec<StatementSpan>,
     /// The maximum number of requests that a target ran concurrently.
     pub max_running: u32,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,6 +22,7 @@
 use crate::links::LinkProcess;
 use crate::machine::SoakMachine;
 use crate::record::{ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan};
+use crate::target_status::{make_statements, ArrivalRecord};
 use crate::traffic::SoakCaller;
 
 /// The total number of callers; with more machines than this, each machine has one.
@@ -45,6 +46,8 @@
 const ADDED_SCHEDULE_SEED: u64 = 0x5eed;
 /// Combined with the soak's seed for the schedule of the ways in which targets drain.
 const DRAIN_SCHEDULE_SEED: u64 = 0x1eaf;
+/// Combined with the soak's seed for the schedule of what targets say of themselves in their responses.
+const STATEMENT_SCHEDULE_SEED: u64 = 0x5a1d;
 /// How long a target stays draining or deregistered.
 const DRAIN_DURATION: Duration = Duration::from_millis(4500);
 /// How long callers continue to use a process after it was asked to stop: until it has failed two readiness probes,
@@ -124,6 +127,9 @@
     run.wait_until_ready().await?;
     let end = Instant::now() + options.duration;
     let callers = run.start_callers(end);
+    let schedule = Pcg64::seed_from_u64(options.seed ^ STATEMENT_SCHEDULE_SEED);
+    let statements = make_statements(run.machines.clone(), Rc::clone(&run.record), schedule, end);
+    let statements = spawn_local(statements);
     while Instant::now() < end {
         if options.has_faults {
             run.fault_round().await;
@@ -135,6 +141,7 @@
         // A caller that failed here has panicked, and its calls are missing from the record.
         caller.await.map_err(io::Error::other)?;
     }
+    statements.await.map_err(io::Error::other)?;
     sleep(LAST_CALLS_TIMEOUT).await;
     Ok(run.report())
 }
@@ -320,6 +327,7 @@
                 machine.target.take_started_requests().into_iter().map(|request| run_record(number, request)).collect();
             record.crashes.extend(runs.iter().filter(|run| run.crashes_targets()).map(|run| run.at));
             record.runs.extend(runs);
+            record.arrivals.extend(machine.target.take_arrivals().into_iter().map(ArrivalRecord::from));
             record.max_running = record.max_running.max(machine.target.max_running() as u32);
         }
     }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -12,6 +12,7 @@
 use crate::layout::{RouteKind, HOST};
 use crate::machine::SoakMachine;
 use crate::record::{CallEnd, CallRecord, SoakRecord};
+use crate::target_status::ResponderStatus;
 use crate::tenancy::SoakKey;
 
 /// The deadline that a caller sends with a request.
@@ -78,7 +79,7 @@
             None => Caller::connect_from(addrs.public.into(), addrs.outbound()).await,
         };
         let Some(mut caller) = connected else {
-            self.record_call(kind, key, id, Instant::now(), CallEnd::Unreached);
+            self.record_call(kind, key, id, Instant::now(), CallEnd::Unreached, ResponderStatus::default());
             sleep(UNAVAILABLE_PAUSE).await;
             return None;
         };
@@ -90,18 +91,26 @@
         let sent = Instant::now();
         let Some(response) = caller.next_response_within(DEADLINE + RESPONSE_ALLOWANCE).await else {
             let end = if sent.elapsed() >= DEADLINE + RESPONSE_ALLOWANCE { CallEnd::Silent } else { CallEnd::Cut };
-            self.record_call(kind, key, id, sent, end);
+            self.record_call(kind, key, id, sent, end, ResponderStatus::default());
             return None;
         };
         let end = CallEnd::Answered { status: response.status, is_own: response.is_own(&id) };
-        self.record_call(kind, key, id, sent, end);
+        self.record_call(kind, key, id, sent, end, ResponderStatus::read(&response));
         let closes = response.header("connection").eq_ignore_ascii_case("close");
         (!closes && self.random.gen_bool(REUSE_PROBABILITY)).then_some(caller)
     }
 
-    fn record_call(&self, kind: RouteKind, key: SoakKey, id: String, sent: Instant, end: CallEnd) {
+    fn record_call(
+        &self,
+        kind: RouteKind,
+        key: SoakKey,
+        id: String,
+        sent: Instant,
+        end: CallEnd,
+        responder: ResponderStatus,
+    ) {
         let machine = self.machine.addrs.number;
-        let call = CallRecord { id, kind, key, machine, sent, ended: Instant::now(), end };
+        let call = CallRecord { id, kind, key, machine, sent, ended: Instant::now(), end, responder };
         self.record.borrow_mut().calls.push(call);
     }
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -7,6 +7,7 @@
 use quillhatch_soak::record::{
     CallEnd, CallRecord, ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan,
 };
+use quillhatch_soak::target_status::{ArrivalRecord, RateLimitSpan, ResponderStatus};
 use quillhatch_soak::tenancy::SoakKey;
 use test_case::test_case;
 
@@ -54,6 +55,7 @@
             sent,
             ended,
             end,
+            responder: ResponderStatus::default(),
         });
     }
 
@@ -238,3 +240,74 @@
     scenario.record.stops.push(StopSpan { machine: ALPHA, requested, grace: Duration::from_secs(6) });
     assert_eq!(scenario.violated_guarantees(), []);
 }
+
+const PROCESS: &str = "i-1/7";
+
+impl Scenario {
+    /// Lets a target name a limit of 4 a second from 5 s to 15 s, and a machine pass on a response with it at 5.4 s.
+    fn name_rate_limit(&mut self) {
+        let (from, until) = (self.at(5_000), self.at(15_000));
+        self.record.rate_limits.push(RateLimitSpan { process: PROCESS.to_owned(), per_second: 4.0, from, until });
+        self.respond(ResponderStatus { has_rate_limit: true, ..responder() });
+    }
+
+    fn respond(&mut self, responder: ResponderStatus) {
+        self.call("notice", RouteKind::Read, 5_000, ok());
+        self.record.calls.last_mut().expect("a call").responder = responder;
+    }
+
+    /// Lets calls of the machine arrive at the target at this interval from 8 s to 12 s.
+    fn arrive(&mut self, interval_ms: usize) {
+        for at in (8_000..12_000).step_by(interval_ms) {
+            let (id, at) = (format!("arrival-{at}"), at as u64);
+            self.call(&id, RouteKind::Read, at, ok());
+            let arrival = ArrivalRecord { id, process: PROCESS.to_owned(), at: self.at(at + 5), is_misdirected: false };
+            self.record.arrivals.push(arrival);
+        }
+    }
+}
+
+fn responder() -> ResponderStatus {
+    ResponderStatus { process: PROCESS.to_owned(), ..ResponderStatus::default() }
+}
+
+#[test]
+fn requests_beyond_the_rate_limit_of_a_target_are_reported() {
+    let mut scenario = Scenario::new();
+    scenario.name_rate_limit();
+    // 29 requests are allowed in 4 s.
+    scenario.arrive(140);
+    assert_eq!(scenario.violated_guarantees(), []);
+    scenario.arrive(130);
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::TargetLimits]);
+    let at = scenario.at(7_000);
+    scenario.record.restarts.push(ProcessRestart { machine: ALPHA, at });
+    assert_eq!(scenario.violated_guarantees(), [], "the restarted process doesn't know");
+}
+
+#[test]
+fn requests_beyond_a_rate_limit_of_which_their_machine_had_no_response_are_allowed() {
+    let mut scenario = Scenario::new();
+    scenario.name_rate_limit();
+    scenario.arrive(50);
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::TargetLimits]);
+    for call in scenario.record.calls.iter_mut().filter(|call| call.id == "notice") {
+        call.responder = ResponderStatus::default();
+    }
+    assert_eq!(scenario.violated_guarantees(), []);
+}
+
+#[test]
+fn requests_to_a_target_that_says_that_it_is_leaving_are_reported_after_the_bound() {
+    let mut scenario = Scenario::new();
+    scenario.respond(ResponderStatus { is_leaving: true, ..responder() });
+    assert_eq!(scenario.violated_guarantees(), []);
+    scenario.arrive(4_000);
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::Left]);
+    scenario.record.arrivals[0].is_misdirected = true;
+    assert_eq!(scenario.violated_guarantees(), [], "the target has refused it as not its own");
+    scenario.record.arrivals[0].is_misdirected = false;
+    let at = scenario.at(7_000);
+    scenario.record.restarts.push(ProcessRestart { machine: ALPHA, at });
+    assert_eq!(scenario.violated_guarantees(), [], "the restarted process doesn't know");
+}
