Log which node a node follows, and show how long ago the store was read according to it

Cause of this change: logs did not show whom a node follows, nor metrics what it believes of the last read, so a believed false status looked like a calm store.

--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -66,6 +66,8 @@
     pub unlisted_peer: Cell<Option<IpAddr>>,
     /// Notified when such a node sends its view.
     pub unlisted_peer_reported: Notify,
+    /// The node that this one follows, as it was last logged.
+    pub source: Cell<Option<IpAddr>>,
     /// The update that was encoded last.
     pub encoded_update: RefCell<EncodedUpdate>,
 }
@@ -128,6 +130,7 @@
             Ok(SourceVerdict::Usable) => {
                 choice.succeeded();
                 round = Round::default();
+                log_source(&node, peer);
                 continue;
             }
             Ok(verdict) => {
@@ -148,6 +151,14 @@
     }
 }
 
+/// Logs which node this one follows, if that has changed.
+fn log_source(node: &Node, peer: IpAddr) {
+    if node.feed.source.replace(Some(peer)) != Some(peer) {
+        let read_ms = node.feed.store_read_at.get().map_or(-1, |read_at| node.now().since(read_at).as_millis() as i64);
+        node.log(&format!("\"event\":\"source\",\"peer\":\"{peer}\",\"store_read_ms\":{read_ms}"));
+    }
+}
+
 /// Records how recently another node's data was read from the store, and returns whether this node may use it as a
 /// source.
 fn record_source_status(node: &Rc<Node>, status: SourceStatus, is_upstream: bool) -> SourceVerdict {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -31,6 +31,10 @@
             "store_lost_seconds",
             node.feed.store_loss.get().since().map_or(0.0, |since| node.now().since(since).as_secs_f64()),
         ),
+        (
+            "store_read_age_seconds",
+            node.feed.store_read_at.get().map_or(-1.0, |read_at| node.now().since(read_at).as_secs_f64()),
+        ),
         ("store_access_lost", f64::from(u8::from(node.store_access_lost.get()))),
         ("targets_kept", node.targets.borrow().retained().count() as f64),
         ("ready", f64::from(u8::from(node.is_ready()))),
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -66,6 +66,8 @@
         let alpha = Machine::start(&store, "alpha", 2).await;
         let beta = Machine::start(&store, "beta", 2).await;
         eventually("both are listed", || beta.node().targets.borrow().len() == 2).await;
+        let follows = || !lines_of("source", &format!("\"peer\":\"{}\"", alpha.address)).is_empty();
+        eventually("the node that beta follows is logged", follows).await;
         let pay = |id: &str| request("POST", HOST, "/pay/", id, 5000, "x");
         let read = |id: &str| request("GET", HOST, "/read/", id, 5000, "");
 
