Count each process of a target that keeps its identity as a crash of its own

In the log of machine 1 its target ended four times under i- while the same signature ran (1.7, 8.3, 9.2 and 10.0 s), and the request was let in until a target with another id ended too.

Cause: crashes were told apart by the target's id, so those of a target that starts again under its id counted as one. Class: an id is taken for a process. Shown now because a target that leaves or has a limit sends such requests to one and the same other target. Not caused by the limits of targets: the test fails on the code before them in the same way.

Change: a crash names the process, the id and the start that the list shows. Where the list lags, two crashes may still count as one.

--- a/crates/mesh/benches/quarantine.rs
+++ b/crates/mesh/benches/quarantine.rs
@@ -9,6 +9,7 @@
 
 use criterion::{criterion_group, criterion_main, Criterion};
 use quillhatch_mesh::quarantine::{Quarantine, RequestParts, RequestSignature, RunTracker, TargetCrash};
+use quillhatch_mesh::targets::TargetProcess;
 use quillhatch_types::Timestamp;
 
 fn parts<'a>(path: &'a str, body: &'a [u8]) -> RequestParts<'a> {
@@ -30,7 +31,8 @@
         let body = vec![7; body];
         let (mut runs, mut quarantine) = (RunTracker::default(), Quarantine::new(0.5));
         let signatures = (0..suspects).map(|number| RequestSignature::of(&parts(&format!("/s/{number}"), &[])));
-        let crash = TargetCrash { target: "i-1".into(), signatures: signatures.collect() };
+        let crash =
+            TargetCrash { target: TargetProcess { id: "i-1".into(), started: 1 }, signatures: signatures.collect() };
         quarantine.record_crash(&crash, Timestamp::ZERO);
         let mut iteration = 0;
         criterion.bench_function(&format!("a call with {name}"), |bencher| {
--- a/crates/mesh/src/quarantine/evidence.rs
+++ b/crates/mesh/src/quarantine/evidence.rs
@@ -9,6 +9,7 @@
 
 use super::completed::CompletedRuns;
 use super::{RequestSignature, SignatureKey, TargetCrash};
+use crate::targets::TargetProcess;
 
 /// The number of crashes from which a request is quarantined. A call that is retried after one crash may run beside a
 /// second one by chance. Three without a completed run in between are no coincidence, and waiting for more would cost
@@ -41,7 +42,7 @@
 pub struct CrashId(pub u64);
 
 impl CrashId {
-    fn of(target: &str) -> Self {
+    fn of(target: &TargetProcess) -> Self {
         let mut hasher = SipHasher13::new();
         target.hash(&mut hasher);
         CrashId(hasher.finish())
--- a/crates/mesh/src/quarantine/runs.rs
+++ b/crates/mesh/src/quarantine/runs.rs
@@ -10,7 +10,7 @@
 use quillhatch_types::Timestamp;
 
 use super::RequestSignature;
-use crate::targets::TargetId;
+use crate::targets::{TargetId, TargetProcess};
 
 /// The maximum number of interrupted calls that are retained; more than the slots of most targets.
 const MAX_INTERRUPTED: usize = 1024;
@@ -43,16 +43,18 @@
     running: BTreeMap<RunId, Run>,
     interrupted: Vec<InterruptedRun>,
     /// The target at which the calls were interrupted, if it was known.
-    interrupted_target: Option<TargetId>,
+    interrupted_target: Option<TargetProcess>,
     /// Interrupted calls after which the target reported the same identity as before.
     undecided: Vec<InterruptedRun>,
+    /// The process at which these were interrupted.
+    undecided_target: Option<TargetProcess>,
 }
 
 /// The crash of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetCrash {
-    /// The target.
-    pub target: TargetId,
+    /// The process of the target that crashed.
+    pub target: TargetProcess,
     /// The calls that were running there.
     pub signatures: Vec<RequestSignature>,
 }
@@ -75,7 +77,7 @@
     }
 
     /// Records that the call's connection to `target` was lost before the end of the response.
-    pub fn connection_lost(&mut self, id: RunId, target: Option<TargetId>, now: Timestamp) {
+    pub fn connection_lost(&mut self, id: RunId, target: Option<TargetProcess>, now: Timestamp) {
         let Some(run) = self.running.remove(&id) else { return };
         if self.interrupted.is_empty() {
             self.interrupted_target = target;
@@ -98,7 +100,8 @@
 
     /// Records that the target has reported this identity. Returns the crash of the previous target, if there was one.
     pub fn target_identified(&mut self, id: &str) -> Option<TargetCrash> {
-        if self.interrupted_target.as_deref() == Some(id) {
+        if self.interrupted_target.as_ref().is_some_and(|process| *process.id == *id) {
+            self.undecided_target.clone_from(&self.interrupted_target);
             self.undecided.append(&mut self.interrupted);
             self.undecided.truncate(MAX_INTERRUPTED);
         }
@@ -123,8 +126,9 @@
             self.undecided.drain(..).filter(|interrupted| now.since(interrupted.at) <= RESTART_REPORT_TIMEOUT);
         let signatures: Vec<RequestSignature> =
             undecided.chain(self.interrupted.drain(..)).map(|interrupted| interrupted.signature).collect();
-        self.interrupted_target = None;
-        (!signatures.is_empty()).then(|| TargetCrash { target: id.clone(), signatures })
+        let process = self.interrupted_target.take().or(self.undecided_target.take());
+        let target = process.unwrap_or_else(|| TargetProcess { id: id.clone(), started: 0 });
+        (!signatures.is_empty()).then_some(TargetCrash { target, signatures })
     }
 
     /// Records that the target at which calls were interrupted has crashed. Returns `None` if no calls were
--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -12,7 +12,7 @@
 use quillhatch_types::Timestamp;
 
 pub use grace::{GracePeriod, GraceReason, PARTITION_GRACE};
-pub use registration::{Registration, Target, TargetId};
+pub use registration::{Registration, Target, TargetId, TargetProcess};
 pub use status::TargetStatus;
 
 /// All listed targets.
@@ -350,6 +350,12 @@
         self.by_id.get(id)
     }
 
+    /// The process of a target that is listed now.
+    pub fn process(&self, id: &TargetId) -> TargetProcess {
+        let started = self.by_id.get(id).map_or(0, |target| target.registration.started);
+        TargetProcess { id: id.clone(), started }
+    }
+
     /// The targets listed at an address; there may be two while one target replaces another.
     pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Arc<Target>> {
         self.by_id.values().filter(move |target| target.registration.address == address)
--- a/crates/mesh/src/targets/registration.rs
+++ b/crates/mesh/src/targets/registration.rs
@@ -10,6 +10,15 @@
 /// distinguishes its processes.
 pub type TargetId = Arc<str>;
 
+/// Identifies one process of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct TargetProcess {
+    /// The target.
+    pub id: TargetId,
+    /// Its [`Registration::started`], as far as it is known.
+    pub started: u64,
+}
+
 /// The registration of a target in the platform's store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
--- a/crates/mesh/tests/decisions/quarantine.rs
+++ b/crates/mesh/tests/decisions/quarantine.rs
@@ -6,6 +6,7 @@
     CrashId, Quarantine, RequestParts, RequestSignature, RunTracker, RunVerdict, SignatureKey, SuspectRecord,
     TargetCrash,
 };
+use quillhatch_mesh::targets::TargetProcess;
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
@@ -51,13 +52,13 @@
     let mut runs = RunTracker::default();
     let signature = RequestSignature::of(&parts());
     let first = runs.begin(signature, at(0));
-    runs.connection_lost(first, Some("i-1".into()), at(10));
+    runs.connection_lost(first, Some(process("i-1", 1)), at(10));
     assert_eq!(runs.target_identified("i-1"), None, "the target may have restarted under the same identity");
     // A later call completes at the restarted target before its registration shows the restart.
     let second = runs.begin(signature, at(100));
     runs.completed(second);
     let crash = runs.target_restarted(&"i-1".into(), at(2_000)).expect("it had crashed");
-    assert_eq!((&*crash.target, crash.signatures.len()), ("i-1", 1));
+    assert_eq!((&*crash.target.id, crash.signatures.len()), ("i-1", 1));
     assert_eq!(runs.target_restarted(&"i-1".into(), at(2_100)), None, "counted once");
 }
 
@@ -65,7 +66,7 @@
 fn calls_interrupted_long_before_a_restart_are_not_counted() {
     let mut runs = RunTracker::default();
     let run = runs.begin(RequestSignature::of(&parts()), at(0));
-    runs.connection_lost(run, Some("i-1".into()), at(10));
+    runs.connection_lost(run, Some(process("i-1", 1)), at(10));
     runs.target_identified("i-1");
     assert_eq!(runs.target_restarted(&"i-1".into(), at(60_000)), None);
 }
@@ -75,12 +76,12 @@
     let mut runs = RunTracker::default();
     let signature = RequestSignature::of(&parts());
     let (first, second) = (runs.begin(signature, at(0)), runs.begin(signature, at(1)));
-    runs.connection_lost(first, Some("i-1".into()), at(10));
+    runs.connection_lost(first, Some(process("i-1", 1)), at(10));
     assert!(runs.has_interrupted() && runs.has_survivors());
-    runs.connection_lost(second, Some("i-1".into()), at(11));
+    runs.connection_lost(second, Some(process("i-1", 1)), at(11));
     assert!(!runs.has_survivors());
     let crash = runs.target_crashed().expect("a target has crashed");
-    assert_eq!((&*crash.target, crash.signatures.len()), ("i-1", 2));
+    assert_eq!((&*crash.target.id, crash.signatures.len()), ("i-1", 2));
     assert!(!runs.has_interrupted());
 }
 
@@ -89,12 +90,12 @@
     let mut runs = RunTracker::default();
     let signature = RequestSignature::of(&parts());
     let lost = runs.begin(signature, at(0));
-    runs.connection_lost(lost, Some("i-1".into()), at(10));
+    runs.connection_lost(lost, Some(process("i-1", 1)), at(10));
     let later = runs.begin(signature, at(11));
     assert_eq!(runs.completed(later), Some(signature));
     assert!(!runs.has_interrupted());
     let lost = runs.begin(signature, at(20));
-    runs.connection_lost(lost, Some("i-1".into()), at(30));
+    runs.connection_lost(lost, Some(process("i-1", 1)), at(30));
     assert_eq!(runs.target_identified("i-1"), None);
     assert!(!runs.has_interrupted());
 }
@@ -104,19 +105,23 @@
     let mut runs = RunTracker::default();
     let signature = RequestSignature::of(&parts());
     let (lost, answered) = (runs.begin(signature, at(0)), runs.begin(signature, at(1)));
-    runs.connection_lost(lost, Some("i-1".into()), at(10));
+    runs.connection_lost(lost, Some(process("i-1", 1)), at(10));
     // Its response was on its way when the target crashed.
     runs.completed(answered);
     let crash = runs.target_identified("i-2").expect("another target is identified");
-    assert_eq!((&*crash.target, crash.signatures.len()), ("i-1", 1));
+    assert_eq!((&*crash.target.id, crash.signatures.len()), ("i-1", 1));
 }
 
 fn signature_of_path(path: &str) -> RequestSignature {
     RequestSignature::of(&RequestParts { path, ..parts() })
 }
 
+fn process(id: &str, started: u64) -> TargetProcess {
+    TargetProcess { id: id.into(), started }
+}
+
 fn crash(target: usize, signatures: &[RequestSignature]) -> TargetCrash {
-    TargetCrash { target: format!("i-{target}").into(), signatures: signatures.to_vec() }
+    TargetCrash { target: process(&format!("i-{target}"), 1), signatures: signatures.to_vec() }
 }
 
 fn seconds(seconds: u64) -> Timestamp {
@@ -272,3 +277,15 @@
     quarantine.remove_expired(seconds(21) + Duration::from_secs(2 * 3840));
     assert!(quarantine.is_empty());
 }
+
+#[test]
+fn each_process_of_a_target_that_keeps_its_identity_counts_as_a_crash_of_its_own() {
+    let (mut quarantine, signature) = (Quarantine::new(0.0), signature_of_path("/crash"));
+    for started in [1, 1, 2] {
+        let crash = TargetCrash { target: process("i-1", started), signatures: vec![signature] };
+        quarantine.record_crash(&crash, seconds(10));
+        assert_eq!(quarantine.verdict(&signature, seconds(10)), RunVerdict::Runs);
+    }
+    quarantine.record_crash(&TargetCrash { target: process("i-1", 3), signatures: vec![signature] }, seconds(10));
+    assert!(matches!(quarantine.verdict(&signature, seconds(10)), RunVerdict::Refused(_)));
+}
--- a/crates/mesh/tests/quarantine/fleet.rs
+++ b/crates/mesh/tests/quarantine/fleet.rs
@@ -7,6 +7,7 @@
 use quillhatch_mesh::quarantine::{
     Quarantine, RequestParts, RequestSignature, RunId, RunTracker, RunVerdict, SignatureKey, SuspectRecord,
 };
+use quillhatch_mesh::targets::TargetProcess;
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -325,7 +326,7 @@
         gate.is_up = false;
         let running = std::mem::take(&mut gate.running);
         for (run, ..) in &running {
-            gate.runs.connection_lost(*run, Some(target.as_str().into()), self.now);
+            gate.runs.connection_lost(*run, Some(TargetProcess { id: target.as_str().into(), started: 1 }), self.now);
         }
         let crash = gate.runs.target_crashed();
         match (self.scenario.holder, crash) {
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -56,6 +56,7 @@
     pub fn connection_lost(mut self) {
         if let Some(run) = self.run.take() {
             let target = self.node.local_target_id.borrow().clone();
+            let target = target.map(|id| self.node.targets.borrow().process(&id));
             self.node.run_tracker.borrow_mut().connection_lost(run, target, self.node.now());
             target_crash::probe_target(&self.node);
         }
--- a/crates/sidecar/src/gate/target_crash.rs
+++ b/crates/sidecar/src/gate/target_crash.rs
@@ -93,7 +93,7 @@
 fn log_crash(node: &Node, crash: &TargetCrash) {
     let named = crash.signatures.iter().take(MAX_LOGGED_SIGNATURES);
     let named: Vec<String> = named.map(|signature| format!("\"{}\"", signature.narrow)).collect();
-    let (target, count, named) = (&crash.target, crash.signatures.len(), named.join(","));
+    let (target, count, named) = (&crash.target.id, crash.signatures.len(), named.join(","));
     node.log(&format!(
         "\"event\":\"target-ended\",\"target\":\"{target}\",\"running\":{count},\"signatures\":[{named}]"
     ));
--- a/crates/sidecar/tests/crashing_requests.rs
+++ b/crates/sidecar/tests/crashing_requests.rs
@@ -49,16 +49,16 @@
 
 impl Fleet {
     async fn start() -> Self {
-        Self::start_with(false).await
+        Self::start_with(TARGETS, false).await
     }
 
     /// Starts all machines. Crashed targets restart, with `keeps_id` under their previous identities.
-    async fn start_with(keeps_id: bool) -> Self {
+    async fn start_with(count: usize, keeps_id: bool) -> Self {
         let store = StandInStore::start().await;
         store.write_configuration(&document());
         let beta = Machine::start(&store, "beta", 8).await;
         let mut alphas = Vec::new();
-        for _ in 0..TARGETS {
+        for _ in 0..count {
             let alpha = Machine::start(&store, "alpha", 8).await;
             alpha.target.set_crash_rule(CrashRule {
                 path: CRASHING_PATH.to_owned(),
@@ -70,7 +70,7 @@
         }
         let fleet = Fleet { store, alphas, beta };
         eventually("all are listed everywhere", || {
-            fleet.all().all(|one| one.node().targets.borrow().len() == TARGETS + 1)
+            fleet.all().all(|one| one.node().targets.borrow().len() == count + 1)
         })
         .await;
         fleet
@@ -139,7 +139,7 @@
 #[test]
 fn a_restart_under_the_same_identity_counts_as_a_crash() {
     run(async {
-        let fleet = Fleet::start_with(true).await;
+        let fleet = Fleet::start_with(TARGETS, true).await;
         fleet.send_copies(CRASHING_PATH, "crashing", Duration::from_secs(6)).await;
         let crashes = fleet.crash_count();
         assert!(crashes > 0 && crashes <= MAX_CRASHES, "{crashes} targets crashed");
@@ -147,6 +147,16 @@
     });
 }
 
+#[test]
+fn a_target_that_restarts_under_the_same_identity_is_not_crashed_again_and_again() {
+    run(async {
+        let fleet = Fleet::start_with(1, true).await;
+        fleet.send_copies(CRASHING_PATH, "crashing", Duration::from_secs(6)).await;
+        let crashes = fleet.crash_count();
+        assert!((3..=MAX_CRASHES).contains(&crashes), "{crashes} crashes of one target");
+    });
+}
+
 #[test]
 fn a_quarantined_request_is_refused_at_once_with_retry_after() {
     run(async {
