Split the limits of targets by side; announcements and drain notices in the terms of the field

No behaviour changes: the gate's limiter and the edge's table are modules of their own, and what targets put into their responses is called an announcement (soak) or a notice (drain) throughout. The tests of both pass unchanged but for names.

--- a/crates/mesh/src/target_limit.rs
+++ b/crates/mesh/src/target_limit/limiter.rs
@@ -1,20 +1,10 @@
-//! The rate limit that a target names in its responses, for all machines together.
-//!
-//! Every call to a target passes the gate on the target's machine, so the gate enforces the limit: a token bucket
-//! counts each request that it sends. Nothing is divided among the nodes, so their number doesn't matter.
-//!
-//! The edges keep the calls that don't fit away from the gate. The gate reports a **share**: the part of its service's
-//! calls for which an edge should consider the target. It follows from the calls that arrive, whichever nodes they come
-//! from. While an edge has an old share, the gate refuses what exceeds the limit, and the edge chooses another target.
-//!
-//! A gate that has just started knows no limit until the target has responded, which may take as long as a call. The
-//! edges that know the limit send it with their calls, and the gate uses it until then.
+//! The gate's side: which calls it sends to its target, and what it reports.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use quillhatch_types::Timestamp;
 
+use super::{Precedence, RateLimitReport, RateLimited};
 use crate::rate::DecayingRate;
 use crate::targets::TargetId;
 
@@ -28,7 +18,7 @@
 /// The minimum rate, in calls per second, at which a target is called whatever its limit: only its responses show that
 /// it accepts more calls again.
 const MIN_RATE: f64 = 0.25;
-/// The maximum time that a refused call is told to wait.
+/// The maximum `Retry-After` of a refused call.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// The time constant of the measured rate of calls.
 const ARRIVAL_TIME_CONSTANT: Duration = Duration::from_millis(500);
@@ -44,40 +34,6 @@
 const MAX_SHARE_STEP: Duration = Duration::from_millis(500);
 /// The minimum share: even the last of many nodes finds out that a target accepts calls again.
 const MIN_SHARE: f64 = 0.001;
-/// The time after which an edge considers a target for all calls again if its gate has reported nothing.
-const SHARE_LIFETIME: Duration = Duration::from_secs(10);
-/// How long an edge remembers the limit of a target that it doesn't call.
-const LIMIT_RETENTION: Duration = Duration::from_secs(600);
-
-/// The rate limit of a target, as its gate reports it to edges.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateLimitReport {
-    /// The calls per second that the target accepts.
-    pub per_second: f64,
-    /// The share of the calls of the target's service for which an edge should consider it.
-    pub share: f64,
-}
-
-/// The refusal of a call that exceeds the rate limit of its target. The call has not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RateLimited {
-    /// The time after which such a call will probably be accepted.
-    pub wait: Duration,
-}
-
-/// The precedence of a call among those that compete for a limit: 0 is the highest, and all are below 1.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-pub struct Precedence(f64);
-
-impl Precedence {
-    /// The precedence of a call with this priority, of `priorities` in use. Of the same priority, nested calls come
-    /// first, since work was already done for them.
-    pub fn new(priority: u8, is_root: bool, priorities: u32) -> Self {
-        let step = f64::from(priority) + if is_root { 0.5 } else { 0.0 };
-        Precedence((step / f64::from(priorities.max(1))).min(1.0))
-    }
-}
-
 /// Where a gate has its knowledge of the limit from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum LimitSource {
@@ -181,7 +137,7 @@
         }
     }
 
-    /// Records the limit in a response of `target`, or that the response names none.
+    /// Records the limit in a response of `target`, or that the response has none.
     pub fn record_response(&mut self, target: &str, per_second: Option<f64>, now: Timestamp) {
         self.select(target);
         self.source = LimitSource::Target;
@@ -261,41 +217,3 @@
         Some(RateLimitReport { per_second: bucket.per_second, share: bucket.share })
     }
 }
-
-/// The rate limits of targets that an edge knows.
-#[derive(Clone, Debug, Default)]
-pub struct RateLimitTable {
-    reports: HashMap<TargetId, (RateLimitReport, Timestamp)>,
-}
-
-impl RateLimitTable {
-    /// Records what the gate of `target` reports; `None` if it has no limit.
-    pub fn record(&mut self, target: &TargetId, report: Option<RateLimitReport>, now: Timestamp) {
-        match report {
-            Some(report) => {
-                let is_new = self.reports.insert(target.clone(), (report, now)).is_none();
-                if is_new {
-                    self.reports.retain(|_, (_, reported)| now.since(*reported) < LIMIT_RETENTION);
-                }
-            }
-            None if self.reports.is_empty() => {}
-            None => self.forget(target),
-        }
-    }
-
-    /// Forgets the limit of a target whose process has restarted.
-    pub fn forget(&mut self, target: &str) {
-        self.reports.remove(target);
-    }
-
-    /// The limit of a target in calls per second, if it has one.
-    pub fn per_second(&self, target: &str) -> Option<f64> {
-        self.reports.get(target).map(|(report, _)| report.per_second)
-    }
-
-    /// The share of calls for which a target is considered.
-    pub fn share(&self, target: &str, now: Timestamp) -> f64 {
-        let report = self.reports.get(target).filter(|(_, reported)| now.since(*reported) < SHARE_LIFETIME);
-        report.map_or(1.0, |(report, _)| report.share)
-    }
-}
--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -24,8 +24,8 @@
     superseded: HashMap<TargetId, u64>,
     /// The grace periods of targets that are retained although their registrations are missing.
     grace_periods: HashMap<TargetId, GracePeriod>,
-    /// Targets that say in their responses that they are draining. It holds whatever their registrations say, also while
-    /// they are not listed.
+    /// Drain notices that targets have sent in their responses. They hold whatever is registered, also while the targets
+    /// are not listed.
     draining: HashMap<TargetId, DrainNotice>,
     /// When the nodes of these machines last reported that they can't reach the store.
     partitioned: HashMap<IpAddr, Timestamp>,
@@ -35,7 +35,7 @@
     recently_ended: VecDeque<(Timestamp, TargetId)>,
 }
 
-/// The statement of a target, in its responses, that it is draining.
+/// The notice of a target, in its responses, that it is draining.
 #[derive(Clone, Copy, Debug)]
 struct DrainNotice {
     /// The [`Registration::started`] of the process that is draining; zero if it is not known yet.
@@ -248,8 +248,7 @@
         has_restarted
     }
 
-    /// Whether a target has said that it is draining, in its current process. The notice of an earlier process is
-    /// forgotten.
+    /// Whether the current process of a target has sent a drain notice. The notice of an earlier process is forgotten.
     fn applies_drain_notice(&mut self, id: &str, registration: &Registration) -> bool {
         let Some(notice) = self.draining.get_mut(id) else { return false };
         if notice.started != 0 && registration.started > notice.started {
@@ -260,10 +259,10 @@
         true
     }
 
-    /// Records that a target has said in a response that it is draining. `started` is the [`Registration::started`] of
-    /// its process as far as its gate knows it, else zero. Returns whether this is new.
+    /// Records a drain notice of a target. `started` is the [`Registration::started`] of its process as far as its gate
+    /// knows it, else zero. Returns whether the notice is new.
     ///
-    /// It is final for that process. The store may not know of it, or may still list the target as ready.
+    /// The notice is final for that process. The store may still list the target as ready.
     pub fn record_drain_notice(&mut self, id: &str, started: u64, now: Timestamp) -> bool {
         let listed = self.by_id.get(id).cloned();
         let known = listed.as_ref().map_or(0, |target| target.registration.started);
@@ -284,7 +283,7 @@
         true
     }
 
-    /// The start of the process of a target that has said in a response that it is draining; zero if it is not known.
+    /// The start of the process of a target that has sent a drain notice; zero if the start is not known.
     pub fn drain_notice(&self, id: &str) -> Option<u64> {
         self.draining.get(id).map(|notice| notice.started)
     }
--- a/crates/mesh/src/targets/status.rs
+++ b/crates/mesh/src/targets/status.rs
@@ -1,4 +1,4 @@
-//! What a target says about itself in its responses.
+//! The status that a target reports in its responses.
 
 /// The state of a target according to one of its responses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -189,7 +189,7 @@
     pub current_target: Option<LocalTarget>,
     /// The rate limit of the target, if it has one.
     pub rate_limit: Option<RateLimitReport>,
-    /// If the target has said in a response that it is draining, the start of its process
+    /// If the target has sent a drain notice, the start of its process
     /// ([`quillhatch_mesh::targets::Registration::started`]), zero if the gate does not know it.
     pub drain_notice: Option<u64>,
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -63,14 +63,14 @@
     /// The calls of a tenant stay within its rate limit.
     #[display("limits")]
     Limits,
-    /// A target receives no more requests than the rate limit that it names in its responses allows, from all machines
-    /// that know.
+    /// A target receives no more requests than the rate limit that it announces in its responses allows, from all
+    /// machines that know of it.
     #[display("target-limits")]
     TargetLimits,
-    /// A target that says in its responses that it is leaving receives no new requests from machines that know, after
-    /// the bound.
-    #[display("left")]
-    Left,
+    /// A target that announces in its responses that it is draining receives no new requests after the bound from
+    /// machines that know of it.
+    #[display("announced-drain")]
+    AnnouncedDrain,
     /// After a request has crashed three targets, it reaches only a few more.
     #[display("bounded-harm")]
     BoundedCrashes,
@@ -269,15 +269,15 @@
     found
 }
 
-/// Whether no target may have had room for a call: while one of a service named a rate limit or was leaving, planned
-/// work may have taken another one away.
+/// Whether no target may have had capacity for a call: while one of a service had a rate limit or was draining by its
+/// announcement, planned work may have taken another one away.
 fn may_lack_capacity(record: &SoakRecord, call: &CallRecord) -> bool {
     let (begin, end) = (call.sent.checked_sub(SETTLE_TIME).unwrap_or(call.sent), call.ended);
     let overlaps = |from: Instant, until: Instant| from <= end && until >= begin;
-    let is_stated = record.statements.iter().any(|span| overlaps(span.from, span.until));
+    let is_announced = record.announcements.iter().any(|span| overlaps(span.from, span.until));
     let is_drained = || record.drains.iter().any(|drain| overlaps(drain.acked, drain.until));
     let is_stopped = || record.stops.iter().any(|stop| overlaps(stop.requested, stop.requested + stop.grace));
-    is_stated && (is_drained() || is_stopped())
+    is_announced && (is_drained() || is_stopped())
 }
 
 fn was_stopping(record: &SoakRecord, call: &CallRecord) -> bool {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::layout::{RouteKind, CRASH_DOWNTIME};
-use crate::target_status::{ArrivalRecord, RateLimitSpan, ResponderStatus, StatementSpan};
+use crate::target_status::{AnnouncementSpan, ArrivalRecord, RateLimitSpan, ResponderStatus};
 use crate::tenancy::SoakKey;
 
 /// How a call ended for its caller. The soak prints the names of the variants.
@@ -42,7 +42,7 @@
     pub ended: Instant,
     /// How the call ended.
     pub end: CallEnd,
-    /// What the response said of the target that sent it.
+    /// What the target announced in the response.
     pub responder: ResponderStatus,
 }
 
@@ -144,10 +144,10 @@
     pub restarts: Vec<ProcessRestart>,
     /// Arrivals of requests at targets.
     pub arrivals: Vec<ArrivalRecord>,
-    /// Rate limits that targets named.
+    /// Rate limits that targets announced.
     pub rate_limits: Vec<RateLimitSpan>,
-    /// When targets named rate limits or were leaving by their responses.
-    pub statements: Vec<StatementSpan>,
+    /// When targets had announced a rate limit or a drain.
+    pub announcements: Vec<AnnouncementSpan>,
     /// The maximum number of requests that a target ran concurrently.
     pub max_running: u32,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,7 +22,7 @@
 use crate::links::LinkProcess;
 use crate::machine::SoakMachine;
 use crate::record::{ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan};
-use crate::target_status::{make_statements, ArrivalRecord};
+use crate::target_status::{play_announcements, ArrivalRecord};
 use crate::traffic::SoakCaller;
 
 /// The total number of callers; with more machines than this, each machine has one.
@@ -46,8 +46,8 @@
 const ADDED_SCHEDULE_SEED: u64 = 0x5eed;
 /// Combined with the soak's seed for the schedule of the ways in which targets drain.
 const DRAIN_SCHEDULE_SEED: u64 = 0x1eaf;
-/// Combined with the soak's seed for the schedule of what targets say of themselves in their responses.
-const STATEMENT_SCHEDULE_SEED: u64 = 0x5a1d;
+/// Combined with the soak's seed for the schedule of what targets announce in their responses.
+const ANNOUNCEMENT_SCHEDULE_SEED: u64 = 0x5a1d;
 /// How long a target stays draining or deregistered.
 const DRAIN_DURATION: Duration = Duration::from_millis(4500);
 /// How long callers continue to use a process after it was asked to stop: until it has failed two readiness probes,
@@ -127,9 +127,9 @@
     run.wait_until_ready().await?;
     let end = Instant::now() + options.duration;
     let callers = run.start_callers(end);
-    let schedule = Pcg64::seed_from_u64(options.seed ^ STATEMENT_SCHEDULE_SEED);
-    let statements = make_statements(run.machines.clone(), Rc::clone(&run.record), schedule, end);
-    let statements = spawn_local(statements);
+    let schedule = Pcg64::seed_from_u64(options.seed ^ ANNOUNCEMENT_SCHEDULE_SEED);
+    let announcements = play_announcements(run.machines.clone(), Rc::clone(&run.record), schedule, end);
+    let announcements = spawn_local(announcements);
     while Instant::now() < end {
         if options.has_faults {
             run.fault_round().await;
@@ -141,7 +141,7 @@
         // A caller that failed here has panicked, and its calls are missing from the record.
         caller.await.map_err(io::Error::other)?;
     }
-    statements.await.map_err(io::Error::other)?;
+    announcements.await.map_err(io::Error::other)?;
     sleep(LAST_CALLS_TIMEOUT).await;
     Ok(run.report())
 }
--- a/crates/soak/src/target_status.rs
+++ b/crates/soak/src/target_status.rs
@@ -1,5 +1,4 @@
-//! Targets that name rate limits, or that say that they are leaving, in their responses: when they do so, and the
-//! guarantees on it.
+//! Rate limits and drains that targets announce in their responses: the schedule, and the guarantees on them.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,16 +15,16 @@
 use crate::machine::SoakMachine;
 use crate::record::{CallRecord, SoakRecord};
 
-/// The range of pauses between two statements of targets, in milliseconds.
+/// The range of pauses between two announcements, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 500..3000;
-/// The range of the durations of a statement, in milliseconds.
+/// The range of the durations of an announcement, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 4500..9000;
 /// The range of rate limits in requests per second.
 const RATE_LIMITS: std::ops::Range<f64> = 1.0..30.0;
 /// The factors by which a target changes its rate limit while it has one.
 const RATE_LIMIT_CHANGES: [f64; 3] = [0.4, 1.0, 2.5];
-/// The probability that a target leaves, instead of naming a rate limit.
-const LEAVING_PROBABILITY: f64 = 0.3;
+/// The probability that a target announces a drain instead of a rate limit.
+const DRAIN_PROBABILITY: f64 = 0.3;
 
 /// The window in which the requests of a target with a rate limit are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -39,19 +38,19 @@
 /// The rounding error of the integral.
 const ROUNDING_ERROR: f64 = 1e-6;
 
-/// What a response said of the target that sent it.
+/// What a target announced in a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ResponderStatus {
-    /// The target's process; empty if the target made no statement, or if a node responded.
+    /// The target's process; empty if it announced nothing, or if a node responded.
     pub process: String,
-    /// Whether the target named a rate limit.
+    /// Whether the response had a rate limit.
     pub has_rate_limit: bool,
-    /// Whether the target said that it was leaving.
+    /// Whether the target was draining.
     pub is_leaving: bool,
 }
 
 impl ResponderStatus {
-    /// Reads the statement from a response's headers.
+    /// Reads the announcement from a response's headers.
     pub fn read(response: &Response) -> Self {
         ResponderStatus {
             process: response.header("target-process").to_owned(),
@@ -81,30 +80,30 @@
     }
 }
 
-/// A time span during which a target named a rate limit.
+/// A time span during which a target announced a rate limit.
 #[derive(Clone, Debug)]
 pub struct RateLimitSpan {
     /// The process of the target.
     pub process: String,
     /// The requests per second.
     pub per_second: f64,
-    /// When the target began to name the limit.
+    /// When the target began to announce the limit.
     pub from: Instant,
-    /// When it named another one or none.
+    /// When it announced another one or none.
     pub until: Instant,
 }
 
-/// A time span during which a target made a statement.
+/// A time span during which a target announced something.
 #[derive(Clone, Copy, Debug)]
-pub struct StatementSpan {
+pub struct AnnouncementSpan {
     /// When it began.
     pub from: Instant,
     /// When it ended.
     pub until: Instant,
 }
 
-/// Lets one target after the other name a rate limit or say that it is leaving, until `end`.
-pub async fn make_statements(
+/// Lets one target after the other announce a rate limit or a drain, until `end`.
+pub async fn play_announcements(
     machines: Vec<Rc<SoakMachine>>,
     record: Rc<RefCell<SoakRecord>>,
     mut random: Pcg64,
@@ -115,26 +114,26 @@
         let machine = &machines[random.gen_range(0..machines.len())];
         let duration = Duration::from_millis(random.gen_range(DURATION_MS));
         let from = Instant::now();
-        if random.gen_bool(LEAVING_PROBABILITY) {
-            leave(machine, duration, random.gen()).await;
+        if random.gen_bool(DRAIN_PROBABILITY) {
+            drain(machine, duration, random.gen()).await;
         } else {
             let limit = (random.gen_range(RATE_LIMITS) * 10.0).round() / 10.0;
             let change = RATE_LIMIT_CHANGES[random.gen_range(0..RATE_LIMIT_CHANGES.len())];
-            let spans = name_limits(machine, &[limit, limit * change], duration / 2).await;
+            let spans = announce_limits(machine, &[limit, limit * change], duration / 2).await;
             record.borrow_mut().rate_limits.extend(spans);
         }
-        record.borrow_mut().statements.push(StatementSpan { from, until: Instant::now() });
+        record.borrow_mut().announcements.push(AnnouncementSpan { from, until: Instant::now() });
     }
 }
 
-/// Lets a target say that it is leaving, then end, and start again with the same id or another one. Its registration
-/// says nothing of it.
-async fn leave(machine: &SoakMachine, duration: Duration, keeps_id: bool) {
+/// Lets a target announce a drain, then end, and start again with the same id or another one. It stays registered as
+/// ready.
+async fn drain(machine: &SoakMachine, duration: Duration, keeps_id: bool) {
     let process = machine.target.process();
     machine.target.set_leaving(true);
     sleep(duration).await;
     if machine.target.process() != process {
-        // It has crashed in the meantime, which ended the leaving.
+        // It has crashed in the meantime, which ended the drain.
         return;
     }
     if keeps_id {
@@ -144,8 +143,8 @@
     }
 }
 
-/// Lets a target name these limits one after the other, each for `duration`.
-async fn name_limits(machine: &SoakMachine, limits: &[f64], duration: Duration) -> Vec<RateLimitSpan> {
+/// Lets a target announce these limits one after the other, each for `duration`.
+async fn announce_limits(machine: &SoakMachine, limits: &[f64], duration: Duration) -> Vec<RateLimitSpan> {
     let process = machine.target.process();
     let mut spans = Vec::new();
     for per_second in limits {
@@ -161,11 +160,11 @@
     spans
 }
 
-/// Checks the guarantees on what targets say in their responses.
+/// Checks the guarantees on what targets announce.
 pub(crate) fn check(record: &SoakRecord) -> Vec<Violation> {
     let origins = Origins::new(record);
     let mut found = rate_limit_violations(record, &origins);
-    found.extend(leaving_violations(record, &origins));
+    found.extend(drain_violations(record, &origins));
     found
 }
 
@@ -196,8 +195,7 @@
     }
 }
 
-/// Since when each machine knows a statement of a target's process from a response, and still knew it at `at`: a
-/// process that was restarted knows nothing.
+/// When machines received an announcement of a target's process. A node that was restarted has lost it.
 struct Notices<'a> {
     record: &'a SoakRecord,
     /// The ends of calls with such a response, in order, by machine.
@@ -221,8 +219,8 @@
     }
 }
 
-/// Finds targets that received more requests in a window than the rate limits that they named allow, from machines
-/// that knew.
+/// Finds targets that received more requests in a window than the rate limits that they announced allow, from machines
+/// that knew of them.
 fn rate_limit_violations(record: &SoakRecord, origins: &Origins) -> Vec<Violation> {
     let mut spans: HashMap<&str, Vec<&RateLimitSpan>> = HashMap::new();
     for span in &record.rate_limits {
@@ -244,15 +242,15 @@
     found
 }
 
-/// Checks the windows in which a process named a limit all the time.
+/// Checks the windows in which a process announced a limit all the time.
 fn worst_window(process: &str, spans: &[&RateLimitSpan], arrivals: &[Instant]) -> Option<Violation> {
-    let first_named = spans.iter().map(|span| span.from).min()?;
-    for end in arrivals.iter().copied().filter(|at| *at >= first_named + SETTLE_TIME) {
+    let first_announced = spans.iter().map(|span| span.from).min()?;
+    for end in arrivals.iter().copied().filter(|at| *at >= first_announced + SETTLE_TIME) {
         let begin = end.checked_sub(WINDOW)?;
-        let Some(limit) = named_in(spans, begin.max(first_named), end) else { continue };
-        let unnamed = first_named.saturating_duration_since(begin).as_secs_f64();
+        let Some(limit) = allowed_in(spans, begin.max(first_announced), end) else { continue };
+        let unannounced = first_announced.saturating_duration_since(begin).as_secs_f64();
         let (factor, slack) = RATE_LIMIT_TOLERANCE;
-        let allowed = factor * (limit + unnamed * spans[0].per_second) + slack;
+        let allowed = factor * (limit + unannounced * spans[0].per_second) + slack;
         let count = arrivals.iter().filter(|at| **at > begin && **at <= end).count();
         if count as f64 > allowed + ROUNDING_ERROR {
             let description = format!("{process} received {count} requests in {WINDOW:?}, {allowed:.0} are allowed");
@@ -262,9 +260,9 @@
     None
 }
 
-/// The number of requests that the named limits allow from `begin` to `end`; `None` if none was named for some of that
+/// The number of requests that the limits allow from `begin` to `end`; `None` if none was announced for some of that
 /// time. For a short time after a change the greater one of both counts.
-fn named_in(spans: &[&RateLimitSpan], begin: Instant, end: Instant) -> Option<f64> {
+fn allowed_in(spans: &[&RateLimitSpan], begin: Instant, end: Instant) -> Option<f64> {
     let mut sum = 0.0;
     let mut at = begin;
     while at < end {
@@ -278,9 +276,9 @@
     Some(sum)
 }
 
-/// Finds requests that reached a leaving target although they were sent later than the bound after their machine had
-/// passed on a response that said so.
-fn leaving_violations(record: &SoakRecord, origins: &Origins) -> Vec<Violation> {
+/// Finds requests that reached a draining target although they were sent later than the bound after their machine had
+/// passed on a response with its announcement.
+fn drain_violations(record: &SoakRecord, origins: &Origins) -> Vec<Violation> {
     let mut notices: HashMap<&str, Notices> = HashMap::new();
     for call in record.calls.iter().filter(|call| call.responder.is_leaving) {
         let process = call.responder.process.as_str();
@@ -295,12 +293,12 @@
         let Some(known_since) = notices.known_since(machine, arrival.at) else { continue };
         if sent > known_since + APPLY_BOUND {
             let description = format!(
-                "{} reached {}, which was leaving, from machine {machine}, which had known for {:?}",
+                "{} reached {}, which was draining, from machine {machine}, which had known for {:?}",
                 arrival.id,
                 arrival.process,
                 sent - known_since
             );
-            found.push(violation(Guarantee::Left, description));
+            found.push(violation(Guarantee::AnnouncedDrain, description));
         }
     }
     found
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -244,8 +244,8 @@
 const PROCESS: &str = "i-1/7";
 
 impl Scenario {
-    /// Lets a target name a limit of 4 a second from 5 s to 15 s, and a machine pass on a response with it at 5.4 s.
-    fn name_rate_limit(&mut self) {
+    /// Lets a target announce a limit of 4 a second from 5 s to 15 s, and a machine pass on a response with it at 5.4 s.
+    fn announce_rate_limit(&mut self) {
         let (from, until) = (self.at(5_000), self.at(15_000));
         self.record.rate_limits.push(RateLimitSpan { process: PROCESS.to_owned(), per_second: 4.0, from, until });
         self.respond(ResponderStatus { has_rate_limit: true, ..responder() });
@@ -274,7 +274,7 @@
 #[test]
 fn requests_beyond_the_rate_limit_of_a_target_are_reported() {
     let mut scenario = Scenario::new();
-    scenario.name_rate_limit();
+    scenario.announce_rate_limit();
     // 29 requests are allowed in 4 s.
     scenario.arrive(140);
     assert_eq!(scenario.violated_guarantees(), []);
@@ -288,7 +288,7 @@
 #[test]
 fn requests_beyond_a_rate_limit_of_which_their_machine_had_no_response_are_allowed() {
     let mut scenario = Scenario::new();
-    scenario.name_rate_limit();
+    scenario.announce_rate_limit();
     scenario.arrive(50);
     assert_eq!(scenario.violated_guarantees(), [Guarantee::TargetLimits]);
     for call in scenario.record.calls.iter_mut().filter(|call| call.id == "notice") {
@@ -298,12 +298,12 @@
 }
 
 #[test]
-fn requests_to_a_target_that_says_that_it_is_leaving_are_reported_after_the_bound() {
+fn requests_to_a_target_that_announced_a_drain_are_reported_after_the_bound() {
     let mut scenario = Scenario::new();
     scenario.respond(ResponderStatus { is_leaving: true, ..responder() });
     assert_eq!(scenario.violated_guarantees(), []);
     scenario.arrive(4_000);
-    assert_eq!(scenario.violated_guarantees(), [Guarantee::Left]);
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::AnnouncedDrain]);
     scenario.record.arrivals[0].is_misdirected = true;
     assert_eq!(scenario.violated_guarantees(), [], "the target has refused it as not its own");
     scenario.record.arrivals[0].is_misdirected = false;
