Keep an edge's knowledge of a limit when a gate reports that it knows none

What callers would see: LIMIT after a restart of the process beside the target. Found by reading the diff: a gate that has just started reports with each refusal (closed, identity not known in time) that there is no limit, and the edge forgot the limit that it is to send along.

Cause: the report had one value for "no limit" and "not known". Class: the absence of an answer taken for an answer. Change: a gate reports unknown, unlimited or a limit, for the target that the call was meant for; only the target's own response makes edges forget.

Evidence: a_gate_that_does_not_know_a_limit_does_not_make_edges_forget_it; with a gate that reports unlimited where it knows nothing, which is what the former value meant, its first assertion fails.

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -10,7 +10,7 @@
 
 use crate::gate::GateLoad;
 use crate::mechanisms::{Mechanism, Mechanisms};
-use crate::target_limit::{RateLimitReport, RateLimitTable};
+use crate::target_limit::{KnownLimit, RateLimitTable};
 use crate::targets::{Target, TargetId};
 
 /// The maximum number of candidates that one attempt compares in the local zone, and in all other zones together.
@@ -275,9 +275,9 @@
         state.last_contact = now;
     }
 
-    /// Records the rate limit that a target's gate has reported; `None` if the target has none.
-    pub fn record_rate_limit(&mut self, target: &TargetId, report: Option<RateLimitReport>, now: Timestamp) {
-        self.rate_limits.record(target, report, now);
+    /// Records what a target's gate has reported of the target's rate limit.
+    pub fn record_rate_limit(&mut self, target: &TargetId, limit: KnownLimit, now: Timestamp) {
+        self.rate_limits.record(target, limit, now);
     }
 
     /// The rate limit of a target in calls per second, if it is known to have one.
--- a/crates/mesh/src/target_limit/limiter.rs
+++ b/crates/mesh/src/target_limit/limiter.rs
@@ -4,7 +4,7 @@
 
 use quillhatch_types::Timestamp;
 
-use super::{Precedence, RateLimitReport, RateLimited};
+use super::{KnownLimit, Precedence, RateLimitReport, RateLimited};
 use crate::rate::DecayingRate;
 use crate::targets::TargetId;
 
@@ -210,10 +210,18 @@
         bucket.tokens = (bucket.tokens + 1.0).min(bucket.capacity());
     }
 
-    /// The report for edges; `None` if there is no limit.
-    pub fn report(&mut self, now: Timestamp) -> Option<RateLimitReport> {
-        let bucket = self.bucket.as_mut()?;
-        bucket.update_share(self.arriving.at(now), now);
-        Some(RateLimitReport { per_second: bucket.per_second, share: bucket.share })
+    /// What to report to an edge that has called `target`.
+    pub fn report(&mut self, target: &str, now: Timestamp) -> KnownLimit {
+        if self.target.as_deref() != Some(target) {
+            return KnownLimit::Unknown;
+        }
+        match (&mut self.bucket, self.source) {
+            (Some(bucket), _) => {
+                bucket.update_share(self.arriving.at(now), now);
+                KnownLimit::Limited(RateLimitReport { per_second: bucket.per_second, share: bucket.share })
+            }
+            (None, LimitSource::Target) => KnownLimit::Unlimited,
+            (None, _) => KnownLimit::Unknown,
+        }
     }
 }
--- a/crates/mesh/src/target_limit/mod.rs
+++ b/crates/mesh/src/target_limit/mod.rs
@@ -29,6 +29,18 @@
     pub share: f64,
 }
 
+/// What a gate knows of the rate limit of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum KnownLimit {
+    /// Nothing: the target has not responded yet, or another one runs there now.
+    #[default]
+    Unknown,
+    /// The target's last response had no limit.
+    Unlimited,
+    /// The target has this limit.
+    Limited(RateLimitReport),
+}
+
 /// The refusal of a call that exceeds the rate limit of its target. The call has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RateLimited {
--- a/crates/mesh/src/target_limit/table.rs
+++ b/crates/mesh/src/target_limit/table.rs
@@ -5,7 +5,7 @@
 
 use quillhatch_types::Timestamp;
 
-use super::RateLimitReport;
+use super::{KnownLimit, RateLimitReport};
 use crate::targets::TargetId;
 
 /// The time after which an edge considers a target for all calls again if its gate has reported nothing.
@@ -20,17 +20,17 @@
 }
 
 impl RateLimitTable {
-    /// Records what the gate of `target` reports; `None` if it has no limit.
-    pub fn record(&mut self, target: &TargetId, report: Option<RateLimitReport>, now: Timestamp) {
-        match report {
-            Some(report) => {
+    /// Records what the gate of `target` reports.
+    pub fn record(&mut self, target: &TargetId, limit: KnownLimit, now: Timestamp) {
+        match limit {
+            KnownLimit::Limited(report) => {
                 let is_new = self.reports.insert(target.clone(), (report, now)).is_none();
                 if is_new {
                     self.reports.retain(|_, (_, reported)| now.since(*reported) < LIMIT_RETENTION);
                 }
             }
-            None if self.reports.is_empty() => {}
-            None => self.forget(target),
+            KnownLimit::Unlimited if !self.reports.is_empty() => self.forget(target),
+            KnownLimit::Unlimited | KnownLimit::Unknown => {}
         }
     }
 
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::balance::{Choice, Exclusions, LoadBalancer, ZonePreference};
-use quillhatch_mesh::target_limit::{Precedence, RateLimitReport, RateLimited, TargetRateLimiter};
+use quillhatch_mesh::target_limit::{KnownLimit, Precedence, RateLimitTable, RateLimited, TargetRateLimiter};
 use quillhatch_mesh::targets::{Registration, Target, TargetId};
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
@@ -42,7 +42,7 @@
     arrives: u64,
     edge: usize,
     target: usize,
-    report: Option<RateLimitReport>,
+    report: KnownLimit,
 }
 
 /// Edges that send calls to targets through their gates.
@@ -123,7 +123,7 @@
             let gate = &mut self.gates[number];
             let precedence = Precedence::new(priority, true, 4);
             let admitted = gate.admit(precedence, is_over_limit, now).and_then(|()| gate.take(now));
-            let report = gate.report(now);
+            let report = gate.report(&chosen.id, now);
             match admitted {
                 Ok(()) => {
                     self.received[number].push(self.now);
@@ -266,17 +266,42 @@
     assert!((0.3..3.0).contains(&mean), "{mean:.2} s on average");
 }
 
+fn per_second(limit: KnownLimit) -> Option<f64> {
+    match limit {
+        KnownLimit::Limited(report) => Some(report.per_second),
+        KnownLimit::Unknown | KnownLimit::Unlimited => None,
+    }
+}
+
 #[test]
 fn a_restarted_gate_takes_the_lowest_limit_of_edges_until_its_target_responds() {
     let now = Timestamp::from_millis;
     let mut gate = TargetRateLimiter::new(now(0));
     for (known, counts) in [(4.0, 4.0), (2.5, 2.5), (4.0, 2.5)] {
         gate.record_edge_knowledge("t", known, now(0));
-        assert_eq!(gate.report(now(0)).map(|report| report.per_second), Some(counts));
+        assert_eq!(per_second(gate.report("t", now(0))), Some(counts));
     }
     gate.record_response("t", None, now(10));
     gate.record_edge_knowledge("t", 4.0, now(20));
-    assert_eq!(gate.report(now(20)), None, "the target knows better");
+    assert_eq!(gate.report("t", now(20)), KnownLimit::Unlimited, "the target knows better");
     gate.record_edge_knowledge("other", 3.0, now(30));
-    assert_eq!(gate.report(now(30)).map(|report| report.per_second), Some(3.0), "another target has not responded");
+    assert_eq!(per_second(gate.report("other", now(30))), Some(3.0), "another target has not responded");
+}
+
+#[test]
+fn a_gate_that_does_not_know_a_limit_does_not_make_edges_forget_it() {
+    let now = Timestamp::from_millis;
+    let (t, mut table) = (TargetId::from("t"), RateLimitTable::default());
+    let mut gate = TargetRateLimiter::new(now(0));
+    gate.record_response("t", Some(4.0), now(0));
+    table.record(&t, gate.report("t", now(0)), now(0));
+    let mut restarted = TargetRateLimiter::new(now(10));
+    table.record(&t, restarted.report("t", now(10)), now(10));
+    assert_eq!(table.per_second("t"), Some(4.0), "it has refused a call without any response of the target");
+    restarted.record_response("other", None, now(20));
+    table.record(&t, restarted.report("t", now(20)), now(20));
+    assert_eq!(table.per_second("t"), Some(4.0), "another target has responded");
+    restarted.record_response("t", None, now(30));
+    table.record(&t, restarted.report("t", now(30)), now(30));
+    assert_eq!(table.per_second("t"), None);
 }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -170,7 +170,7 @@
     let health = node.target_health.borrow_mut().good_share(now);
     let (store_view, proof) =
         (store_view::own_store_view(node), node.tenancy.peer_proof(&node.configuration.borrow(), call.arrived));
-    let rate_limit = node.target_limiter.borrow_mut().report(now);
+    let rate_limit = node.target_limiter.borrow_mut().report(&call.expected, now);
     let report = HopReport {
         outcome,
         load,
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -14,7 +14,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
-use quillhatch_mesh::target_limit::RateLimitReport;
+use quillhatch_mesh::target_limit::{KnownLimit, RateLimitReport};
 
 /// The name of the header.
 pub const HOP_HEADER: &str = "quillhatch-hop";
@@ -24,6 +24,9 @@
 /// The number of steps in which the health of a target is encoded: whole percents suffice to choose among targets.
 const HEALTH_STEPS: f64 = 100.0;
 
+/// Encodes that a target has no rate limit.
+const UNLIMITED: &str = "-";
+
 /// How current a node's view of the platform's store is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreView {
@@ -187,8 +190,8 @@
     pub proof: Option<FreshnessProof>,
     /// The gate's current target, if the call was meant for another one.
     pub current_target: Option<LocalTarget>,
-    /// The rate limit of the target, if it has one.
-    pub rate_limit: Option<RateLimitReport>,
+    /// What the gate knows of the rate limit of the target that the call was meant for.
+    pub rate_limit: KnownLimit,
     /// If the target has sent a drain notice, the start of its process
     /// ([`quillhatch_mesh::targets::Registration::started`]), zero if the gate does not know it.
     pub drain_notice: Option<u64>,
@@ -228,9 +231,14 @@
     Some(Some(FreshnessProof { version: version.parse().ok()?, age_at_arrival_ms: age.parse().ok()? }))
 }
 
-fn decode_rate_limit(text: &str) -> Option<RateLimitReport> {
-    let (per_second, share) = text.split_once(',')?;
-    Some(RateLimitReport { per_second: decode_rate(per_second)?, share: decode_rate(share)?.min(1.0) })
+fn decode_rate_limit(text: &str) -> KnownLimit {
+    if text == UNLIMITED {
+        return KnownLimit::Unlimited;
+    }
+    let report = text.split_once(',').and_then(|(per_second, share)| {
+        Some(RateLimitReport { per_second: decode_rate(per_second)?, share: decode_rate(share)?.min(1.0) })
+    });
+    report.map_or(KnownLimit::Unknown, KnownLimit::Limited)
 }
 
 impl HopReport {
@@ -251,9 +259,11 @@
         let current_target = self.current_target.as_ref();
         let (id, service) = current_target.map_or(("", ""), |target| (&target.id, &target.service));
         let _ = write!(text, ";{id};{service};");
-        if let Some(RateLimitReport { per_second, share }) = self.rate_limit {
-            let _ = write!(text, "{per_second},{share:.4}");
-        }
+        let _ = match self.rate_limit {
+            KnownLimit::Unknown => Ok(()),
+            KnownLimit::Unlimited => write!(text, "{UNLIMITED}"),
+            KnownLimit::Limited(RateLimitReport { per_second, share }) => write!(text, "{per_second},{share:.4}"),
+        };
         if let Some(started) = self.drain_notice {
             let _ = write!(text, ";{started}");
         }
@@ -277,7 +287,7 @@
             }
             _ => None,
         };
-        let rate_limit = parts.next().and_then(decode_rate_limit);
+        let rate_limit = parts.next().map(decode_rate_limit).unwrap_or_default();
         let drain_notice = parts.next().and_then(|started| started.parse().ok());
         Some(HopReport {
             outcome,
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -10,7 +10,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
-use quillhatch_mesh::target_limit::RateLimitReport;
+use quillhatch_mesh::target_limit::{KnownLimit, RateLimitReport};
 use quillhatch_messages::generated::limits::LimitMessage;
 use quillhatch_messages::generated::quarantine::QuarantineMessage;
 use quillhatch_sidecar::counters::Counters;
@@ -38,12 +38,12 @@
     let current_target = LocalTarget { id: "i-1".to_owned(), service: "alpha".to_owned() };
     for outcome in GateOutcome::ALL {
         let proof = FreshnessProof { version: 17, age_at_arrival_ms: -250 };
-        let rate_limit = RateLimitReport { per_second: 4.1, share: 0.0625 };
+        let rate_limit = KnownLimit::Limited(RateLimitReport { per_second: 4.1, share: 0.0625 });
         for (current_target, proof, rate_limit) in [
-            (None, Some(proof), Some(rate_limit)),
-            (Some(current_target.clone()), None, Some(rate_limit)),
-            (Some(current_target.clone()), Some(proof), None),
-            (None, None, None),
+            (None, Some(proof), rate_limit),
+            (Some(current_target.clone()), None, rate_limit),
+            (Some(current_target.clone()), Some(proof), KnownLimit::Unlimited),
+            (None, None, KnownLimit::Unknown),
         ] {
             let report = HopReport {
                 outcome,
@@ -55,7 +55,7 @@
                 proof,
                 current_target,
                 rate_limit,
-                drain_notice: rate_limit.map(|_| 1_790_000_000_000),
+                drain_notice: proof.map(|_| 1_790_000_000_000),
             };
             assert_eq!(HopReport::decode(&report.encode()), Some(report));
         }
@@ -65,7 +65,7 @@
 #[test]
 fn a_hop_report_without_the_fields_of_newer_nodes_is_decoded() {
     let report = HopReport::decode("a;3;36;144;1250;75;1;0.0,0;").expect("a report");
-    assert_eq!((report.current_target, report.rate_limit, report.drain_notice), (None, None, None));
+    assert_eq!((report.current_target, report.rate_limit, report.drain_notice), (None, KnownLimit::Unknown, None));
 }
 
 #[test_case("")]
