--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -9,7 +9,6 @@
 use quillhatch_mesh::feed::{
     long_poll_timeout, response_timeout, watch_timeout, FeedRole, FeedTree, ReadReason, ReadSchedule,
     ReadScheduleInputs, SoloReads, SourceChoice, SourceStatus, SourceVerdict, StandbyReader, StoreAccessLoss,
-    STANDBY_WATCH_TIMEOUT,
 };
 use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::replica::{Change, Position, Replica, Update};
@@ -46,13 +45,13 @@
 };
 
 /// The step of the virtual clock, which is also the one-way latency of a message.
-const TICK: Duration = Duration::from_millis(10);
+pub(crate) const TICK: Duration = Duration::from_millis(10);
 /// The probability that a node exchanges a call with another one in a step: five calls per second.
 const CALLS_PER_TICK: f64 = 0.05;
 /// How long another node may have a later position before it is queried.
 const MAX_LAG: Duration = Duration::from_millis(400);
 /// The time that the response to a watch may take beyond the timeout of the watch.
-const WATCH_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(600);
+pub(crate) const WATCH_RESPONSE_ALLOWANCE: Duration = Duration::from_millis(600);
 
 /// A rule of the decisions that is broken on purpose, to show that the tests notice it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,8 +75,8 @@
     pub mutation: Option<Mutation>,
     /// Whether standbys watch the store. Without them only the readers and those that take over do.
     pub has_standby_watches: bool,
-    bounds: Bounds,
-    random: Pcg64,
+    pub(crate) bounds: Bounds,
+    pub(crate) random: Pcg64,
     by_machine: HashMap<IpAddr, usize>,
 }
 
@@ -325,7 +324,7 @@
     }
 
     /// Applies an update. One that can't be applied was superseded by the updates of other nodes.
-    fn apply(&mut self, number: usize, update: Update) {
+    pub(crate) fn apply(&mut self, number: usize, update: Update) {
         let replica = &mut self.nodes[number].replica;
         let is_new_era = replica.position().era < update.position.era;
         let is_earlier = replica.position().era > update.position.era;
@@ -483,58 +482,4 @@
         let max_pause = node.store_reader.read_failed(true, &self.bounds);
         node.next_read_at = now + max_pause.mul_f64(self.random.gen_range(0.5..1.0));
     }
-
-    fn step_standby(&mut self, number: usize) {
-        let now = self.now;
-        let store_position = self.store.position;
-        let node = &mut self.nodes[number];
-        let Some(read) = &node.standby_read else {
-            if now >= node.next_standby_read_at {
-                let next = node.standby_reader.next(node.replica.position());
-                node.standby_read = Some(PendingRead { sent: now, timeout: STANDBY_WATCH_TIMEOUT, read: next });
-                node.standby_position = node.replica.position();
-                self.store.calls += 1;
-            }
-            return;
-        };
-        if now.since(read.sent) < TICK * 2 {
-            return;
-        }
-        let (is_over, next) = (now.since(read.sent) >= read.timeout, read.read);
-        let access = if self.store.is_down { StoreAccess::Refused } else { node.store_access };
-        let from = node.standby_position;
-        match access {
-            StoreAccess::Refused => self.standby_read_failed(number, false),
-            StoreAccess::Unresponsive if now.since(read.sent) >= read.timeout + WATCH_RESPONSE_ALLOWANCE => {
-                self.standby_read_failed(number, false);
-            }
-            StoreAccess::Unresponsive => {}
-            StoreAccess::Available => match next {
-                NextRead::Watch { .. } if store_position.era != from.era => self.standby_read_failed(number, true),
-                NextRead::Watch { after } if store_position.revision > after || is_over => {
-                    let update = self.store.changes_since(after);
-                    self.standby_read_succeeded(number, update);
-                }
-                NextRead::Watch { .. } => {}
-                NextRead::StaleList | NextRead::List => {
-                    let update = self.store.list();
-                    self.standby_read_succeeded(number, update);
-                }
-            },
-        }
-    }
-
-    fn standby_read_succeeded(&mut self, number: usize, update: Update) {
-        self.apply(number, update);
-        let node = &mut self.nodes[number];
-        node.standby_read = None;
-        node.next_standby_read_at = self.now + node.standby_reader.read_succeeded(&self.bounds);
-    }
-
-    fn standby_read_failed(&mut self, number: usize, is_history_lost: bool) {
-        let node = &mut self.nodes[number];
-        node.standby_read = None;
-        let max_pause = node.standby_reader.read_failed(node.standby_position, is_history_lost, &self.bounds);
-        node.next_standby_read_at = self.now + max_pause.mul_f64(self.random.gen_range(0.5..1.0));
-    }
 }
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -4,6 +4,7 @@
 mod exploration;
 mod fleet;
 mod node;
+mod standby;
 mod store;
 
 use std::time::Duration;
--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -6,15 +6,12 @@
 use std::time::Duration;
 
 use support::caller::call;
-use support::shop::{document, read};
+use support::shop::{read, start_fleet};
 use support::store::{StandInStore, StoreMode};
-use support::target::{HealthStatus, TargetBehaviour};
+use support::target::HealthStatus;
 use support::{eventually, run, start_sidecar, Machine, BOUNDS};
 use tokio::time::{sleep, Instant};
 
-/// How long a target works on a call.
-const WORK_TIME: Duration = Duration::from_millis(4);
-
 struct Fleet {
     store: StandInStore,
     machines: Vec<Machine>,
@@ -22,16 +19,7 @@
 
 impl Fleet {
     async fn start(count: usize) -> Self {
-        let store = StandInStore::start().await;
-        store.write_configuration(&document(5, "alpha"));
-        let mut machines = Vec::new();
-        for _ in 0..count {
-            let machine = Machine::start(&store, "alpha", 8).await;
-            machine.target.set_behaviour(TargetBehaviour::Slow(WORK_TIME));
-            machines.push(machine);
-        }
-        let all_know = || machines.iter().all(|machine| machine.node().targets.borrow().len() == count);
-        eventually("all are listed everywhere", all_know).await;
+        let (store, machines) = start_fleet(&vec!["alpha"; count], 8).await;
         Fleet { store, machines }
     }
 
--- a/crates/sidecar/tests/support/shop.rs
+++ b/crates/sidecar/tests/support/shop.rs
@@ -1,7 +1,10 @@
 //! A host with one route, and one machine for each of two services.
 
+use std::time::Duration;
+
 use super::caller::request;
 use super::store::StandInStore;
+use super::target::TargetBehaviour;
 use super::{eventually, Machine};
 
 /// The host of the route.
@@ -21,6 +24,25 @@
     request("GET", HOST, "/read/x", id, 5000, "")
 }
 
+/// How long the targets of [`start_fleet`] work on a call. With almost no work, a difference of a microsecond decides
+/// which target gets nearly all calls.
+const WORK_TIME: Duration = Duration::from_millis(4);
+
+/// Starts a store and a machine with a target of each of these services; `alpha` serves the route.
+pub async fn start_fleet(services: &[&str], slots: u32) -> (StandInStore, Vec<Machine>) {
+    let store = StandInStore::start().await;
+    store.write_configuration(&document(5, "alpha"));
+    let mut machines = Vec::new();
+    for service in services {
+        let machine = Machine::start(&store, service, slots).await;
+        machine.target.set_behaviour(TargetBehaviour::Slow(WORK_TIME));
+        machines.push(machine);
+    }
+    let all_know = || machines.iter().all(|machine| machine.node().targets.borrow().len() == services.len());
+    eventually("all are listed everywhere", all_know).await;
+    (store, machines)
+}
+
 /// Starts a store, a machine of `alpha` and one of `beta`.
 pub async fn two_machines() -> (StandInStore, Machine, Machine) {
     let store = StandInStore::start().await;
--- a/crates/sidecar/tests/target_limits.rs
+++ b/crates/sidecar/tests/target_limits.rs
@@ -6,10 +6,10 @@
 use std::time::{Duration, Instant};
 
 use support::caller::{call, Response};
-use support::shop::{document, read};
+use support::shop::{read, start_fleet};
 use support::store::StandInStore;
 use support::target::TargetBehaviour;
-use support::{eventually, run, start_sidecar, Machine};
+use support::{run, start_sidecar, Machine};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -19,8 +19,6 @@
 const TOLERANCE: (f64, f64) = (1.5, 5.0);
 /// How long after a target has named its limit the limit holds.
 const NOTICE_TIME: Duration = Duration::from_millis(500);
-/// How long a target works on a call.
-const WORK_TIME: Duration = Duration::from_millis(4);
 
 /// Machines whose first target has a limit.
 struct Fleet {
@@ -35,17 +33,7 @@
 
     /// Starts a machine for a target of each of these services. Calls go to `alpha`.
     async fn start_with(services: &[&str]) -> Self {
-        let count = services.len();
-        let store = StandInStore::start().await;
-        store.write_configuration(&document(5, "alpha"));
-        let mut machines = Vec::new();
-        for service in services {
-            let machine = Machine::start(&store, service, 64).await;
-            machine.target.set_behaviour(TargetBehaviour::Slow(WORK_TIME));
-            machines.push(machine);
-        }
-        let all_know = || machines.iter().all(|machine| machine.node().targets.borrow().len() == count);
-        eventually("all are listed everywhere", all_know).await;
+        let (store, machines) = start_fleet(services, 64).await;
         Fleet { store, machines }
     }
 
