Soak: count unserved calls unless the other target of their own service was taken away

The check left out all calls during an announcement of any target and planned work on any machine, 3 s more on both sides, so that some hundred calls were counted where thousands are.

The exception was too wide. This counts more calls than before, with the same bound; a test of the check shows that planned work on another service excuses nothing.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -269,15 +269,21 @@
     found
 }
 
-/// Whether no target may have had capacity for a call: while one of a service had a rate limit or was draining by its
-/// announcement, planned work may have taken another one away.
+/// Whether no target may have had capacity for a call: while one target of a service that it needs had announced a rate
+/// limit or a drain, planned work may have taken another one of that service away.
 fn may_lack_capacity(record: &SoakRecord, call: &CallRecord) -> bool {
     let (begin, end) = (call.sent.checked_sub(SETTLE_TIME).unwrap_or(call.sent), call.ended);
     let overlaps = |from: Instant, until: Instant| from <= end && until >= begin;
-    let is_announced = record.announcements.iter().any(|span| overlaps(span.from, span.until));
-    let is_drained = || record.drains.iter().any(|drain| overlaps(drain.acked, drain.until));
-    let is_stopped = || record.stops.iter().any(|stop| overlaps(stop.requested, stop.requested + stop.grace));
-    is_announced && (is_drained() || is_stopped())
+    let announcing = record.announcements.iter().filter(|span| overlaps(span.from, span.until));
+    let drained = record.drains.iter().filter(|drain| overlaps(drain.acked, drain.until)).map(|drain| drain.machine);
+    let stops = record.stops.iter().filter(|stop| overlaps(stop.requested, stop.requested + stop.grace));
+    let unavailable: Vec<usize> = drained.chain(stops.map(|stop| stop.machine)).collect();
+    announcing.into_iter().any(|span| {
+        let service = MachineAddrs::service_of(span.machine);
+        let is_without_others =
+            unavailable.iter().any(|machine| *machine != span.machine && MachineAddrs::service_of(*machine) == service);
+        is_without_others && call.kind.may_need(service)
+    })
 }
 
 fn was_stopping(record: &SoakRecord, call: &CallRecord) -> bool {
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Whether its requests, or the calls that targets make for them, may need a target of this service.
+    pub fn may_need(self, service: &str) -> bool {
+        match self {
+            RouteKind::Chain => service == "alpha" || service == "beta",
+            _ => self.service().is_none_or(|own| own == service),
+        }
+    }
+
     /// Whether its requests may run more than once.
     pub fn is_retryable(self) -> bool {
         self != RouteKind::Pay
--- a/crates/soak/src/target_status.rs
+++ b/crates/soak/src/target_status.rs
@@ -96,6 +96,8 @@
 /// A time span during which a target announced something.
 #[derive(Clone, Copy, Debug)]
 pub struct AnnouncementSpan {
+    /// The target's machine.
+    pub machine: usize,
     /// When it began.
     pub from: Instant,
     /// When it ended.
@@ -122,7 +124,11 @@
             let spans = announce_limits(machine, &[limit, limit * change], duration / 2).await;
             record.borrow_mut().rate_limits.extend(spans);
         }
-        record.borrow_mut().announcements.push(AnnouncementSpan { from, until: Instant::now() });
+        record.borrow_mut().announcements.push(AnnouncementSpan {
+            machine: machine.addrs.number,
+            from,
+            until: Instant::now(),
+        });
     }
 }
 
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -7,7 +7,7 @@
 use quillhatch_soak::record::{
     CallEnd, CallRecord, ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan,
 };
-use quillhatch_soak::target_status::{ArrivalRecord, RateLimitSpan, ResponderStatus};
+use quillhatch_soak::target_status::{AnnouncementSpan, ArrivalRecord, RateLimitSpan, ResponderStatus};
 use quillhatch_soak::tenancy::SoakKey;
 use test_case::test_case;
 
@@ -311,3 +311,18 @@
     scenario.record.restarts.push(ProcessRestart { machine: ALPHA, at });
     assert_eq!(scenario.violated_guarantees(), [], "the restarted process doesn't know");
 }
+
+#[test]
+fn unserved_calls_count_unless_the_other_target_of_their_service_was_taken_away() {
+    let mut scenario = Scenario::new();
+    for number in 0..4 {
+        scenario.call(&format!("x-{number}"), RouteKind::Read, 6_000, status(503));
+    }
+    let (from, until) = (scenario.at(5_000), scenario.at(8_000));
+    scenario.record.announcements.push(AnnouncementSpan { machine: BETA, from, until });
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::Served]);
+    scenario.record.drains.push(DrainSpan { machine: GAMMA + 3, acked: from, until });
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::Served], "a target of another service");
+    scenario.record.drains.push(DrainSpan { machine: BETA + 3, acked: from, until });
+    assert_eq!(scenario.violated_guarantees(), []);
+}
