Failing tests: a drain notice of a target whose restart the store shows only after it

A target starts again under its id while the nodes can't read the store, and its second process announces a drain in its responses only.

--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -124,3 +124,51 @@
         assert_eq!(leaving.take_arrivals().len(), 0, "calls after the drain bound");
     });
 }
+
+/// Lets the first target start again with its identity while the nodes can't read the store, and then announce a drain.
+/// Returns once the store is back and shows the restart.
+async fn restart_and_leave_in_outage(fleet: &Fleet, outbound: &[SocketAddr]) {
+    let leaving = &fleet.machines[0].target;
+    leaving.set_health_shows_status(false);
+    keep_calling(outbound, "before", Duration::from_millis(500)).await;
+    fleet.store.set_mode(StoreMode::Status(503));
+    sleep(Duration::from_millis(500)).await;
+    leaving.restart_with_same_id();
+    fleet.store.register(leaving, "ready");
+    keep_calling(outbound, "restarted", Duration::from_millis(500)).await;
+    leaving.set_leaving(true);
+    keep_calling(outbound, "leaving", BOUNDS.drain).await;
+    fleet.store.set_mode(StoreMode::Normal);
+    let shows_restart = |machine: &Machine| {
+        let targets = machine.node().targets.borrow();
+        targets.get(&leaving.id()).is_some_and(|target| target.registration.started == leaving.start_time_ms())
+    };
+    eventually("all know the restart", || fleet.machines.iter().all(shows_restart)).await;
+}
+
+#[test]
+fn a_target_that_restarted_unseen_and_is_leaving_gets_no_calls_once_its_registration_shows_the_restart() {
+    run(async {
+        let fleet = Fleet::start(4).await;
+        restart_and_leave_in_outage(&fleet, &fleet.outbound()).await;
+        fleet.machines[0].target.take_arrivals();
+        keep_calling(&fleet.outbound(), "left", Duration::from_secs(3)).await;
+        assert_eq!(fleet.machines[0].target.take_arrivals().len(), 0, "calls after the drain bound");
+    });
+}
+
+#[test]
+fn a_target_that_restarted_unseen_and_is_leaving_gets_no_calls_after_a_restart_of_its_node() {
+    run(async {
+        let mut fleet = Fleet::start(4).await;
+        let outbound = fleet.outbound()[1..].to_vec();
+        restart_and_leave_in_outage(&fleet, &outbound).await;
+        let Machine { target, sidecar, address } = fleet.machines.remove(0);
+        sidecar.stop().await;
+        let restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
+        eventually("its node has restarted", || restarted.node.is_ready()).await;
+        target.take_arrivals();
+        keep_calling(&outbound, "left", Duration::from_secs(2)).await;
+        assert_eq!(target.take_arrivals().len(), 0, "calls of machines that know");
+    });
+}
