--- a/crates/sidecar/tests/target_limits.rs
+++ b/crates/sidecar/tests/target_limits.rs
@@ -7,9 +7,9 @@
 
 use support::caller::{call, Response};
 use support::shop::{read, start_fleet};
-use support::store::StandInStore;
-use support::target::TargetBehaviour;
-use support::{run, start_sidecar, Machine};
+use support::store::{StandInStore, StoreMode};
+use support::target::{StandInTarget, TargetBehaviour};
+use support::{eventually, run, start_sidecar, Machine};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -88,8 +88,13 @@
     arrivals.iter().map(in_window).max().unwrap_or_default()
 }
 
+/// When requests arrived since this was last called.
+fn arrivals_of(target: &StandInTarget) -> Vec<Instant> {
+    target.take_arrivals().into_iter().map(|arrival| arrival.at).collect()
+}
+
 fn arrivals_since(machine: &Machine, since: Instant) -> Vec<Instant> {
-    machine.target.take_arrivals().into_iter().map(|arrival| arrival.at).filter(|at| *at >= since).collect()
+    arrivals_of(&machine.target).into_iter().filter(|at| *at >= since).collect()
 }
 
 fn max_allowed(limit: f64) -> usize {
@@ -127,10 +132,7 @@
         target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(700)));
         let _restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
         send(&outbound, "restarted", 200, Duration::from_secs(2)).await;
-        let arrivals: Vec<Instant> = target.take_arrivals().into_iter().map(|arrival| arrival.at).collect();
-        let most = max_in_window(&arrivals);
-        assert!(most <= max_allowed(5.5), "{most} requests in {WINDOW:?}, {} are allowed", max_allowed(5.5));
-        assert!(most > 0, "it still gets calls");
+        assert_within_limit(&arrivals_of(&target), 5.5);
     });
 }
 
@@ -213,3 +215,56 @@
         assert_eq!(responses.served, 100);
     });
 }
+
+/// Lets the limited target, which is slow, start again with its identity while the nodes can't read the store, and then
+/// name a limit. Returns once the store is back and shows the restart.
+async fn restart_and_name_limit_in_outage(fleet: &Fleet, outbound: &[SocketAddr]) {
+    let target = &fleet.limited().target;
+    target.set_health_shows_status(false);
+    fleet.store.set_mode(StoreMode::Status(503));
+    sleep(NOTICE_TIME).await;
+    target.restart_with_same_id();
+    fleet.store.register(target, "ready");
+    target.set_rate_limit(Some("5.5"));
+    send(outbound, "notice", 200, Duration::from_secs(1)).await;
+    target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(700)));
+    target.take_arrivals();
+    fleet.store.set_mode(StoreMode::Normal);
+    let shows_restart = |machine: &Machine| {
+        let targets = machine.node().targets.borrow();
+        targets.get(&target.id()).is_some_and(|listed| listed.registration.started == target.start_time_ms())
+    };
+    eventually("all know the restart", || fleet.machines.iter().all(shows_restart)).await;
+}
+
+fn assert_within_limit(arrivals: &[Instant], limit: f64) {
+    let most = max_in_window(arrivals);
+    assert!(most <= max_allowed(limit), "{most} requests in {WINDOW:?}, {} are allowed", max_allowed(limit));
+    assert!(most > 0, "it still gets calls");
+}
+
+#[test]
+fn the_limit_of_a_target_that_restarted_unseen_holds_once_its_registration_shows_the_restart() {
+    run(async {
+        let fleet = Fleet::start_with(&["alpha", "beta", "beta", "beta", "beta", "beta"]).await;
+        let outbound: Vec<SocketAddr> = fleet.machines[1..].iter().map(Machine::outbound).collect();
+        restart_and_name_limit_in_outage(&fleet, &outbound).await;
+        send(&outbound, "shown", 200, Duration::from_secs(2)).await;
+        assert_within_limit(&arrivals_of(&fleet.limited().target), 5.5);
+    });
+}
+
+#[test]
+fn the_limit_of_a_target_that_restarted_unseen_holds_after_a_restart_of_its_node() {
+    run(async {
+        let mut fleet = Fleet::start_with(&["alpha", "beta", "beta", "beta", "beta", "beta"]).await;
+        let outbound: Vec<SocketAddr> = fleet.machines[1..].iter().map(Machine::outbound).collect();
+        restart_and_name_limit_in_outage(&fleet, &outbound).await;
+        let Machine { target, sidecar, address } = fleet.machines.remove(0);
+        sidecar.stop().await;
+        target.take_arrivals();
+        let _restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
+        send(&outbound, "restarted", 200, Duration::from_secs(2)).await;
+        assert_within_limit(&arrivals_of(&target), 5.5);
+    });
+}
