Failing test: crashes of a target that keeps restarting under its id while the store can't be read

Each crash is stamped with the start of the process as the store last showed it, so that all of them count as one: 24 crashes of one target by one request in 6 s, 6 allowed.

--- a/crates/sidecar/tests/crashing_requests.rs
+++ b/crates/sidecar/tests/crashing_requests.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use support::caller::{call, request, Response};
-use support::store::StandInStore;
+use support::store::{StandInStore, StoreMode};
 use support::target::{ChainedCall, CrashRule, TargetBehaviour};
 use support::{eventually, run, start_sidecar, Machine, OUTBOUND};
 use tokio::time::{sleep, Instant};
@@ -287,3 +287,14 @@
         assert_served_everywhere(&fleet, "/read/lost").await;
     });
 }
+
+#[test]
+fn a_target_that_keeps_restarting_unseen_is_not_crashed_again_and_again() {
+    run(async {
+        let fleet = Fleet::start_with(1, true).await;
+        fleet.store.set_mode(StoreMode::Status(503));
+        fleet.send_copies(CRASHING_PATH, "crashing", Duration::from_secs(6)).await;
+        let crashes = fleet.crash_count();
+        assert!((3..=MAX_CRASHES).contains(&crashes), "{crashes} crashes of one target");
+    });
+}
