Soak: long outages of the store in which targets restart unseen and then announce limits or drains

The schedule is seeded apart, so that seeds without the option play as before.

Responses to calls of targets count as notices for the machine of the calling target, which makes both checks stricter. The names of the platform's headers move from the soak into platform/.

--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -29,7 +29,7 @@
     }
 
     fn operands(&self) -> &'static str {
-        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm]"
+        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages]"
     }
 
     fn declare(&self, options: &mut Options) {
@@ -44,6 +44,7 @@
         options.optopt("", "program", "the quillhatch program (default beside this one)", "FILE");
         options.optopt("", "folder", "where settings and logs are kept (default the system's folder for such)", "DIR");
         options.optflag("", "calm", "only planned work, no faults");
+        options.optflag("", "outages", "also long outages of the store, in which targets restart under their ids");
     }
 
     fn run(&self, arguments: &Arguments) -> Result<Verdict, CommandError> {
@@ -55,12 +56,21 @@
         let program = arguments.text("program").map_or_else(beside_this_program, |text| Ok(PathBuf::from(text)));
         arguments.limit_operands(0);
         arguments.check()?;
-        let has_faults = !arguments.has("calm");
+        let (has_faults, has_outages) = (!arguments.has("calm"), arguments.has("outages"));
         let folder = make_folder(&parent, seed)?;
         println!("seed {seed}, {seconds} s, settings and logs in {}", folder.display());
         let duration = Duration::from_secs(seconds);
         let links = Some(std::env::current_exe()?);
-        let options = SoakOptions { program: program?, links, folder, seed, duration, targets_per_service, has_faults };
+        let options = SoakOptions {
+            program: program?,
+            links,
+            folder,
+            seed,
+            duration,
+            targets_per_service,
+            has_faults,
+            has_outages,
+        };
         let report = run(&options)?;
         print(&report);
         Ok(Verdict::of(report.violations.is_empty()))
--- a/crates/quillhatch/tests/soak.rs
+++ b/crates/quillhatch/tests/soak.rs
@@ -18,6 +18,7 @@
         duration: Duration::from_secs(8),
         targets_per_service: DEFAULT_TARGETS_PER_SERVICE,
         has_faults: false,
+        has_outages: false,
     };
     let report = run(&options).expect("the machines start");
     assert!(report.record.calls.len() > 500, "{} calls", report.record.calls.len());
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,7 +6,8 @@
 //! respond. One kind of request crashes the targets that run it. The guarantees are checked against what callers and
 //! targets observed, never against the product's own counters.
 //!
-//! Rounds of faults alternate with fault-free rounds of planned work. Some guarantees hold at any time
+//! Rounds of faults alternate with fault-free rounds of planned work. In addition,
+//! long outages of the store may be played ([`outages`]). Some guarantees hold at any time
 //! ([`checks::check_always`]); those with a time bound hold only without recent faults ([`checks::check_fault_free`]).
 
 pub mod checks;
@@ -15,6 +16,7 @@
 pub mod layout;
 pub mod links;
 pub mod machine;
+pub mod outages;
 pub mod proxy;
 pub mod record;
 pub mod run;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -35,6 +35,8 @@
     pub store: StandInStore,
     /// The link from the other machines.
     pub link: MachineLink,
+    /// Whether a schedule lets the target announce a rate limit or a drain.
+    pub is_announcing: Cell<bool>,
     /// Whether callers may open connections to the process.
     pub accepts_callers: Cell<bool>,
     process: RefCell<Option<Child>>,
@@ -87,6 +89,7 @@
             target,
             store,
             link,
+            is_announcing: Cell::new(false),
             accepts_callers: Cell::new(true),
             process: RefCell::default(),
             starts: RefCell::default(),
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::layout::{RouteKind, CRASH_DOWNTIME};
-use crate::target_status::{AnnouncementSpan, ArrivalRecord, RateLimitSpan, ResponderStatus};
+use crate::target_status::{AnnouncementSpan, ArrivalRecord, NestedResponse, RateLimitSpan, ResponderStatus};
 use crate::tenancy::SoakKey;
 
 /// How a call ended for its caller. The soak prints the names of the variants.
@@ -144,6 +144,8 @@
     pub restarts: Vec<ProcessRestart>,
     /// Arrivals of requests at targets.
     pub arrivals: Vec<ArrivalRecord>,
+    /// Responses to calls that targets made.
+    pub nested_responses: Vec<NestedResponse>,
     /// Rate limits that targets announced.
     pub rate_limits: Vec<RateLimitSpan>,
     /// When targets had announced a rate limit or a drain.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 
 use quillhatch_platform_standins::caller::Caller;
 use quillhatch_platform_standins::store::StandInStore;
-use quillhatch_platform_standins::target::{HealthStatus, ReceivedRequest};
+use quillhatch_platform_standins::target::{ChainedResponse, HealthStatus, ReceivedRequest};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
@@ -21,8 +21,9 @@
 use crate::layout::{document, MachineAddrs, SoakNet, SERVICES};
 use crate::links::LinkProcess;
 use crate::machine::SoakMachine;
+use crate::outages::play_outages;
 use crate::record::{ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan};
-use crate::target_status::{play_announcements, ArrivalRecord};
+use crate::target_status::{play_announcements, ArrivalRecord, NestedResponse};
 use crate::traffic::SoakCaller;
 
 /// The total number of callers; with more machines than this, each machine has one.
@@ -48,6 +49,8 @@
 const DRAIN_SCHEDULE_SEED: u64 = 0x1eaf;
 /// Combined with the soak's seed for the schedule of what targets announce in their responses.
 const ANNOUNCEMENT_SCHEDULE_SEED: u64 = 0x5a1d;
+/// Combined with the soak's seed for the schedule of outages.
+const OUTAGE_SCHEDULE_SEED: u64 = 0x0fa1;
 /// How long a target stays draining or deregistered.
 const DRAIN_DURATION: Duration = Duration::from_millis(4500);
 /// How long callers continue to use a process after it was asked to stop: until it has failed two readiness probes,
@@ -84,6 +87,8 @@
     pub targets_per_service: usize,
     /// Whether faults are injected; without them only planned work is done.
     pub has_faults: bool,
+    /// Whether long outages of the store are played as well, in which targets restart unseen.
+    pub has_outages: bool,
 }
 
 /// The result of a soak.
@@ -129,7 +134,12 @@
     let callers = run.start_callers(end);
     let schedule = Pcg64::seed_from_u64(options.seed ^ ANNOUNCEMENT_SCHEDULE_SEED);
     let announcements = play_announcements(run.machines.clone(), Rc::clone(&run.record), schedule, end);
-    let announcements = spawn_local(announcements);
+    let mut schedules = vec![spawn_local(announcements)];
+    if options.has_outages {
+        let schedule = Pcg64::seed_from_u64(options.seed ^ OUTAGE_SCHEDULE_SEED);
+        let outages = play_outages(run.machines.clone(), Rc::clone(&run.record), schedule, end);
+        schedules.push(spawn_local(outages));
+    }
     while Instant::now() < end {
         if options.has_faults {
             run.fault_round().await;
@@ -141,7 +151,9 @@
         // A caller that failed here has panicked, and its calls are missing from the record.
         caller.await.map_err(io::Error::other)?;
     }
-    announcements.await.map_err(io::Error::other)?;
+    for schedule in schedules {
+        schedule.await.map_err(io::Error::other)?;
+    }
     sleep(LAST_CALLS_TIMEOUT).await;
     Ok(run.report())
 }
@@ -328,6 +340,12 @@
             record.crashes.extend(runs.iter().filter(|run| run.crashes_targets()).map(|run| run.at));
             record.runs.extend(runs);
             record.arrivals.extend(machine.target.take_arrivals().into_iter().map(ArrivalRecord::from));
+            let responses = machine.target.take_chained_responses().into_iter();
+            record.nested_responses.extend(responses.map(|ChainedResponse { at, responder }| NestedResponse {
+                machine: number,
+                at,
+                responder,
+            }));
             record.max_running = record.max_running.max(machine.target.max_running() as u32);
         }
     }
--- a/crates/soak/src/target_status.rs
+++ b/crates/soak/src/target_status.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use quillhatch_platform_standins::caller::Response;
+pub use quillhatch_platform_standins::target::ResponderStatus;
 use quillhatch_platform_standins::target::{Arrival, CHAINED_SUFFIX};
 use rand::Rng;
 use rand_pcg::Pcg64;
@@ -38,28 +38,6 @@
 /// The rounding error of the integral.
 const ROUNDING_ERROR: f64 = 1e-6;
 
-/// What a target announced in a response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct ResponderStatus {
-    /// The target's process; empty if it announced nothing, or if a node responded.
-    pub process: String,
-    /// Whether the response had a rate limit.
-    pub has_rate_limit: bool,
-    /// Whether the target was draining.
-    pub is_leaving: bool,
-}
-
-impl ResponderStatus {
-    /// Reads the announcement from a response's headers.
-    pub fn read(response: &Response) -> Self {
-        ResponderStatus {
-            process: response.header("target-process").to_owned(),
-            has_rate_limit: !response.header("server-limit").is_empty(),
-            is_leaving: response.header("server-leaving") == "1",
-        }
-    }
-}
-
 /// The arrival of a request at a target, whether it ran or not.
 #[derive(Clone, Debug)]
 pub struct ArrivalRecord {
@@ -80,6 +58,17 @@
     }
 }
 
+/// The response to a call that a target made.
+#[derive(Clone, Debug)]
+pub struct NestedResponse {
+    /// The machine of the target that had made the call.
+    pub machine: usize,
+    /// When the target received it.
+    pub at: Instant,
+    /// What the target that responded announced.
+    pub responder: ResponderStatus,
+}
+
 /// A time span during which a target announced a rate limit.
 #[derive(Clone, Debug)]
 pub struct RateLimitSpan {
@@ -115,6 +104,9 @@
         sleep(Duration::from_millis(random.gen_range(PAUSE_MS))).await;
         let machine = &machines[random.gen_range(0..machines.len())];
         let duration = Duration::from_millis(random.gen_range(DURATION_MS));
+        if machine.is_announcing.replace(true) {
+            continue;
+        }
         let from = Instant::now();
         if random.gen_bool(DRAIN_PROBABILITY) {
             drain(machine, duration, random.gen()).await;
@@ -129,6 +121,7 @@
             from,
             until: Instant::now(),
         });
+        machine.is_announcing.set(false);
     }
 }
 
@@ -150,7 +143,7 @@
 }
 
 /// Lets a target announce these limits one after the other, each for `duration`.
-async fn announce_limits(machine: &SoakMachine, limits: &[f64], duration: Duration) -> Vec<RateLimitSpan> {
+pub(crate) async fn announce_limits(machine: &SoakMachine, limits: &[f64], duration: Duration) -> Vec<RateLimitSpan> {
     let process = machine.target.process();
     let mut spans = Vec::new();
     for per_second in limits {
@@ -201,10 +194,10 @@
     }
 }
 
-/// When machines received an announcement of a target's process. A node that was restarted has lost it.
+/// When machines passed on an announcement of a target's process. A node that was restarted has lost it.
 struct Notices<'a> {
     record: &'a SoakRecord,
-    /// The ends of calls with such a response, in order, by machine.
+    /// The times of such responses, to callers or to targets that had made a call, in order, by machine.
     times: HashMap<usize, Vec<Instant>>,
 }
 
@@ -214,6 +207,10 @@
         for call in record.calls.iter().filter(|call| is_notice(&call.responder)) {
             times.entry(call.machine).or_default().push(call.ended);
         }
+        for response in record.nested_responses.iter().filter(|response| is_notice(&response.responder)) {
+            times.entry(response.machine).or_default().push(response.at);
+        }
+        times.values_mut().for_each(|times| times.sort_unstable());
         Notices { record, times }
     }
 
@@ -286,8 +283,10 @@
 /// passed on a response with its announcement.
 fn drain_violations(record: &SoakRecord, origins: &Origins) -> Vec<Violation> {
     let mut notices: HashMap<&str, Notices> = HashMap::new();
-    for call in record.calls.iter().filter(|call| call.responder.is_leaving) {
-        let process = call.responder.process.as_str();
+    let of_calls = record.calls.iter().map(|call| &call.responder);
+    let responders = of_calls.chain(record.nested_responses.iter().map(|response| &response.responder));
+    for responder in responders.filter(|responder| responder.is_leaving) {
+        let process = responder.process.as_str();
         notices
             .entry(process)
             .or_insert_with(|| Notices::new(record, |responder| responder.process == process && responder.is_leaving));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -7,7 +7,7 @@
 use quillhatch_soak::record::{
     CallEnd, CallRecord, ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan,
 };
-use quillhatch_soak::target_status::{AnnouncementSpan, ArrivalRecord, RateLimitSpan, ResponderStatus};
+use quillhatch_soak::target_status::{AnnouncementSpan, ArrivalRecord, NestedResponse, RateLimitSpan, ResponderStatus};
 use quillhatch_soak::tenancy::SoakKey;
 use test_case::test_case;
 
@@ -312,6 +312,18 @@
     assert_eq!(scenario.violated_guarantees(), [], "the restarted process doesn't know");
 }
 
+#[test]
+fn a_drain_that_a_target_learns_from_the_response_to_its_call_counts_for_its_machine() {
+    let mut scenario = Scenario::new();
+    scenario.arrive(4_000);
+    assert_eq!(scenario.violated_guarantees(), []);
+    let responder = ResponderStatus { is_leaving: true, ..responder() };
+    scenario.record.nested_responses.push(NestedResponse { machine: BETA, at: scenario.at(5_000), responder });
+    assert_eq!(scenario.violated_guarantees(), [], "another machine");
+    scenario.record.nested_responses[0].machine = ALPHA;
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::AnnouncedDrain]);
+}
+
 #[test]
 fn unserved_calls_count_unless_the_other_target_of_their_service_was_taken_away() {
     let mut scenario = Scenario::new();
