Log the start of a target's process where it decides what an announcement belongs to

Lines target, target-restarted and target-leaving carry the start of the process, target-restarted whether the target is still called draining, and the node beside a target writes target-rate-limit when it forgets a limit at a restart. No behaviour changes.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -164,7 +164,10 @@
     }
     if let Some(started) = report.drain_notice {
         if node.targets.borrow_mut().record_drain_notice(&target.id, started, now) {
-            node.log(&format!("\"event\":\"target-leaving\",\"target\":\"{}\",\"leaving\":true", target.id));
+            node.log(&format!(
+                "\"event\":\"target-leaving\",\"target\":\"{}\",\"leaving\":true,\"started\":{started}",
+                target.id
+            ));
         }
     }
     node.parent_tracker.borrow_mut().record_caller_kind(&call.route.name, report.caller_kind);
--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -26,10 +26,13 @@
     pub fn current(&self) -> TargetStatus {
         self.status.get()
     }
+}
 
-    /// Forgets the status: the target's process has restarted.
-    pub fn reset(&self) {
-        self.status.take();
+/// Forgets the status of the local target, and logs whether it had a rate limit: its process has restarted.
+pub fn forget_status(node: &Node, target: &str) {
+    let before = node.local_target_status.status.take();
+    if before.rate_limit.is_some() {
+        log_rate_limit(node, target, None, before.rate_limit);
     }
 }
 
@@ -67,14 +70,11 @@
     let before = local.status.replace(status);
     node.target_limiter.borrow_mut().record_response(target, status.rate_limit, node.now());
     if before.rate_limit != status.rate_limit {
-        node.log(&format!(
-            "\"event\":\"target-rate-limit\",\"target\":{target:?},\"per_second\":{},\"before\":{}",
-            json_number(status.rate_limit),
-            json_number(before.rate_limit)
-        ));
+        log_rate_limit(node, target, status.rate_limit, before.rate_limit);
     }
     if status.is_draining && node.targets.borrow_mut().record_drain_notice(target, 0, node.now()) {
-        node.log(&format!("\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":true"));
+        let started = node.targets.borrow().drain_notice(target).unwrap_or_default();
+        node.log(&format!("\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":true,\"started\":{started}"));
         local_target::update_gate(node);
     }
 }
@@ -100,6 +100,13 @@
     }
 }
 
+fn log_rate_limit(node: &Node, target: &str, current: Option<f64>, before: Option<f64>) {
+    let (current, before) = (json_number(current), json_number(before));
+    node.log(&format!(
+        "\"event\":\"target-rate-limit\",\"target\":{target:?},\"per_second\":{current},\"before\":{before}"
+    ));
+}
+
 fn json_number(number: Option<f64>) -> String {
     number.map_or_else(|| "null".to_owned(), |number| number.to_string())
 }
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -157,7 +157,7 @@
 pub fn handle_restart(node: &Rc<Node>, id: &TargetId) {
     gate::target_restarted(node, id);
     node.target_limiter.borrow_mut().reset();
-    node.local_target_status.reset();
+    gate::forget_status(node, id);
     mark_unverified(node);
 }
 
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -7,7 +7,7 @@
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::replica::{Change, Update, UpdateError, UpdateScope};
 use quillhatch_mesh::store_reader::{may_have_expired, reregistration_timeout_after_restore, REREGISTRATION_TIMEOUT};
-use quillhatch_mesh::targets::{GracePeriod, TargetId};
+use quillhatch_mesh::targets::{GracePeriod, TargetId, TargetProcess};
 use quillhatch_types::Timestamp;
 use tokio::time::sleep;
 
@@ -90,12 +90,13 @@
                 // One response may contain the removal of a target and then its registration.
                 gone.retain(|removed| *removed != id);
                 node.log(&format!(
-                    "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{}",
-                    registration.service, registration.address, registration.draining
+                    "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{},\"started\":{}",
+                    registration.service, registration.address, registration.draining, registration.started
                 ));
-                let has_restarted = node.targets.borrow_mut().update(id.clone(), registration, now);
+                let before = node.targets.borrow().process(&id);
+                let has_restarted = node.targets.borrow_mut().update(id, registration, now);
                 if has_restarted {
-                    handle_restart(node, &id);
+                    handle_restart(node, &before);
                 }
             }
             Change::UnusableTarget(id, why) => {
@@ -123,8 +124,13 @@
 }
 
 /// Handles a restart of a target under the same identity: everything measured before is discarded.
-fn handle_restart(node: &Rc<Node>, id: &TargetId) {
-    node.log(&format!("\"event\":\"target-restarted\",\"target\":\"{id}\""));
+fn handle_restart(node: &Rc<Node>, before: &TargetProcess) {
+    let TargetProcess { id, started: previous } = before;
+    let started = node.targets.borrow().process(id).started;
+    let is_draining = node.targets.borrow().is_draining(id);
+    node.log(&format!(
+        "\"event\":\"target-restarted\",\"target\":\"{id}\",\"started\":{started},\"before\":{previous},\"draining\":{is_draining}"
+    ));
     node.load_balancer.borrow_mut().reset_target(id);
     if node.local_target_id.borrow().as_ref() == Some(id) {
         local_target::handle_restart(node, id);
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -167,6 +167,11 @@
         alpha.target.restart_with_same_id();
         store.register(&alpha.target, "ready");
         eventually("the restart is logged", || !lines_of("target-restarted", &alpha.target.id()).is_empty()).await;
+        let restarted = first_line("target-restarted", &alpha.target.id());
+        assert_eq!(
+            (&restarted["started"], &restarted["draining"]),
+            (&alpha.target.start_time_ms().into(), &false.into())
+        );
         store.write("servers/odd", Some("{}"));
         eventually("the invalid entry is logged", || !lines_of("target-unusable", "odd").is_empty()).await;
         sleep(Duration::from_millis(50)).await;
