Tie a drain notice to the time at which its process was running, not to the start that was known then

Callers saw: a target started again under its id while the nodes could not read the store, its second process announced a drain in its responses, and machines that had passed such responses on called it again once the store showed the new start.

Cause: a notice was stamped with the start of the process as the node knew it, which during an outage is that of an earlier process. The registration of the process that had announced the drain then looked like that of a later one and ended the notice; and while a notice of the first process was known, one of the second was ignored.

Now a notice carries a time at which its process was running: when the node beside the target sent it the request to which it responded. The connection belongs to one process, which had started by then and had not ended, so the process that is meant is the last one that had started by that time, whichever starts are known. The node's clock and the target's are those of one machine; a step back of the time of day is not followed, and a process that was listed before the request was sent is never taken for a later one.

Ruled out: dropping the notice when the gate has seen the target refuse connections (a restart may go unseen), and asking the target anew after each restart (its health check may lack the header).

--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -12,7 +12,7 @@
 use quillhatch_types::Timestamp;
 
 pub use grace::{GracePeriod, GraceReason, PARTITION_GRACE};
-pub use registration::{Registration, Target, TargetId, TargetProcess};
+pub use registration::{Registration, RunningAt, Target, TargetId, TargetProcess};
 pub use status::TargetStatus;
 
 /// All listed targets.
@@ -38,8 +38,8 @@
 /// The notice of a target, in its responses, that it is draining.
 #[derive(Clone, Copy, Debug)]
 struct DrainNotice {
-    /// The [`Registration::started`] of the process that is draining; zero if it is not known yet.
-    started: u64,
+    /// When the process that is draining was running; zero if it is not known.
+    running_at: RunningAt,
     received: Timestamp,
 }
 
@@ -260,29 +260,36 @@
     /// Whether the current process of a target has sent a drain notice. The notice of an earlier process is forgotten.
     fn applies_drain_notice(&mut self, id: &str, registration: &Registration) -> bool {
         let Some(notice) = self.draining.get_mut(id) else { return false };
-        if notice.started != 0 && registration.started > notice.started {
+        if notice.running_at == RunningAt::default() {
+            notice.running_at = RunningAt(registration.started);
+        }
+        if notice.running_at.precedes(registration.started) {
             self.draining.remove(id);
             return false;
         }
-        notice.started = notice.started.max(registration.started);
         true
     }
 
-    /// Records a drain notice of a target. `started` is the [`Registration::started`] of its process as far as its gate
-    /// knows it, else zero. Returns whether the notice is new.
+    /// Records a drain notice of the target's process that was running at `running_at`; zero if that is not known.
+    /// Returns whether the target was not known to be draining.
     ///
     /// The notice is final for that process. The store may still list the target as ready.
-    pub fn record_drain_notice(&mut self, id: &str, started: u64, now: Timestamp) -> bool {
+    pub fn record_drain_notice(&mut self, id: &str, running_at: RunningAt, now: Timestamp) -> bool {
         let listed = self.by_id.get(id).cloned();
         let known = listed.as_ref().map_or(0, |target| target.registration.started);
-        let is_outdated = started != 0 && started < known;
-        if is_outdated || self.draining.contains_key(id) {
+        let is_outdated = running_at != RunningAt::default() && running_at.precedes(known);
+        if is_outdated {
+            return false;
+        }
+        if let Some(notice) = self.draining.get_mut(id) {
+            // It may be the notice of a later process, whose registration is not known yet.
+            notice.running_at = notice.running_at.max(running_at);
             return false;
         }
         let by_id = &self.by_id;
         self.draining
             .retain(|other, notice| by_id.contains_key(other) || now.since(notice.received) < DRAIN_NOTICE_RETENTION);
-        let notice = DrainNotice { started: started.max(known), received: now };
+        let notice = DrainNotice { running_at: running_at.max(RunningAt(known)), received: now };
         self.draining.insert(TargetId::from(id), notice);
         if let Some(target) = listed {
             let grace = self.grace_period(id);
@@ -292,9 +299,9 @@
         true
     }
 
-    /// The start of the process of a target that has sent a drain notice; zero if the start is not known.
-    pub fn drain_notice(&self, id: &str) -> Option<u64> {
-        self.draining.get(id).map(|notice| notice.started)
+    /// When the process of a target that has sent a drain notice was running.
+    pub fn drain_notice(&self, id: &str) -> Option<RunningAt> {
+        self.draining.get(id).map(|notice| notice.running_at)
     }
 
     /// Whether a target is draining, according to its registration or to its responses.
--- a/crates/mesh/src/targets/registration.rs
+++ b/crates/mesh/src/targets/registration.rs
@@ -19,6 +19,21 @@
     pub started: u64,
 }
 
+/// A time at which the present process of a target was running, in Unix milliseconds of its machine's clock.
+///
+/// A target that restarts under its identity may announce something before its registration shows the restart, and the
+/// start of the process that announced it is unknown then. This time orders the announcement among the starts of the
+/// target's processes: it belongs to the last one that had started by then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunningAt(pub u64);
+
+impl RunningAt {
+    /// Whether a process with this [`Registration::started`] started later, so that it is another one.
+    pub fn precedes(self, started: u64) -> bool {
+        started > self.0
+    }
+}
+
 /// The registration of a target in the platform's store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
@@ -34,7 +49,7 @@
     pub draining: bool,
     /// How long the target will still be slow after its start.
     pub cold_for: Duration,
-    /// When the target's process started, in milliseconds of its own clock; zero if unknown.
+    /// When the target's process started, in Unix milliseconds of its machine's clock; zero if unknown.
     pub started: u64,
     /// The number of times the process has written its registration.
     pub sequence: u64,
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::targets::{Registration, TargetTable};
+use quillhatch_mesh::targets::{Registration, RunningAt, TargetTable};
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
@@ -174,8 +174,8 @@
     let id: Arc<str> = Arc::from("t");
     let is_draining = |targets: &TargetTable| targets.get("t").map(|target| target.registration.draining);
     targets.update(id.clone(), started_at(5), Timestamp::ZERO);
-    assert!(targets.record_drain_notice("t", 5, milliseconds(10)));
-    assert!(!targets.record_drain_notice("t", 5, milliseconds(20)), "it is known already");
+    assert!(targets.record_drain_notice("t", RunningAt(5), milliseconds(10)));
+    assert!(!targets.record_drain_notice("t", RunningAt(5), milliseconds(20)), "it is known already");
     targets.update(id.clone(), started_at(5), milliseconds(30));
     assert_eq!(is_draining(&targets), Some(true), "the store still lists it as ready");
     targets.remove("t");
@@ -191,10 +191,34 @@
 fn a_drain_notice_of_an_earlier_process_does_not_stop_the_calls_to_its_successor() {
     let mut targets = TargetTable::default();
     targets.update(Arc::from("t"), started_at(6), Timestamp::ZERO);
-    assert!(!targets.record_drain_notice("t", 5, milliseconds(10)));
+    assert!(!targets.record_drain_notice("t", RunningAt(5), milliseconds(10)));
     assert!(!targets.is_draining("t"));
-    assert!(targets.record_drain_notice("t", 0, milliseconds(20)), "its gate does not know when it started");
-    assert_eq!(targets.drain_notice("t"), Some(6));
+    assert!(targets.record_drain_notice("t", RunningAt(0), milliseconds(20)), "its gate does not know when it started");
+    assert_eq!(targets.drain_notice("t"), Some(RunningAt(6)));
+}
+
+#[test]
+fn a_drain_notice_of_a_process_that_is_not_registered_yet_holds_once_it_is() {
+    let mut targets = TargetTable::default();
+    let id: Arc<str> = Arc::from("t");
+    targets.update(id.clone(), started_at(5), Timestamp::ZERO);
+    assert!(targets.record_drain_notice("t", RunningAt(20), milliseconds(10)));
+    targets.update(id.clone(), started_at(15), milliseconds(20));
+    assert!(targets.get("t").is_some_and(|target| target.registration.draining), "it had started by then");
+    targets.update(id, started_at(21), milliseconds(30));
+    assert!(!targets.is_draining("t"), "another process");
+}
+
+#[test]
+fn a_drain_notice_of_a_second_process_counts_while_that_of_the_first_is_known() {
+    let mut targets = TargetTable::default();
+    let id: Arc<str> = Arc::from("t");
+    targets.update(id.clone(), started_at(5), Timestamp::ZERO);
+    assert!(targets.record_drain_notice("t", RunningAt(10), milliseconds(10)));
+    assert!(!targets.record_drain_notice("t", RunningAt(20), milliseconds(20)), "the target is known to be draining");
+    assert!(!targets.record_drain_notice("t", RunningAt(12), milliseconds(30)), "a late report of the first process");
+    targets.update(id, started_at(15), milliseconds(40));
+    assert!(targets.is_draining("t"));
 }
 
 #[test]
@@ -202,7 +226,7 @@
     let mut targets = TargetTable::default();
     targets.update(Arc::from("t"), started_at(5), Timestamp::ZERO);
     targets.remove_after_outage(&[Arc::from("t")], milliseconds(100), milliseconds(10));
-    targets.record_drain_notice("t", 5, milliseconds(20));
+    targets.record_drain_notice("t", RunningAt(5), milliseconds(20));
     assert!(targets.drop_expired(milliseconds(100)));
     assert!(targets.get("t").is_none());
 }
--- a/crates/sidecar/src/clock.rs
+++ b/crates/sidecar/src/clock.rs
@@ -9,7 +9,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use quillhatch_types::Timestamp;
 use rustix::time::{clock_gettime, ClockId};
@@ -32,6 +32,8 @@
     boot_offset: Duration,
     /// The monotonic clock, without suspensions, at the start of the process.
     monotonic_start: Instant,
+    /// The time of day at the start of the process, since the Unix epoch.
+    unix_start: Duration,
     /// How far this clock is ahead of the machine's; only tests set it.
     simulated_suspension: Cell<Duration>,
     /// The total time of the detected suspensions.
@@ -48,6 +50,7 @@
         Clock(Rc::new(State {
             boot_offset: since_boot(),
             monotonic_start: Instant::now(),
+            unix_start: since_epoch(),
             simulated_suspension: Cell::default(),
             detected_suspension: Cell::default(),
             resumed: Notify::new(),
@@ -60,6 +63,11 @@
     Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
 }
 
+/// The time of day since the Unix epoch; zero if it is set to before that.
+fn since_epoch() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 impl Clock {
     /// The current time.
     pub fn now(&self) -> Timestamp {
@@ -76,6 +84,14 @@
         since_boot().saturating_sub(self.0.boot_offset) + self.0.simulated_suspension.get()
     }
 
+    /// The time of day at `time`, in Unix milliseconds. While the time of day is set back, it is counted from the start
+    /// of the process.
+    pub fn unix_millis(&self, time: Timestamp) -> u64 {
+        let current = since_epoch().max(self.0.unix_start + self.elapsed());
+        let then = current.saturating_sub(self.now().since(time));
+        u64::try_from(then.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Advances this clock but not the runtime's timers, as a suspension of the machine does. For tests.
     pub fn suspend_for(&self, time: Duration) {
         self.0.simulated_suspension.set(self.0.simulated_suspension.get() + time);
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -162,11 +162,11 @@
     if matches!(report.outcome, GateOutcome::Answered | GateOutcome::Full) {
         node.admission_levels.borrow_mut().record_report(&call.route.name, report.admission_level, now);
     }
-    if let Some(started) = report.drain_notice {
-        if node.targets.borrow_mut().record_drain_notice(&target.id, started, now) {
+    if let Some(running_at) = report.drain_notice {
+        if node.targets.borrow_mut().record_drain_notice(&target.id, running_at, now) {
             node.log(&format!(
-                "\"event\":\"target-leaving\",\"target\":\"{}\",\"leaving\":true,\"started\":{started}",
-                target.id
+                "\"event\":\"target-leaving\",\"target\":\"{}\",\"leaving\":true,\"running_at\":{}",
+                target.id, running_at.0
             ));
         }
     }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -291,6 +291,7 @@
         }
         Ok(Ok(exchanged)) => exchanged,
     };
+    let sent_at = lease.sent_at();
     let is_of_this_call = response.headers().get(headers::REQUEST_ID) == call.id.as_ref();
     if !is_of_this_call {
         return Err(Failure::new(GateOutcome::NoResponse, "response to another request"));
@@ -303,12 +304,12 @@
             local_target::record_identity(node, id);
         }
         if status != StatusCode::MISDIRECTED_REQUEST || responder.is_some() {
-            record_response(node, responder.as_ref().unwrap_or(&call.expected), response.headers());
+            record_response(node, responder.as_ref().unwrap_or(&call.expected), sent_at, response.headers());
         }
         let _ = relay_response(response, lease).await;
         return Err(Failure::new(GateOutcome::Rejected, format!("target refused the call with status {status}")));
     }
-    record_response(node, &call.expected, response.headers());
+    record_response(node, &call.expected, sent_at, response.headers());
     let has_stamp = response.headers().contains_key(headers::SERVER_STAMP);
     if response.status().is_success() && (!has_stamp || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 
 use hyper::HeaderMap;
-use quillhatch_mesh::targets::{TargetId, TargetStatus};
+use quillhatch_mesh::targets::{RunningAt, TargetId, TargetStatus};
 use quillhatch_platform::headers;
 use quillhatch_platform::target_status::{is_leaving, read_rate_limit};
+use quillhatch_types::Timestamp;
 
 use crate::local_target;
 use crate::node::Node;
@@ -36,20 +37,21 @@
     }
 }
 
-/// Records the status in the headers of a response of `target` to a call.
-pub fn record_response(node: &Rc<Node>, target: &str, headers: &HeaderMap) {
-    record_status(node, target, read_status(node, target, headers));
+/// Records the status in the headers of the response of `target` to a call that was sent at `sent_at`.
+pub fn record_response(node: &Rc<Node>, target: &str, sent_at: Timestamp, headers: &HeaderMap) {
+    record_status(node, target, sent_at, read_status(node, target, headers));
 }
 
-/// Records the status in the headers of a response of `target` to a health check, which may leave the headers out.
-pub fn record_health_check(node: &Rc<Node>, target: &str, headers: &HeaderMap) {
+/// The same for a health check, whose response may lack the headers.
+pub fn record_health_check(node: &Rc<Node>, target: &str, sent_at: Timestamp, headers: &HeaderMap) {
     let local = &node.local_target_status;
     let is_known = local.target.borrow().as_deref() == Some(target);
     let known = if is_known { local.status.get() } else { TargetStatus::default() };
     let status = read_status(node, target, headers);
     if status != TargetStatus::default() {
         let rate_limit = status.rate_limit.or(known.rate_limit);
-        record_status(node, target, TargetStatus { rate_limit, is_draining: status.is_draining || known.is_draining });
+        let is_draining = status.is_draining || known.is_draining;
+        record_status(node, target, sent_at, TargetStatus { rate_limit, is_draining });
     }
 }
 
@@ -61,7 +63,7 @@
 }
 
 /// Records the status of `target`, and logs what has changed.
-fn record_status(node: &Rc<Node>, target: &str, status: TargetStatus) {
+fn record_status(node: &Rc<Node>, target: &str, sent_at: Timestamp, status: TargetStatus) {
     let local = &node.local_target_status;
     if local.target.borrow().as_deref() != Some(target) {
         *local.target.borrow_mut() = Some(TargetId::from(target));
@@ -72,13 +74,28 @@
     if before.rate_limit != status.rate_limit {
         log_rate_limit(node, target, status.rate_limit, before.rate_limit);
     }
-    if status.is_draining && node.targets.borrow_mut().record_drain_notice(target, 0, node.now()) {
-        let started = node.targets.borrow().drain_notice(target).unwrap_or_default();
-        node.log(&format!("\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":true,\"started\":{started}"));
+    if !status.is_draining {
+        return;
+    }
+    let running_at = running_at(node, target, sent_at);
+    if node.targets.borrow_mut().record_drain_notice(target, running_at, node.now()) {
+        let RunningAt(running_at) = running_at;
+        node.log(&format!(
+            "\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":true,\"running_at\":{running_at}"
+        ));
         local_target::update_gate(node);
     }
 }
 
+/// The time of day at `sent_at`, when the process of `target` that has responded was running. That process is not
+/// older than one that was listed by then, whatever the clocks show.
+fn running_at(node: &Node, target: &str, sent_at: Timestamp) -> RunningAt {
+    let targets = node.targets.borrow();
+    let listed = targets.get(target).filter(|listed| listed.listed_at <= sent_at);
+    let started = listed.map_or(0, |listed| listed.registration.started);
+    RunningAt(node.clock.unix_millis(sent_at).max(started))
+}
+
 /// Parses the rate limit in the headers of a response. One that can't be parsed counts as none, and is logged when the
 /// target starts to send it.
 fn rate_limit(node: &Node, target: &str, headers: &HeaderMap) -> Option<f64> {
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -15,6 +15,7 @@
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
 use quillhatch_mesh::target_limit::{KnownLimit, RateLimitReport};
+use quillhatch_mesh::targets::RunningAt;
 
 /// The name of the header.
 pub const HOP_HEADER: &str = "quillhatch-hop";
@@ -192,9 +193,8 @@
     pub current_target: Option<LocalTarget>,
     /// What the gate knows of the rate limit of the target that the call was meant for.
     pub rate_limit: KnownLimit,
-    /// If the target has sent a drain notice, the start of its process
-    /// ([`quillhatch_mesh::targets::Registration::started`]), zero if the gate does not know it.
-    pub drain_notice: Option<u64>,
+    /// If the target has sent a drain notice, when the process that sent it was running.
+    pub drain_notice: Option<RunningAt>,
 }
 
 /// The target that currently runs on a node's machine.
@@ -264,8 +264,8 @@
             KnownLimit::Unlimited => write!(text, "{UNLIMITED}"),
             KnownLimit::Limited(RateLimitReport { per_second, share }) => write!(text, "{per_second},{share:.4}"),
         };
-        if let Some(started) = self.drain_notice {
-            let _ = write!(text, ";{started}");
+        if let Some(RunningAt(running_at)) = self.drain_notice {
+            let _ = write!(text, ";{running_at}");
         }
         text
     }
@@ -288,7 +288,7 @@
             _ => None,
         };
         let rate_limit = parts.next().map(decode_rate_limit).unwrap_or_default();
-        let drain_notice = parts.next().and_then(|started| started.parse().ok());
+        let drain_notice = parts.next().and_then(|running_at| running_at.parse().ok()).map(RunningAt);
         Some(HopReport {
             outcome,
             load,
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -112,7 +112,7 @@
         };
         let id = header_text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
         if let Some(id) = &id {
-            gate::record_health_check(node, id, response.headers());
+            gate::record_health_check(node, id, lease.sent_at(), response.headers());
         }
         let is_full = response.headers().contains_key(headers::REQUEST_NOT_RUN);
         let is_draining = response.status() == StatusCode::SERVICE_UNAVAILABLE && !is_full;
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -82,9 +82,15 @@
     task: ConnectionTask,
     idle_timeout: Duration,
     is_reusable: bool,
+    sent_at: Timestamp,
 }
 
 impl ConnectionLease {
+    /// When the request was sent. The process that has responded was running then.
+    pub fn sent_at(&self) -> Timestamp {
+        self.sent_at
+    }
+
     /// Returns the connection to the pool after a complete response, unless its peer is about to close it.
     pub fn release(self) {
         if !self.is_reusable {
@@ -156,12 +162,13 @@
                 return Err(ExchangeError::NotSent(error.to_string()));
             }
             sent.0.set(true);
+            let sent_at = self.clock.now();
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let idle_timeout = self.idle_timeout_for(response.headers());
                     let is_reusable = !closes_connection(response.headers());
-                    let lease =
-                        ConnectionLease { pool: Rc::clone(self), address, sender, task, idle_timeout, is_reusable };
+                    let pool = Rc::clone(self);
+                    let lease = ConnectionLease { pool, address, sender, task, idle_timeout, is_reusable, sent_at };
                     return Ok((response, lease));
                 }
                 Err(mut error) => match error.take_message() {
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -11,6 +11,7 @@
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
 use quillhatch_mesh::target_limit::{KnownLimit, RateLimitReport};
+use quillhatch_mesh::targets::RunningAt;
 use quillhatch_messages::generated::limits::LimitMessage;
 use quillhatch_messages::generated::quarantine::QuarantineMessage;
 use quillhatch_sidecar::counters::Counters;
@@ -55,7 +56,7 @@
                 proof,
                 current_target,
                 rate_limit,
-                drain_notice: proof.map(|_| 1_790_000_000_000),
+                drain_notice: proof.map(|_| RunningAt(1_790_000_000_000)),
             };
             assert_eq!(HopReport::decode(&report.encode()), Some(report));
         }
