Keep a rate limit when the store shows the start of the process that announced it

Callers saw: a target that had started again unseen and then named a limit got 66 requests in 4 s, 38 allowed, once the store showed its new start, with and without a restart of the node beside it.

Cause: the same class as for drains. Gate and edges forgot a limit at a restart of its target, and the restart was the one of the process that had named the limit, shown late. A bucket that begins anew admits everything until the next response, and the edges no longer tell a gate that restarts.

Two tests on the virtual clock.

Now a limit carries a time at which its process was running, as a drain notice does. Gate and edges forget it only when a process shows that started later. A response that a node reads after a later process was listed changes nothing (a node may be held up in between), and an edge ignores a report that was overtaken. Reports grow by 15 bytes, only for targets that have or had a limit; nodes of the former version pass over the new field.

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -10,7 +10,7 @@
 
 use crate::gate::GateLoad;
 use crate::mechanisms::{Mechanism, Mechanisms};
-use crate::target_limit::{KnownLimit, RateLimitTable};
+use crate::target_limit::{AnnouncedLimit, KnownLimit, RateLimitTable};
 use crate::targets::{Target, TargetId};
 
 /// The maximum number of candidates that one attempt compares in the local zone, and in all other zones together.
@@ -280,9 +280,9 @@
         self.rate_limits.record(target, limit, now);
     }
 
-    /// The rate limit of a target in calls per second, if it is known to have one.
-    pub fn rate_limit(&self, target: &str) -> Option<f64> {
-        self.rate_limits.per_second(target)
+    /// The rate limit of a target, if it is known to have one.
+    pub fn rate_limit(&self, target: &str) -> Option<AnnouncedLimit> {
+        self.rate_limits.limit(target)
     }
 
     /// Records that a target's gate responded to a liveness probe.
@@ -320,9 +320,10 @@
         self.route_latencies.get(route).map(|latency| Duration::from_secs_f64(latency.mean_seconds))
     }
 
-    /// Discards the measurements of a target that has restarted; only its calls in flight are still counted.
-    pub fn reset_target(&mut self, target: &TargetId) {
-        self.rate_limits.forget(target);
+    /// Discards the measurements of a target that has restarted at `started` ([`crate::targets::Registration::started`]);
+    /// only its calls in flight are still counted.
+    pub fn reset_target(&mut self, target: &TargetId, started: u64) {
+        self.rate_limits.forget_before(target, started);
         let Some(state) = self.target_states.get_mut(target) else { return };
         *state = TargetState { in_flight: state.in_flight, ..TargetState::default() };
     }
--- a/crates/mesh/src/target_limit/limiter.rs
+++ b/crates/mesh/src/target_limit/limiter.rs
@@ -4,9 +4,9 @@
 
 use quillhatch_types::Timestamp;
 
-use super::{KnownLimit, Precedence, RateLimitReport, RateLimited};
+use super::{AnnouncedLimit, KnownLimit, Precedence, RateLimitReport, RateLimited};
 use crate::rate::DecayingRate;
-use crate::targets::TargetId;
+use crate::targets::{RunningAt, TargetId};
 
 /// The time in which a bucket fills. Calls of many callers arrive in clusters; with a shorter time a target whose limit
 /// is in demand would get less than it accepts.
@@ -110,6 +110,8 @@
 pub struct TargetRateLimiter {
     target: Option<TargetId>,
     source: LimitSource,
+    /// When the process that is the source was running; zero if it has announced no limit yet.
+    running_at: RunningAt,
     bucket: Option<RateLimitBucket>,
     arriving: DecayingRate,
 }
@@ -120,14 +122,23 @@
         TargetRateLimiter {
             target: None,
             source: LimitSource::None,
+            running_at: RunningAt::default(),
             bucket: None,
             arriving: DecayingRate::new(ARRIVAL_TIME_CONSTANT, now),
         }
     }
 
-    /// Forgets the limit: the target's process has restarted.
-    pub fn reset(&mut self) {
+    /// Forgets the limit of a process that is older than the one that started at `started`
+    /// ([`crate::targets::Registration::started`]).
+    pub fn forget_before(&mut self, started: u64) {
+        if self.running_at.precedes(started) {
+            self.reset();
+        }
+    }
+
+    fn reset(&mut self) {
         (self.target, self.source, self.bucket) = (None, LimitSource::None, None);
+        self.running_at = RunningAt::default();
     }
 
     fn select(&mut self, target: &str) {
@@ -137,22 +148,27 @@
         }
     }
 
-    /// Records the limit in a response of `target`, or that the response has none.
-    pub fn record_response(&mut self, target: &str, per_second: Option<f64>, now: Timestamp) {
+    /// Records the limit in a response of the process of `target` that was running at `running_at`, or that the response
+    /// has none.
+    pub fn record_response(&mut self, target: &str, per_second: Option<f64>, running_at: RunningAt, now: Timestamp) {
         self.select(target);
         self.source = LimitSource::Target;
+        if per_second.is_some() || self.running_at != RunningAt::default() {
+            self.running_at = self.running_at.max(running_at);
+        }
         self.set_rate(per_second, now);
     }
 
     /// Records the limit of `target` that an edge knows. It counts until the target itself has responded; of several
     /// limits the lowest one.
-    pub fn record_edge_knowledge(&mut self, target: &str, per_second: f64, now: Timestamp) {
+    pub fn record_edge_knowledge(&mut self, target: &str, known: AnnouncedLimit, now: Timestamp) {
         self.select(target);
         if self.source == LimitSource::Target {
             return;
         }
         self.source = LimitSource::Edges;
-        let lowest = self.bucket.map_or(per_second, |bucket| bucket.per_second.min(per_second));
+        self.running_at = self.running_at.max(known.running_at);
+        let lowest = self.bucket.map_or(known.per_second, |bucket| bucket.per_second.min(known.per_second));
         self.set_rate(Some(lowest), now);
     }
 
@@ -218,9 +234,10 @@
         match (&mut self.bucket, self.source) {
             (Some(bucket), _) => {
                 bucket.update_share(self.arriving.at(now), now);
-                KnownLimit::Limited(RateLimitReport { per_second: bucket.per_second, share: bucket.share })
+                let limit = AnnouncedLimit { per_second: bucket.per_second, running_at: self.running_at };
+                KnownLimit::Limited(RateLimitReport { limit, share: bucket.share })
             }
-            (None, LimitSource::Target) => KnownLimit::Unlimited,
+            (None, LimitSource::Target) => KnownLimit::Unlimited(self.running_at),
             (None, _) => KnownLimit::Unknown,
         }
     }
--- a/crates/mesh/src/target_limit/mod.rs
+++ b/crates/mesh/src/target_limit/mod.rs
@@ -17,14 +17,25 @@
 
 use std::time::Duration;
 
+use crate::targets::RunningAt;
+
 pub use limiter::TargetRateLimiter;
 pub use table::RateLimitTable;
 
-/// The rate limit of a target, as its gate reports it to edges.
+/// The rate limit that a process of a target has announced.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RateLimitReport {
+pub struct AnnouncedLimit {
     /// The calls per second that the target accepts.
     pub per_second: f64,
+    /// When that process was running.
+    pub running_at: RunningAt,
+}
+
+/// The rate limit of a target, as its gate reports it to edges.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RateLimitReport {
+    /// The limit.
+    pub limit: AnnouncedLimit,
     /// The share of the calls of the target's service for which an edge should consider it.
     pub share: f64,
 }
@@ -35,8 +46,9 @@
     /// Nothing: the target has not responded yet, or another one runs there now.
     #[default]
     Unknown,
-    /// The target's last response had no limit.
-    Unlimited,
+    /// The last response of the target had no limit. If it had one before, with the time at which its process was
+    /// running.
+    Unlimited(RunningAt),
     /// The target has this limit.
     Limited(RateLimitReport),
 }
--- a/crates/mesh/src/target_limit/table.rs
+++ b/crates/mesh/src/target_limit/table.rs
@@ -5,8 +5,8 @@
 
 use quillhatch_types::Timestamp;
 
-use super::{KnownLimit, RateLimitReport};
-use crate::targets::TargetId;
+use super::{AnnouncedLimit, KnownLimit, RateLimitReport};
+use crate::targets::{RunningAt, TargetId};
 
 /// The time after which an edge considers a target for all calls again if its gate has reported nothing.
 const SHARE_LIFETIME: Duration = Duration::from_secs(10);
@@ -20,28 +20,39 @@
 }
 
 impl RateLimitTable {
-    /// Records what the gate of `target` reports.
+    /// Records what the gate of `target` reports, unless a later report has arrived before it.
     pub fn record(&mut self, target: &TargetId, limit: KnownLimit, now: Timestamp) {
         match limit {
-            KnownLimit::Limited(report) => {
+            KnownLimit::Limited(report) if !self.is_outdated(target, report.limit.running_at) => {
                 let is_new = self.reports.insert(target.clone(), (report, now)).is_none();
                 if is_new {
                     self.reports.retain(|_, (_, reported)| now.since(*reported) < LIMIT_RETENTION);
                 }
             }
-            KnownLimit::Unlimited if !self.reports.is_empty() => self.forget(target),
-            KnownLimit::Unlimited | KnownLimit::Unknown => {}
+            KnownLimit::Unlimited(running_at) if !self.is_outdated(target, running_at) => {
+                self.reports.remove(target);
+            }
+            KnownLimit::Limited(_) | KnownLimit::Unlimited(_) | KnownLimit::Unknown => {}
         }
     }
 
-    /// Forgets the limit of a target whose process has restarted.
-    pub fn forget(&mut self, target: &str) {
-        self.reports.remove(target);
+    /// Whether a report is older than the one that is known. Without a time it is taken for newer.
+    fn is_outdated(&self, target: &str, running_at: RunningAt) -> bool {
+        let known = self.limit(target).map_or(RunningAt::default(), |known| known.running_at);
+        running_at != RunningAt::default() && running_at < known
+    }
+
+    /// Forgets the limit of a process that is older than the one that started at `started`
+    /// ([`crate::targets::Registration::started`]).
+    pub fn forget_before(&mut self, target: &str, started: u64) {
+        if self.limit(target).is_some_and(|known| known.running_at.precedes(started)) {
+            self.reports.remove(target);
+        }
     }
 
-    /// The limit of a target in calls per second, if it has one.
-    pub fn per_second(&self, target: &str) -> Option<f64> {
-        self.reports.get(target).map(|(report, _)| report.per_second)
+    /// The limit of a target, if it has one.
+    pub fn limit(&self, target: &str) -> Option<AnnouncedLimit> {
+        self.reports.get(target).map(|(report, _)| report.limit)
     }
 
     /// The share of calls for which a target is considered.
--- a/crates/mesh/tests/target_limits.rs
+++ b/crates/mesh/tests/target_limits.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use quillhatch_mesh::balance::{Choice, Exclusions, LoadBalancer, ZonePreference};
-use quillhatch_mesh::target_limit::{KnownLimit, Precedence, RateLimitTable, RateLimited, TargetRateLimiter};
-use quillhatch_mesh::targets::{Registration, Target, TargetId};
+use quillhatch_mesh::target_limit::{
+    AnnouncedLimit, KnownLimit, Precedence, RateLimitTable, RateLimited, TargetRateLimiter,
+};
+use quillhatch_mesh::targets::{Registration, RunningAt, Target, TargetId};
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -100,7 +102,7 @@
         self.responses = pending;
         for Response { edge, target, report, .. } in arrived {
             let limit = self.limits[target];
-            self.gates[target].record_response(&self.targets[target].id, limit, now);
+            self.gates[target].record_response(&self.targets[target].id, limit, RunningAt(self.now), now);
             self.edges[edge].record_rate_limit(&self.targets[target].id, report, now);
         }
     }
@@ -268,23 +270,27 @@
 
 fn per_second(limit: KnownLimit) -> Option<f64> {
     match limit {
-        KnownLimit::Limited(report) => Some(report.per_second),
-        KnownLimit::Unknown | KnownLimit::Unlimited => None,
+        KnownLimit::Limited(report) => Some(report.limit.per_second),
+        KnownLimit::Unknown | KnownLimit::Unlimited(_) => None,
     }
 }
 
+fn announced(per_second: f64, running_at: u64) -> AnnouncedLimit {
+    AnnouncedLimit { per_second, running_at: RunningAt(running_at) }
+}
+
 #[test]
 fn a_restarted_gate_takes_the_lowest_limit_of_edges_until_its_target_responds() {
     let now = Timestamp::from_millis;
     let mut gate = TargetRateLimiter::new(now(0));
     for (known, counts) in [(4.0, 4.0), (2.5, 2.5), (4.0, 2.5)] {
-        gate.record_edge_knowledge("t", known, now(0));
+        gate.record_edge_knowledge("t", announced(known, 1), now(0));
         assert_eq!(per_second(gate.report("t", now(0))), Some(counts));
     }
-    gate.record_response("t", None, now(10));
-    gate.record_edge_knowledge("t", 4.0, now(20));
-    assert_eq!(gate.report("t", now(20)), KnownLimit::Unlimited, "the target knows better");
-    gate.record_edge_knowledge("other", 3.0, now(30));
+    gate.record_response("t", None, RunningAt(10), now(10));
+    gate.record_edge_knowledge("t", announced(4.0, 20), now(20));
+    assert_eq!(gate.report("t", now(20)), KnownLimit::Unlimited(RunningAt(10)), "the target knows better");
+    gate.record_edge_knowledge("other", announced(3.0, 30), now(30));
     assert_eq!(per_second(gate.report("other", now(30))), Some(3.0), "another target has not responded");
 }
 
@@ -293,15 +299,50 @@
     let now = Timestamp::from_millis;
     let (t, mut table) = (TargetId::from("t"), RateLimitTable::default());
     let mut gate = TargetRateLimiter::new(now(0));
-    gate.record_response("t", Some(4.0), now(0));
+    gate.record_response("t", Some(4.0), RunningAt(1), now(0));
     table.record(&t, gate.report("t", now(0)), now(0));
     let mut restarted = TargetRateLimiter::new(now(10));
     table.record(&t, restarted.report("t", now(10)), now(10));
-    assert_eq!(table.per_second("t"), Some(4.0), "it has refused a call without any response of the target");
-    restarted.record_response("other", None, now(20));
+    assert_eq!(
+        table.limit("t").map(|limit| limit.per_second),
+        Some(4.0),
+        "it has refused a call without any response of the target"
+    );
+    restarted.record_response("other", None, RunningAt(20), now(20));
     table.record(&t, restarted.report("t", now(20)), now(20));
-    assert_eq!(table.per_second("t"), Some(4.0), "another target has responded");
-    restarted.record_response("t", None, now(30));
+    assert_eq!(table.limit("t").map(|limit| limit.per_second), Some(4.0), "another target has responded");
+    restarted.record_response("t", None, RunningAt(30), now(30));
     table.record(&t, restarted.report("t", now(30)), now(30));
-    assert_eq!(table.per_second("t"), None);
+    assert_eq!(table.limit("t"), None);
+}
+
+#[test]
+fn a_limit_ends_only_with_a_process_that_started_after_it_was_announced() {
+    let now = Timestamp::from_millis;
+    let (t, mut table) = (TargetId::from("t"), RateLimitTable::default());
+    let mut gate = TargetRateLimiter::new(now(0));
+    gate.record_response("t", Some(4.0), RunningAt(20), now(0));
+    table.record(&t, gate.report("t", now(0)), now(0));
+    for (started, is_known) in [(15, true), (20, true), (21, false)] {
+        gate.forget_before(started);
+        table.forget_before("t", started);
+        let known = (per_second(gate.report("t", now(10))).is_some(), table.limit("t").is_some());
+        assert_eq!(known, (is_known, is_known), "process started at {started}");
+    }
+}
+
+#[test]
+fn a_late_report_does_not_replace_that_of_a_later_process() {
+    let now = Timestamp::from_millis;
+    let (t, mut table) = (TargetId::from("t"), RateLimitTable::default());
+    let mut gate = TargetRateLimiter::new(now(0));
+    gate.record_response("t", Some(9.0), RunningAt(10), now(0));
+    gate.record_response("t", None, RunningAt(10), now(0));
+    let late = gate.report("t", now(0));
+    gate.record_response("t", Some(4.0), RunningAt(20), now(10));
+    table.record(&t, gate.report("t", now(10)), now(10));
+    table.record(&t, late, now(20));
+    assert_eq!(table.limit("t"), Some(announced(4.0, 20)));
+    table.record(&t, KnownLimit::Unlimited(RunningAt::default()), now(30));
+    assert_eq!(table.limit("t"), None, "a gate of the former version reports no time");
 }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -40,7 +40,7 @@
 pub use slots::{admit_waiting_calls, evict_waiting_calls, Slot};
 pub use target_crash::{target_identified, target_restarted};
 use target_status::record_response;
-pub use target_status::{forget_status, record_health_check, LocalTargetStatus};
+pub use target_status::{forget_status_before, record_health_check, LocalTargetStatus};
 
 /// The maximum size of a request body that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -18,6 +18,8 @@
     /// The target that sent it.
     target: RefCell<Option<TargetId>>,
     status: Cell<TargetStatus>,
+    /// When the process that sent it was running.
+    running_at: Cell<RunningAt>,
     /// The last rate limit that could not be parsed, while the target keeps sending it.
     invalid_rate_limit: RefCell<Option<String>>,
 }
@@ -29,8 +31,13 @@
     }
 }
 
-/// Forgets the status of the local target, and logs whether it had a rate limit: its process has restarted.
-pub fn forget_status(node: &Node, target: &str) {
+/// Forgets the status of processes of the local target that are older than the one that started at `started`, and logs
+/// whether they had a rate limit.
+pub fn forget_status_before(node: &Node, target: &str, started: u64) {
+    node.target_limiter.borrow_mut().forget_before(started);
+    if !node.local_target_status.running_at.get().precedes(started) {
+        return;
+    }
     let before = node.local_target_status.status.take();
     if before.rate_limit.is_some() {
         log_rate_limit(node, target, None, before.rate_limit);
@@ -64,20 +71,26 @@
 
 /// Records the status of `target`, and logs what has changed.
 fn record_status(node: &Rc<Node>, target: &str, sent_at: Timestamp, status: TargetStatus) {
+    let running_at = running_at(node, target, sent_at);
+    if running_at.precedes(node.targets.borrow().process(&TargetId::from(target)).started) {
+        // A late response of an earlier process.
+        return;
+    }
     let local = &node.local_target_status;
     if local.target.borrow().as_deref() != Some(target) {
         *local.target.borrow_mut() = Some(TargetId::from(target));
         local.status.take();
+        local.running_at.take();
     }
     let before = local.status.replace(status);
-    node.target_limiter.borrow_mut().record_response(target, status.rate_limit, node.now());
+    local.running_at.set(local.running_at.get().max(running_at));
+    node.target_limiter.borrow_mut().record_response(target, status.rate_limit, running_at, node.now());
     if before.rate_limit != status.rate_limit {
         log_rate_limit(node, target, status.rate_limit, before.rate_limit);
     }
     if !status.is_draining {
         return;
     }
-    let running_at = running_at(node, target, sent_at);
     if node.targets.borrow_mut().record_drain_notice(target, running_at, node.now()) {
         let RunningAt(running_at) = running_at;
         node.log(&format!(
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -14,7 +14,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
-use quillhatch_mesh::target_limit::{KnownLimit, RateLimitReport};
+use quillhatch_mesh::target_limit::{AnnouncedLimit, KnownLimit, RateLimitReport};
 use quillhatch_mesh::targets::RunningAt;
 
 /// The name of the header.
@@ -55,6 +55,11 @@
     text.parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
 }
 
+/// Decodes the time at which a process was running; zero if it is missing.
+fn decode_running_at(text: &str) -> RunningAt {
+    RunningAt(text.parse().unwrap_or_default())
+}
+
 /// The metadata of a call that an edge sends to a gate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HopContext {
@@ -70,8 +75,8 @@
     pub edge_ip: IpAddr,
     /// Whether the edge expects that the call exceeds the target's rate limit, and has no other target for it.
     pub is_over_limit: bool,
-    /// The target's rate limit in calls per second, if the edge knows one. A gate that has just started does not.
-    pub rate_limit: Option<f64>,
+    /// The target's rate limit, if the edge knows one. A gate that has just started does not.
+    pub rate_limit: Option<AnnouncedLimit>,
 }
 
 impl HopContext {
@@ -82,10 +87,13 @@
         let max_wait = self.max_wait.as_millis();
         let (store_view, edge_ip) = (self.store_view.encode(), self.edge_ip);
         let is_over_limit = u8::from(self.is_over_limit);
-        let rate_limit = self.rate_limit.map(|limit| limit.to_string()).unwrap_or_default();
-        format!(
-            "{is_root};{priority};{position};{is_retry};{admitted_permille};{max_wait};{store_view};{edge_ip};{is_over_limit};{rate_limit}"
-        )
+        let mut text = format!(
+            "{is_root};{priority};{position};{is_retry};{admitted_permille};{max_wait};{store_view};{edge_ip};{is_over_limit};"
+        );
+        if let Some(AnnouncedLimit { per_second, running_at: RunningAt(running_at) }) = self.rate_limit {
+            let _ = write!(text, "{per_second};{running_at}");
+        }
+        text
     }
 
     /// Decodes the value of the header.
@@ -99,7 +107,9 @@
         let store_view = StoreView::decode(parts.next()?)?;
         let edge_ip = parts.next()?.parse().ok()?;
         let is_over_limit = parts.next() == Some("1");
-        let rate_limit = parts.next().and_then(decode_rate);
+        let per_second = parts.next().and_then(decode_rate);
+        let running_at = parts.next().map(decode_running_at).unwrap_or_default();
+        let rate_limit = per_second.map(|per_second| AnnouncedLimit { per_second, running_at });
         Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip, is_over_limit, rate_limit })
     }
 }
@@ -231,12 +241,13 @@
     Some(Some(FreshnessProof { version: version.parse().ok()?, age_at_arrival_ms: age.parse().ok()? }))
 }
 
-fn decode_rate_limit(text: &str) -> KnownLimit {
+fn decode_rate_limit(text: &str, running_at: RunningAt) -> KnownLimit {
     if text == UNLIMITED {
-        return KnownLimit::Unlimited;
+        return KnownLimit::Unlimited(running_at);
     }
     let report = text.split_once(',').and_then(|(per_second, share)| {
-        Some(RateLimitReport { per_second: decode_rate(per_second)?, share: decode_rate(share)?.min(1.0) })
+        let limit = AnnouncedLimit { per_second: decode_rate(per_second)?, running_at };
+        Some(RateLimitReport { limit, share: decode_rate(share)?.min(1.0) })
     });
     report.map_or(KnownLimit::Unknown, KnownLimit::Limited)
 }
@@ -259,13 +270,19 @@
         let current_target = self.current_target.as_ref();
         let (id, service) = current_target.map_or(("", ""), |target| (&target.id, &target.service));
         let _ = write!(text, ";{id};{service};");
-        let _ = match self.rate_limit {
-            KnownLimit::Unknown => Ok(()),
-            KnownLimit::Unlimited => write!(text, "{UNLIMITED}"),
-            KnownLimit::Limited(RateLimitReport { per_second, share }) => write!(text, "{per_second},{share:.4}"),
+        let (limit, limit_running_at) = match self.rate_limit {
+            KnownLimit::Unknown => (String::new(), RunningAt::default()),
+            KnownLimit::Unlimited(running_at) => (UNLIMITED.to_owned(), running_at),
+            KnownLimit::Limited(RateLimitReport { limit: AnnouncedLimit { per_second, running_at }, share }) => {
+                (format!("{per_second},{share:.4}"), running_at)
+            }
         };
-        if let Some(RunningAt(running_at)) = self.drain_notice {
-            let _ = write!(text, ";{running_at}");
+        let drain_notice = self.drain_notice.map(|RunningAt(running_at)| running_at.to_string()).unwrap_or_default();
+        let _ = write!(text, "{limit}");
+        if limit_running_at != RunningAt::default() {
+            let _ = write!(text, ";{drain_notice};{}", limit_running_at.0);
+        } else if !drain_notice.is_empty() {
+            let _ = write!(text, ";{drain_notice}");
         }
         text
     }
@@ -287,8 +304,10 @@
             }
             _ => None,
         };
-        let rate_limit = parts.next().map(decode_rate_limit).unwrap_or_default();
+        let rate_limit = parts.next().unwrap_or_default();
         let drain_notice = parts.next().and_then(|running_at| running_at.parse().ok()).map(RunningAt);
+        let limit_running_at = parts.next().map(decode_running_at).unwrap_or_default();
+        let rate_limit = decode_rate_limit(rate_limit, limit_running_at);
         Some(HopReport {
             outcome,
             load,
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -153,11 +153,10 @@
 }
 
 /// Handles a restart of the target under the same identity, which the list shows: the calls that it was running were
-/// interrupted.
-pub fn handle_restart(node: &Rc<Node>, id: &TargetId) {
+/// interrupted. Its new process has started at `started` ([`quillhatch_mesh::targets::Registration::started`]).
+pub fn handle_restart(node: &Rc<Node>, id: &TargetId, started: u64) {
     gate::target_restarted(node, id);
-    node.target_limiter.borrow_mut().reset();
-    gate::forget_status(node, id);
+    gate::forget_status_before(node, id, started);
     mark_unverified(node);
 }
 
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -131,9 +131,9 @@
     node.log(&format!(
         "\"event\":\"target-restarted\",\"target\":\"{id}\",\"started\":{started},\"before\":{previous},\"draining\":{is_draining}"
     ));
-    node.load_balancer.borrow_mut().reset_target(id);
+    node.load_balancer.borrow_mut().reset_target(id, started);
     if node.local_target_id.borrow().as_ref() == Some(id) {
-        local_target::handle_restart(node, id);
+        local_target::handle_restart(node, id, started);
     }
 }
 
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -10,7 +10,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::Position;
-use quillhatch_mesh::target_limit::{KnownLimit, RateLimitReport};
+use quillhatch_mesh::target_limit::{AnnouncedLimit, KnownLimit, RateLimitReport};
 use quillhatch_mesh::targets::RunningAt;
 use quillhatch_messages::generated::limits::LimitMessage;
 use quillhatch_messages::generated::quarantine::QuarantineMessage;
@@ -29,7 +29,7 @@
         store_view: StoreView { position: Position { era: 2, revision: 77 }, store_unreachable: true },
         edge_ip: IpAddr::from([10, 1, 0, 8]),
         is_over_limit: true,
-        rate_limit: Some(0.125),
+        rate_limit: Some(AnnouncedLimit { per_second: 0.125, running_at: RunningAt(1_790_000_000_000) }),
     };
     assert_eq!(HopContext::decode(&context.encode()), Some(context));
 }
@@ -39,11 +39,14 @@
     let current_target = LocalTarget { id: "i-1".to_owned(), service: "alpha".to_owned() };
     for outcome in GateOutcome::ALL {
         let proof = FreshnessProof { version: 17, age_at_arrival_ms: -250 };
-        let rate_limit = KnownLimit::Limited(RateLimitReport { per_second: 4.1, share: 0.0625 });
+        let rate_limit = KnownLimit::Limited(RateLimitReport {
+            limit: AnnouncedLimit { per_second: 4.1, running_at: RunningAt(1_790_000_000_001) },
+            share: 0.0625,
+        });
         for (current_target, proof, rate_limit) in [
             (None, Some(proof), rate_limit),
             (Some(current_target.clone()), None, rate_limit),
-            (Some(current_target.clone()), Some(proof), KnownLimit::Unlimited),
+            (Some(current_target.clone()), Some(proof), KnownLimit::Unlimited(RunningAt(1_790_000_000_002))),
             (None, None, KnownLimit::Unknown),
         ] {
             let report = HopReport {
