Tell apart the crashes of a target whose restart the list does not show yet

Callers saw: while the store could not be read, one request crashed a target that restarts under its id 24 times in 6 s; 6 at most are allowed. Its other callers lost their calls with each crash.

A crash was named by the start of the process that the list showed, and during an outage that is the start of an earlier process for all crashes: they counted as one, and three are needed for a quarantine.

Two tests of the decision.

Now a gate that has seen a crash gives the next one a name of its own if the call had begun after that crash and the list shows no later start. Calls that had begun before belong to the crash that is known, so that one crash is not counted twice.

Left: a restart so quick that no connection is refused, while the store can't be read, is still found only when the registration shows it, and calls that were lost more than 8 s earlier are not counted then; a gate that restarts in between begins anew.

--- a/crates/mesh/src/quarantine/runs.rs
+++ b/crates/mesh/src/quarantine/runs.rs
@@ -48,12 +48,15 @@
     undecided: Vec<InterruptedRun>,
     /// The process at which these were interrupted.
     undecided_target: Option<TargetProcess>,
+    /// The process that crashed last, and when that was known.
+    last_crash: Option<(TargetProcess, Timestamp)>,
 }
 
 /// The crash of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetCrash {
-    /// The process of the target that crashed.
+    /// The process of the target that crashed. If the list did not show its start, a start after that of the process
+    /// that crashed before it.
     pub target: TargetProcess,
     /// The calls that were running there.
     pub signatures: Vec<RequestSignature>,
@@ -76,17 +79,28 @@
         Some(run.signature)
     }
 
-    /// Records that the call's connection to `target` was lost before the end of the response.
-    pub fn connection_lost(&mut self, id: RunId, target: Option<TargetProcess>, now: Timestamp) {
+    /// Records that the call's connection to the target was lost before the end of the response. `listed` is the process
+    /// that the list shows.
+    pub fn connection_lost(&mut self, id: RunId, listed: Option<TargetProcess>, now: Timestamp) {
         let Some(run) = self.running.remove(&id) else { return };
         if self.interrupted.is_empty() {
-            self.interrupted_target = target;
+            self.interrupted_target = listed.map(|listed| self.process_of(&run, listed));
         }
         if self.interrupted.len() < MAX_INTERRUPTED {
             self.interrupted.push(InterruptedRun { at: now, signature: run.signature });
         }
     }
 
+    /// The process that ran a call. The list may not show yet that the target has restarted since its last crash.
+    fn process_of(&self, run: &Run, listed: TargetProcess) -> TargetProcess {
+        let Some((crashed, at)) = &self.last_crash else { return listed };
+        if crashed.id != listed.id || crashed.started < listed.started {
+            return listed;
+        }
+        let started = if run.started <= *at { crashed.started } else { crashed.started + 1 };
+        TargetProcess { started, ..listed }
+    }
+
     /// Records that the call was cancelled by its caller, refused by the target, or timed out. This shows nothing about
     /// the target.
     pub fn abandoned(&mut self, id: RunId) {
@@ -99,13 +113,13 @@
     }
 
     /// Records that the target has reported this identity. Returns the crash of the previous target, if there was one.
-    pub fn target_identified(&mut self, id: &str) -> Option<TargetCrash> {
+    pub fn target_identified(&mut self, id: &str, now: Timestamp) -> Option<TargetCrash> {
         if self.interrupted_target.as_ref().is_some_and(|process| *process.id == *id) {
             self.undecided_target.clone_from(&self.interrupted_target);
             self.undecided.append(&mut self.interrupted);
             self.undecided.truncate(MAX_INTERRUPTED);
         }
-        self.target_crashed()
+        self.target_crashed(now)
     }
 
     /// Returns whether a call that was running before the last interruption still runs; then the target is up.
@@ -128,15 +142,29 @@
             undecided.chain(self.interrupted.drain(..)).map(|interrupted| interrupted.signature).collect();
         let process = self.interrupted_target.take().or(self.undecided_target.take());
         let target = process.unwrap_or_else(|| TargetProcess { id: id.clone(), started: 0 });
-        (!signatures.is_empty()).then_some(TargetCrash { target, signatures })
+        self.crash_of(target, signatures, now)
     }
 
     /// Records that the target at which calls were interrupted has crashed. Returns `None` if no calls were
     /// interrupted, or if the target was unknown.
-    pub fn target_crashed(&mut self) -> Option<TargetCrash> {
+    pub fn target_crashed(&mut self, now: Timestamp) -> Option<TargetCrash> {
         let signatures: Vec<RequestSignature> =
             self.interrupted.drain(..).map(|interrupted| interrupted.signature).collect();
         let target = self.interrupted_target.take()?;
-        (!signatures.is_empty()).then_some(TargetCrash { target, signatures })
+        self.crash_of(target, signatures, now)
+    }
+
+    /// The crash of `target`, unless no calls were running.
+    fn crash_of(
+        &mut self,
+        target: TargetProcess,
+        signatures: Vec<RequestSignature>,
+        now: Timestamp,
+    ) -> Option<TargetCrash> {
+        if signatures.is_empty() {
+            return None;
+        }
+        self.last_crash = Some((target.clone(), now));
+        Some(TargetCrash { target, signatures })
     }
 }
--- a/crates/mesh/tests/decisions/quarantine.rs
+++ b/crates/mesh/tests/decisions/quarantine.rs
@@ -53,7 +53,7 @@
     let signature = RequestSignature::of(&parts());
     let first = runs.begin(signature, at(0));
     runs.connection_lost(first, Some(process("i-1", 1)), at(10));
-    assert_eq!(runs.target_identified("i-1"), None, "the target may have restarted under the same identity");
+    assert_eq!(runs.target_identified("i-1", at(30)), None, "the target may have restarted under the same identity");
     // A later call completes at the restarted target before its registration shows the restart.
     let second = runs.begin(signature, at(100));
     runs.completed(second);
@@ -62,12 +62,38 @@
     assert_eq!(runs.target_restarted(&"i-1".into(), at(2_100)), None, "counted once");
 }
 
+#[test]
+fn crashes_of_a_target_whose_restart_is_not_listed_yet_are_told_apart() {
+    let mut runs = RunTracker::default();
+    let signature = RequestSignature::of(&parts());
+    let mut crash = |begun: u64, listed: u64| {
+        let run = runs.begin(signature, at(begun));
+        runs.connection_lost(run, Some(process("i-1", listed)), at(begun + 10));
+        runs.target_crashed(at(begun + 20)).expect("a target has crashed").target
+    };
+    let (first, second, third) = (crash(100, 7), crash(200, 7), crash(300, 7));
+    assert!(first != second && second != third && first != third, "{first:?} {second:?} {third:?}");
+    let listed = crash(400, 5_000);
+    assert_eq!(listed, process("i-1", 5_000), "the list shows the restart");
+}
+
+#[test]
+fn a_crash_whose_calls_are_lost_one_after_the_other_is_one_crash() {
+    let mut runs = RunTracker::default();
+    let signature = RequestSignature::of(&parts());
+    let (first, second) = (runs.begin(signature, at(0)), runs.begin(signature, at(1)));
+    runs.connection_lost(first, Some(process("i-1", 7)), at(10));
+    let crash = runs.target_crashed(at(20)).expect("a target has crashed");
+    runs.connection_lost(second, Some(process("i-1", 7)), at(25));
+    assert_eq!(runs.target_crashed(at(30)).expect("the rest of its calls").target, crash.target);
+}
+
 #[test]
 fn calls_interrupted_long_before_a_restart_are_not_counted() {
     let mut runs = RunTracker::default();
     let run = runs.begin(RequestSignature::of(&parts()), at(0));
     runs.connection_lost(run, Some(process("i-1", 1)), at(10));
-    runs.target_identified("i-1");
+    runs.target_identified("i-1", at(30));
     assert_eq!(runs.target_restarted(&"i-1".into(), at(60_000)), None);
 }
 
@@ -80,7 +106,7 @@
     assert!(runs.has_interrupted() && runs.has_survivors());
     runs.connection_lost(second, Some(process("i-1", 1)), at(11));
     assert!(!runs.has_survivors());
-    let crash = runs.target_crashed().expect("a target has crashed");
+    let crash = runs.target_crashed(at(30)).expect("a target has crashed");
     assert_eq!((&*crash.target.id, crash.signatures.len()), ("i-1", 2));
     assert!(!runs.has_interrupted());
 }
@@ -96,7 +122,7 @@
     assert!(!runs.has_interrupted());
     let lost = runs.begin(signature, at(20));
     runs.connection_lost(lost, Some(process("i-1", 1)), at(30));
-    assert_eq!(runs.target_identified("i-1"), None);
+    assert_eq!(runs.target_identified("i-1", at(30)), None);
     assert!(!runs.has_interrupted());
 }
 
@@ -108,7 +134,7 @@
     runs.connection_lost(lost, Some(process("i-1", 1)), at(10));
     // Its response was on its way when the target crashed.
     runs.completed(answered);
-    let crash = runs.target_identified("i-2").expect("another target is identified");
+    let crash = runs.target_identified("i-2", at(30)).expect("another target is identified");
     assert_eq!((&*crash.target.id, crash.signatures.len()), ("i-1", 1));
 }
 
--- a/crates/mesh/tests/quarantine/fleet.rs
+++ b/crates/mesh/tests/quarantine/fleet.rs
@@ -328,7 +328,7 @@
         for (run, ..) in &running {
             gate.runs.connection_lost(*run, Some(TargetProcess { id: target.as_str().into(), started: 1 }), self.now);
         }
-        let crash = gate.runs.target_crashed();
+        let crash = gate.runs.target_crashed(self.now);
         match (self.scenario.holder, crash) {
             (EvidenceHolder::Gates, Some(crash)) => {
                 let records = self.nodes[node].quarantine.record_crash(&crash, self.now);
--- a/crates/sidecar/src/gate/target_crash.rs
+++ b/crates/sidecar/src/gate/target_crash.rs
@@ -39,7 +39,7 @@
         Identity::Known(id) => local_target::record_identity(&node, &id),
         Identity::Refused => {
             local_target::mark_unverified(&node);
-            let crash = node.run_tracker.borrow_mut().target_crashed();
+            let crash = node.run_tracker.borrow_mut().target_crashed(node.now());
             if let Some(crash) = crash {
                 record_crash(&node, &crash);
             }
@@ -51,7 +51,7 @@
 
 /// Handles a response of the local target that shows its identity.
 pub fn target_identified(node: &Rc<Node>, id: &str) {
-    let crash = node.run_tracker.borrow_mut().target_identified(id);
+    let crash = node.run_tracker.borrow_mut().target_identified(id, node.now());
     if let Some(crash) = crash {
         record_crash(node, &crash);
     }
