Keep a replaced target off the list when its registration shows a restart that came before its successor

Callers lose no call, but each one that chooses the replaced target is refused once until its registration expires.

Evidence: two tests of the decision that failed before, one for each order in which the two registrations can arrive; they pass.

Now a registration of a replaced target counts only if it is newer than the target that is listed at its address, and a successor whose start becomes known takes older targets of its service at its address off the list.

--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -237,10 +237,11 @@
     /// Lists a target, or replaces the registration of a listed one. A superseded target is ignored until it is
     /// restarted. Returns whether a listed target has been restarted.
     pub fn update(&mut self, id: TargetId, mut registration: Registration, now: Timestamp) -> bool {
-        if self.superseded.get(&id).is_some_and(|started| *started >= registration.started) {
+        if self.is_superseded(&id, &registration) {
             return false;
         }
         self.superseded.remove(&id);
+        self.supersede_older(&id, &registration);
         registration.draining |= self.applies_drain_notice(&id, &registration);
         let listed = self.by_id.get(&id);
         let has_restarted = listed.is_some_and(|listed| {
@@ -257,6 +258,31 @@
         has_restarted
     }
 
+    /// Whether a registration is of a process that was replaced by another target at its address: it is not newer than
+    /// the one that was known then, or it is older than the target that is listed there now.
+    fn is_superseded(&self, id: &str, registration: &Registration) -> bool {
+        let Some(replaced) = self.superseded.get(id) else { return false };
+        let starts = self.at_address(registration.address).map(|target| target.registration.started);
+        starts.chain([*replaced]).any(|started| registration.started <= started)
+    }
+
+    /// Unlists older targets at the address of a target that had replaced another one before its start was known: a late
+    /// registration may have listed the replaced one again.
+    fn supersede_older(&mut self, id: &str, registration: &Registration) {
+        let had_unknown_start = self.by_id.get(id).is_some_and(|listed| listed.registration.started == 0);
+        if !had_unknown_start || registration.started == 0 {
+            return;
+        }
+        let others = self.at_address(registration.address).filter(|other| *other.id != *id);
+        let is_older = |other: &&Arc<Target>| (1..registration.started).contains(&other.registration.started);
+        let of_service = others.filter(|other| other.registration.service == registration.service);
+        let older: Vec<Arc<Target>> = of_service.filter(is_older).cloned().collect();
+        for target in older {
+            self.unlist(&target.id);
+            self.superseded.insert(target.id.clone(), target.registration.started);
+        }
+    }
+
     /// Whether the current process of a target has sent a drain notice. The notice of an earlier process is forgotten.
     fn applies_drain_notice(&mut self, id: &str, registration: &Registration) -> bool {
         let Some(notice) = self.draining.get_mut(id) else { return false };
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -221,6 +221,30 @@
     assert!(targets.is_draining("t"));
 }
 
+#[test]
+fn the_late_registration_of_a_replaced_target_does_not_put_it_in_place_of_its_successor() {
+    let mut targets = TargetTable::default();
+    let (former, current) = (Arc::<str>::from("former"), Arc::<str>::from("current"));
+    targets.update(former.clone(), started_at(5), Timestamp::ZERO);
+    targets.replace_at_address("former", current.clone(), "alpha", milliseconds(10));
+    targets.update(current.clone(), started_at(30), milliseconds(20));
+    // It had restarted once under its identity before it was replaced.
+    targets.update(former.clone(), started_at(20), milliseconds(30));
+    assert!(targets.get("former").is_none() && targets.get("current").is_some());
+    targets.update(former.clone(), started_at(40), milliseconds(40));
+    assert!(targets.get("former").is_some(), "it has started again after its successor");
+}
+
+#[test]
+fn a_registered_successor_ends_the_listing_of_an_earlier_target_at_its_address() {
+    let mut targets = TargetTable::default();
+    targets.update(Arc::from("former"), started_at(5), Timestamp::ZERO);
+    targets.replace_at_address("former", Arc::from("current"), "alpha", milliseconds(10));
+    targets.update(Arc::from("former"), started_at(20), milliseconds(20));
+    targets.update(Arc::from("current"), started_at(30), milliseconds(30));
+    assert!(targets.get("former").is_none() && targets.get("current").is_some());
+}
+
 #[test]
 fn a_drain_notice_does_not_extend_a_grace_period() {
     let mut targets = TargetTable::default();
