Tests of broken answers: let the back end break off once the caller has the part, and test the other order apart

The gate had recorded AnswerStarted and AnswerEnded(Broken), the edge a lost attempt: the back end closes right after its part, and if the gate reads head, part and end in one poll, hyper drops the head that it has not written yet and closes. The edge then answers 502, which promises nothing.

Now the back end closes when the part (or the head) has arrived at the caller, so that the checks of both tests hold as they were, unchanged. A test of its own lets it close at once and accepts a 502 with an unknown outcome, an answer that is seen to be cut, or a closed connection, and nothing that looks complete.

Left: that the head is dropped costs a caller the part that was read; nothing is lost that could be used.

--- a/crates/quillhatch/tests/headers.rs
+++ b/crates/quillhatch/tests/headers.rs
@@ -7,7 +7,7 @@
 use quillhatch_calls::edge::io::EdgeInput;
 use quillhatch_calls::gate::io::{AnswerEnd, GateInput};
 use quillhatch_types::{Incarnation, NodeAddress, NodeId};
-use support::backend::{start_raw, start_rocket};
+use support::backend::{start_raw, start_rocket, AfterAnswer};
 use support::{client, keys, start_edge, start_edge_with, start_gate, HEADER_LIMIT, RETRY_BUFFER};
 use test_case::test_case;
 
@@ -43,7 +43,7 @@
 async fn reserved_and_hop_by_hop_fields_of_a_back_end_are_removed() {
     let answer = "HTTP/1.1 200 OK\r\nconnection: x-listed\r\nx-listed: 1\r\noutcome: not-run\r\n\
         quillhatch-refusal: not-run overloaded 0\r\nx-own: kept\r\ncontent-length: 2\r\n\r\nok";
-    let (backend, _) = start_raw(answer.as_bytes().to_vec(), false).await;
+    let (backend, _) = start_raw(answer.as_bytes().to_vec(), AfterAnswer::Close).await;
     let gate = start_gate(backend).await;
     let edge = start_edge(vec![gate.node]).await;
     let answer = client().get(edge.url("/x")).send().await.expect("answer");
@@ -102,7 +102,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_gate_accepts_attempts_of_its_own_fleet_only() {
-    let (backend, record) = start_raw(Vec::new(), false).await;
+    let (backend, record) = start_raw(Vec::new(), AfterAnswer::Close).await;
     let gate = start_gate(backend).await;
     let foreign_edge = start_edge_with(vec![gate.node], keys(2), None).await;
     assert_refused(client().get(foreign_edge.url("/x")).send().await.expect("answer"), 503, "no-target").await;
@@ -157,7 +157,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_edge_drops_forged_fields_and_rejects_answers_of_a_foreign_server() {
     let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-    let (foreign_server, record) = start_raw(answer.as_bytes().to_vec(), false).await;
+    let (foreign_server, record) = start_raw(answer.as_bytes().to_vec(), AfterAnswer::Close).await;
     let target = NodeId { address: NodeAddress(foreign_server), incarnation: Incarnation(1) };
     let edge = start_edge(vec![target]).await;
     let request =
--- a/crates/quillhatch/tests/node.rs
+++ b/crates/quillhatch/tests/node.rs
@@ -11,7 +11,7 @@
 use quillhatch_messages::{Payload, PayloadKind};
 use quillhatch_standins::backend::{Backend, BackendFaults, BackendOptions};
 use quillhatch_standins::server::any_loopback;
-use support::backend::{start_raw, start_rocket};
+use support::backend::{start_raw, start_rocket, AfterAnswer};
 use support::node::{settings, start, TOKEN};
 use support::{client, SERVICE, TEST_TIMEOUT};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -75,7 +75,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_still_active_after_the_grace_period_are_aborted_and_reported() {
     let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
-    let (backend, _) = start_raw(head.as_bytes().to_vec(), true).await;
+    let (backend, _) = start_raw(head.as_bytes().to_vec(), AfterAnswer::Hold).await;
     let (gate, log) = start(settings(Some(backend)), Vec::new()).await;
     let (edge, _) = start(settings(None), vec![gate.node]).await;
     let mut caller = TcpStream::connect(edge.addresses.callers).await.expect("connect");
@@ -150,7 +150,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_background_run_is_aborted_when_its_node_stops() {
-    let (backend, record) = start_raw(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart".to_vec(), true).await;
+    let (backend, record) =
+        start_raw(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart".to_vec(), AfterAnswer::Hold).await;
     let (gate, log) = start(settings(Some(backend)), Vec::new()).await;
     let (edge, edge_log) = start(settings(None), vec![gate.node]).await;
     let url = format!("http://{}/giving/x", edge.addresses.callers);
--- a/crates/quillhatch/tests/streaming.rs
+++ b/crates/quillhatch/tests/streaming.rs
@@ -2,14 +2,17 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use quillhatch::decisions::NodeInput;
 use quillhatch_calls::edge::io::EdgeInput;
 use quillhatch_calls::gate::io::{AnswerEnd, GateInput};
-use support::backend::{hex_digest, pattern, start_raw, start_rocket, DOWNLOAD_BYTES};
+use support::backend::{hex_digest, pattern, start_raw, start_rocket, AfterAnswer, DOWNLOAD_BYTES};
 use support::{client, start_edge, start_gate, TEST_TIMEOUT};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_download_arrives_complete() {
@@ -38,30 +41,43 @@
     assert_eq!(answer.text().await.expect("text"), expected);
 }
 
-/// Sends a request as raw bytes and reads the response until the connection closes.
-async fn exchange_raw(address: std::net::SocketAddr, request: &str) -> String {
+/// Sends a request as raw bytes and reads the response until the connection closes. Notifies `part_arrived` when the
+/// response contains "part".
+async fn exchange_raw(address: std::net::SocketAddr, request: &str, part_arrived: &Notify) -> String {
     let mut stream = TcpStream::connect(address).await.expect("connect");
     stream.write_all(request.as_bytes()).await.expect("write");
     let mut answer = Vec::new();
-    // A connection reset is one way to end a broken response; the bytes before it are checked.
-    let reading = async { while stream.read_buf(&mut answer).await.unwrap_or(0) > 0 {} };
+    let reading = async {
+        // A connection reset is one way to end a broken response; the bytes before it are checked.
+        while stream.read_buf(&mut answer).await.unwrap_or(0) > 0 {
+            if String::from_utf8_lossy(&answer).contains("part") {
+                part_arrived.notify_one();
+            }
+        }
+    };
     tokio::time::timeout(TEST_TIMEOUT, reading).await.expect("the connection closes");
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+fn assert_incomplete(answer: &str) {
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    assert!(!answer.contains("0\r\n\r\n"), "a broken body ended as if it were complete: {answer}");
+    let body = answer.split_once("\r\n\r\n").expect("head").1;
+    assert!(body.len() < "4\r\npart\r\n0\r\n\r\n".len() && !answer.contains("content-length: 4"), "{answer}");
+}
+
 #[test_case("transfer-encoding: chunked\r\n\r\n4\r\npart\r\n"; "chunked without its terminator")]
 #[test_case("content-length: 9\r\n\r\npart"; "shorter than announced")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_answer_does_not_look_complete(rest: &str) {
-    let (backend, _) = start_raw(format!("HTTP/1.1 200 OK\r\n{rest}").into_bytes(), false).await;
+    let part_arrived = Arc::new(Notify::new());
+    let after = AfterAnswer::CloseOn(Arc::clone(&part_arrived));
+    let (backend, _) = start_raw(format!("HTTP/1.1 200 OK\r\n{rest}").into_bytes(), after).await;
     let gate = start_gate(backend).await;
     let edge = start_edge(vec![gate.node]).await;
     let request = "GET /giving/file HTTP/1.1\r\nhost: a\r\n\r\n";
-    let answer = exchange_raw(edge.address, request).await;
-    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
-    assert!(!answer.contains("0\r\n\r\n"), "a broken body ended as if it were complete: {answer}");
-    let body = answer.split_once("\r\n\r\n").expect("head").1;
-    assert!(body.len() < "4\r\npart\r\n0\r\n\r\n".len() && !answer.contains("content-length: 4"), "{answer}");
+    let answer = exchange_raw(edge.address, request, &part_arrived).await;
+    assert_incomplete(&answer);
     edge.log
         .wait_for("a broken body", |input| {
             matches!(input, NodeInput::Edge(EdgeInput::BodyEnded { incomplete: Some(_), .. }))
@@ -70,13 +86,31 @@
     gate.log.wait_for("a broken answer", |input| answer_end(input) == Some(&AnswerEnd::Broken)).await;
 }
 
+// A node that reads head, part and end at once closes its connection before it has passed anything on.
+#[test_case("transfer-encoding: chunked\r\n\r\n4\r\npart\r\n"; "chunked without its terminator")]
+#[test_case("content-length: 9\r\n\r\npart"; "shorter than announced")]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_breaks_at_once_does_not_look_complete(rest: &str) {
+    let (backend, _) = start_raw(format!("HTTP/1.1 200 OK\r\n{rest}").into_bytes(), AfterAnswer::Close).await;
+    let gate = start_gate(backend).await;
+    let edge = start_edge(vec![gate.node]).await;
+    let request = "GET /giving/file HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+    let answer = exchange_raw(edge.address, request, &Notify::new()).await;
+    if answer.starts_with("HTTP/1.1 502") {
+        assert!(answer.contains("outcome: unknown") && answer.contains("may have run"), "{answer}");
+    } else if !answer.is_empty() {
+        assert_incomplete(&answer);
+    }
+    gate.log.wait_for("a broken answer", |input| answer_end(input) == Some(&AnswerEnd::Broken)).await;
+}
+
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "GET", 200)]
 #[test_case("HTTP/1.1 204 No Content\r\n\r\n", "GET", 204)]
 #[test_case("HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\n", "HEAD", 200)]
 #[test_case("HTTP/1.1 304 Not Modified\r\ncontent-length: 500\r\n\r\n", "GET", 304)]
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_without_a_body_are_complete(answer: &str, method: &str, status: u16) {
-    let (backend, _) = start_raw(answer.as_bytes().to_vec(), true).await;
+    let (backend, _) = start_raw(answer.as_bytes().to_vec(), AfterAnswer::Hold).await;
     let gate = start_gate(backend).await;
     let edge = start_edge(vec![gate.node]).await;
     let method = method.parse().expect("method");
@@ -93,7 +127,7 @@
 #[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n"; "in the middle of the body")]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_disconnects_cancels_the_request_at_the_back_end(answer: &str) {
-    let (backend, record) = start_raw(answer.as_bytes().to_vec(), true).await;
+    let (backend, record) = start_raw(answer.as_bytes().to_vec(), AfterAnswer::Hold).await;
     let gate = start_gate(backend).await;
     let edge = start_edge(vec![gate.node]).await;
     let mut caller = TcpStream::connect(edge.address).await.expect("connect");
@@ -120,11 +154,15 @@
     let rest = format!(
         "HTTP/1.1 206 Partial Content\r\netag: {validator}\r\ncontent-range: bytes 4-7/8\r\ncontent-length: 4\r\n\r\nefgh"
     );
-    let (first, _) = start_raw(first.as_bytes().to_vec(), false).await;
-    let (second, record) = start_raw(rest.into_bytes(), false).await;
+    let head_arrived = Arc::new(Notify::new());
+    let after = AfterAnswer::CloseOn(Arc::clone(&head_arrived));
+    let (first, _) = start_raw(first.as_bytes().to_vec(), after).await;
+    let (second, record) = start_raw(rest.into_bytes(), AfterAnswer::Close).await;
     let (gate, other) = (start_gate(first).await, start_gate(second).await);
     let edge = start_edge(vec![gate.node, other.node]).await;
-    let body = client().get(edge.url("/file")).send().await.expect("head").bytes().await;
+    let head = client().get(edge.url("/file")).send().await.expect("head");
+    head_arrived.notify_one();
+    let body = head.bytes().await;
     assert_eq!(body.ok().as_deref(), resumes.then_some(b"abcdefgh".as_slice()));
     let request = record.requests.lock().expect("requests").concat();
     assert!(request.contains("range: bytes=4-") && request.contains("if-range: \"v1\""), "{request}");
--- a/crates/quillhatch/tests/support/backend.rs
+++ b/crates/quillhatch/tests/support/backend.rs
@@ -92,16 +92,26 @@
     pub disconnected: Arc<tokio::sync::Notify>,
 }
 
-/// Starts a back end that answers every request with `answer` and then closes the connection or, if `hold` is set, keeps it
-/// open until the client disconnects.
-pub async fn start_raw(answer: Vec<u8>, hold: bool) -> (SocketAddr, BackendRecord) {
+/// What a raw back end does after its answer.
+#[derive(Clone)]
+pub enum AfterAnswer {
+    /// It closes the connection.
+    Close,
+    /// It closes the connection once it is notified.
+    CloseOn(Arc<tokio::sync::Notify>),
+    /// It keeps the connection open until the client disconnects.
+    Hold,
+}
+
+/// Starts a back end that answers every request with `answer`.
+pub async fn start_raw(answer: Vec<u8>, after: AfterAnswer) -> (SocketAddr, BackendRecord) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
     let address = listener.local_addr().expect("address");
     let record = BackendRecord::default();
     let recorded = record.clone();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let (recorded, answer) = (recorded.clone(), answer.clone());
+            let (recorded, answer, after) = (recorded.clone(), answer.clone(), after.clone());
             tokio::spawn(async move {
                 let mut request = vec![0; 64 * 1024];
                 let size = stream.read(&mut request).await.unwrap_or(0);
@@ -109,9 +119,13 @@
                 recorded.requests.lock().expect("requests").push(text);
                 stream.write_all(&answer).await.ok();
                 stream.flush().await.ok();
-                if hold {
-                    while stream.read(&mut request).await.unwrap_or(0) > 0 {}
-                    recorded.disconnected.notify_one();
+                match after {
+                    AfterAnswer::Close => {}
+                    AfterAnswer::CloseOn(notify) => notify.notified().await,
+                    AfterAnswer::Hold => {
+                        while stream.read(&mut request).await.unwrap_or(0) > 0 {}
+                        recorded.disconnected.notify_one();
+                    }
                 }
             });
         }
