Soak: name the calls that were not served, and the requests that ran when a target had most of them

It lists the calls with their machines and ends, and the requests that ran at a target's peak with their ages and whether they waited for a call of their own. The checks and their bounds are as they were, but slots is reported for each target.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,10 +1,11 @@
 //! The guarantees, checked against what callers and targets observed.
 
 use std::collections::{HashMap, HashSet};
+use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use quillhatch_platform_standins::target::chained_id;
+use quillhatch_platform_standins::target::{chained_id, RunningPeak};
 
 use crate::crashes;
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
@@ -27,6 +28,8 @@
 const RETRY_SLACK: f64 = 55.0;
 /// The maximum ratio of retries to requests of a service.
 const RETRY_RATIO: f64 = 0.2;
+/// The maximum number of calls that a violation lists.
+const MAX_DESCRIBED_CALLS: usize = 8;
 /// The window in which retries are counted.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
@@ -157,8 +160,8 @@
             found.push(violation(Guarantee::NotRun, format!("{} was refused but ran", call.id)));
         }
     }
-    if record.max_running > SLOTS {
-        found.push(violation(Guarantee::Slots, format!("{} of {SLOTS} slots used", record.max_running)));
+    for (machine, peak) in record.running_peaks.iter().filter(|(_, peak)| peak.requests.len() > SLOTS as usize) {
+        found.push(violation(Guarantee::Slots, describe_peak(*machine, peak)));
     }
     found.extend(retry_budget_violations(record));
     found.extend(crashes::check(record));
@@ -234,6 +237,7 @@
     let mut found = Vec::new();
     let ran: HashSet<&str> = record.runs.iter().map(|run| run.id.as_str()).collect();
     let (mut served, mut counted) = (0_usize, 0_usize);
+    let mut unserved: Vec<&CallRecord> = Vec::new();
     for call in &record.calls {
         if !record.is_fault_and_crash_free(SETTLE_TIME, call.sent, call.ended) {
             continue;
@@ -242,6 +246,7 @@
         counted += usize::from(is_counted);
         match call.end {
             CallEnd::Answered { status: 200, .. } => served += usize::from(is_counted),
+            CallEnd::Answered { .. } if is_counted => unserved.push(call),
             CallEnd::Answered { .. } => {}
             // A process that was asked to stop may have ended, so that connections to it are refused.
             CallEnd::Unreached => counted -= usize::from(is_counted && was_stopping(record, call)),
@@ -259,16 +264,38 @@
         }
     }
     if (served as f64) < MIN_SERVED_SHARE * counted as f64 {
-        found.push(violation(
-            Guarantee::Served,
-            format!("{served} of {counted} calls were served in fault-free periods"),
-        ));
+        let description = format!(
+            "{served} of {counted} calls were served in fault-free periods; not served:{}",
+            describe_unserved(&unserved)
+        );
+        found.push(violation(Guarantee::Served, description));
     }
     found.extend(stale_configuration_violations(record));
     found.extend(drain_violations(record));
     found
 }
 
+/// Lists the requests that ran at the peak of a target: their ids, how long they had run, and whether they waited for
+/// a call of their own.
+fn describe_peak(machine: usize, peak: &RunningPeak) -> String {
+    let mut text = format!("{} of {SLOTS} slots used at machine {machine}:", peak.requests.len());
+    for request in &peak.requests {
+        let calling = if request.is_calling { " calling" } else { "" };
+        let _ = write!(text, " {} ({:?}{calling});", request.id, peak.at - request.started);
+    }
+    text
+}
+
+/// Lists the first calls that were not served, with what is needed to find them in the logs.
+fn describe_unserved(calls: &[&CallRecord]) -> String {
+    let mut text = String::new();
+    for call in calls.iter().take(MAX_DESCRIBED_CALLS) {
+        let CallRecord { id, machine, kind, end, .. } = call;
+        let _ = write!(text, " {id} at machine {machine} ({kind:?}, {end:?});");
+    }
+    text
+}
+
 /// Whether no target may have had capacity for a call: while one target of a service that it needs had announced a rate
 /// limit or a drain, planned work may have taken another one of that service away.
 fn may_lack_capacity(record: &SoakRecord, call: &CallRecord) -> bool {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use quillhatch_platform_standins::target::RunningPeak;
+
 use crate::layout::{RouteKind, CRASH_DOWNTIME};
 use crate::target_status::{AnnouncementSpan, ArrivalRecord, NestedResponse, RateLimitSpan, ResponderStatus};
 use crate::tenancy::SoakKey;
@@ -150,8 +152,8 @@
     pub rate_limits: Vec<RateLimitSpan>,
     /// When targets had announced a rate limit or a drain.
     pub announcements: Vec<AnnouncementSpan>,
-    /// The maximum number of requests that a target ran concurrently.
-    pub max_running: u32,
+    /// The moments at which targets ran most requests concurrently, each with the number of its machine.
+    pub running_peaks: Vec<(usize, RunningPeak)>,
 }
 
 impl SoakRecord {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -346,7 +346,6 @@
                 at,
                 responder,
             }));
-            record.max_running = record.max_running.max(machine.target.max_running() as u32);
         }
     }
 
@@ -356,6 +355,7 @@
         for machine in &self.machines {
             let number = machine.addrs.number;
             record.restarts.extend(machine.restarts().into_iter().map(|at| ProcessRestart { machine: number, at }));
+            record.running_peaks.extend(machine.target.running_peak().map(|peak| (number, peak)));
         }
         let violations = checks::check_all(&record);
         SoakReport { record, faults: self.faults, violations }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use quillhatch_platform_standins::target::{RunningPeak, RunningRequest};
 use quillhatch_soak::checks::{check_all, Guarantee};
 use quillhatch_soak::layout::{RouteKind, SLOTS};
 use quillhatch_soak::record::{
@@ -75,6 +76,13 @@
         });
     }
 
+    fn run_at_once(&mut self, count: u32) {
+        let started = self.at(7_000);
+        let request = RunningRequest { id: "x".to_owned(), started, is_calling: false };
+        let peak = RunningPeak { at: started, requests: vec![request; count as usize] };
+        self.record.running_peaks.push((ALPHA, peak));
+    }
+
     fn add_fault(&mut self, from_ms: u64, until_ms: u64) {
         let (from, until) = (self.at(from_ms), self.at(until_ms));
         self.record.fault_spans.push(FaultSpan { machine: None, from, until });
@@ -157,7 +165,7 @@
     scenario.run("x", RouteKind::Moving, GAMMA, 6_010);
     scenario.add_fault(5_900, 6_100);
 })]
-#[test_case(Guarantee::Slots, |scenario| scenario.record.max_running = SLOTS + 1)]
+#[test_case(Guarantee::Slots, |scenario| scenario.run_at_once(SLOTS + 1))]
 #[test_case(Guarantee::Uncut, |scenario| scenario.call("x", RouteKind::Read, 6_000, CallEnd::Cut))]
 #[test_case(Guarantee::Uncut, |scenario| scenario.call("x", RouteKind::Read, 6_000, CallEnd::Silent))]
 fn a_violated_guarantee_is_reported(guarantee: Guarantee, violate: fn(&mut Scenario)) {
