--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::targets::{Registration, RunningAt, TargetTable};
+use quillhatch_mesh::targets::{Registration, RunningAt, TargetTable, PARTITION_GRACE};
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
@@ -209,6 +209,26 @@
     assert!(!targets.is_draining("t"), "another process");
 }
 
+#[test_case(|targets, id| { targets.update(id, started_at(15), milliseconds(40)); }; "written again with the start of the process")]
+#[test_case(|targets, id| { targets.update(id, started_at(4), milliseconds(40)); }; "written again with an earlier start")]
+#[test_case(|targets, id| { targets.update(id, started_at(0), milliseconds(40)); }; "written again without a start")]
+#[test_case(|targets, id| targets.retain_unregistered(id, started_at(5), PARTITION_GRACE, milliseconds(40)); "retained by another node")]
+#[test_case(|targets, id| {
+    targets.update(Arc::from("other"), started_at(30), milliseconds(40));
+    targets.replace_at_address("other", id, "alpha", milliseconds(50));
+}; "reported in place of another target")]
+fn a_drain_notice_holds_when_the_target_is_listed_again(list_again: fn(&mut TargetTable, Arc<str>)) {
+    let mut targets = TargetTable::default();
+    let id: Arc<str> = Arc::from("t");
+    targets.update(id.clone(), started_at(5), Timestamp::ZERO);
+    targets.record_drain_notice("t", RunningAt(20), milliseconds(10));
+    targets.remove_missing(std::slice::from_ref(&id), Duration::from_secs(4), milliseconds(20));
+    targets.report_store_access("10.0.0.1".parse().expect("an address"), true, milliseconds(30));
+    assert!(targets.get("t").is_none(), "it is draining, so its registration did not lapse by a partition");
+    list_again(&mut targets, id);
+    assert!(targets.get("t").is_some_and(|target| target.registration.draining));
+}
+
 #[test]
 fn a_drain_notice_of_a_second_process_counts_while_that_of_the_first_is_known() {
     let mut targets = TargetTable::default();
