--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -172,3 +172,31 @@
         assert_eq!(target.take_arrivals().len(), 0, "calls of machines that know");
     });
 }
+
+#[test]
+fn a_service_whose_targets_are_all_leaving_gets_no_calls_and_its_callers_are_refused_in_time() {
+    run(async {
+        let fleet = Fleet::start(3).await;
+        fleet.machines.iter().for_each(|machine| machine.target.set_leaving(true));
+        let started = Instant::now();
+        for number in 0.. {
+            if started.elapsed() >= BOUNDS.drain {
+                break;
+            }
+            for outbound in fleet.outbound() {
+                call(outbound, &read(&format!("leaving-{number}-{outbound}"))).await;
+            }
+        }
+        fleet.machines.iter().for_each(|machine| drop(machine.target.take_arrivals()));
+        for number in 0..20 {
+            for outbound in fleet.outbound() {
+                let sent = Instant::now();
+                let response = call(outbound, &read(&format!("left-{number}-{outbound}"))).await.expect("a response");
+                assert_eq!((response.status, response.header("retry-after").is_empty()), (503, false));
+                assert!(sent.elapsed() < Duration::from_millis(500), "{:?}", sent.elapsed());
+            }
+        }
+        let arrivals: usize = fleet.machines.iter().map(|machine| machine.target.take_arrivals().len()).sum();
+        assert_eq!(arrivals, 0, "calls after the drain bound");
+    });
+}
