--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -1,5 +1,6 @@
 //! The targets of all services, as the platform's store lists them.
 
+mod drain;
 mod grace;
 mod registration;
 mod status;
@@ -11,6 +12,7 @@
 
 use quillhatch_types::Timestamp;
 
+use drain::DrainNotices;
 pub use grace::{GracePeriod, GraceReason, PARTITION_GRACE};
 pub use registration::{Registration, RunningAt, Target, TargetId, TargetProcess};
 pub use status::TargetStatus;
@@ -24,9 +26,7 @@
     superseded: HashMap<TargetId, u64>,
     /// The grace periods of targets that are retained although their registrations are missing.
     grace_periods: HashMap<TargetId, GracePeriod>,
-    /// Drain notices that targets have sent in their responses. They hold whatever is registered, also while the targets
-    /// are not listed.
-    draining: HashMap<TargetId, DrainNotice>,
+    drain_notices: DrainNotices,
     /// When the nodes of these machines last reported that they can't reach the store.
     partitioned: HashMap<IpAddr, Timestamp>,
     /// Targets that were recently removed, and when.
@@ -35,16 +35,6 @@
     recently_ended: VecDeque<(Timestamp, TargetId)>,
 }
 
-/// The notice of a target, in its responses, that it is draining.
-#[derive(Clone, Copy, Debug)]
-struct DrainNotice {
-    /// When the process that is draining was running; zero if it is not known.
-    running_at: RunningAt,
-    received: Timestamp,
-}
-
-/// How long a drain notice of a target that is not listed is remembered.
-const DRAIN_NOTICE_RETENTION: Duration = Duration::from_secs(600);
 /// The minimum share of all targets that must be missing at once for the store's list to be suspicious: it may have
 /// lost entries of targets that still serve.
 const MIN_SUSPICIOUS_SHARE: f64 = 0.3;
@@ -242,7 +232,7 @@
         }
         self.superseded.remove(&id);
         self.supersede_older(&id, &registration);
-        registration.draining |= self.applies_drain_notice(&id, &registration);
+        registration.draining |= self.drain_notices.applies_to(&id, &registration);
         let listed = self.by_id.get(&id);
         let has_restarted = listed.is_some_and(|listed| {
             let known = listed.registration.started;
@@ -283,40 +273,18 @@
         }
     }
 
-    /// Whether the current process of a target has sent a drain notice. The notice of an earlier process is forgotten.
-    fn applies_drain_notice(&mut self, id: &str, registration: &Registration) -> bool {
-        let Some(notice) = self.draining.get_mut(id) else { return false };
-        if notice.running_at == RunningAt::default() {
-            notice.running_at = RunningAt(registration.started);
-        }
-        if notice.running_at.precedes(registration.started) {
-            self.draining.remove(id);
-            return false;
-        }
-        true
-    }
-
     /// Records a drain notice of the target's process that was running at `running_at`; zero if that is not known.
     /// Returns whether the target was not known to be draining.
     ///
     /// The notice is final for that process. The store may still list the target as ready.
     pub fn record_drain_notice(&mut self, id: &str, running_at: RunningAt, now: Timestamp) -> bool {
         let listed = self.by_id.get(id).cloned();
-        let known = listed.as_ref().map_or(0, |target| target.registration.started);
-        let is_outdated = running_at != RunningAt::default() && running_at.precedes(known);
-        if is_outdated {
-            return false;
-        }
-        if let Some(notice) = self.draining.get_mut(id) {
-            // It may be the notice of a later process, whose registration is not known yet.
-            notice.running_at = notice.running_at.max(running_at);
+        let listed_start = listed.as_ref().map_or(0, |target| target.registration.started);
+        if !self.drain_notices.record(id, running_at, listed_start, now) {
             return false;
         }
         let by_id = &self.by_id;
-        self.draining
-            .retain(|other, notice| by_id.contains_key(other) || now.since(notice.received) < DRAIN_NOTICE_RETENTION);
-        let notice = DrainNotice { running_at: running_at.max(RunningAt(known)), received: now };
-        self.draining.insert(TargetId::from(id), notice);
+        self.drain_notices.forget_old(now, |other| by_id.contains_key(other));
         if let Some(target) = listed {
             let grace = self.grace_period(id);
             self.update(target.id.clone(), target.registration.clone(), now);
@@ -327,12 +295,13 @@
 
     /// When the process of a target that has sent a drain notice was running.
     pub fn drain_notice(&self, id: &str) -> Option<RunningAt> {
-        self.draining.get(id).map(|notice| notice.running_at)
+        self.drain_notices.running_at(id)
     }
 
     /// Whether a target is draining, according to its registration or to its responses.
     pub fn is_draining(&self, id: &str) -> bool {
-        self.draining.contains_key(id) || self.by_id.get(id).is_some_and(|target| target.registration.draining)
+        self.drain_notices.running_at(id).is_some()
+            || self.by_id.get(id).is_some_and(|target| target.registration.draining)
     }
 
     /// Lists the target `current` in place of `previous`, since it was found to have replaced it at the same address.
