Tests of leaving targets: count the calls of the nodes that have passed on a response that says so

Traced in its log: the nodes that sent the call had never passed on a response of the leaving target; one other node had, and the gate had closed before they called. The restarted gate doesn't know, so their first call is allowed. The test meant machines that know, and took all callers for such.

Now the calls after the restart go through the nodes that have passed on such a response to a caller, as callers see it, and there must be at least one.

--- a/crates/sidecar/tests/leaving_targets.rs
+++ b/crates/sidecar/tests/leaving_targets.rs
@@ -8,7 +8,7 @@
 use support::caller::call;
 use support::shop::{read, start_fleet};
 use support::store::{StandInStore, StoreMode};
-use support::target::HealthStatus;
+use support::target::{HealthStatus, ResponderStatus};
 use support::{eventually, run, start_sidecar, Machine, BOUNDS};
 use tokio::time::{sleep, Instant};
 
@@ -23,24 +23,39 @@
         Fleet { store, machines }
     }
 
+    /// Restarts the node of the first machine, and removes the machine from the fleet.
+    async fn restart_first_node(&mut self) -> Machine {
+        let Machine { target, sidecar, address } = self.machines.remove(0);
+        sidecar.stop().await;
+        let sidecar = start_sidecar(address, "alpha", target.address, self.store.address);
+        eventually("its node has restarted", || sidecar.node.is_ready()).await;
+        Machine { target, sidecar, address }
+    }
+
     fn outbound(&self) -> Vec<SocketAddr> {
         self.machines.iter().map(Machine::outbound).collect()
     }
 }
 
-/// Sends calls through these nodes in turn for some time, one after the other. All must be served.
-async fn keep_calling(outbound: &[SocketAddr], name: &str, duration: Duration) {
+/// Sends calls through these nodes in turn for some time, one after the other. All must be served. Returns the nodes
+/// that have passed on a response of a target that is leaving.
+async fn keep_calling(outbound: &[SocketAddr], name: &str, duration: Duration) -> Vec<SocketAddr> {
     let started = Instant::now();
+    let mut informed = Vec::new();
     for round in 0.. {
         if started.elapsed() >= duration {
-            return;
+            break;
         }
         for (number, address) in outbound.iter().enumerate() {
-            let response = call(*address, &read(&format!("{name}-{round}-{number}"))).await;
-            assert_eq!(response.expect("a response").status, 200, "{name}, after {:?}", started.elapsed());
+            let response = call(*address, &read(&format!("{name}-{round}-{number}"))).await.expect("a response");
+            assert_eq!(response.status, 200, "{name}, after {:?}", started.elapsed());
+            if ResponderStatus::read(&response).is_leaving && !informed.contains(address) {
+                informed.push(*address);
+            }
         }
         sleep(Duration::from_millis(10)).await;
     }
+    informed
 }
 
 #[test]
@@ -65,14 +80,12 @@
         let outbound = fleet.outbound()[1..].to_vec();
         fleet.machines[0].target.set_leaving(true);
         fleet.machines[0].target.set_health_shows_status(false);
-        keep_calling(&outbound, "leaving", BOUNDS.drain).await;
-        let Machine { target, sidecar, address } = fleet.machines.remove(0);
-        sidecar.stop().await;
-        let restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
-        eventually("its node has restarted", || restarted.node.is_ready()).await;
-        target.take_arrivals();
-        keep_calling(&outbound, "left", Duration::from_secs(2)).await;
-        assert_eq!(target.take_arrivals().len(), 0, "calls of machines that know");
+        let informed = keep_calling(&outbound, "leaving", BOUNDS.drain).await;
+        let restarted = fleet.restart_first_node().await;
+        restarted.target.take_arrivals();
+        assert!(!informed.is_empty());
+        keep_calling(&informed, "left", Duration::from_secs(2)).await;
+        assert_eq!(restarted.target.take_arrivals().len(), 0, "calls of machines that know");
     });
 }
 
@@ -126,8 +139,8 @@
 }
 
 /// Lets the first target start again with its identity while the nodes can't read the store, and then announce a drain.
-/// Returns once the store is back and shows the restart.
-async fn restart_and_leave_in_outage(fleet: &Fleet, outbound: &[SocketAddr]) {
+/// Returns once the store is back and shows the restart, with the nodes that have passed on a response that says so.
+async fn restart_and_leave_in_outage(fleet: &Fleet, outbound: &[SocketAddr]) -> Vec<SocketAddr> {
     let leaving = &fleet.machines[0].target;
     leaving.set_health_shows_status(false);
     keep_calling(outbound, "before", Duration::from_millis(500)).await;
@@ -137,13 +150,15 @@
     fleet.store.register(leaving, "ready");
     keep_calling(outbound, "restarted", Duration::from_millis(500)).await;
     leaving.set_leaving(true);
-    keep_calling(outbound, "leaving", BOUNDS.drain).await;
+    let informed = keep_calling(outbound, "leaving", BOUNDS.drain).await;
+    assert!(!informed.is_empty());
     fleet.store.set_mode(StoreMode::Normal);
     let shows_restart = |machine: &Machine| {
         let targets = machine.node().targets.borrow();
         targets.get(&leaving.id()).is_some_and(|target| target.registration.started == leaving.start_time_ms())
     };
     eventually("all know the restart", || fleet.machines.iter().all(shows_restart)).await;
+    informed
 }
 
 #[test]
@@ -162,14 +177,11 @@
     run(async {
         let mut fleet = Fleet::start(4).await;
         let outbound = fleet.outbound()[1..].to_vec();
-        restart_and_leave_in_outage(&fleet, &outbound).await;
-        let Machine { target, sidecar, address } = fleet.machines.remove(0);
-        sidecar.stop().await;
-        let restarted = start_sidecar(address, "alpha", target.address, fleet.store.address);
-        eventually("its node has restarted", || restarted.node.is_ready()).await;
-        target.take_arrivals();
-        keep_calling(&outbound, "left", Duration::from_secs(2)).await;
-        assert_eq!(target.take_arrivals().len(), 0, "calls of machines that know");
+        let informed = restart_and_leave_in_outage(&fleet, &outbound).await;
+        let restarted = fleet.restart_first_node().await;
+        restarted.target.take_arrivals();
+        keep_calling(&informed, "left", Duration::from_secs(2)).await;
+        assert_eq!(restarted.target.take_arrivals().len(), 0, "calls of machines that know");
     });
 }
 
