Read the time of day only for responses of a target that announces something or did

From reading the diff: each response cost a reading of the time of day, and the identity of its target was copied, though nothing is announced as a rule. No behaviour changes; tests of leaving targets, limits and log lines pass.

--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -71,17 +71,15 @@
 
 /// Records the status of `target`, and logs what has changed.
 fn record_status(node: &Rc<Node>, target: &str, sent_at: Timestamp, status: TargetStatus) {
-    let running_at = running_at(node, target, sent_at);
-    if running_at.precedes(node.targets.borrow().process(&TargetId::from(target)).started) {
-        // A late response of an earlier process.
-        return;
-    }
     let local = &node.local_target_status;
     if local.target.borrow().as_deref() != Some(target) {
         *local.target.borrow_mut() = Some(TargetId::from(target));
         local.status.take();
         local.running_at.take();
     }
+    let is_unchanged_default = status == TargetStatus::default() && local.status.get() == status;
+    let running_at = if is_unchanged_default { Some(RunningAt::default()) } else { running_at(node, target, sent_at) };
+    let Some(running_at) = running_at else { return };
     let before = local.status.replace(status);
     local.running_at.set(local.running_at.get().max(running_at));
     node.target_limiter.borrow_mut().record_response(target, status.rate_limit, running_at, node.now());
@@ -100,13 +98,18 @@
     }
 }
 
-/// The time of day at `sent_at`, when the process of `target` that has responded was running. That process is not
-/// older than one that was listed by then, whatever the clocks show.
-fn running_at(node: &Node, target: &str, sent_at: Timestamp) -> RunningAt {
+/// The time of day at `sent_at`, when the process of `target` that has responded was running; `None` if a later process
+/// has been listed since.
+fn running_at(node: &Node, target: &str, sent_at: Timestamp) -> Option<RunningAt> {
+    let sent = RunningAt(node.clock.unix_millis(sent_at));
     let targets = node.targets.borrow();
-    let listed = targets.get(target).filter(|listed| listed.listed_at <= sent_at);
-    let started = listed.map_or(0, |listed| listed.registration.started);
-    RunningAt(node.clock.unix_millis(sent_at).max(started))
+    let Some(listed) = targets.get(target) else { return Some(sent) };
+    let started = listed.registration.started;
+    if listed.listed_at <= sent_at {
+        // The process that was listed by then, or a later one, has responded, whatever the clocks show.
+        return Some(sent.max(RunningAt(started)));
+    }
+    (!sent.precedes(started)).then_some(sent)
 }
 
 /// Parses the rate limit in the headers of a response. One that can't be parsed counts as none, and is logged when the
