--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -36,8 +36,18 @@
 #[derive(Clone, Copy, Debug)]
 struct WindowBucket {
     start: Timestamp,
-    calls: u32,
-    retries: u32,
+    usage: BudgetUsage,
+}
+
+/// The calls and retries that a budget has counted in its current window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BudgetUsage {
+    /// Calls that are no retries.
+    pub calls: u32,
+    /// Retries that this node has sent.
+    pub retries: u32,
+    /// Calls that arrived once more since a call above them was retried.
+    pub inherited: u32,
 }
 
 impl RetryBudget {
@@ -48,18 +58,23 @@
 
     /// Counts a call of the service.
     pub fn record_call(&mut self, now: Timestamp) {
-        self.current_bucket(now).calls += 1;
+        self.current_bucket(now).usage.calls += 1;
     }
 
     /// Counts a call of the service that arrives once more since a call above it was retried. To refuse it would waste
     /// the work above it, so it is subtracted from the retries that this node may send.
     pub fn record_inherited_retry(&mut self, now: Timestamp) {
-        self.current_bucket(now).retries += 1;
+        self.current_bucket(now).usage.inherited += 1;
     }
 
-    /// Returns the retries in the current window, inherited ones included.
-    pub fn retries_in_window(&self) -> u32 {
-        self.buckets.iter().map(|bucket| bucket.retries).sum()
+    /// Returns what was counted in the current window.
+    pub fn usage(&self) -> BudgetUsage {
+        let add = |sum: BudgetUsage, bucket: &WindowBucket| BudgetUsage {
+            calls: sum.calls + bucket.usage.calls,
+            retries: sum.retries + bucket.usage.retries,
+            inherited: sum.inherited + bucket.usage.inherited,
+        };
+        self.buckets.iter().fold(BudgetUsage::default(), add)
     }
 
     /// Spends one retry, if the budget has one left.
@@ -67,11 +82,11 @@
         let ratio = self.ratio * SPENT_FRACTION;
         let slack = if now.since(self.started) >= self.bucket_length * WINDOW_BUCKETS { self.slack } else { 0.0 };
         self.current_bucket(now);
-        let calls: u32 = self.buckets.iter().map(|bucket| bucket.calls).sum();
-        if f64::from(self.retries_in_window() + 1) > ratio * f64::from(calls) + slack {
+        let usage = self.usage();
+        if f64::from(usage.retries + usage.inherited + 1) > ratio * f64::from(usage.calls) + slack {
             return false;
         }
-        self.current_bucket(now).retries += 1;
+        self.current_bucket(now).usage.retries += 1;
         true
     }
 
@@ -82,7 +97,7 @@
         }
         let is_new = self.buckets.back().is_none_or(|bucket| now.since(bucket.start) >= self.bucket_length);
         if is_new {
-            self.buckets.push_back(WindowBucket { start: now, calls: 0, retries: 0 });
+            self.buckets.push_back(WindowBucket { start: now, usage: BudgetUsage::default() });
         }
         self.buckets.back_mut().expect("a bucket was added")
     }
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -24,6 +24,10 @@
     latency: RefCell<Histogram>,
     /// Retries of calls whose previous attempt a target may have received.
     pub retries: Cell<u64>,
+    /// Retries that the retry budget of their service did not allow.
+    pub denied_retries: Cell<u64>,
+    /// Calls that arrived once more since a call above them was retried.
+    pub inherited_retries: Cell<u64>,
     /// Calls forwarded to the local target, whether it ran them or not.
     pub target_requests: Cell<u64>,
     /// Requests to the platform's store.
@@ -66,6 +70,8 @@
         }
         let counters = [
             ("repeats", self.retries.get()),
+            ("denied_retries", self.denied_retries.get()),
+            ("inherited_retries", self.inherited_retries.get()),
             ("target_requests", self.target_requests.get()),
             ("store_requests", self.store_requests.get()),
             ("store_failures", self.store_failures.get()),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -21,7 +21,7 @@
 use quillhatch_mesh::quarantine::{Quarantine, RunTracker};
 use quillhatch_mesh::queue::QueueTicket;
 use quillhatch_mesh::replica::{Position, Replica};
-use quillhatch_mesh::retry_budget::RetryBudget;
+use quillhatch_mesh::retry_budget::{BudgetUsage, RetryBudget};
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_mesh::store_reader::StoreReader;
 use quillhatch_mesh::target_limit::TargetRateLimiter;
@@ -335,11 +335,32 @@
 
     /// Takes one retry from the budget of a service, and returns whether the budget allowed it.
     pub fn try_retry(&self, service: &Arc<str>) -> bool {
-        self.is_enabled(Mechanism::Retries) && self.with_budget(service, RetryBudget::try_retry)
+        if !self.is_enabled(Mechanism::Retries) {
+            return false;
+        }
+        let is_allowed = self.with_budget(service, RetryBudget::try_retry);
+        if !is_allowed {
+            self.record_denied_retry(service);
+        }
+        is_allowed
+    }
+
+    fn record_denied_retry(&self, service: &Arc<str>) {
+        Counters::increment(&self.counters.denied_retries);
+        let usage = self.with_budget(service, |budget, _| budget.usage());
+        self.log_failure(|| {
+            let BudgetUsage { calls, retries, inherited } = usage;
+            format!(
+                "\"event\":\"retry-denied\",\"service\":\"{service}\",\"calls\":{calls},\"retries\":{retries},\"inherited\":{inherited}"
+            )
+        });
     }
 
     /// Counts a call to a service in its retry budget. A call made on behalf of a retried call counts as a retry too.
     pub fn count_call(&self, service: &Arc<str>, is_retry: bool) {
+        if is_retry {
+            Counters::increment(&self.counters.inherited_retries);
+        }
         self.with_budget(
             service,
             if is_retry { RetryBudget::record_inherited_retry } else { RetryBudget::record_call },
@@ -351,8 +372,12 @@
         let bounds = &self.settings.bounds;
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let nodes = self.targets.borrow().machines().len().max(1) as f64;
-            RetryBudget::new(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack / nodes / 2.0, now)
+            let nodes = self.targets.borrow().machines().len().max(1);
+            let slack = bounds.retry_slack / nodes as f64 / 2.0;
+            self.log(&format!(
+                "\"event\":\"retry-budget\",\"service\":\"{service}\",\"machines\":{nodes},\"slack\":{slack:.2}"
+            ));
+            RetryBudget::new(bounds.retry_ratio, bounds.retry_window, slack, now)
         });
         action(budget, now)
     }
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -311,7 +311,7 @@
         }
         let counted = || {
             let retries =
-                |node: &Node| node.retry_budgets.borrow().get("beta").map_or(0, |budget| budget.retries_in_window());
+                |node: &Node| node.retry_budgets.borrow().get("beta").map_or(0, |budget| budget.usage().inherited);
             alphas.iter().map(|alpha| retries(alpha.node())).sum::<u32>()
         };
         assert_eq!(counted(), 0);
