Failing test: retries of all nodes after they have started with an empty list of targets

Eight nodes start while the store lists no target, refuse one call each, and learn the whole list afterwards.

--- /dev/null
+++ b/crates/sidecar/tests/retry_budgets.rs
@@ -0,0 +1,78 @@
+//! The retries that all nodes together send to the targets of a service.
+
+mod support;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use quillhatch_mesh::settings::SidecarSettings;
+use support::caller::call;
+use support::shop::{document, read};
+use support::store::StandInStore;
+use support::target::TargetBehaviour;
+use support::{eventually, run, Machine};
+use tokio::time::sleep;
+
+const WINDOW: Duration = Duration::from_secs(2);
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 8.0;
+const MACHINES: usize = 8;
+const CALLS_PER_MACHINE: usize = 5;
+
+fn with_small_window(mut settings: SidecarSettings) -> SidecarSettings {
+    settings.bounds.retry_window = WINDOW;
+    settings.bounds.retry_ratio = RATIO;
+    settings.bounds.retry_slack = SLACK;
+    settings
+}
+
+/// Starts machines of the service `alpha`, whose nodes all start while the store lists no target.
+async fn start_with_empty_list(store: &StandInStore) -> Vec<Machine> {
+    let mut machines = Vec::new();
+    for _ in 0..MACHINES {
+        let machine = Machine::start_with(store, "alpha", 8, with_small_window).await;
+        store.deregister(&machine.target.id());
+        let node = machine.node();
+        eventually("no target is listed", || node.targets.borrow().is_empty()).await;
+        machines.push(machine);
+    }
+    machines
+}
+
+/// The arrivals at the targets since this was last called, beyond the first of each request.
+fn take_retries(machines: &[Machine]) -> usize {
+    let mut arrivals: HashMap<String, usize> = HashMap::new();
+    for arrival in machines.iter().flat_map(|machine| machine.target.take_arrivals()) {
+        *arrivals.entry(arrival.id).or_default() += 1;
+    }
+    arrivals.values().map(|count| count - 1).sum()
+}
+
+#[test]
+fn retries_exceed_no_budget_after_nodes_have_started_with_an_empty_list_of_targets() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.write_configuration(&document(5, "alpha"));
+        let machines = start_with_empty_list(&store).await;
+        for (number, machine) in machines.iter().enumerate() {
+            let response = call(machine.outbound(), &read(&format!("early-{number}"))).await.expect("a response");
+            assert_eq!(response.status, 503, "no target is known");
+        }
+        machines.iter().for_each(|machine| store.register(&machine.target, "ready"));
+        for machine in &machines {
+            let node = machine.node();
+            eventually("all targets are listed", || node.targets.borrow().len() == MACHINES).await;
+        }
+        sleep(WINDOW).await;
+        take_retries(&machines);
+        machines.iter().for_each(|machine| machine.target.set_behaviour(TargetBehaviour::RefusesRequests));
+        for (index, machine) in machines.iter().enumerate() {
+            for number in 0..CALLS_PER_MACHINE {
+                call(machine.outbound(), &read(&format!("call-{index}-{number}"))).await.expect("a response");
+            }
+        }
+        let retries = take_retries(&machines);
+        let allowed = RATIO * (MACHINES * CALLS_PER_MACHINE) as f64 + SLACK;
+        assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
+    });
+}
