Spend no slack on retries: no node knows by how many to divide it

What callers saw: nothing wrong in their responses; tarifu got up to 351 retries in 10 s where 131 were allowed (BUDGET).

Cause: each node took its part of the slack by the number of machines that it knew at its first call of a service, once and for good. After a restart in an outage in which registrations expired it knew none or a few, so each took up to half of the whole slack (24 of 49) one window later. The class: a bound of the whole fleet that each node derives from its own count of nodes.

Change: a budget is the share of the calls that its own node has counted, and nothing else. A share needs no division, so it holds in a partition, after a restart and while nodes come and go. The slack is left for what nodes can't see of each other. The setting is not read any more. The test of the budget's slack becomes one that no retry is granted beyond the share in any window.

Ruled out: a count that only grows, and no slack without a complete list: both still divide by what one node has seen, and a list is not known to be complete until something is missing.

--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -1,9 +1,8 @@
 //! Limits the retries that this node sends to the targets of a service.
 //!
-//! All nodes together may retry a share of the service's calls plus a slack. Each node spends the share of its own
-//! calls and a part of the slack, so the bound holds without messages between nodes, even during a partition. The slack
-//! is available again only after a whole window, and a process that has just started has none: it can't know how much
-//! the previous process has spent.
+//! All nodes together may retry a share of the service's calls plus a slack. Each node spends the share of the calls
+//! that it has counted itself, and none of the slack, which no node could divide without the number of all others. So
+//! the bound holds whatever a node knows of the fleet: during a partition, after a restart, while nodes come and go.
 //!
 //! A retry high in a chain of calls repeats every call below it. Each hop marks its call if it is such an inherited
 //! retry, and the node that sends the call on subtracts it from its own budget. So the retries that reach any depth are
@@ -28,8 +27,6 @@
 pub struct RetryBudget {
     ratio: f64,
     bucket_length: Duration,
-    slack: f64,
-    started: Timestamp,
     buckets: VecDeque<WindowBucket>,
 }
 
@@ -51,9 +48,9 @@
 }
 
 impl RetryBudget {
-    /// A budget with the share `ratio` over `window`, and this node's part of the slack.
-    pub fn new(ratio: f64, window: Duration, slack: f64, now: Timestamp) -> Self {
-        RetryBudget { ratio, bucket_length: window / WINDOW_BUCKETS, slack, started: now, buckets: VecDeque::new() }
+    /// A budget of the share `ratio` of the calls in each `window`.
+    pub fn new(ratio: f64, window: Duration) -> Self {
+        RetryBudget { ratio, bucket_length: window / WINDOW_BUCKETS, buckets: VecDeque::new() }
     }
 
     /// Counts a call of the service.
@@ -80,10 +77,9 @@
     /// Spends one retry, if the budget has one left.
     pub fn try_retry(&mut self, now: Timestamp) -> bool {
         let ratio = self.ratio * SPENT_FRACTION;
-        let slack = if now.since(self.started) >= self.bucket_length * WINDOW_BUCKETS { self.slack } else { 0.0 };
         self.current_bucket(now);
         let usage = self.usage();
-        if f64::from(usage.retries + usage.inherited + 1) > ratio * f64::from(usage.calls) + slack {
+        if f64::from(usage.retries + usage.inherited + 1) > ratio * f64::from(usage.calls) {
             return false;
         }
         self.current_bucket(now).usage.retries += 1;
--- a/crates/mesh/src/settings.rs
+++ b/crates/mesh/src/settings.rs
@@ -56,8 +56,6 @@
     pub retry_ratio: f64,
     /// The window over which retries are counted.
     pub retry_window: Duration,
-    /// The number of retries that all nodes together may make in addition to that fraction, for each service.
-    pub retry_slack: f64,
     /// The maximum time after which no node accepts a key that a newly written configuration no longer contains. `None`
     /// if nodes that can't read the store may continue to accept keys.
     pub revocation: Option<Duration>,
--- a/crates/mesh/tests/decisions/retry_budget.rs
+++ b/crates/mesh/tests/decisions/retry_budget.rs
@@ -4,29 +4,24 @@
 
 use crate::milliseconds;
 use quillhatch_mesh::retry_budget::RetryBudget;
-use quillhatch_types::Timestamp;
 
 #[test]
-fn a_budget_grants_its_share_and_its_slack() {
-    let window = Duration::from_secs(10);
-    let mut budget = RetryBudget::new(0.2, window, 3.0, Timestamp::ZERO);
+fn a_budget_grants_its_share_and_nothing_without_calls() {
+    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
     assert!(!budget.try_retry(milliseconds(1)), "a new process does not know what the previous one has spent");
     for _ in 0..100 {
         budget.record_call(milliseconds(10));
     }
     let granted = |budget: &mut RetryBudget, now| (0..100).filter(|_| budget.try_retry(now)).count();
     assert_eq!(granted(&mut budget, milliseconds(20)), 15, "three quarters of the share");
-    assert_eq!(
-        granted(&mut budget, milliseconds(10_015)),
-        3,
-        "the calls are out of the window, the slack is available"
-    );
-    assert_eq!(granted(&mut budget, milliseconds(15_000)), 0, "the slack is granted once per window");
+    assert_eq!(granted(&mut budget, milliseconds(9_000)), 0, "the share is granted once");
+    assert_eq!(granted(&mut budget, milliseconds(10_015)), 0, "the calls are out of the window");
+    assert_eq!(granted(&mut budget, milliseconds(25_000)), 0, "no window grants more than the share of its calls");
 }
 
 #[test]
 fn calls_that_arrive_again_after_a_retry_above_are_subtracted_from_the_budget() {
-    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10), 0.0, Timestamp::ZERO);
+    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
     for _ in 0..100 {
         budget.record_call(milliseconds(10));
     }
@@ -43,7 +38,7 @@
     let (ratio, calls) = (0.2, 1_000);
     let mut retries = 0;
     for depth in 0..16 {
-        let mut budget = RetryBudget::new(ratio, Duration::from_secs(10), 0.0, Timestamp::ZERO);
+        let mut budget = RetryBudget::new(ratio, Duration::from_secs(10));
         for _ in 0..calls {
             budget.record_call(milliseconds(10));
         }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -371,14 +371,8 @@
         let now = self.now();
         let bounds = &self.settings.bounds;
         let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let nodes = self.targets.borrow().machines().len().max(1);
-            let slack = bounds.retry_slack / nodes as f64 / 2.0;
-            self.log(&format!(
-                "\"event\":\"retry-budget\",\"service\":\"{service}\",\"machines\":{nodes},\"slack\":{slack:.2}"
-            ));
-            RetryBudget::new(bounds.retry_ratio, bounds.retry_window, slack, now)
-        });
+        let new_budget = || RetryBudget::new(bounds.retry_ratio, bounds.retry_window);
+        let budget = budgets.entry(service.clone()).or_insert_with(new_budget);
         action(budget, now)
     }
 
--- a/crates/sidecar/tests/retry_budgets.rs
+++ b/crates/sidecar/tests/retry_budgets.rs
@@ -22,7 +22,6 @@
 fn with_small_window(mut settings: SidecarSettings) -> SidecarSettings {
     settings.bounds.retry_window = WINDOW;
     settings.bounds.retry_ratio = RATIO;
-    settings.bounds.retry_slack = SLACK;
     settings
 }
 
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -75,7 +75,6 @@
     recovery: Duration::from_secs(3),
     retry_ratio: 0.2,
     retry_window: Duration::from_secs(10),
-    retry_slack: 55.0,
     revocation: None,
     limits: LimitBounds { window: Duration::from_secs(5), tolerance: 0.25, slack: 20.0 },
     heartbeat: Duration::from_millis(1500),
