Count retries that may still be in the window, and only calls that are in it for certain

What callers saw: nothing; back ends could get the retries of two windows within one.

Cause: a budget forgot retries with the bucket in which they were counted, up to a tenth of the window after the start of the bucket and so up to a tenth too early. Retries at the end of one bucket and again at its expiry were within one sliding window.

The test spends the share at 0.95 s and again at 10.02 s: 30 retries within 9.1 s before, of 100 calls in any window; at most 20 are allowed. It failed on the code before; now the second share is granted only once the first one has left the window for certain.

--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -64,21 +64,27 @@
         self.current_bucket(now).usage.inherited += 1;
     }
 
-    /// Returns what was counted in the current window.
-    pub fn usage(&self) -> BudgetUsage {
-        let add = |sum: BudgetUsage, bucket: &WindowBucket| BudgetUsage {
-            calls: sum.calls + bucket.usage.calls,
-            retries: sum.retries + bucket.usage.retries,
-            inherited: sum.inherited + bucket.usage.inherited,
-        };
-        self.buckets.iter().fold(BudgetUsage::default(), add)
+    /// Returns what was counted in the window that ends now: only calls that are in it for certain, and all retries that
+    /// may be in it.
+    pub fn usage(&self, now: Timestamp) -> BudgetUsage {
+        let mut usage = BudgetUsage::default();
+        for bucket in &self.buckets {
+            let age = now.since(bucket.start);
+            if age < self.window() {
+                usage.calls += bucket.usage.calls;
+            }
+            if age < self.window() + self.bucket_length {
+                usage.retries += bucket.usage.retries;
+                usage.inherited += bucket.usage.inherited;
+            }
+        }
+        usage
     }
 
     /// Spends one retry, if the budget has one left.
     pub fn try_retry(&mut self, now: Timestamp) -> bool {
         let ratio = self.ratio * SPENT_FRACTION;
-        self.current_bucket(now);
-        let usage = self.usage();
+        let usage = self.usage(now);
         if f64::from(usage.retries + usage.inherited + 1) > ratio * f64::from(usage.calls) {
             return false;
         }
@@ -86,9 +92,13 @@
         true
     }
 
+    fn window(&self) -> Duration {
+        self.bucket_length * WINDOW_BUCKETS
+    }
+
     fn current_bucket(&mut self, now: Timestamp) -> &mut WindowBucket {
-        let window = self.bucket_length * WINDOW_BUCKETS;
-        while self.buckets.front().is_some_and(|bucket| now.since(bucket.start) >= window) {
+        let retention = self.window() + self.bucket_length;
+        while self.buckets.front().is_some_and(|bucket| now.since(bucket.start) >= retention) {
             self.buckets.pop_front();
         }
         let is_new = self.buckets.back().is_none_or(|bucket| now.since(bucket.start) >= self.bucket_length);
--- a/crates/mesh/tests/decisions/retry_budget.rs
+++ b/crates/mesh/tests/decisions/retry_budget.rs
@@ -49,3 +49,17 @@
         assert!(retries as f64 <= ratio * f64::from(calls), "{retries} at depth {depth}");
     }
 }
+
+#[test]
+fn retries_at_the_two_ends_of_a_window_are_within_one_share() {
+    let mut budget = RetryBudget::new(0.2, Duration::from_secs(10));
+    let granted = |budget: &mut RetryBudget, now| (0..100).filter(|_| budget.try_retry(now)).count();
+    let mut retries = 0;
+    for (call_at, retry_at) in [(10, 950), (9_900, 10_020)] {
+        for _ in 0..100 {
+            budget.record_call(milliseconds(call_at));
+        }
+        retries += granted(&mut budget, milliseconds(retry_at));
+    }
+    assert!(retries <= 20, "{retries} retries within 9.1 s, of 100 calls in any window of 10 s");
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -347,7 +347,7 @@
 
     fn record_denied_retry(&self, service: &Arc<str>) {
         Counters::increment(&self.counters.denied_retries);
-        let usage = self.with_budget(service, |budget, _| budget.usage());
+        let usage = self.with_budget(service, |budget, now| budget.usage(now));
         self.log_failure(|| {
             let BudgetUsage { calls, retries, inherited } = usage;
             format!(
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -310,8 +310,9 @@
             assert_eq!(response.status, 200);
         }
         let counted = || {
-            let retries =
-                |node: &Node| node.retry_budgets.borrow().get("beta").map_or(0, |budget| budget.usage().inherited);
+            let retries = |node: &Node| {
+                node.retry_budgets.borrow().get("beta").map_or(0, |budget| budget.usage(node.now()).inherited)
+            };
             alphas.iter().map(|alpha| retries(alpha.node())).sum::<u32>()
         };
         assert_eq!(counted(), 0);
