Failing test: calls below retries reach a service beyond its retry budget

Eighty calls that make no nested calls save a budget of 12 retries; then the calls make one each and lose their responses, so that 12 retries bring 12 calls more to the service below, for 12 others; 4.4 are allowed (0.2, and a slack of 2). The document of the chain moves to the shop of the tests, where two tests use it.

--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -10,6 +10,7 @@
 use quillhatch_sidecar::node::Stage;
 use support::caller::{call, request, Caller, Response};
 use support::limits::{pay, read, two_machines, HOST};
+use support::shop::chain_document;
 use support::store::StandInStore;
 use support::target::{ChainedCall, TargetBehaviour};
 use support::{eventually, run, Machine};
@@ -286,16 +287,7 @@
 fn calls_nested_in_a_retry_spend_the_retry_budget_of_their_service() {
     run(async {
         let store = StandInStore::start().await;
-        let rule = |name: &str, service: &str| {
-            format!(
-                r#"{{"name":"{name}","kind":"safe","aim_s":1,"priority":1,"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":2,"max_attempts":2}}}}"#
-            )
-        };
-        store.write_configuration(&format!(
-            r#"{{"version":"r3","listeners":[{{"host":"{HOST}","rules":[{},{}]}}],"clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#,
-            rule("chain", "alpha"),
-            rule("read", "beta")
-        ));
+        store.write_configuration(&chain_document());
         let beta = Machine::start(&store, "beta", 8).await;
         let alphas = [Machine::start(&store, "alpha", 8).await, Machine::start(&store, "alpha", 8).await];
         for alpha in &alphas {
--- a/crates/sidecar/tests/retry_budgets.rs
+++ b/crates/sidecar/tests/retry_budgets.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use quillhatch_mesh::settings::SidecarSettings;
-use support::caller::call;
-use support::shop::{document, read};
+use support::caller::{call, request};
+use support::shop::{chain_document, document, read, HOST};
 use support::store::StandInStore;
-use support::target::TargetBehaviour;
+use support::target::{ChainedCall, TargetBehaviour};
 use support::{eventually, run, Machine};
 use tokio::time::sleep;
 
@@ -75,3 +75,33 @@
         assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
     });
 }
+
+#[test]
+fn calls_below_retries_exceed_no_budget_after_calls_that_made_none() {
+    run(async {
+        let store = StandInStore::start().await;
+        store.write_configuration(&chain_document());
+        let beta = Machine::start(&store, "beta", 8).await;
+        let alphas = [Machine::start(&store, "alpha", 8).await, Machine::start(&store, "alpha", 8).await];
+        for machine in alphas.iter().chain([&beta]) {
+            eventually("all are listed", || machine.node().targets.borrow().len() == 3).await;
+        }
+        let chain = |id: &str| request("GET", HOST, "/chain/x", id, 3000, "");
+        for number in 0..80 {
+            let response = call(beta.outbound(), &chain(&format!("leaf-{number}"))).await.expect("a response");
+            assert_eq!(response.status, 200);
+        }
+        for alpha in &alphas {
+            let nested = ChainedCall { outbound: alpha.outbound(), host: HOST.to_owned(), path: "/read/x".to_owned() };
+            alpha.target.set_chained_call(nested);
+            alpha.target.set_behaviour(TargetBehaviour::NoResponse);
+        }
+        let calls = 12;
+        for number in 0..calls {
+            call(beta.outbound(), &chain(&format!("call-{number}"))).await.expect("a response");
+        }
+        let retries = take_retries(std::slice::from_ref(&beta));
+        let allowed = RATIO * f64::from(calls) + 2.0;
+        assert!(retries as f64 <= allowed, "{retries} calls below retries, {allowed} allowed");
+    });
+}
--- a/crates/sidecar/tests/support/shop.rs
+++ b/crates/sidecar/tests/support/shop.rs
@@ -19,6 +19,20 @@
     )
 }
 
+/// A configuration in which `alpha` serves calls of `/chain/`, and `beta` those of `/read/`.
+pub fn chain_document() -> String {
+    let rule = |name: &str, service: &str| {
+        format!(
+            r#"{{"name":"{name}","kind":"safe","aim_s":1,"priority":1,"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":2,"max_attempts":2}}}}"#
+        )
+    };
+    format!(
+        r#"{{"version":"r3","listeners":[{{"host":"{HOST}","rules":[{},{}]}}],"clusters":[{{"name":"alpha","health_path":"/health"}},{{"name":"beta","health_path":"/health"}}]}}"#,
+        rule("chain", "alpha"),
+        rule("read", "beta")
+    )
+}
+
 /// A request for the route.
 pub fn read(id: &str) -> String {
     request("GET", HOST, "/read/x", id, 5000, "")
