--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -16,8 +16,6 @@
 
 /// The fraction of the allowed share that is spent. The rest covers what nodes can't know of each other: windows that
 /// begin at different moments, and calls below a retry that are not matched with it.
-///
-/// With 0.9, the retries of one service exceeded the bound in one of several dozen test days with faults and high load.
 const SPENT_FRACTION: f64 = 0.75;
 /// The number of buckets that a window is divided into.
 const WINDOW_BUCKETS: u32 = 10;
