Leave a retry level that has almost recovered out of hop reports

Found reading the diff: a level approaches the full one without reaching it, so that each response kept the field for minutes after a trouble. It is now left out from where all retries are allowed. The test failed to be equal before (the field stood in the report).

--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -281,7 +281,7 @@
         };
         let drain_notice = self.drain_notice.map(|RunningAt(running_at)| running_at.to_string()).unwrap_or_default();
         let _ = write!(text, "{limit}");
-        if self.retry_level != AdmissionLevel::FULL {
+        if !self.retry_level.admits_all() {
             let retry_level = (self.retry_level.priority_share() * LEVEL_STEPS).round() as u32;
             let _ = write!(text, ";{drain_notice};{};{retry_level}", limit_running_at.0);
         } else if limit_running_at != RunningAt::default() {
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -67,6 +67,13 @@
     }
 }
 
+#[test]
+fn a_retry_level_that_has_almost_recovered_takes_no_bytes_of_a_hop_report() {
+    let full = HopReport::decode("a;3;36;144;1250;75;1;0.0,0;").expect("a report");
+    let recovered = HopReport { retry_level: AdmissionLevel::from_priority_share(0.999_99), ..full.clone() };
+    assert_eq!(recovered.encode(), full.encode());
+}
+
 #[test]
 fn a_hop_report_without_the_fields_of_newer_nodes_is_decoded() {
     let report = HopReport::decode("a;3;36;144;1250;75;1;0.0,0;").expect("a report");
