Test: all processes together stay within the retry bound while they are killed and started

Fifteen nodes with few calls (30 a second together), single kills all the time and four fifths of them at once every 15 s, failing calls for 14 s at a time: each window is within 0.2 of the calls and a slack of 49, with four seeds. No product code changes.

--- a/crates/mesh/tests/decisions/retry_budget.rs
+++ b/crates/mesh/tests/decisions/retry_budget.rs
@@ -5,6 +5,9 @@
 use crate::milliseconds;
 use quillhatch_mesh::admission_level::AdmissionLevel;
 use quillhatch_mesh::retry_budget::RetryBudget;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use test_case::test_case;
 
 #[test]
 fn a_budget_grants_its_share_and_nothing_without_calls() {
@@ -82,3 +85,39 @@
     assert_eq!(levels[18].priority_share(), 0.0, "{levels:?}");
     assert_eq!(budget.level_above(milliseconds(25_000)), AdmissionLevel::FULL, "all is out of the window");
 }
+
+/// Few calls at many nodes, some of which are killed at each step and start anew; most calls fail for some seconds.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+#[test_case(4)]
+fn all_processes_together_stay_within_the_bound_while_they_are_killed_and_started(seed: u64) {
+    const NODES: usize = 15;
+    const SLACK: f64 = 49.0;
+    let window = Duration::from_secs(10);
+    let mut random = Pcg64::seed_from_u64(seed);
+    let mut budgets = vec![RetryBudget::new(0.2, window); NODES];
+    let (mut calls, mut retries) = (Vec::new(), Vec::new());
+    for step in 0..600_u64 {
+        let now = milliseconds(step * 100);
+        for budget in &mut budgets {
+            if random.gen_bool(0.01) || (step % 150 == 0 && random.gen_bool(0.8)) {
+                *budget = RetryBudget::new(0.2, window);
+            }
+            if random.gen_bool(0.2) {
+                budget.record_call(now);
+                calls.push(step);
+                let fails = (120..260).contains(&(step % 300));
+                let attempts = if fails { 4 } else { 0 };
+                retries.extend((0..attempts).filter(|_| budget.try_retry(now)).map(|_| step));
+            }
+        }
+    }
+    let count = |events: &[u64], from: u64| events.iter().filter(|at| (from..from + 100).contains(*at)).count();
+    for from in 100..500 {
+        let most_calls = [from, from - 50, from - 100].map(|begin| count(&calls, begin)).into_iter().max();
+        let allowed = 0.2 * most_calls.unwrap_or_default() as f64 + SLACK;
+        let retried = count(&retries, from);
+        assert!(retried as f64 <= allowed, "{retried} of {allowed} from step {from}");
+    }
+}
