Review case 2: answers that a silent connection holds up are never ended

The edge bounds its wait for the head of a response, not for the body. When the connection to the other node goes silent in between, the client gets nothing at the route's timeout, at its deadline, or at all.

--- /dev/null
+++ b/review/standins/case_2.rs
@@ -0,0 +1,163 @@
+//! Case 2: the open connections between machines go silent while answers are on their way.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+use crate::client::Client;
+use crate::fleet::{wait_until_ready, Machine, Net};
+use crate::http::End;
+use crate::link::Link;
+use crate::store::Store;
+use crate::target::{Run, Target};
+use crate::{Breaches, Setup};
+
+const HOST: &str = "giving.example";
+const CONFIGURATION: &str = r#"{"version":"r7","limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},"listeners":[{"host":"giving.example","rules":[{"name":"pledge","kind":"unsafe","aim_s":1.5,"priority":0,"match":{"prefix":"/pledge/"},"action":{"service":"giving","timeout_s":5,"max_attempts":2}},{"name":"status","kind":"safe","aim_s":1.5,"priority":1,"match":{"prefix":"/status/"},"action":{"service":"giving","timeout_s":5,"max_attempts":2}}]}],"clusters":[{"name":"giving","health_path":"/health","max_connections":952,"protocol":"h1","tls":false},{"name":"desk","health_path":"/health","max_connections":952,"protocol":"h1","tls":false}]}"#;
+/// The route's `timeout_s`.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long after it a request may still lack its answer.
+const LATE_AFTER: Duration = Duration::from_millis(500);
+/// The client's deadline. After it the client stays a little to see whether an answer comes at all.
+const DEADLINE: Duration = Duration::from_secs(8);
+const STAY: Duration = Duration::from_secs(12);
+/// The size of an answer: as large as those of the users' deployments.
+const ANSWER_BYTES: usize = 30_000;
+/// The clients of each route.
+const CLIENTS: usize = 8;
+/// The pause of a link for each 2 KiB: about 2 Mbit/s on each connection.
+const LINK_PAUSE: Duration = Duration::from_millis(8);
+/// When the connections go silent: after the heads of the answers have passed, and before their ends have.
+const SILENT_AFTER: Duration = Duration::from_millis(70);
+
+fn body_of(id: &str) -> Vec<u8> {
+    let line = format!("{id};");
+    line.bytes().cycle().take(ANSWER_BYTES).collect()
+}
+
+fn answer(target: &Target, run: &Run<'_>, stream: &mut TcpStream) -> io::Result<()> {
+    target.answer_whole(run.id, &body_of(run.id), stream)
+}
+
+fn request(route: &str, id: &str) -> String {
+    let deadline = DEADLINE.as_millis();
+    let headers = format!("Host: {HOST}\r\nQuillhatch-Request-Id: {id}\r\nQuillhatch-Deadline-Ms: {deadline}");
+    match route {
+        "pledge" => format!("POST /pledge/{id} HTTP/1.1\r\n{headers}\r\nContent-Length: 10\r\n\r\none pledge"),
+        _ => format!("GET /status/{id} HTTP/1.1\r\n{headers}\r\n\r\n"),
+    }
+}
+
+/// One request. Returns after which time it had its final answer, or the end of its connection.
+fn client(setup: &Setup, address: SocketAddr, route: &str, id: &str) -> io::Result<Option<Duration>> {
+    let mut client = Client::connect(address)?;
+    let sent = Instant::now();
+    setup.record.line(&format!("send     {id} ({route})"));
+    client.send(&request(route, id))?;
+    let answer = client.answer(STAY);
+    let took = sent.elapsed();
+    let seconds = took.as_secs_f64();
+    let (text, is_final) = match &answer {
+        Ok(Some(answer)) if answer.end == End::Whole => {
+            let is_right = answer.status() != 200 || answer.body == body_of(id);
+            (format!("{}, whole, right {is_right}", answer.status()), true)
+        }
+        Ok(Some(answer)) => (
+            format!("{}, {} bytes, then {:?}", answer.status(), answer.body.len(), answer.end),
+            answer.end != End::TimedOut,
+        ),
+        Ok(None) => ("the connection ended".to_owned(), true),
+        Err(error) => (
+            format!("no answer: {error}"),
+            !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut),
+        ),
+    };
+    setup.record.line(&format!("answer   {id}: {text}, after {seconds:.3} s"));
+    Ok(is_final.then_some(took))
+}
+
+pub fn run(setup: &Setup) -> io::Result<Breaches> {
+    let net = Net::pick()?;
+    let record = &setup.record;
+    let store = Store::start(net.at(0, net.ports.store))?;
+    store.write("op/config", Some(CONFIGURATION));
+    let services = ["desk", "giving", "giving"];
+    let (mut machines, mut links) = (Vec::new(), Vec::new());
+    for (index, service) in services.iter().enumerate() {
+        let number = index as u8 + 1;
+        let target = Target {
+            id: format!("i-{service}-{number}"),
+            service: (*service).to_owned(),
+            address: net.at(number, net.ports.target),
+            slots: 142,
+            zone: "hall-a".to_owned(),
+            record: Arc::clone(record),
+            answer: Box::new(answer),
+        };
+        let target = target.start()?;
+        store.write(&target.key(), Some(&target.entry("ready", 1)));
+        let machine = Machine::new(net, number, service, true, &setup.folder, record);
+        links.push(Link::start(net.at(number, net.ports.inbound), machine.inbound(), LINK_PAUSE)?);
+        machines.push(machine);
+    }
+    for machine in &mut machines {
+        machine.start()?;
+    }
+    if !wait_until_ready(&machines, Duration::from_secs(20)) {
+        return Err(io::Error::other("the machines did not become ready"));
+    }
+    sleep(Duration::from_secs(4));
+
+    let address = machines[0].outbound();
+    for number in 0..4 {
+        let id = format!("warm-{number}");
+        match client(setup, address, "status", &id)? {
+            Some(took) if took < Duration::from_secs(2) => {}
+            _ => return Err(io::Error::other("the first requests were not served")),
+        }
+    }
+    let took = thread::scope(|scope| {
+        let mut clients = Vec::new();
+        for number in 0..CLIENTS {
+            for route in ["pledge", "status"] {
+                let id = format!("{route}-{number}");
+                clients.push((id.clone(), scope.spawn(move || client(setup, address, route, &id))));
+            }
+        }
+        sleep(SILENT_AFTER);
+        if setup.has_trouble {
+            let silent: usize = links.iter().map(|link| link.silence()).sum();
+            record.line(&format!("trouble  {silent} open connections between the machines go silent"));
+        }
+        let mut took = Vec::new();
+        for (id, client) in clients {
+            took.push((id, client.join().map_err(|_| io::Error::other("a client failed"))??));
+        }
+        io::Result::Ok(took)
+    })?;
+    // New connections work.
+    for number in 0..4 {
+        client(setup, address, "status", &format!("after-{number}"))?;
+    }
+
+    // "Some requests outlast their route's `timeout_s`. Machines in touch give eight or more of them, and over a
+    // quarter, no final answer 0.5 s after it." And: "More than half of them still lack an answer half a second later."
+    let outlasts = |limit: Duration| took.iter().filter(|(_, took)| took.is_none_or(|took| took > limit)).count();
+    let (outlasting, late) = (outlasts(ROUTE_TIMEOUT), outlasts(ROUTE_TIMEOUT + LATE_AFTER));
+    let never: Vec<&str> = took.iter().filter(|(_, took)| took.is_none()).map(|(id, _)| id.as_str()).collect();
+    record.line(&format!(
+        "sum      {outlasting} of {} requests outlast timeout_s, {late} lack an answer 0.5 s later, {} at the end",
+        took.len(),
+        never.len()
+    ));
+    if late >= 8 && late * 2 > outlasting {
+        return Ok(vec![format!(
+            "CONFIG {late} of {outlasting} requests that outlast timeout_s have no final answer 0.5 s after it; {} never get one: {}",
+            never.len(),
+            never.join(" ")
+        )]);
+    }
+    Ok(Vec::new())
+}
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,9 +6,11 @@
 #![allow(dead_code)]
 
 mod case_1;
+mod case_2;
 mod client;
 mod fleet;
 mod http;
+mod link;
 mod record;
 mod store;
 mod target;
@@ -61,6 +63,7 @@
     let setup = Setup { record: Arc::clone(&record), folder: temporary.clone(), has_trouble };
     let result = match case {
         "1" => case_1::run(&setup),
+        "2" => case_2::run(&setup),
         _ => Err(std::io::Error::other("no such case")),
     };
     match &result {
