--- a/review/standins/case_2.rs
+++ b/review/standins/case_2.rs
@@ -9,7 +9,7 @@
 use crate::client::Client;
 use crate::fleet::{wait_until_ready, Machine, Net};
 use crate::http::End;
-use crate::link::Link;
+use crate::link::{Link, FULL_RATE};
 use crate::store::Store;
 use crate::target::{Run, Target};
 use crate::{Breaches, Setup};
@@ -27,10 +27,13 @@
 const ANSWER_BYTES: usize = 30_000;
 /// The clients of each route.
 const CLIENTS: usize = 8;
-/// The pause of a link for each 2 KiB: about 2 Mbit/s on each connection.
-const LINK_PAUSE: Duration = Duration::from_millis(8);
-/// When the connections go silent: after the heads of the answers have passed, and before their ends have.
-const SILENT_AFTER: Duration = Duration::from_millis(70);
+/// The rate of a link that narrows, in bits per second: as in the sites' lists of troubles.
+const NARROW_RATE: u64 = 9_100_000;
+/// How long before the requests the links narrow.
+const NARROW_BEFORE: Duration = Duration::from_millis(300);
+/// When the connections go silent after the requests were sent: the answers to them take 0.2 s on a narrow link, so all
+/// of them are on their way.
+const SILENT_AFTER: Duration = Duration::from_millis(100);
 
 fn body_of(id: &str) -> Vec<u8> {
     let line = format!("{id};");
@@ -99,7 +102,7 @@
         let target = target.start()?;
         store.write(&target.key(), Some(&target.entry("ready", 1)));
         let machine = Machine::new(net, number, service, true, &setup.folder, record);
-        links.push(Link::start(net.at(number, net.ports.inbound), machine.inbound(), LINK_PAUSE)?);
+        links.push(Link::start(net.at(number, net.ports.inbound), machine.inbound())?);
         machines.push(machine);
     }
     for machine in &mut machines {
@@ -118,6 +121,13 @@
             _ => return Err(io::Error::other("the first requests were not served")),
         }
     }
+    // The links of the targets' machines narrow. The first machine's own link stays as it is.
+    let narrow = &links[1..];
+    if setup.has_trouble {
+        record.line("trouble  the links of the other machines narrow");
+        narrow.iter().for_each(|link| link.set_rate(NARROW_RATE));
+        sleep(NARROW_BEFORE);
+    }
     let took = thread::scope(|scope| {
         let mut clients = Vec::new();
         for number in 0..CLIENTS {
@@ -130,6 +140,7 @@
         if setup.has_trouble {
             let silent: usize = links.iter().map(|link| link.silence()).sum();
             record.line(&format!("trouble  {silent} open connections between the machines go silent"));
+            narrow.iter().for_each(|link| link.set_rate(FULL_RATE));
         }
         let mut took = Vec::new();
         for (id, client) in clients {
