--- a/review/standins/case_2.rs
+++ b/review/standins/case_2.rs
@@ -95,7 +95,7 @@
             service: (*service).to_owned(),
             address: net.at(number, net.ports.target),
             slots: 142,
-            zone: "hall-a".to_owned(),
+            zone: "terminal-norte".to_owned(),
             record: Arc::clone(record),
             answer: Box::new(answer),
         };
