Review case 2: silent connections also shut a service for good

Long answers on connections that go silent keep their targets' slots, so the gates refuse every later call, with idle targets and calm machines.

--- a/review/standins/case_2.rs
+++ b/review/standins/case_2.rs
@@ -1,4 +1,7 @@
 //! Case 2: the open connections between machines go silent while answers are on their way.
+//!
+//! In the first scene the answers are short, and the clients wait for them. In the second one they are long: the clients
+//! leave at their deadline, and others come later.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -15,7 +18,7 @@
 use crate::{Breaches, Setup};
 
 const HOST: &str = "giving.example";
-const CONFIGURATION: &str = r#"{"version":"r7","limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},"listeners":[{"host":"giving.example","rules":[{"name":"pledge","kind":"unsafe","aim_s":1.5,"priority":0,"match":{"prefix":"/pledge/"},"action":{"service":"giving","timeout_s":5,"max_attempts":2}},{"name":"status","kind":"safe","aim_s":1.5,"priority":1,"match":{"prefix":"/status/"},"action":{"service":"giving","timeout_s":5,"max_attempts":2}}]}],"clusters":[{"name":"giving","health_path":"/health","max_connections":952,"protocol":"h1","tls":false},{"name":"desk","health_path":"/health","max_connections":952,"protocol":"h1","tls":false}]}"#;
+const CONFIGURATION: &str = r#"{"version":"r7","limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},"listeners":[{"host":"giving.example","rules":[{"name":"pledge","kind":"unsafe","aim_s":1.5,"priority":0,"match":{"prefix":"/pledge/"},"action":{"service":"giving","timeout_s":5,"max_attempts":2}},{"name":"status","kind":"safe","aim_s":1.5,"priority":1,"match":{"prefix":"/status/"},"action":{"service":"giving","timeout_s":5,"max_attempts":2}},{"name":"files","kind":"download","aim_s":1.5,"priority":1,"match":{"prefix":"/files/"},"action":{"service":"archives","timeout_s":5,"max_attempts":2}}]}],"clusters":[{"name":"archives","health_path":"/health","max_connections":232,"protocol":"h1","tls":false},{"name":"giving","health_path":"/health","max_connections":952,"protocol":"h1","tls":false},{"name":"desk","health_path":"/health","max_connections":952,"protocol":"h1","tls":false}]}"#;
 /// The route's `timeout_s`.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long after it a request may still lack its answer.
@@ -35,12 +38,32 @@
 /// of them are on their way.
 const SILENT_AFTER: Duration = Duration::from_millis(100);
 
+/// The slots of a target of the archives.
+const ARCHIVE_SLOTS: u32 = 22;
+/// The long downloads: as many as the two targets of the archives run at once, and a few more.
+const DOWNLOADS: usize = 44;
+/// The size of a long answer in bytes.
+const FILE_BYTES: usize = 5_000_000;
+/// When the connections go silent after the downloads were sent: some of each has arrived by then.
+const LONG_SILENT_AFTER: Duration = Duration::from_millis(1500);
+/// The bounds `contact_s` and `recover_s`.
+const CONTACT: Duration = Duration::from_secs(3);
+const RECOVER: Duration = Duration::from_secs(15);
+/// The requests that are sent before and after the disruption, and the pause between two of them.
+const REQUESTS: usize = 40;
+const REQUEST_PAUSE: Duration = Duration::from_millis(200);
+
 fn body_of(id: &str) -> Vec<u8> {
     let line = format!("{id};");
     line.bytes().cycle().take(ANSWER_BYTES).collect()
 }
 
 fn answer(target: &Target, run: &Run<'_>, stream: &mut TcpStream) -> io::Result<()> {
+    if run.path.starts_with("/files/long/") {
+        // A target stops work at the deadline that it was given.
+        stream.set_write_timeout(Some(Duration::from_millis(run.deadline_ms.max(1))))?;
+        return target.answer_whole(run.id, &vec![b'x'; FILE_BYTES], stream);
+    }
     target.answer_whole(run.id, &body_of(run.id), stream)
 }
 
@@ -49,6 +72,8 @@
     let headers = format!("Host: {HOST}\r\nQuillhatch-Request-Id: {id}\r\nQuillhatch-Deadline-Ms: {deadline}");
     match route {
         "pledge" => format!("POST /pledge/{id} HTTP/1.1\r\n{headers}\r\nContent-Length: 10\r\n\r\none pledge"),
+        "files" => format!("GET /files/short/{id} HTTP/1.1\r\n{headers}\r\n\r\n"),
+        "long" => format!("GET /files/long/{id} HTTP/1.1\r\n{headers}\r\n\r\n"),
         _ => format!("GET /status/{id} HTTP/1.1\r\n{headers}\r\n\r\n"),
     }
 }
@@ -81,12 +106,10 @@
     Ok(is_final.then_some(took))
 }
 
-pub fn run(setup: &Setup) -> io::Result<Breaches> {
-    let net = Net::pick()?;
+/// Starts the machines with their links and targets.
+fn start(setup: &Setup, net: Net, store: &Store) -> io::Result<(Vec<Machine>, Vec<Arc<Link>>)> {
     let record = &setup.record;
-    let store = Store::start(net.at(0, net.ports.store))?;
-    store.write("op/config", Some(CONFIGURATION));
-    let services = ["desk", "giving", "giving"];
+    let services = ["desk", "giving", "giving", "archives", "archives"];
     let (mut machines, mut links) = (Vec::new(), Vec::new());
     for (index, service) in services.iter().enumerate() {
         let number = index as u8 + 1;
@@ -94,7 +117,7 @@
             id: format!("i-{service}-{number}"),
             service: (*service).to_owned(),
             address: net.at(number, net.ports.target),
-            slots: 142,
+            slots: if *service == "archives" { ARCHIVE_SLOTS } else { 142 },
             zone: "terminal-norte".to_owned(),
             record: Arc::clone(record),
             answer: Box::new(answer),
@@ -112,8 +135,31 @@
         return Err(io::Error::other("the machines did not become ready"));
     }
     sleep(Duration::from_secs(4));
+    Ok((machines, links))
+}
 
-    let address = machines[0].outbound();
+/// The links of the targets' machines narrow. The first machine's own link stays as it is.
+fn narrow(setup: &Setup, links: &[Arc<Link>]) {
+    if setup.has_trouble {
+        setup.record.line("trouble  the links of the other machines narrow");
+        links[1..].iter().for_each(|link| link.set_rate(NARROW_RATE));
+        sleep(NARROW_BEFORE);
+    }
+}
+
+/// All open connections between the machines go silent, and the links are sound again for new ones.
+fn silence(setup: &Setup, links: &[Arc<Link>]) {
+    if setup.has_trouble {
+        let silent: usize = links.iter().map(|link| link.silence()).sum();
+        setup.record.line(&format!("trouble  {silent} open connections between the machines go silent"));
+        links.iter().for_each(|link| link.set_rate(FULL_RATE));
+    }
+}
+
+/// Short answers: do the clients get a final answer by their route's timeout?
+fn play_short(setup: &Setup, address: SocketAddr, links: &[Arc<Link>]) -> io::Result<Breaches> {
+    let record = &setup.record;
+    record.line("scene    short answers");
     for number in 0..4 {
         let id = format!("warm-{number}");
         match client(setup, address, "status", &id)? {
@@ -121,13 +167,7 @@
             _ => return Err(io::Error::other("the first requests were not served")),
         }
     }
-    // The links of the targets' machines narrow. The first machine's own link stays as it is.
-    let narrow = &links[1..];
-    if setup.has_trouble {
-        record.line("trouble  the links of the other machines narrow");
-        narrow.iter().for_each(|link| link.set_rate(NARROW_RATE));
-        sleep(NARROW_BEFORE);
-    }
+    narrow(setup, links);
     let took = thread::scope(|scope| {
         let mut clients = Vec::new();
         for number in 0..CLIENTS {
@@ -137,11 +177,7 @@
             }
         }
         sleep(SILENT_AFTER);
-        if setup.has_trouble {
-            let silent: usize = links.iter().map(|link| link.silence()).sum();
-            record.line(&format!("trouble  {silent} open connections between the machines go silent"));
-            narrow.iter().for_each(|link| link.set_rate(FULL_RATE));
-        }
+        silence(setup, links);
         let mut took = Vec::new();
         for (id, client) in clients {
             took.push((id, client.join().map_err(|_| io::Error::other("a client failed"))??));
@@ -172,3 +208,72 @@
     }
     Ok(Vec::new())
 }
+
+/// Sends requests for short files of the archives one after the other; returns how many are served.
+fn count_served(setup: &Setup, address: SocketAddr, name: &str, count: usize) -> io::Result<usize> {
+    let mut served = 0;
+    for number in 0..count {
+        let id = format!("{name}-{number}");
+        let mut client = Client::connect(address)?;
+        client.send(&request("files", &id))?;
+        let status = match client.answer(DEADLINE) {
+            Ok(Some(answer)) if answer.end == End::Whole => answer.status(),
+            _ => 0,
+        };
+        setup.record.line(&format!("answer   {id}: {status}"));
+        served += usize::from(status == 200);
+        sleep(REQUEST_PAUSE);
+    }
+    Ok(served)
+}
+
+/// Long answers: is the service served again when their clients have left?
+fn play_long(setup: &Setup, address: SocketAddr, links: &[Arc<Link>]) -> io::Result<Breaches> {
+    let record = &setup.record;
+    record.line("scene    long answers");
+    let before = count_served(setup, address, "before", REQUESTS)?;
+    narrow(setup, links);
+    let silent_at = thread::scope(|scope| {
+        for number in 0..DOWNLOADS {
+            scope.spawn(move || {
+                let id = format!("download-{number}");
+                let got = Client::connect(address).and_then(|mut client| {
+                    client.send(&request("long", &id))?;
+                    client.answer(DEADLINE)
+                });
+                let text = got.ok().flatten().map_or("no answer".to_owned(), |answer| {
+                    format!("{}, {} bytes, {:?}", answer.status(), answer.body.len(), answer.end)
+                });
+                setup.record.line(&format!("answer   {id}: {text}; the client leaves"));
+            });
+        }
+        sleep(LONG_SILENT_AFTER);
+        silence(setup, links);
+        Instant::now()
+    });
+    // The machines are in touch again `contact_s` after the disruption; `recover_s` later the rule applies.
+    sleep((silent_at + CONTACT + RECOVER).saturating_duration_since(Instant::now()));
+    let after = count_served(setup, address, "later", REQUESTS)?;
+    record.line(&format!(
+        "sum      served before: {before} of {REQUESTS}; sent later than recover_s after the disruption and contact_s: {after} of {REQUESTS}"
+    ));
+    // "Less than a quarter of the requests sent later than `recover_s` after the machines are back is served. A quarter
+    // or more was served before the final fault."
+    if before * 4 >= REQUESTS && after * 4 < REQUESTS {
+        return Ok(vec![format!(
+            "RECOVER {after} of {REQUESTS} requests are served later than recover_s after the disruption, {before} of {REQUESTS} were before"
+        )]);
+    }
+    Ok(Vec::new())
+}
+
+pub fn run(setup: &Setup) -> io::Result<Breaches> {
+    let net = Net::pick()?;
+    let store = Store::start(net.at(0, net.ports.store))?;
+    store.write("op/config", Some(CONFIGURATION));
+    let (machines, links) = start(setup, net, &store)?;
+    let address = machines[0].outbound();
+    let mut breaches = play_short(setup, address, &links)?;
+    breaches.extend(play_long(setup, address, &links)?);
+    Ok(breaches)
+}
