Log the calls that the end of a process cuts off

Each call that is cut is logged with its id and the target that has it; `stopped` has the calls at the target, how many connections were closed for good before their peers had closed them, and the time that the stop took. No decision changes: the gauges count the same calls as before.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -71,6 +71,21 @@
     DeadlineExceeded,
 }
 
+impl Attempt {
+    /// Whether no target has run the call in this attempt.
+    pub(super) fn is_not_run(&self) -> bool {
+        match self {
+            Attempt::Full
+            | Attempt::NotRun(_)
+            | Attempt::TargetReplaced
+            | Attempt::Rejected
+            | Attempt::RateLimited(_)
+            | Attempt::Quarantined(_) => true,
+            Attempt::Response(_) | Attempt::NoResponse(_) | Attempt::Abandoned | Attempt::DeadlineExceeded => false,
+        }
+    }
+}
+
 /// An attempt that the load balancer counts as in flight at its target, until it is dropped.
 struct InFlight<'a> {
     node: &'a Node,
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -6,7 +6,6 @@
 mod run;
 mod sender;
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +25,7 @@
 use quillhatch_types::Timestamp;
 
 use crate::body::{read_up_to, Body, ReadBody};
+use crate::calls_in_progress::CallTicket;
 use crate::headers::{header_text, remove_hop_by_hop_headers};
 use crate::hop::HOP_HEADER;
 use crate::node::Node;
@@ -56,30 +56,21 @@
     pub(super) deadline: Timestamp,
 }
 
-/// Increments a gauge of calls in progress until it is dropped.
-struct CallGauge<'a>(&'a Cell<usize>);
-
-impl<'a> CallGauge<'a> {
-    fn new(counter: &'a Cell<usize>) -> Self {
-        counter.set(counter.get() + 1);
-        CallGauge(counter)
-    }
-}
-
-impl Drop for CallGauge<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Serves one request that arrived at the outbound address.
 pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
-    let _edge_call = CallGauge::new(&node.edge_calls);
-    serve_call(&node, parts, body, peer).await
+    node.detect_suspension();
+    let id = header_text(&parts.headers, headers::REQUEST_ID).unwrap_or_default();
+    let ticket = node.calls.begin(id, node.now());
+    serve_call(&node, &ticket, parts, body, peer).await
 }
 
-async fn serve_call(node: &Rc<Node>, parts: Parts, incoming: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
-    node.detect_suspension();
+async fn serve_call(
+    node: &Rc<Node>,
+    ticket: &CallTicket,
+    parts: Parts,
+    incoming: Option<Incoming>,
+    peer: SocketAddr,
+) -> Response<Body> {
     let arrived = node.now();
     let id = header_text(&parts.headers, headers::REQUEST_ID).unwrap_or_default().to_owned();
     let Some(configuration) = node.current_configuration() else {
@@ -156,8 +147,10 @@
         arrived,
         deadline,
     };
-    let _root_call = (!is_nested).then(|| CallGauge::new(&node.root_calls));
-    let response = run::run(node, call, body).await;
+    if !is_nested {
+        ticket.set_root();
+    }
+    let response = run::run(node, ticket, call, body).await;
     if is_nested && response.status().is_server_error() {
         node.target_health.borrow_mut().record_downstream_failure(node.now());
     }
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -15,6 +15,7 @@
 use super::responses::{self, refuse};
 use super::Call;
 use crate::body::Body;
+use crate::calls_in_progress::CallTicket;
 use crate::counters::Counters;
 use crate::liveness;
 use crate::node::Node;
@@ -56,7 +57,7 @@
 }
 
 /// Serves a call and returns the target's response, or the node's own if there is none.
-pub(super) async fn run(node: &Rc<Node>, call: Call, body: Body) -> Response<Body> {
+pub(super) async fn run(node: &Rc<Node>, ticket: &CallTicket, call: Call, body: Body) -> Response<Body> {
     let service = choose_service(&call.route, &mut *node.random.borrow_mut()).cloned();
     let Some(service) = service else {
         return refuse(node, &call.id, "no-destination", NO_DESTINATION_RETRY_AFTER, call.arrived);
@@ -115,7 +116,11 @@
                 && should_abandon(node, &call)
                 && node.try_retry(&service, &call.route.name)
         };
+        ticket.set_target(Some(&target.id));
         let outcome = attempt(node, &call, &choice, attempt_body, may_abandon).await;
+        if outcome.is_not_run() {
+            ticket.set_target(None);
+        }
         progress.tried.push(target.id.clone());
         match outcome {
             Attempt::Response(response) => {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod body;
 pub mod caller_io;
+pub mod calls_in_progress;
 pub mod clock;
 pub mod counters;
 pub mod datagrams;
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -105,6 +105,9 @@
     pub shutdown: watch::Receiver<bool>,
     /// The number of open connections of all listeners that share this counter.
     pub open_connections: Rc<Cell<usize>>,
+    /// The number of connections that this node closed for good before their peers did. What a peer had not received
+    /// by then may be lost.
+    pub dropped_connections: Rc<Cell<u64>>,
     /// Above this number of open connections, connections close after their current response.
     pub keep_alive_limit: usize,
     /// Whether the node is draining its callers: their connections close after a response once no pipelined call is
@@ -243,7 +246,10 @@
         }
     }
     // Closing a socket with unread bytes resets the connection, and the last response could be lost.
-    let _ = tokio::time::timeout(LINGER, std::future::poll_fn(|context| watched.poll_discard(context))).await;
+    let peer_has_closed = std::future::poll_fn(|context| watched.poll_discard(context));
+    if tokio::time::timeout(LINGER, peer_has_closed).await.is_err() {
+        config.dropped_connections.set(config.dropped_connections.get() + 1);
+    }
 }
 
 /// The response to a request with both `Content-Length` and `Transfer-Encoding`.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,6 +31,7 @@
 use rand_pcg::Pcg64;
 use tokio::sync::{oneshot, Notify};
 
+use crate::calls_in_progress::CallsInProgress;
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::feed::FeedState;
@@ -131,10 +132,8 @@
     /// Whether calls of external callers are refused because the process is about to end. Calls of the local target are
     /// still accepted.
     pub refuses_callers: Cell<bool>,
-    /// The number of calls that are being served at the edge.
-    pub edge_calls: Cell<usize>,
-    /// The number of those that come from external callers, not from the local target.
-    pub root_calls: Cell<usize>,
+    /// The calls that are being served at the edge.
+    pub calls: Rc<CallsInProgress>,
     /// The random number generator.
     pub random: RefCell<Pcg64>,
     /// The counters of the metrics page.
@@ -238,8 +237,7 @@
             store: Pool::new(store, clock.clone()),
             stage: Cell::new(Stage::Serving),
             refuses_callers: Cell::new(false),
-            edge_calls: Cell::new(0),
-            root_calls: Cell::new(0),
+            calls: Rc::default(),
             random: RefCell::new(Pcg64::from_entropy()),
             counters: Counters::default(),
             gate_changed: Notify::new(),
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -120,6 +120,7 @@
     pub node: Rc<Node>,
     pub(crate) close_connections: watch::Sender<bool>,
     pub(crate) open_connections: Rc<Cell<usize>>,
+    pub(crate) dropped_connections: Rc<Cell<u64>>,
     pub(crate) draining: Rc<Cell<bool>>,
     pub(crate) accepting: [AbortHandle; 2],
     pub(crate) tasks: JoinSet<()>,
@@ -135,11 +136,13 @@
     let (close_connections, shutdown) = watch::channel(false);
     let open_connections = Rc::new(Cell::new(0));
     let draining: Rc<Cell<bool>> = Rc::default();
+    let dropped_connections: Rc<Cell<u64>> = Rc::default();
     let for_limits = Rc::clone(&node);
     let callers = ConnectionConfig {
         limits: Rc::new(move || for_limits.current_configuration().map(|in_force| in_force.limits).unwrap_or_default()),
         shutdown,
         open_connections: Rc::clone(&open_connections),
+        dropped_connections: Rc::clone(&dropped_connections),
         keep_alive_limit: settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2,
         draining: Rc::clone(&draining),
         concurrent_pipelining: true,
@@ -202,7 +205,7 @@
         settings.mechanisms.disabled_names()
     ));
     let accepting = [accepting_callers, accepting_peers];
-    Ok(Running { node, close_connections, open_connections, draining, accepting, tasks })
+    Ok(Running { node, close_connections, open_connections, dropped_connections, draining, accepting, tasks })
 }
 
 /// Logs whether the settings file differs from the settings in use. They take effect only at a restart, since addresses
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -5,8 +5,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use crate::calls_in_progress::CallInProgress;
 use crate::gate;
-use crate::node::Stage;
+use crate::node::{Node, Stage};
 use crate::run::Running;
 
 /// How long the node keeps accepting callers after it was asked to stop, until the platform has directed them to other
@@ -24,9 +25,22 @@
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 /// The interval at which the node checks whether they are written.
 const LOG_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The maximum number of aborted calls that are logged one by one; `stopped` has their total.
+const MAX_CUT_CALL_LINES: usize = 50;
 /// The interval at which a stopping process checks whether its calls and connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Logs the calls that the exit of the process aborts.
+fn log_cut_calls(node: &Node) {
+    let now = node.now();
+    for call in node.calls.oldest(MAX_CUT_CALL_LINES) {
+        let CallInProgress { id, arrived, target } = call;
+        let target = target.as_deref().unwrap_or_default();
+        let ms = now.since(arrived).as_millis();
+        node.log(&format!("\"event\":\"cut\",\"id\":{id:?},\"target\":\"{target}\",\"ms\":{ms}"));
+    }
+}
+
 impl Running {
     /// The number of open connections from callers and other nodes.
     pub fn open_connections(&self) -> usize {
@@ -45,7 +59,7 @@
         sleep(CALLER_DRAIN_TIME.min(grace)).await;
         // The gate stays open while calls that entered at this node finish. Meanwhile the target serves calls of other
         // nodes too.
-        while node.now().since(started) < grace.saturating_sub(TARGET_DRAIN_TIME) && node.root_calls.get() > 0 {
+        while node.now().since(started) < grace.saturating_sub(TARGET_DRAIN_TIME) && node.calls.root_count() > 0 {
             sleep(STOP_POLL_INTERVAL).await;
         }
         // New callers are refused at once from here on, so that the running calls can finish in the remaining time.
@@ -53,8 +67,7 @@
         node.log("\"event\":\"gate-closed\"");
         node.gate.borrow_mut().close();
         gate::evict_waiting_calls(node);
-        while node.now().since(started) < grace && (node.edge_calls.get() > 0 || node.gate.borrow().load().running > 0)
-        {
+        while node.now().since(started) < grace && (!node.calls.is_empty() || node.gate.borrow().load().running > 0) {
             sleep(STOP_POLL_INTERVAL).await;
         }
         // Stop accepting connections; the open ones close after their current response.
@@ -64,14 +77,20 @@
             sleep(STOP_POLL_INTERVAL).await;
         }
         sleep(RESPONSE_FLUSH_TIME).await;
-        let (calls, connections) = (node.edge_calls.get(), self.open_connections.get());
-        node.log(&format!("\"event\":\"stopped\",\"edge_calls\":{calls},\"connections\":{connections}"));
+        log_cut_calls(node);
+        let (calls, connections) = (node.calls.len(), self.open_connections.get());
+        let dropped = self.dropped_connections.get();
+        let running = node.gate.borrow().load().running;
+        node.log(&format!(
+            "\"event\":\"stopped\",\"edge_calls\":{calls},\"running\":{running},\"connections\":{connections},\"dropped_connections\":{dropped},\"ms\":{}",
+            node.now().since(started).as_millis()
+        ));
         node.log_state().flush_without_delay();
         let flush_deadline = node.now() + LOG_FLUSH_TIMEOUT;
         while !node.log_state().is_written() && node.now() < flush_deadline {
             sleep(LOG_POLL_INTERVAL).await;
         }
         self.tasks.shutdown().await;
-        self.node.edge_calls.get()
+        self.node.calls.len()
     }
 }
