--- a/crates/sidecar/tests/connections.rs
+++ b/crates/sidecar/tests/connections.rs
@@ -162,6 +162,31 @@
     });
 }
 
+#[test]
+fn a_response_that_is_read_slowly_survives_requests_behind_its_closing_connection() {
+    run(async {
+        const LENGTH: usize = 1_000_000;
+        let store = StandInStore::start().await;
+        store.write_configuration(&document(1));
+        let alpha = Machine::start(&store, "alpha", 4).await;
+        // Without descriptors to spare, each connection closes after one response.
+        let no_descriptors = |settings| SidecarSettings { max_descriptors: 200, ..settings };
+        let beta = Machine::start_with(&store, "beta", 4, no_descriptors).await;
+        eventually("both are listed", || beta.node().targets.borrow().len() == 2).await;
+        alpha.target.set_behaviour(TargetBehaviour::LongBody(LENGTH));
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&read("one")).await;
+        eventually("the target has responded", || alpha.target.received_count() == 1).await;
+        sleep(Duration::from_millis(1200)).await;
+        caller.send(&read("two")).await;
+        sleep(Duration::from_millis(300)).await;
+        let response = caller.next_response().await.expect("a complete response");
+        assert_eq!((response.status, response.header("connection"), response.body.len()), (200, "close", LENGTH));
+        assert_eq!(caller.next_response().await, None);
+        assert_eq!(alpha.target.received_count(), 1, "a request behind the last response is not passed on");
+    });
+}
+
 /// The time until a call's deadline, in milliseconds: shorter than the connect timeout.
 const SHORT_MS: u64 = 300;
 
--- a/crates/sidecar/tests/stops.rs
+++ b/crates/sidecar/tests/stops.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use support::caller::{call, request, Caller};
-use support::shop::{read, two_machines, HOST};
-use support::target::TargetBehaviour;
-use support::{eventually, run};
-use tokio::time::sleep;
+use support::shop::{chain_document_with_timeout, read, two_machines, HOST};
+use support::store::StandInStore;
+use support::target::{ChainedCall, ChainedRecord, TargetBehaviour};
+use support::{eventually, run, Machine};
+use tokio::time::{sleep, Instant};
 
 #[test]
 fn a_stop_answers_all_requests_read_and_drains_callers() {
@@ -115,3 +116,80 @@
         stopping.await.expect("it stops");
     });
 }
+
+/// Starts a machine of `alpha`, whose target makes `count` calls in a row to `beta` for each of its requests, and one of
+/// `beta`, whose target works on each for a time in this range.
+async fn machines_with_nested_calls(count: usize, work: (Duration, Duration)) -> (StandInStore, Machine, Machine) {
+    let store = StandInStore::start().await;
+    store.write_configuration(&chain_document_with_timeout(6));
+    let alpha = Machine::start(&store, "alpha", 64).await;
+    let beta = Machine::start(&store, "beta", 64).await;
+    for machine in [&alpha, &beta] {
+        eventually("both are listed", || machine.node().targets.borrow().len() == 2).await;
+    }
+    let outbound = alpha.outbound();
+    alpha.target.set_chained_call(ChainedCall { outbound, host: HOST.to_owned(), path: "/read/x".to_owned() });
+    alpha.target.set_chained_count(count);
+    beta.target.set_behaviour(TargetBehaviour::SlowUntilDeadline(work.0, work.1));
+    (store, alpha, beta)
+}
+
+fn chain(id: &str) -> String {
+    request("GET", HOST, "/chain/x", id, 6000, "")
+}
+
+#[test]
+fn a_stop_passes_on_no_nested_call_that_its_end_cuts_off() {
+    run(async {
+        let work = (Duration::from_millis(300), Duration::from_millis(500));
+        let (_store, alpha, beta) = machines_with_nested_calls(6, work).await;
+        let (to, own) = (beta.outbound(), alpha.outbound());
+        let warm_up: Vec<_> = (0..8)
+            .map(|number| tokio::task::spawn_local(async move { call(to, &chain(&format!("warm-{number}"))).await }))
+            .collect();
+        for parent in warm_up {
+            let response = parent.await.expect("the caller ends").expect("a response");
+            assert_eq!(response.status, 200);
+        }
+        alpha.target.take_chained_records();
+        let stop_begins = Instant::now();
+        let stopping = tokio::task::spawn_local(alpha.sidecar.stop());
+        for number in 0_u32.. {
+            if stopping.is_finished() {
+                break;
+            }
+            for (to, name) in [(to, "other"), (own, "own")] {
+                let id = format!("{name}-{number}");
+                tokio::task::spawn_local(async move {
+                    let mut caller = Caller::try_connect(to).await?;
+                    caller.send(&chain(&id)).await;
+                    caller.next_response().await
+                });
+            }
+            sleep(Duration::from_millis(80)).await;
+        }
+        assert_eq!(stopping.await.expect("it stops"), 0, "calls cut off by the end of the process");
+        let nested = alpha.target.take_chained_records();
+        let with_status = |status: u16| nested.iter().filter(|call| call.status == Some(status)).count();
+        let (served, refused) = (with_status(200), with_status(503));
+        println!("{} calls: {served} served, {refused} refused, in {:?}", nested.len(), stop_begins.elapsed());
+        assert!(served > 100, "{served} served, {refused} refused");
+    });
+}
+
+#[test]
+fn a_target_ends_a_nested_call_before_the_stop_of_its_caller_does() {
+    run(async {
+        let work = (Duration::from_millis(3500), Duration::from_millis(3500));
+        let (_store, alpha, beta) = machines_with_nested_calls(1, work).await;
+        let to = beta.outbound();
+        let stopping = tokio::task::spawn_local(alpha.sidecar.stop());
+        sleep(Duration::from_millis(2100)).await;
+        let parent = tokio::task::spawn_local(async move { call(to, &chain("parent")).await });
+        assert_eq!(stopping.await.expect("it stops"), 0, "calls cut off by the end of the process");
+        let nested = alpha.target.take_chained_records();
+        let statuses: Vec<_> = nested.iter().map(|call: &ChainedRecord| call.status).collect();
+        assert_eq!(statuses, [Some(504)], "the target's own response at its deadline");
+        parent.await.expect("the caller ends");
+    });
+}
--- a/crates/sidecar/tests/support/shop.rs
+++ b/crates/sidecar/tests/support/shop.rs
@@ -21,9 +21,14 @@
 
 /// A configuration in which `alpha` serves calls of `/chain/`, and `beta` those of `/read/`.
 pub fn chain_document() -> String {
+    chain_document_with_timeout(2)
+}
+
+/// The same with another timeout of both routes, in seconds.
+pub fn chain_document_with_timeout(timeout_s: u32) -> String {
     let rule = |name: &str, service: &str| {
         format!(
-            r#"{{"name":"{name}","kind":"safe","aim_s":1,"priority":1,"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":2,"max_attempts":2}}}}"#
+            r#"{{"name":"{name}","kind":"safe","aim_s":1,"priority":1,"match":{{"prefix":"/{name}/"}},"action":{{"splits":[{{"service":"{service}","weight":1}}],"timeout_s":{timeout_s},"max_attempts":2}}}}"#
         )
     };
     format!(
