Keep a connection that the node closes until its peer has closed it too

Cause: the node discarded what arrived for 0.5 s after a connection's last response, then closed the socket. A request that came later made the kernel reset the connection and drop what it had not delivered. The class: a write is taken for a delivery.

Ruled out: bytes that the HTTP library had not written (the node had written all of them).

Why the fix works: as long as the socket is open, what arrives is read and discarded, and nothing resets the connection. It is kept as long as an idle one after its last write. Connections that were idle for that long still close after 0.5 s. The sending side is ended first, now also after the 408 to an incomplete head, which ended only with the socket before.

Left: a process that ends closes its sockets too; a stop waits for such connections until 0.8 s before the end of the grace period.

--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -43,6 +43,7 @@
     read_ahead: RefCell<Vec<u8>>,
     closed: Cell<bool>,
     last_read: Cell<Instant>,
+    last_write: Cell<Instant>,
 }
 
 /// A server connection. One clone is passed to hyper, another one reads ahead and watches for the end of the
@@ -60,6 +61,7 @@
             read_ahead: RefCell::default(),
             closed: Cell::new(false),
             last_read: Cell::new(Instant::now()),
+            last_write: Cell::new(Instant::now()),
         }))
     }
 
@@ -115,6 +117,12 @@
         split.found = split.found.saturating_sub(count);
     }
 
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        if matches!(polled, Poll::Ready(Ok(_))) {
+            self.0.last_write.set(Instant::now());
+        }
+    }
+
     /// Whether a request has arrived in part. hyper does not get it before its head is complete.
     pub fn has_partial_request(&self) -> bool {
         let split = self.0.split.borrow();
@@ -132,6 +140,11 @@
         self.0.last_read.get()
     }
 
+    /// The time of the last write of any bytes.
+    pub fn last_write(&self) -> Instant {
+        self.0.last_write.get()
+    }
+
     /// Reads ahead. Ready once the caller has closed the connection.
     pub fn poll_closed(&self, context: &mut Context<'_>) -> Poll<()> {
         let shared = &self.0;
@@ -157,6 +170,12 @@
 }
 
 impl CallerIo {
+    /// Tells the caller that no more bytes follow.
+    pub async fn shut_down(&self) {
+        // An error means that the connection has ended already.
+        let _ = std::future::poll_fn(|context| Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(context)).await;
+    }
+
     /// Discards all bytes that arrive. Ready once the caller has closed the connection.
     pub fn poll_discard(&self, context: &mut Context<'_>) -> Poll<()> {
         loop {
@@ -196,7 +215,9 @@
 
 impl hyper::rt::Write for CallerIo {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(context, bytes)
+        let polled = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(context, bytes);
+        self.record_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -208,7 +229,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(context, slices);
+        self.record_write(&polled);
+        polled
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -38,8 +38,8 @@
 /// The response to a request whose head does not arrive within the header timeout.
 const REQUEST_TIMEOUT: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// How long a connection that this node closes stays open for its peer to close it too.
-const LINGER: Duration = Duration::from_millis(500);
+/// The minimum time for which a connection that this node closes stays open for its peer to close it too.
+const MIN_LINGER: Duration = Duration::from_millis(500);
 
 /// Adapts a Tokio TCP stream to hyper's I/O traits.
 pub struct TokioIo(TcpStream);
@@ -245,9 +245,22 @@
             }
         }
     }
-    // Closing a socket with unread bytes resets the connection, and the last response could be lost.
-    let peer_has_closed = std::future::poll_fn(|context| watched.poll_discard(context));
-    if tokio::time::timeout(LINGER, peer_has_closed).await.is_err() {
+    linger(&watched, &config).await;
+}
+
+/// Ends the sending side of a connection whose last response was written, keeps the connection until its peer has closed
+/// it too, and discards what arrives.
+///
+/// A socket that is closed while bytes arrive is reset, and the kernel discards what it has not delivered yet. How much
+/// that is isn't known, so a connection on which something was written recently is kept as long as an idle one.
+async fn linger(io: &CallerIo, config: &ConnectionConfig) {
+    let unread_for = Instant::now().duration_since(io.last_write());
+    let timeout = (config.limits)().idle_timeout.saturating_sub(unread_for).max(MIN_LINGER);
+    let peer_has_closed = async {
+        io.shut_down().await;
+        std::future::poll_fn(|context| io.poll_discard(context)).await;
+    };
+    if tokio::time::timeout(timeout, peer_has_closed).await.is_err() {
         config.dropped_connections.set(config.dropped_connections.get() + 1);
     }
 }
