--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -29,7 +29,7 @@
     }
 
     fn operands(&self) -> &'static str {
-        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages]"
+        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages] [--slow-calls]"
     }
 
     fn declare(&self, options: &mut Options) {
@@ -44,6 +44,7 @@
         options.optopt("", "program", "the quillhatch program (default beside this one)", "FILE");
         options.optopt("", "folder", "where settings and logs are kept (default the system's folder for such)", "DIR");
         options.optflag("", "calm", "only planned work, no faults");
+        options.optflag("", "slow-calls", "nested calls and reads of responses are slow while processes stop");
         options.optflag("", "outages", "also long outages of the store, in which targets restart under their ids");
     }
 
@@ -57,6 +58,7 @@
         arguments.limit_operands(0);
         arguments.check()?;
         let (has_faults, has_outages) = (!arguments.has("calm"), arguments.has("outages"));
+        let has_slow_calls = arguments.has("slow-calls");
         let folder = make_folder(&parent, seed)?;
         println!("seed {seed}, {seconds} s, settings and logs in {}", folder.display());
         let duration = Duration::from_secs(seconds);
@@ -70,6 +72,7 @@
             targets_per_service,
             has_faults,
             has_outages,
+            has_slow_calls,
         };
         let report = run(&options)?;
         print(&report);
@@ -114,7 +117,9 @@
     for call in &report.record.calls {
         *ends.entry(format!("{:?}", call.end)).or_default() += 1;
     }
-    println!("{} calls, {} runs at targets", report.record.calls.len(), report.record.runs.len());
+    let record = &report.record;
+    let (calls, nested_calls, runs) = (record.calls.len(), record.nested_calls.len(), record.runs.len());
+    println!("{calls} calls, {nested_calls} calls of targets, {runs} runs at targets");
     for (end, count) in ends {
         println!("  {count:>7} {end}");
     }
--- a/crates/quillhatch/tests/soak.rs
+++ b/crates/quillhatch/tests/soak.rs
@@ -19,6 +19,7 @@
         targets_per_service: DEFAULT_TARGETS_PER_SERVICE,
         has_faults: false,
         has_outages: false,
+        has_slow_calls: false,
     };
     let report = run(&options).expect("the machines start");
     assert!(report.record.calls.len() > 500, "{} calls", report.record.calls.len());
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -5,11 +5,12 @@
 use std::time::{Duration, Instant};
 
 use derive_more::Display;
-use quillhatch_platform_standins::target::{chained_id, RunningPeak};
+use quillhatch_platform_standins::target::{chained_id_at, ChainedRecord, RunningPeak};
 
 use crate::crashes;
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
-use crate::record::{CallEnd, CallRecord, RunRecord, SoakRecord};
+use crate::record::{CallEnd, CallRecord, NestedCall, RunRecord, SoakRecord};
+use crate::slow_calls::MAX_CHAINED_CALLS;
 use crate::target_status;
 use crate::tenancy;
 
@@ -119,7 +120,7 @@
     for call in &record.calls {
         sent.insert(call.id.clone(), call);
         if call.kind == RouteKind::Chain {
-            sent.insert(chained_id(&call.id), call);
+            sent.extend((0..MAX_CHAINED_CALLS).map(|index| (chained_id_at(&call.id, index), call)));
         }
         if let CallEnd::Answered { is_own: false, status } = call.end {
             found.push(violation(
@@ -250,8 +251,9 @@
             CallEnd::Answered { .. } => {}
             // A process that was asked to stop may have ended, so that connections to it are refused.
             CallEnd::Unreached => counted -= usize::from(is_counted && was_stopping(record, call)),
+            CallEnd::Unread if !ran.contains(call.id.as_str()) => counted -= usize::from(is_counted),
             CallEnd::Cut if !ran.contains(call.id.as_str()) && call.ended - call.sent <= UNREAD_CLOSE_TOLERANCE => {}
-            CallEnd::Cut | CallEnd::Silent => {
+            CallEnd::Cut | CallEnd::Silent | CallEnd::Unread => {
                 let description = format!(
                     "{} at machine {} ended as {:?} after {:?}",
                     call.id,
@@ -270,11 +272,33 @@
         );
         found.push(violation(Guarantee::Served, description));
     }
+    found.extend(nested_call_violations(record, &ran));
     found.extend(stale_configuration_violations(record));
     found.extend(drain_violations(record));
     found
 }
 
+/// Finds calls of targets whose connection ended without a complete response. A target stops waiting at the deadline.
+fn nested_call_violations(record: &SoakRecord, ran: &HashSet<&str>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for NestedCall { machine, call } in &record.nested_calls {
+        let ChainedRecord { id, sent, ended, status, is_timed_out } = call;
+        let is_excused = !record.is_fault_and_crash_free(SETTLE_TIME, *sent, *ended)
+            || (!ran.contains(id.as_str()) && *ended - *sent <= UNREAD_CLOSE_TOLERANCE);
+        if status.is_some() || *is_timed_out || is_excused {
+            continue;
+        }
+        let mut stops = record.stops.iter().filter(|stop| stop.machine == *machine && stop.requested <= *ended);
+        let since_stop = stops.next_back().map(|stop| *ended - stop.requested);
+        let description = format!(
+            "{id}, a call of the target at machine {machine}, was cut after {:?}, {since_stop:?} after a stop",
+            *ended - *sent
+        );
+        found.push(violation(Guarantee::Uncut, description));
+    }
+    found
+}
+
 /// Lists the requests that ran at the peak of a target: their ids, how long they had run, and whether they waited for
 /// a call of their own.
 fn describe_peak(machine: usize, peak: &RunningPeak) -> String {
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quillhatch_platform_standins::configuration::{configuration_document, DocumentRoute};
+use quillhatch_platform_standins::target::LARGE_PATH;
 use rand::Rng;
 
 use crate::tenancy::tenants;
@@ -43,6 +44,8 @@
     Moving,
     /// Retryable; served by beta, whose targets it crashes.
     Crashing,
+    /// Retryable; served by beta, with a large response.
+    Large,
 }
 
 impl RouteKind {
@@ -57,6 +60,7 @@
             RouteKind::Chain => "/chain/x",
             RouteKind::Moving => "/moving/x",
             RouteKind::Crashing => "/read/harmful",
+            RouteKind::Large => LARGE_PATH,
         }
     }
 
@@ -79,7 +83,7 @@
     /// The service that serves it; `None` if the configuration moves it between services.
     pub fn service(self) -> Option<&'static str> {
         match self {
-            RouteKind::Read | RouteKind::Crashing => Some("beta"),
+            RouteKind::Read | RouteKind::Crashing | RouteKind::Large => Some("beta"),
             RouteKind::Pay => Some("gamma"),
             RouteKind::Chain => Some("alpha"),
             RouteKind::Moving => None,
@@ -100,10 +104,10 @@
     }
 }
 
-/// The configuration document with the given version and number, in which the service `moving` serves
-/// [`RouteKind::Moving`].
-pub fn document(version: u64, number: usize, moving: &str) -> String {
-    let route = |name, kind, service, priority| DocumentRoute { name, kind, service, priority, timeout_s: 2 };
+/// The configuration document with the given version, number and timeout of all routes in seconds, in which the service
+/// `moving` serves [`RouteKind::Moving`].
+pub fn document(version: u64, number: usize, moving: &str, timeout_s: u32) -> String {
+    let route = |name, kind, service, priority| DocumentRoute { name, kind, service, priority, timeout_s };
     let routes = [
         route("read", "safe", "beta", 2),
         route("pay", "unsafe", "gamma", 0),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,7 +7,7 @@
 //! targets observed, never against the product's own counters.
 //!
 //! Rounds of faults alternate with fault-free rounds of planned work. In addition,
-//! long outages of the store may be played ([`outages`]). Some guarantees hold at any time
+//! long outages of the store ([`outages`]) or slow calls ([`slow_calls`]) may be played. Some guarantees hold at any time
 //! ([`checks::check_always`]); those with a time bound hold only without recent faults ([`checks::check_fault_free`]).
 
 pub mod checks;
@@ -20,6 +20,7 @@
 pub mod proxy;
 pub mod record;
 pub mod run;
+pub mod slow_calls;
 pub mod target_status;
 pub mod tenancy;
 pub mod traffic;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -37,6 +37,8 @@
     pub link: MachineLink,
     /// Whether a schedule lets the target announce a rate limit or a drain.
     pub is_announcing: Cell<bool>,
+    /// How its target responds while no fault affects it.
+    pub normal_behaviour: Cell<TargetBehaviour>,
     /// Whether callers may open connections to the process.
     pub accepts_callers: Cell<bool>,
     process: RefCell<Option<Child>>,
@@ -90,6 +92,7 @@
             store,
             link,
             is_announcing: Cell::new(false),
+            normal_behaviour: Cell::new(TargetBehaviour::Slow(REQUEST_DURATION)),
             accepts_callers: Cell::new(true),
             process: RefCell::default(),
             starts: RefCell::default(),
@@ -163,7 +166,7 @@
 
     /// Resets the target to its normal behaviour.
     pub fn reset_target_behaviour(&self) {
-        self.target.set_behaviour(TargetBehaviour::Slow(REQUEST_DURATION));
+        self.target.set_behaviour(self.normal_behaviour.get());
     }
 }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use quillhatch_platform_standins::target::RunningPeak;
+use quillhatch_platform_standins::target::{ChainedRecord, RunningPeak};
 
 use crate::layout::{RouteKind, CRASH_DOWNTIME};
 use crate::target_status::{AnnouncementSpan, ArrivalRecord, NestedResponse, RateLimitSpan, ResponderStatus};
@@ -25,6 +25,8 @@
     Silent,
     /// The connection was refused or could not be opened in time.
     Unreached,
+    /// The request was sent behind another one, whose response closed the connection.
+    Unread,
 }
 
 /// A call as observed by its caller.
@@ -48,6 +50,15 @@
     pub responder: ResponderStatus,
 }
 
+/// A call that a target made, as it observed it.
+#[derive(Clone, Debug)]
+pub struct NestedCall {
+    /// The machine of the target.
+    pub machine: usize,
+    /// The call.
+    pub call: ChainedRecord,
+}
+
 /// A request as observed by a target.
 #[derive(Clone, Debug)]
 pub struct RunRecord {
@@ -146,6 +157,8 @@
     pub restarts: Vec<ProcessRestart>,
     /// Arrivals of requests at targets.
     pub arrivals: Vec<ArrivalRecord>,
+    /// Calls that targets made.
+    pub nested_calls: Vec<NestedCall>,
     /// Responses to calls that targets made.
     pub nested_responses: Vec<NestedResponse>,
     /// Rate limits that targets announced.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,9 +22,10 @@
 use crate::links::LinkProcess;
 use crate::machine::SoakMachine;
 use crate::outages::play_outages;
-use crate::record::{ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan};
+use crate::record::{ConfigWrite, DrainSpan, FaultSpan, NestedCall, ProcessRestart, RunRecord, SoakRecord, StopSpan};
+use crate::slow_calls;
 use crate::target_status::{play_announcements, ArrivalRecord, NestedResponse};
-use crate::traffic::SoakCaller;
+use crate::traffic::{SoakCaller, DEADLINE};
 
 /// The total number of callers; with more machines than this, each machine has one.
 const TOTAL_CALLERS: usize = 24;
@@ -64,6 +65,10 @@
 const SERIES_PAUSE_MS: std::ops::Range<u64> = 100..900;
 /// The delay of the second of two planned stops after the first; the first takes longer than this.
 const SECOND_STOP_DELAY: Duration = Duration::from_millis(1200);
+/// The range of the delays of stops that overlap, in milliseconds.
+const OVERLAPPING_STOP_DELAY_MS: std::ops::Range<u64> = 0..900;
+/// The timeout of all routes in seconds.
+const TIMEOUT_S: u32 = 2;
 /// The time for the last calls to finish.
 const LAST_CALLS_TIMEOUT: Duration = Duration::from_secs(5);
 /// The interval at which conditions are polled.
@@ -89,6 +94,8 @@
     pub has_faults: bool,
     /// Whether long outages of the store are played as well, in which targets restart unseen.
     pub has_outages: bool,
+    /// Whether targets make several slow calls in a row and callers read large responses slowly, while processes stop.
+    pub has_slow_calls: bool,
 }
 
 /// The result of a soak.
@@ -124,6 +131,7 @@
     /// The schedule of the ways in which targets drain.
     drain_schedule: Pcg64,
     version: u64,
+    has_slow_calls: bool,
 }
 
 async fn run_rounds(options: &SoakOptions) -> io::Result<SoakReport> {
@@ -134,7 +142,11 @@
     let callers = run.start_callers(end);
     let schedule = Pcg64::seed_from_u64(options.seed ^ ANNOUNCEMENT_SCHEDULE_SEED);
     let announcements = play_announcements(run.machines.clone(), Rc::clone(&run.record), schedule, end);
-    let mut schedules = vec![spawn_local(announcements)];
+    let mut schedules = Vec::new();
+    match options.has_slow_calls {
+        true => schedules.extend(slow_calls::start_readers(&run.machines, &run.record, options.seed, end)),
+        false => schedules.push(spawn_local(announcements)),
+    }
     if options.has_outages {
         let schedule = Pcg64::seed_from_u64(options.seed ^ OUTAGE_SCHEDULE_SEED);
         let outages = play_outages(run.machines.clone(), Rc::clone(&run.record), schedule, end);
@@ -180,7 +192,21 @@
         }
         let version = random.gen_range(1..50);
         let record = Rc::default();
-        Ok(SoakRun { store, machines, record, faults: Vec::new(), random, added_schedule, drain_schedule, version })
+        let has_slow_calls = options.has_slow_calls;
+        if has_slow_calls {
+            machines.iter().for_each(|machine| slow_calls::slow_down(machine));
+        }
+        Ok(SoakRun {
+            store,
+            machines,
+            record,
+            faults: Vec::new(),
+            random,
+            added_schedule,
+            drain_schedule,
+            version,
+            has_slow_calls,
+        })
     }
 
     /// Writes a configuration that moves the route of [`RouteKind::Moving`](crate::layout::RouteKind::Moving) to
@@ -191,7 +217,8 @@
         let others: Vec<&'static str> = SERVICES.into_iter().filter(|service| Some(*service) != current).collect();
         let moving = others[self.random.gen_range(0..others.len())];
         let number = self.record.borrow().configs.len();
-        self.store.write_configuration(&document(self.version, number, moving));
+        let timeout_s = if self.has_slow_calls { slow_calls::TIMEOUT_S } else { TIMEOUT_S };
+        self.store.write_configuration(&document(self.version, number, moving, timeout_s));
         self.record.borrow_mut().configs.push(ConfigWrite { moving, acked: Instant::now() });
     }
 
@@ -215,7 +242,11 @@
             for number in 0..callers_each {
                 let random = Pcg64::seed_from_u64(self.random.gen());
                 let (machine, record) = (Rc::clone(machine), Rc::clone(&self.record));
-                let caller = SoakCaller { machine, number, record, reuses_while_draining: number == 0, random };
+                let deadline = if self.has_slow_calls { slow_calls::DEADLINE } else { DEADLINE };
+                let crashes_targets = !self.has_slow_calls;
+                let reuses_while_draining = number == 0;
+                let caller =
+                    SoakCaller { machine, number, record, reuses_while_draining, deadline, crashes_targets, random };
                 callers.push(spawn_local(caller.call_until(end)));
             }
         }
@@ -259,7 +290,9 @@
 
     /// Does planned work: either one change of each kind, or a series of overlapping changes.
     async fn planned_work(&mut self) -> io::Result<()> {
-        if self.random.gen() {
+        if self.has_slow_calls {
+            self.overlapping_stops().await
+        } else if self.random.gen() {
             self.one_of_each_kind().await
         } else {
             self.overlapping_series().await
@@ -321,6 +354,30 @@
         Ok(())
     }
 
+    /// Stops half of the processes, one soon after the other, and at most one of two targets of a service.
+    async fn overlapping_stops(&mut self) -> io::Result<()> {
+        let mut stops = Vec::new();
+        for service in 0..SERVICES.len() {
+            let targets = self.machines.len() / SERVICES.len();
+            for target in 0..targets / 2 {
+                let first = self.random.gen_range(0..2);
+                let number = service + SERVICES.len() * (2 * target + first);
+                let delay = Duration::from_millis(self.random.gen_range(OVERLAPPING_STOP_DELAY_MS));
+                let (machine, record) = (Rc::clone(&self.machines[number]), Rc::clone(&self.record));
+                stops.push(spawn_local(async move {
+                    sleep(delay).await;
+                    restart_process(&machine, &record).await
+                }));
+            }
+        }
+        for stop in stops {
+            stop.await.map_err(io::Error::other)??;
+        }
+        self.collect_requests();
+        sleep(Duration::from_secs(1)).await;
+        Ok(())
+    }
+
     /// Draws a machine of another service than that of machine `number`.
     fn machine_of_another_service(&mut self, number: usize) -> usize {
         (number + self.random.gen_range(1..SERVICES.len())) % self.machines.len()
@@ -340,6 +397,8 @@
             record.crashes.extend(runs.iter().filter(|run| run.crashes_targets()).map(|run| run.at));
             record.runs.extend(runs);
             record.arrivals.extend(machine.target.take_arrivals().into_iter().map(ArrivalRecord::from));
+            let calls = machine.target.take_chained_records().into_iter();
+            record.nested_calls.extend(calls.map(|call| NestedCall { machine: number, call }));
             let responses = machine.target.take_chained_responses().into_iter();
             record.nested_responses.extend(responses.map(|ChainedResponse { at, responder }| NestedResponse {
                 machine: number,
--- a/crates/soak/src/target_status.rs
+++ b/crates/soak/src/target_status.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 pub use quillhatch_platform_standins::target::ResponderStatus;
-use quillhatch_platform_standins::target::{Arrival, CHAINED_SUFFIX};
+use quillhatch_platform_standins::target::{chained_parent, Arrival};
 use rand::Rng;
 use rand_pcg::Pcg64;
 use tokio::time::sleep;
@@ -186,7 +186,7 @@
     /// The machine at which a request began and when it was sent. A call made by a target was sent after its parent
     /// had started to run there.
     fn of(&self, id: &str, arrived: Instant) -> Option<(usize, Instant)> {
-        let Some(parent) = id.strip_suffix(CHAINED_SUFFIX) else {
+        let Some(parent) = chained_parent(id) else {
             return self.calls.get(id).map(|call| (call.machine, call.sent));
         };
         let runs = self.runs.get(parent)?;
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -16,7 +16,7 @@
 use crate::tenancy::SoakKey;
 
 /// The deadline that a caller sends with a request.
-const DEADLINE: Duration = Duration::from_secs(3);
+pub const DEADLINE: Duration = Duration::from_secs(3);
 /// How much longer than the deadline a caller waits for a response.
 const RESPONSE_ALLOWANCE: Duration = Duration::from_secs(1);
 /// The pause of a caller whose machine accepts no callers or refused the connection.
@@ -38,6 +38,10 @@
     pub record: Rc<RefCell<SoakRecord>>,
     /// Whether it keeps using an open connection while its machine accepts no callers because its process is stopping.
     pub reuses_while_draining: bool,
+    /// The deadline that it sends with a request.
+    pub deadline: Duration,
+    /// Whether some of its requests crash targets.
+    pub crashes_targets: bool,
     /// Its random number generator.
     pub random: Pcg64,
 }
@@ -65,7 +69,7 @@
     }
 
     fn draw_kind(&mut self) -> RouteKind {
-        if self.random.gen_bool(CRASHING_PROBABILITY) {
+        if self.random.gen_bool(CRASHING_PROBABILITY) && self.crashes_targets {
             return RouteKind::Crashing;
         }
         RouteKind::NON_CRASHING[self.random.gen_range(0..RouteKind::NON_CRASHING.len())]
@@ -83,14 +87,14 @@
             sleep(UNAVAILABLE_PAUSE).await;
             return None;
         };
-        let deadline = DEADLINE.as_millis() as u64;
+        let deadline = self.deadline.as_millis() as u64;
         let text = request(kind.method(), HOST, kind.path(), &id, deadline, kind.body());
         // The caller also sends a forged tenant name, which the node must not forward.
         let headers = format!("\r\nX-Api-Key: {}\r\nQuillhatch-Tenant: forged\r\n\r\n", key.text());
         caller.send(&text.replacen("\r\n\r\n", &headers, 1)).await;
         let sent = Instant::now();
-        let Some(response) = caller.next_response_within(DEADLINE + RESPONSE_ALLOWANCE).await else {
-            let end = if sent.elapsed() >= DEADLINE + RESPONSE_ALLOWANCE { CallEnd::Silent } else { CallEnd::Cut };
+        let Some(response) = caller.next_response_within(self.deadline + RESPONSE_ALLOWANCE).await else {
+            let end = if sent.elapsed() >= self.deadline + RESPONSE_ALLOWANCE { CallEnd::Silent } else { CallEnd::Cut };
             self.record_call(kind, key, id, sent, end, ResponderStatus::default());
             return None;
         };
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use quillhatch_platform_standins::target::{RunningPeak, RunningRequest};
+use quillhatch_platform_standins::target::{ChainedRecord, RunningPeak, RunningRequest};
 use quillhatch_soak::checks::{check_all, Guarantee};
 use quillhatch_soak::layout::{RouteKind, SLOTS};
 use quillhatch_soak::record::{
-    CallEnd, CallRecord, ConfigWrite, DrainSpan, FaultSpan, ProcessRestart, RunRecord, SoakRecord, StopSpan,
+    CallEnd, CallRecord, ConfigWrite, DrainSpan, FaultSpan, NestedCall, ProcessRestart, RunRecord, SoakRecord, StopSpan,
 };
 use quillhatch_soak::target_status::{AnnouncementSpan, ArrivalRecord, NestedResponse, RateLimitSpan, ResponderStatus};
 use quillhatch_soak::tenancy::SoakKey;
@@ -249,6 +249,29 @@
     assert_eq!(scenario.violated_guarantees(), []);
 }
 
+#[test_case(None, false, 6_000, true; "cut")]
+#[test_case(Some(503), false, 6_000, false; "refused")]
+#[test_case(None, true, 6_000, false; "unanswered at its deadline")]
+#[test_case(None, false, 9_000, false; "during a fault")]
+fn a_call_of_a_target_that_is_cut_is_reported(status: Option<u16>, is_timed_out: bool, at_ms: u64, reported: bool) {
+    let mut scenario = Scenario::new();
+    scenario.add_fault(8_000, 9_500);
+    let (sent, ended) = (scenario.at(at_ms), scenario.at(at_ms + 300));
+    let call = ChainedRecord { id: "chain-chained".to_owned(), sent, ended, status, is_timed_out };
+    scenario.record.nested_calls.push(NestedCall { machine: ALPHA, call });
+    let expected: &[Guarantee] = if reported { &[Guarantee::Uncut] } else { &[] };
+    assert_eq!(scenario.violated_guarantees(), expected);
+}
+
+#[test]
+fn a_request_behind_a_closing_response_is_reported_only_if_it_ran() {
+    let mut scenario = Scenario::new();
+    scenario.call("behind", RouteKind::Read, 6_000, CallEnd::Unread);
+    assert_eq!(scenario.violated_guarantees(), []);
+    scenario.run("behind", RouteKind::Read, BETA, 6_010);
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::Uncut]);
+}
+
 const PROCESS: &str = "i-1/7";
 
 impl Scenario {
