Apply the header and idle timeouts of a connection only between responses

Cause: \`active\` counted the futures of responses, so it fell to zero when the head of a streamed response was ready. The timeouts took such a connection as idle, and the 408 was written to the socket beside hyper, which was in the middle of the response.

Why the fix works: the body of a streamed response owns the request's guard, so the request is active until hyper has been given its last byte; and nothing is written beside hyper while the socket has not accepted what hyper has to write. Both timeouts count from the last byte read or written.

--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -31,6 +31,15 @@
         Body::Streamed(Box::pin(stream))
     }
 
+    /// Keeps `guard` until the body has been sent or dropped.
+    pub fn with_guard<G: 'static>(self, guard: G) -> Self {
+        match self {
+            // A buffered body is passed on in one piece.
+            Body::Buffered(bytes) => Body::Buffered(bytes),
+            Body::Streamed(stream) => Body::Streamed(Box::pin(GuardedBody { stream, _guard: guard })),
+        }
+    }
+
     /// A copy of the body, if it is buffered.
     pub fn clone_if_buffered(&self) -> Option<Body> {
         match self {
@@ -67,6 +76,32 @@
     }
 }
 
+/// A streamed body that owns a value, which is dropped with it.
+struct GuardedBody<G> {
+    stream: Stream,
+    _guard: G,
+}
+
+// The stream is pinned by its own box, and the guard is never pinned.
+impl<G> Unpin for GuardedBody<G> {}
+
+impl<G> HttpBody for GuardedBody<G> {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.get_mut().stream.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.stream.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.stream.size_hint()
+    }
+}
+
 /// A body of which the first bytes were already read.
 pub struct PartialBody {
     start: Bytes,
--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -44,6 +44,8 @@
     closed: Cell<bool>,
     last_read: Cell<Instant>,
     last_write: Cell<Instant>,
+    /// Whether bytes that hyper has to write wait for the socket.
+    is_write_blocked: Cell<bool>,
 }
 
 /// A server connection. One clone is passed to hyper, another one reads ahead and watches for the end of the
@@ -62,6 +64,7 @@
             closed: Cell::new(false),
             last_read: Cell::new(Instant::now()),
             last_write: Cell::new(Instant::now()),
+            is_write_blocked: Cell::new(false),
         }))
     }
 
@@ -118,6 +121,7 @@
     }
 
     fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        self.0.is_write_blocked.set(polled.is_pending());
         if matches!(polled, Poll::Ready(Ok(_))) {
             self.0.last_write.set(Instant::now());
         }
@@ -129,15 +133,21 @@
         !split.is_off && self.0.read_ahead.borrow().len() > split.found
     }
 
-    /// Writes bytes if the connection accepts them without waiting. hyper must have nothing to write.
+    /// Writes bytes if the connection accepts them without waiting. hyper must have nothing to write
+    /// ([`CallerIo::has_written_all`]) and no response in progress.
     pub fn try_write_response(&self, bytes: &[u8]) {
         // If the socket buffer is full, the response is dropped.
         let _ = self.0.stream.borrow().try_write(bytes);
     }
 
-    /// The time of the last read of any bytes.
-    pub fn last_read(&self) -> Instant {
-        self.0.last_read.get()
+    /// Whether the socket has accepted all bytes that hyper had to write.
+    pub fn has_written_all(&self) -> bool {
+        !self.0.is_write_blocked.get()
+    }
+
+    /// The time of the last read or write of any bytes.
+    pub fn last_activity(&self) -> Instant {
+        self.0.last_read.get().max(self.0.last_write.get())
     }
 
     /// The time of the last write of any bytes.
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -191,8 +191,7 @@
                     is_closing.set(true);
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                drop(active_request);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| body.with_guard(active_request)))
             }
         })
     };
@@ -233,12 +232,13 @@
                 let limits = (config.limits)();
                 // By the monotonic clock, which stops while the machine is suspended: what arrived meanwhile must be
                 // read before a timeout applies.
-                let idle_for = Instant::now().duration_since(watched.last_read());
-                if active.get() == 0 && watched.has_partial_request() && idle_for > limits.header_timeout {
+                let idle_for = Instant::now().duration_since(watched.last_activity());
+                let is_idle = active.get() == 0 && watched.has_written_all();
+                if is_idle && watched.has_partial_request() && idle_for > limits.header_timeout {
                     watched.try_write_response(REQUEST_TIMEOUT);
                     break;
                 }
-                if active.get() == 0 && idle_for > limits.idle_timeout {
+                if is_idle && idle_for > limits.idle_timeout {
                     connection.as_mut().graceful_shutdown();
                 }
                 timeout_check.as_mut().reset(tokio::time::Instant::now() + TIMEOUT_CHECK_INTERVAL);
@@ -301,7 +301,8 @@
     }
 }
 
-/// Decrements the number of active requests when it is dropped.
+/// Decrements the number of active requests when it is dropped, after the last byte of the response was passed to
+/// hyper.
 struct ActiveRequest(Rc<Cell<usize>>);
 
 impl Drop for ActiveRequest {
--- a/crates/sidecar/tests/connections.rs
+++ b/crates/sidecar/tests/connections.rs
@@ -7,7 +7,7 @@
 use quillhatch_mesh::settings::SidecarSettings;
 use quillhatch_sidecar::node::Node;
 use support::caller::{call, request, Caller};
-use support::limits::{document, pay, read, two_machines, HOST};
+use support::limits::{document, document_with_timeout, pay, read, two_machines, HOST};
 use support::store::StandInStore;
 use support::target::TargetBehaviour;
 use support::{eventually, run, FullListener, Machine, OUTBOUND};
@@ -187,6 +187,49 @@
     });
 }
 
+#[test_case(0; "with a part of a request behind it")]
+#[test_case(20; "with many whole requests behind it")]
+fn the_header_timeout_writes_nothing_into_a_response(behind: usize) {
+    run(async move {
+        const LENGTH: usize = 200_000;
+        let (store, alpha, beta) = two_machines().await;
+        store.write_configuration(&document_with_timeout(2, 8));
+        eventually("the configuration changes", || beta.node().configuration.borrow().version() == 2).await;
+        alpha.target.set_behaviour(TargetBehaviour::PausedBody(LENGTH, Duration::from_millis(6500)));
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&request("GET", HOST, "/read/x", "long", 8000, "")).await;
+        eventually("it runs", || alpha.target.received_count() == 1).await;
+        alpha.target.set_behaviour(TargetBehaviour::Normal);
+        let further: String = (0..behind).map(|number| read(&format!("behind-{number}"))).collect();
+        caller.send(&(further + "GET /read/x HTTP/1.1\r\nHost: ")).await;
+        let response = caller.next_response().await.expect("the response to the first request");
+        assert_eq!((response.status, response.body.len()), (200, LENGTH));
+        assert!(response.body.iter().all(|byte| *byte == b'x'), "foreign bytes in a body");
+        for number in 0..behind {
+            let response = caller.next_response().await.unwrap_or_else(|| panic!("no response to number {number}"));
+            assert_eq!(response.body, format!("the answer to behind-{number}").as_bytes());
+        }
+    });
+}
+
+#[test]
+fn a_connection_is_idle_from_the_end_of_its_last_response() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        store
+            .write_configuration(&document_with_timeout(2, 8).replace("\"idle_timeout_s\":15", "\"idle_timeout_s\":4"));
+        eventually("the configuration changes", || beta.node().configuration.borrow().version() == 2).await;
+        alpha.target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(3900)));
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&request("GET", HOST, "/read/x", "one", 8000, "")).await;
+        assert_eq!(caller.next_response().await.expect("a response").status, 200);
+        alpha.target.set_behaviour(TargetBehaviour::Normal);
+        sleep(Duration::from_millis(3200)).await;
+        caller.send(&read("two")).await;
+        assert_eq!(caller.next_response().await.expect("a response on the same connection").status, 200);
+    });
+}
+
 /// The time until a call's deadline, in milliseconds: shorter than the connect timeout.
 const SHORT_MS: u64 = 300;
 
--- a/crates/sidecar/tests/support/limits.rs
+++ b/crates/sidecar/tests/support/limits.rs
@@ -9,12 +9,17 @@
 
 /// A configuration with limits on callers.
 pub fn document(version: u32) -> String {
+    document_with_timeout(version, 1)
+}
+
+/// The same with another timeout of all routes, in seconds.
+pub fn document_with_timeout(version: u32, timeout_s: u32) -> String {
     format!(
         r#"{{"version":"r{version}","limits":{{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_s":3,"idle_timeout_s":15}},
         "listeners":[{{"host":"{HOST}","rules":[
-          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}},
-          {{"name":"read-deep","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/deep/"}},"action":{{"service":"beta","timeout_s":1,"max_attempts":2}}}},
-          {{"name":"pay","kind":"unsafe","aim_s":1,"priority":0,"match":{{"prefix":"/pay/"}},"action":{{"service":"alpha","timeout_s":1,"max_attempts":2}}}}]}}],
+          {{"name":"read","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/"}},"action":{{"service":"alpha","timeout_s":{timeout_s},"max_attempts":2}}}},
+          {{"name":"read-deep","kind":"safe","aim_s":1,"priority":2,"match":{{"prefix":"/read/deep/"}},"action":{{"service":"beta","timeout_s":{timeout_s},"max_attempts":2}}}},
+          {{"name":"pay","kind":"unsafe","aim_s":1,"priority":0,"match":{{"prefix":"/pay/"}},"action":{{"service":"alpha","timeout_s":{timeout_s},"max_attempts":2}}}}]}}],
         "clusters":[{{"name":"alpha","health_path":"/health","max_connections":100}},{{"name":"beta","health_path":"/health","max_connections":100}}]}}"#
     )
 }
