Bound the time in which the rest of a message must follow its beginning

Afterwards services stayed shut: streamed responses held their slots.

Cause: the deadline bounded the wait for the head of a response, and nothing what follows it. The edge read a short body without a limit; a stream at the edge or at the gate lasted as long as its connections, and the gate held the target's slot for it. A stream whose reader accepts nothing isn't even polled, so no limit in the body itself would have helped. The class: a limit on the beginning of a message is taken for one on the message. Found by it too: request bodies at the edge and the gate, refusals of a target, and callers that read nothing were waited for without a limit.

Change: a short response must be complete by the call's deadline (504 otherwise); a stream is aborted at its route's timeout by a task of its own, which releases the connection and the slot; request bodies are awaited until the deadline (408 at the edge, true: nothing was sent); a connection whose peer has taken no byte for the idle timeout is closed.

--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::http::request::Parts;
 use hyper::rt::ReadBufCursor;
@@ -145,6 +145,12 @@
         !self.0.is_write_blocked.get()
     }
 
+    /// Whether bytes that hyper has to write have waited for the socket for longer than `timeout`, during which the caller
+    /// has read nothing.
+    pub fn has_stalled_write(&self, timeout: Duration) -> bool {
+        self.0.is_write_blocked.get() && Instant::now().duration_since(self.0.last_write.get()) > timeout
+    }
+
     /// The time of the last read or write of any bytes.
     pub fn last_activity(&self) -> Instant {
         self.0.last_read.get().max(self.0.last_write.get())
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::balance::Choice;
@@ -25,7 +25,7 @@
 use crate::liveness;
 use crate::node::Node;
 use crate::pool::{ConnectionLease, ExchangeError, SentFlag};
-use crate::relay::relay_response;
+use crate::relay::{relay_response, StreamLimit};
 use crate::store_view;
 
 /// How long past the deadline the edge waits for a response that the target sends at the deadline: longer than the gate
@@ -205,7 +205,7 @@
                 node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, took, now);
             }
             drop(in_flight);
-            relay(response, lease).await
+            relay(node, call, response, lease).await
         }
         GateOutcome::Full => {
             discard_response(response, lease).await;
@@ -324,20 +324,27 @@
     }
 }
 
-/// Reads the rest of a gate's own response, which is discarded, and releases the connection.
+/// Reads the rest of a gate's own response, which is discarded, and releases the connection. Such a response has no body,
+/// so nothing is waited for.
 async fn discard_response(response: Response<Incoming>, lease: ConnectionLease) {
-    if response.into_body().collect().await.is_ok() {
+    let is_empty = response.body().is_end_stream();
+    if is_empty && response.into_body().collect().await.is_ok() {
         lease.release();
     }
 }
 
-/// Passes a target's response on without the header of the gate.
-async fn relay(response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
-    match relay_response(response, lease).await {
-        Ok(mut response) => {
+/// Passes a target's response on without the header of the gate. A response that is not streamed must be complete by the
+/// deadline; one that is streamed may go on until the timeout of its route.
+async fn relay(node: &Node, call: &Call, response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
+    let ends_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
+    let limit = StreamLimit { clock: node.clock.clone(), ends_at };
+    let relayed = relay_response(response, lease, None, limit);
+    match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
+        Ok(Ok(mut response)) => {
             response.headers_mut().remove(HOP_HEADER);
             Attempt::Response(Box::new(response))
         }
-        Err(why) => Attempt::NoResponse(why),
+        Ok(Err(why)) => Attempt::NoResponse(why),
+        Err(_) => Attempt::DeadlineExceeded,
     }
 }
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -123,12 +123,17 @@
     }
     let body = match incoming.filter(|incoming| !incoming.is_end_stream()) {
         None => Body::empty(),
-        Some(incoming) => match read_up_to(incoming, MAX_BUFFERED_REQUEST_BYTES).await {
+        Some(incoming) => match read_body(node, incoming, arrived + timeout).await {
             Ok(ReadBody::Complete(bytes)) if bytes.len() as u64 > configuration.limits.body_bytes => {
                 return local_response(node, &id, StatusCode::PAYLOAD_TOO_LARGE, "too-large", arrived);
             }
             Ok(read) => read.into_body(),
-            Err(_) => return local_response(node, &id, StatusCode::BAD_REQUEST, "body-broke-off", arrived),
+            Err(BodyFailure::BrokenOff) => {
+                return local_response(node, &id, StatusCode::BAD_REQUEST, "body-broke-off", arrived)
+            }
+            Err(BodyFailure::TimedOut) => {
+                return local_response(node, &id, StatusCode::REQUEST_TIMEOUT, "body-late", arrived)
+            }
         },
     };
     let headers = forwarded_headers(node, parts.headers, tenant.as_deref());
@@ -155,6 +160,21 @@
     response
 }
 
+/// Why the body of a request could not be read.
+enum BodyFailure {
+    /// The connection ended.
+    BrokenOff,
+    /// It did not arrive by the deadline of the call.
+    TimedOut,
+}
+
+/// Reads the body of a request, up to the size that is buffered.
+async fn read_body(node: &Node, incoming: Incoming, deadline: Timestamp) -> Result<ReadBody, BodyFailure> {
+    let reading = read_up_to(incoming, MAX_BUFFERED_REQUEST_BYTES);
+    let read = node.clock.timeout_at(deadline, reading).await.map_err(|_| BodyFailure::TimedOut)?;
+    read.map_err(|_| BodyFailure::BrokenOff)
+}
+
 /// Refuses a root call if a service that it needs has too few free slots. The context of an admitted call records the
 /// share at which calls like it were admitted.
 fn refuse_at_entry(
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::admission_level::AdmissionLevel;
 use quillhatch_mesh::callers::CallerKind;
+use quillhatch_mesh::configuration::Route;
 use quillhatch_mesh::gate::GateRefusal;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::quarantine::RequestSignature;
@@ -24,7 +25,7 @@
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
 
-use crate::body::{read_up_to, Body};
+use crate::body::{read_up_to, Body, ReadBody};
 use crate::counters::Counters;
 use crate::feed::{self, FEED_PATH};
 use crate::headers::{header_text, remove_hop_by_hop_headers};
@@ -33,7 +34,7 @@
 use crate::local_target;
 use crate::node::Node;
 use crate::pool::{ExchangeError, SentFlag};
-use crate::relay::{relay_response, relay_response_with_slot};
+use crate::relay::{relay_response, StreamLimit};
 use crate::store_view;
 pub use retained_target::{watch_retained_target, RetainedTargetState};
 use slots::admit;
@@ -44,6 +45,8 @@
 
 /// The maximum size of a request body that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
+/// The maximum size of the body of a refusal that is read so that its connection can be reused, in bytes.
+const MAX_BUFFERED_REFUSAL_BYTES: usize = 4 * 1024;
 /// How long past the deadline the gate waits for a response that the target sends at the deadline.
 const DEADLINE_ALLOWANCE: Duration = Duration::from_millis(20);
 /// The minimum time until the deadline with which a call is forwarded to the target.
@@ -57,6 +60,8 @@
     route: Option<Arc<str>>,
     arrived: Timestamp,
     deadline: Timestamp,
+    /// When a streamed response must end: at the timeout of its route, as at the edge, whose caller may wait until then.
+    stream_ends_at: Timestamp,
 }
 
 /// Serves one request that arrived at the inbound address.
@@ -79,12 +84,14 @@
         return response;
     };
     store_view::record_peer_view(&node, context.edge_ip, context.store_view);
+    let route = route_of(&node, &parts);
     let call = Call {
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: header_text(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
-        route: route_name(&node, &parts),
+        route: route.as_ref().map(|route| route.name.clone()),
         arrived,
         deadline: arrived + timeout,
+        stream_ends_at: arrived + route.map_or(timeout, |route| timeout.max(route.timeout)) + DEADLINE_ALLOWANCE,
     };
     if let (Some(route), Some(caller)) = (&call.route, header_text(headers, headers::CALLER_SERVICE)) {
         node.caller_counts.borrow_mut().count_call(route, caller);
@@ -112,10 +119,10 @@
     }
 }
 
-fn route_name(node: &Node, parts: &Parts) -> Option<Arc<str>> {
+fn route_of(node: &Node, parts: &Parts) -> Option<Arc<Route>> {
     let configuration = node.current_configuration()?;
     let authority = header_text(&parts.headers, "host").unwrap_or_default();
-    find_route(&configuration, authority, parts.uri.path()).map(|route| route.name.clone())
+    find_route(&configuration, authority, parts.uri.path()).cloned()
 }
 
 fn outcome_of(refusal: GateRefusal) -> GateOutcome {
@@ -227,10 +234,14 @@
     // Read before the call takes a slot: the quarantine check needs the signature, which covers the body.
     let body = match body.filter(|body| !body.is_end_stream()) {
         None => Body::empty(),
-        Some(incoming) => match read_up_to(incoming, MAX_BUFFERED_REQUEST_BYTES).await {
-            Ok(read) => read.into_body(),
-            Err(error) => return Err(Failure::new(GateOutcome::Closed, error.to_string())),
-        },
+        Some(incoming) => {
+            let reading = read_up_to(incoming, MAX_BUFFERED_REQUEST_BYTES);
+            match node.clock.timeout_at(call.deadline, reading).await {
+                Ok(Ok(read)) => read.into_body(),
+                Ok(Err(error)) => return Err(Failure::new(GateOutcome::Closed, error.to_string())),
+                Err(_) => return Err(Failure::new(GateOutcome::Closed, "request body not received in time")),
+            }
+        }
     };
     let signature = suspects::signature_of(&parts, &body);
     suspects::check_quarantine(node, &signature)?;
@@ -307,7 +318,10 @@
         if status != StatusCode::MISDIRECTED_REQUEST || responder.is_some() {
             record_response(node, responder.as_ref().unwrap_or(&call.expected), sent_at, response.headers());
         }
-        let _ = relay_response(response, lease).await;
+        let discarded = read_up_to(response.into_body(), MAX_BUFFERED_REFUSAL_BYTES);
+        if let Ok(Ok(ReadBody::Complete(_))) = node.clock.timeout_at(call.deadline, discarded).await {
+            lease.release();
+        }
         return Err(Failure::new(GateOutcome::Rejected, format!("target refused the call with status {status}")));
     }
     record_response(node, &call.expected, sent_at, response.headers());
@@ -315,10 +329,9 @@
     if response.status().is_success() && (!has_stamp || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
     }
-    let relayed = node
-        .clock
-        .timeout_at(call.deadline + DEADLINE_ALLOWANCE, relay_response_with_slot(response, lease, Some(slot)));
-    match relayed.await {
+    let limit = StreamLimit { clock: node.clock.clone(), ends_at: call.stream_ends_at };
+    let relayed = relay_response(response, lease, Some(slot), limit);
+    match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
         Ok(relayed) => relayed.map_err(|why| Failure::new(GateOutcome::NoResponse, why)),
         Err(_) => Err(Failure::new(GateOutcome::DeadlineExceeded, "response did not end before the deadline")),
     }
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -233,6 +233,9 @@
                 // By the monotonic clock, which stops while the machine is suspended: what arrived meanwhile must be
                 // read before a timeout applies.
                 let idle_for = Instant::now().duration_since(watched.last_activity());
+                if watched.has_stalled_write(limits.idle_timeout) {
+                    break;
+                }
                 let is_idle = active.get() == 0 && watched.has_written_all();
                 if is_idle && watched.has_partial_request() && idle_for > limits.header_timeout {
                     watched.try_write_response(REQUEST_TIMEOUT);
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -1,14 +1,19 @@
 //! Relays responses: short ones are buffered whole, long ones are streamed.
 
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
+use quillhatch_types::Timestamp;
+use tokio::task::AbortHandle;
 
 use crate::body::{read_up_to, Body, BodyError, PartialBody, ReadBody};
+use crate::clock::Clock;
 use crate::gate::Slot;
 use crate::headers::remove_hop_by_hop_headers;
 use crate::pool::ConnectionLease;
@@ -16,25 +21,27 @@
 /// The maximum size of a response body that is buffered whole before any of it is relayed, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// Relays a response: buffered if it is short, else streamed. The connection is returned to its pool after a complete
-/// response.
-///
-/// # Errors
-///
-/// Returns why a short response ended early.
-pub async fn relay_response(response: Response<Incoming>, lease: ConnectionLease) -> Result<Response<Body>, String> {
-    relay_response_with_slot(response, lease, None).await
+/// The latest time at which a streamed response may end.
+#[derive(Clone, Debug)]
+pub struct StreamLimit {
+    /// The clock that measures it.
+    pub clock: Clock,
+    /// The time.
+    pub ends_at: Timestamp,
 }
 
-/// As [`relay_response`], with a slot that is released when the response has ended.
+/// Relays a response: buffered if it is short, else streamed. The connection is returned to its pool after a complete
+/// response, and `slot` is released when the response has ended. A stream is aborted at `limit`, whether its peers
+/// are slow or silent, so that it holds neither for longer.
 ///
 /// # Errors
 ///
 /// Returns why a short response ended early.
-pub async fn relay_response_with_slot(
+pub async fn relay_response(
     response: Response<Incoming>,
     lease: ConnectionLease,
     slot: Option<Slot>,
+    limit: StreamLimit,
 ) -> Result<Response<Body>, String> {
     let (mut parts, incoming) = response.into_parts();
     let length = parts.headers.get(CONTENT_LENGTH).cloned();
@@ -62,48 +69,118 @@
             Ok(Response::from_parts(parts, Body::Buffered(bytes)))
         }
         ReadBody::Partial(rest) => {
-            let remaining = rest.size_hint().exact();
-            let streamed = StreamedBody { body: Box::pin(rest), remaining, resources: Some((lease, slot)) };
-            Ok(Response::from_parts(parts, Body::streamed(streamed)))
+            Ok(Response::from_parts(parts, Body::streamed(StreamedBody::new(rest, lease, slot, limit))))
         }
     }
 }
 
-/// The body of a streamed response, which holds its connection and its slot until it has ended.
-struct StreamedBody {
+/// A streamed response that has not ended, with what it holds until then.
+struct OpenStream {
     body: Pin<Box<PartialBody>>,
     remaining: Option<u64>,
-    resources: Option<(ConnectionLease, Option<Slot>)>,
+    lease: ConnectionLease,
+    slot: Option<Slot>,
 }
 
-impl StreamedBody {
-    /// Records a polled frame, and releases the connection and the slot at the end of the body. A body of known length
-    /// ends with its last byte, without a further poll.
-    fn record_frame(&mut self, polled: &Poll<Option<Result<Frame<Bytes>, BodyError>>>) {
-        let is_over = match polled {
-            Poll::Ready(None) => true,
-            Poll::Ready(Some(Err(_))) => {
-                if let Some((_, Some(slot))) = self.resources.take() {
-                    slot.connection_lost();
-                }
-                false
+impl OpenStream {
+    /// Releases the connection and the slot after a complete response.
+    fn complete(self) {
+        self.lease.release();
+        if let Some(slot) = self.slot {
+            slot.complete();
+        }
+    }
+
+    /// Records that the response has ended early.
+    fn connection_lost(self) {
+        if let Some(slot) = self.slot {
+            slot.connection_lost();
+        }
+    }
+}
+
+/// The state of a streamed response, which its timer shares.
+struct StreamState {
+    /// `None` once the response has ended or was aborted.
+    stream: RefCell<Option<OpenStream>>,
+    is_aborted: Cell<bool>,
+    /// Wakes the task that waits for the next bytes.
+    waker: RefCell<Option<Waker>>,
+}
+
+impl StreamState {
+    /// Drops the connection and the slot, and ends the response early.
+    fn abort(&self) {
+        if self.stream.take().is_none() {
+            return;
+        }
+        self.is_aborted.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Polls the next frame. A body of known length ends with its last byte, without a further poll.
+    fn poll_frame(&self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let mut open = self.stream.borrow_mut();
+        let Some(stream) = open.as_mut() else {
+            return Poll::Ready(self.is_aborted.get().then(|| Err("the response did not end in time".into())));
+        };
+        let polled = stream.body.as_mut().poll_frame(context);
+        let is_complete = match &polled {
+            Poll::Pending => {
+                *self.waker.borrow_mut() = Some(context.waker().clone());
+                return polled;
             }
+            Poll::Ready(None) => true,
             Poll::Ready(Some(Ok(frame))) => {
                 let length = frame.data_ref().map_or(0, |data| data.len() as u64);
-                self.remaining = self.remaining.map(|remaining| remaining.saturating_sub(length));
-                self.remaining == Some(0)
+                stream.remaining = stream.remaining.map(|remaining| remaining.saturating_sub(length));
+                stream.remaining == Some(0)
             }
-            _ => false,
-        };
-        if !is_over {
-            return;
-        }
-        if let Some((lease, slot)) = self.resources.take() {
-            lease.release();
-            if let Some(slot) = slot {
-                slot.complete();
+            Poll::Ready(Some(Err(_))) => {
+                open.take().into_iter().for_each(OpenStream::connection_lost);
+                return polled;
             }
+        };
+        if is_complete {
+            open.take().into_iter().for_each(OpenStream::complete);
         }
+        polled
+    }
+}
+
+/// The body of a streamed response.
+struct StreamedBody {
+    state: Rc<StreamState>,
+    length: SizeHint,
+    timer: AbortHandle,
+}
+
+impl StreamedBody {
+    fn new(body: PartialBody, lease: ConnectionLease, slot: Option<Slot>, limit: StreamLimit) -> Self {
+        let length = body.size_hint();
+        let stream = OpenStream { body: Box::pin(body), remaining: length.exact(), lease, slot };
+        let state = Rc::new(StreamState {
+            stream: RefCell::new(Some(stream)),
+            is_aborted: Cell::new(false),
+            waker: RefCell::default(),
+        });
+        // A task of its own: a body is not polled while the peer that receives it accepts no bytes.
+        let timed = Rc::clone(&state);
+        let timer = tokio::task::spawn_local(async move {
+            let StreamLimit { clock, ends_at } = limit;
+            let _ = clock.timeout_at(ends_at, std::future::pending::<()>()).await;
+            timed.abort();
+        });
+        StreamedBody { state, length, timer: timer.abort_handle() }
+    }
+}
+
+impl Drop for StreamedBody {
+    fn drop(&mut self) {
+        self.timer.abort();
+        self.state.stream.take();
     }
 }
 
@@ -112,10 +189,7 @@
     type Error = BodyError;
 
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let this = self.get_mut();
-        let polled = this.body.as_mut().poll_frame(context);
-        this.record_frame(&polled);
-        polled
+        self.state.poll_frame(context)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -124,6 +198,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        // hyper asks for the length once, before it polls the body.
+        self.length
     }
 }
