--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -123,6 +123,49 @@
     }
 }
 
+/// How long a node that the store serves takes to learn a change that comes `gap_ms` after another one. `delay_ms` later
+/// the store stops responding to all readers and standbys and to others, seven tenths of the nodes in all.
+fn learns_second_change_within(nodes: usize, gap_ms: u64, delay_ms: u64, seed: u64) -> Duration {
+    let mut fleet = Fleet::with_bounds(nodes, 3, seed, SHORT_BOUNDS);
+    fleet.run(seed * 70 % 1_000);
+    fleet.set_draining(0, true, 2);
+    fleet.run(gap_ms);
+    fleet.set_draining(0, false, 3);
+    let written = fleet.now;
+    fleet.run(delay_ms);
+    let mut turned_away: Vec<usize> = (0..nodes).collect();
+    turned_away.sort_by_key(|number| {
+        let role = &fleet.nodes[*number].role;
+        (!role.is_reader && !role.is_standby, (*number as u64 * 7 + seed * 5) % nodes as u64)
+    });
+    turned_away.truncate(nodes * 7 / 10);
+    inject(&mut fleet, &turned_away, NodeFault::None, StoreAccess::Unresponsive);
+    let is_served = |number: &usize| !turned_away.contains(number);
+    let served: Vec<usize> = (0..nodes).filter(is_served).collect();
+    while served.iter().any(|number| fleet.nodes[*number].position() != fleet.store.position) {
+        fleet.tick();
+        assert!(fleet.now.since(written) < SHORT_BOUNDS.shortest() * 3, "seed {seed}");
+    }
+    fleet.now.since(written)
+}
+
+#[test]
+fn a_change_soon_after_another_reaches_served_nodes_in_time_when_all_watchers_are_turned_away() {
+    let bound = SHORT_BOUNDS.shortest();
+    let (mut late, mut worst, mut count) = (0, Duration::ZERO, 0);
+    for nodes in [12, 14, 30] {
+        for gap_ms in [150, 400] {
+            for delay_ms in [0, 100, 250, 500] {
+                for seed in 0..12 {
+                    let took = learns_second_change_within(nodes, gap_ms, delay_ms, seed);
+                    (late, worst, count) = (late + usize::from(took > bound), worst.max(took), count + 1);
+                }
+            }
+        }
+    }
+    assert_eq!(late, 0, "of {count} schedules are late, the latest by {:?}", worst.saturating_sub(bound));
+}
+
 #[test_case(NodeFault::Crashed; "killed")]
 #[test_case(NodeFault::Unresponsive; "frozen")]
 #[test_case(NodeFault::FalseStatus; "false status")]
