--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod links;
 pub mod machine;
 pub mod outages;
+mod planned_work;
 pub mod proxy;
 pub mod record;
 pub mod run;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 
 use quillhatch_platform_standins::caller::Caller;
 use quillhatch_platform_standins::store::StandInStore;
-use quillhatch_platform_standins::target::{ChainedResponse, HealthStatus, ReceivedRequest};
+use quillhatch_platform_standins::target::{ChainedResponse, ReceivedRequest};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
@@ -22,7 +22,7 @@
 use crate::links::LinkProcess;
 use crate::machine::SoakMachine;
 use crate::outages::play_outages;
-use crate::record::{ConfigWrite, DrainSpan, FaultSpan, NestedCall, ProcessRestart, RunRecord, SoakRecord, StopSpan};
+use crate::record::{ConfigWrite, FaultSpan, NestedCall, ProcessRestart, RunRecord, SoakRecord};
 use crate::slow_calls;
 use crate::target_status::{play_announcements, ArrivalRecord, NestedResponse};
 use crate::traffic::{SoakCaller, DEADLINE};
@@ -33,7 +33,7 @@
 /// connection.
 const LINKS_PER_PROCESS: usize = 25;
 /// The time within which the processes must become ready.
-const START_TIMEOUT: Duration = Duration::from_secs(10);
+pub(crate) const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// The duration of a round of faults.
 const FAULT_ROUND_DURATION: Duration = Duration::from_secs(8);
 /// The pause between a round of faults and planned work.
@@ -52,27 +52,12 @@
 const ANNOUNCEMENT_SCHEDULE_SEED: u64 = 0x5a1d;
 /// Combined with the soak's seed for the schedule of outages.
 const OUTAGE_SCHEDULE_SEED: u64 = 0x0fa1;
-/// How long a target stays draining or deregistered.
-const DRAIN_DURATION: Duration = Duration::from_millis(4500);
-/// How long callers continue to use a process after it was asked to stop: until it has failed two readiness probes,
-/// which are sent once per second.
-const READINESS_DELAY: Duration = Duration::from_millis(2500);
-/// The time within which a process must stop.
-const STOP_GRACE: Duration = Duration::from_secs(6);
-/// The number of configuration changes in a series, each with a signal to all processes, and the range of pauses
-/// between them in milliseconds.
-const SERIES_LENGTH: usize = 5;
-const SERIES_PAUSE_MS: std::ops::Range<u64> = 100..900;
-/// The delay of the second of two planned stops after the first; the first takes longer than this.
-const SECOND_STOP_DELAY: Duration = Duration::from_millis(1200);
-/// The range of the delays of stops that overlap, in milliseconds.
-const OVERLAPPING_STOP_DELAY_MS: std::ops::Range<u64> = 0..900;
 /// The timeout of all routes in seconds.
 const TIMEOUT_S: u32 = 2;
 /// The time for the last calls to finish.
 const LAST_CALLS_TIMEOUT: Duration = Duration::from_secs(5);
 /// The interval at which conditions are polled.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The options of a soak.
 #[derive(Clone, Debug)]
@@ -120,18 +105,18 @@
 }
 
 /// The state of a running soak.
-struct SoakRun {
-    store: StandInStore,
-    machines: Vec<Rc<SoakMachine>>,
-    record: Rc<RefCell<SoakRecord>>,
+pub(crate) struct SoakRun {
+    pub(crate) store: StandInStore,
+    pub(crate) machines: Vec<Rc<SoakMachine>>,
+    pub(crate) record: Rc<RefCell<SoakRecord>>,
     faults: Vec<(FaultKind, usize)>,
-    random: Pcg64,
+    pub(crate) random: Pcg64,
     /// The schedule of [`FaultKind::ADDED`].
     added_schedule: Pcg64,
     /// The schedule of the ways in which targets drain.
-    drain_schedule: Pcg64,
+    pub(crate) drain_schedule: Pcg64,
     version: u64,
-    has_slow_calls: bool,
+    pub(crate) has_slow_calls: bool,
 }
 
 async fn run_rounds(options: &SoakOptions) -> io::Result<SoakReport> {
@@ -211,7 +196,7 @@
 
     /// Writes a configuration that moves the route of [`RouteKind::Moving`](crate::layout::RouteKind::Moving) to
     /// another service.
-    fn configure(&mut self) {
+    pub(crate) fn configure(&mut self) {
         self.version += self.random.gen_range(1..5);
         let current = self.record.borrow().configs.last().map(|config| config.moving);
         let others: Vec<&'static str> = SERVICES.into_iter().filter(|service| Some(*service) != current).collect();
@@ -288,107 +273,8 @@
         spawn_local(async move { inject(kind, &machines, index, duration).await })
     }
 
-    /// Does planned work: either one change of each kind, or a series of overlapping changes.
-    async fn planned_work(&mut self) -> io::Result<()> {
-        if self.has_slow_calls {
-            self.overlapping_stops().await
-        } else if self.random.gen() {
-            self.one_of_each_kind().await
-        } else {
-            self.overlapping_series().await
-        }
-    }
-
-    /// Changes the configuration, drains one target and restarts the process of a machine of another service. The
-    /// target is either registered as draining, or deregistered while its health check reports that it is draining.
-    async fn one_of_each_kind(&mut self) -> io::Result<()> {
-        self.configure();
-        let drained = self.random.gen_range(0..self.machines.len());
-        let stopped = self.machine_of_another_service(drained);
-        let draining = Rc::clone(&self.machines[drained]);
-        let id = draining.target.id();
-        if self.drain_schedule.gen() {
-            self.store.register(&draining.target, "draining");
-        } else {
-            draining.target.set_health(HealthStatus::Draining);
-            self.store.deregister(&id);
-        }
-        let acked = Instant::now();
-        self.restart_process(stopped).await?;
-        sleep(DRAIN_DURATION.saturating_sub(acked.elapsed())).await;
-        // A target that crashed in the meantime may have restarted with a new id, which is not registered as draining.
-        if draining.target.id() == id {
-            self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
-        }
-        draining.target.set_health(HealthStatus::Healthy);
-        self.store.register(&draining.target, "ready");
-        self.collect_requests();
-        sleep(Duration::from_secs(1)).await;
-        Ok(())
-    }
-
-    /// Changes the configuration in quick succession, signals all processes, and performs two overlapping planned
-    /// stops.
-    async fn overlapping_series(&mut self) -> io::Result<()> {
-        let first = self.random.gen_range(0..self.machines.len());
-        let second = self.machine_of_another_service(first);
-        let stops = [(first, Duration::ZERO), (second, SECOND_STOP_DELAY)].map(|(number, delay)| {
-            let (machine, record) = (Rc::clone(&self.machines[number]), Rc::clone(&self.record));
-            spawn_local(async move {
-                sleep(delay).await;
-                restart_process(&machine, &record).await
-            })
-        });
-        for _ in 0..SERIES_LENGTH {
-            self.configure();
-            for machine in &self.machines {
-                machine.signal(Signal::HUP);
-            }
-            sleep(Duration::from_millis(self.random.gen_range(SERIES_PAUSE_MS))).await;
-        }
-        for stop in stops {
-            stop.await.map_err(io::Error::other)??;
-        }
-        self.collect_requests();
-        sleep(Duration::from_secs(1)).await;
-        Ok(())
-    }
-
-    /// Stops half of the processes, one soon after the other, and at most one of two targets of a service.
-    async fn overlapping_stops(&mut self) -> io::Result<()> {
-        let mut stops = Vec::new();
-        for service in 0..SERVICES.len() {
-            let targets = self.machines.len() / SERVICES.len();
-            for target in 0..targets / 2 {
-                let first = self.random.gen_range(0..2);
-                let number = service + SERVICES.len() * (2 * target + first);
-                let delay = Duration::from_millis(self.random.gen_range(OVERLAPPING_STOP_DELAY_MS));
-                let (machine, record) = (Rc::clone(&self.machines[number]), Rc::clone(&self.record));
-                stops.push(spawn_local(async move {
-                    sleep(delay).await;
-                    restart_process(&machine, &record).await
-                }));
-            }
-        }
-        for stop in stops {
-            stop.await.map_err(io::Error::other)??;
-        }
-        self.collect_requests();
-        sleep(Duration::from_secs(1)).await;
-        Ok(())
-    }
-
-    /// Draws a machine of another service than that of machine `number`.
-    fn machine_of_another_service(&mut self, number: usize) -> usize {
-        (number + self.random.gen_range(1..SERVICES.len())) % self.machines.len()
-    }
-
-    async fn restart_process(&mut self, number: usize) -> io::Result<()> {
-        restart_process(&self.machines[number], &self.record).await
-    }
-
     /// Adds the requests that the targets have run to the record.
-    fn collect_requests(&self) {
+    pub(crate) fn collect_requests(&self) {
         let mut record = self.record.borrow_mut();
         for machine in &self.machines {
             let number = machine.addrs.number;
@@ -421,31 +307,6 @@
     }
 }
 
-/// Asks a process to stop, and restarts it after it has exited.
-async fn restart_process(machine: &SoakMachine, record: &RefCell<SoakRecord>) -> io::Result<()> {
-    let requested = Instant::now();
-    record.borrow_mut().stops.push(StopSpan { machine: machine.addrs.number, requested, grace: STOP_GRACE });
-    machine.signal(Signal::TERM);
-    sleep(READINESS_DELAY).await;
-    machine.accepts_callers.set(false);
-    while machine.is_running() && requested.elapsed() < STOP_GRACE {
-        sleep(POLL_INTERVAL).await;
-    }
-    if machine.is_running() {
-        machine.signal(Signal::KILL);
-    }
-    while machine.is_running() {
-        sleep(POLL_INTERVAL).await;
-    }
-    machine.start_process()?;
-    let started = Instant::now();
-    while !is_ready(machine).await && started.elapsed() < START_TIMEOUT {
-        sleep(POLL_INTERVAL).await;
-    }
-    machine.accepts_callers.set(true);
-    Ok(())
-}
-
 fn run_record(machine: usize, request: ReceivedRequest) -> RunRecord {
     let id = request.id().to_owned();
     let caller_service = request.caller_service().to_owned();
@@ -463,7 +324,7 @@
 }
 
 /// Whether the process of a machine reports that it is ready.
-async fn is_ready(machine: &SoakMachine) -> bool {
+pub(crate) async fn is_ready(machine: &SoakMachine) -> bool {
     let source = machine.addrs.public.into();
     let Some(mut caller) = Caller::connect_from(source, machine.addrs.ready()).await else { return false };
     caller.send("GET /ready HTTP/1.1\r\nHost: node\r\n\r\n").await;
