Send calls that may be retried during a stop if they are likely to finish

A stopping node refused calls by the time within which nearly all calls of their route end; in an overload that time is seconds, so it refused from SIGTERM on what would mostly have been served. A call that may be retried is now sent if the mean time of its route is left; one that runs at most once still needs the upper bound, since its outcome would be unknown. Nothing is lost by it: the deadline that the target gets ends before the process does.

--- a/crates/mesh/src/durations.rs
+++ b/crates/mesh/src/durations.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::configuration::Retryability;
+
 /// The weight of one duration in the smoothed mean (RFC 6298).
 const MEAN_GAIN: f64 = 1.0 / 8.0;
 /// The weight of one duration in the mean deviation (RFC 6298).
@@ -51,8 +53,22 @@
         }
     }
 
+    /// The time that calls of a route take on average, if any has been measured.
+    pub fn mean(&self, route: &str) -> Option<Duration> {
+        self.estimates.get(route).map(|estimate| Duration::from_secs_f64(estimate.mean))
+    }
+
     /// The time within which nearly all calls of a route end, if any has been measured.
     pub fn upper_bound(&self, route: &str) -> Option<Duration> {
         self.estimates.get(route).map(|estimate| estimate.upper_bound())
     }
+
+    /// The time that a stopping node must have left for a call of a route, if any has been measured: the mean for one
+    /// that may be retried, and for one that runs at most once the time within which nearly all end.
+    pub fn needed(&self, route: &str, retryability: Retryability) -> Option<Duration> {
+        match retryability {
+            Retryability::Retryable => self.mean(route),
+            Retryability::AtMostOnce => self.upper_bound(route),
+        }
+    }
 }
--- a/crates/mesh/src/shutdown.rs
+++ b/crates/mesh/src/shutdown.rs
@@ -2,8 +2,9 @@
 //!
 //! A call that is at its target when the process ends is lost to its caller, and refusing it before it is sent costs
 //! the caller nothing. So each call is accepted by the time that calls of its route take, the calls that they make
-//! included. Targets receive a deadline that ends before the process does: a target that takes longer than expected
-//! responds itself, instead of working for a caller whose connection is gone.
+//! included ([`RouteDurations::needed`](crate::durations::RouteDurations::needed)). Targets receive a deadline that ends
+//! before the process does: a target that takes longer than expected responds itself, instead of working for a caller
+//! whose connection is gone.
 
 use std::time::Duration;
 
@@ -62,8 +63,8 @@
         deadline.min(self.last_response_at())
     }
 
-    /// Whether a call that is sent now can finish before the process ends. `duration` is the time within which nearly
-    /// all calls of its route end, if any was measured.
+    /// Whether a call that is sent now can finish before the process ends. `duration` is the time that it needs, if any
+    /// call of its route was measured.
     pub fn can_finish(&self, duration: Option<Duration>, deadline: Timestamp, now: Timestamp) -> bool {
         let finished_at = (now + duration.unwrap_or(TARGET_DRAIN_TIME)).min(deadline);
         finished_at <= self.last_response_at()
--- a/crates/mesh/tests/decisions/shutdown.rs
+++ b/crates/mesh/tests/decisions/shutdown.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quillhatch_mesh::configuration::Retryability;
 use quillhatch_mesh::durations::RouteDurations;
 use quillhatch_mesh::shutdown::ShutdownSchedule;
 use quillhatch_types::Timestamp;
@@ -59,4 +60,8 @@
     let within = (50..250).filter(|number| sample(*number) <= bound).count();
     assert!(within >= 198 && bound < Duration::from_secs(3), "{within} of 200 within {bound:?}");
     assert_eq!(durations.upper_bound("other"), None);
+    let mean = durations.mean(&route).expect("it was measured");
+    assert!(mean > Duration::from_millis(1_600) && mean < Duration::from_millis(2_000), "{mean:?}");
+    assert_eq!(durations.needed(&route, Retryability::Retryable), Some(mean));
+    assert_eq!(durations.needed(&route, Retryability::AtMostOnce), Some(bound));
 }
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -190,7 +190,7 @@
     if !call.is_nested && now < schedule.callers_drained_at() {
         return true;
     }
-    let duration = node.edge_durations.borrow().upper_bound(&call.route.name);
+    let duration = node.edge_durations.borrow().needed(&call.route.name, call.route.retryability);
     schedule.can_finish(duration, call.deadline, now)
 }
 
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -16,7 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::admission_level::AdmissionLevel;
 use quillhatch_mesh::callers::CallerKind;
-use quillhatch_mesh::configuration::Route;
+use quillhatch_mesh::configuration::{Retryability, Route};
 use quillhatch_mesh::gate::GateRefusal;
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::quarantine::RequestSignature;
@@ -58,6 +58,8 @@
     /// The identity of the target that the call is meant for.
     expected: String,
     route: Option<Arc<str>>,
+    /// Whether it may run more than once. A call of an unknown route may not.
+    retryability: Retryability,
     arrived: Timestamp,
     deadline: Timestamp,
     /// When a streamed response must end: at the timeout of its route, as at the edge, whose caller may wait until then.
@@ -89,6 +91,7 @@
         id: headers.get(headers::REQUEST_ID).cloned(),
         expected: header_text(headers, headers::EXPECT_INSTANCE).unwrap_or_default().to_owned(),
         route: route.as_ref().map(|route| route.name.clone()),
+        retryability: route.as_ref().map_or(Retryability::AtMostOnce, |route| route.retryability),
         arrived,
         deadline: arrived + timeout,
         stream_ends_at: arrived + route.map_or(timeout, |route| timeout.max(route.timeout)) + DEADLINE_ALLOWANCE,
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -177,7 +177,8 @@
         return false;
     }
     let Some(schedule) = node.shutdown() else { return true };
-    let duration = call.route.as_ref().and_then(|route| node.slot_durations.borrow().upper_bound(route));
+    let route = call.route.as_ref();
+    let duration = route.and_then(|route| node.slot_durations.borrow().needed(route, call.retryability));
     schedule.can_finish(duration, call.deadline, node.now())
 }
 
