Abort a late stream only if its source is silent or its reader has stalled

Change: from the timeout on a stream is late, and is aborted when it has waited 0.2 s for bytes of its source, or its reader has taken none for 5 s. Silence ends as before at the timeout; what is read late is delivered.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -334,10 +334,10 @@
 }
 
 /// Passes a target's response on without the header of the gate. A response that is not streamed must be complete by the
-/// deadline; one that is streamed may go on until the timeout of its route.
+/// deadline; one that is streamed is late from the timeout of its route on.
 async fn relay(node: &Node, call: &Call, response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
-    let ends_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
-    let limit = StreamLimit { clock: node.clock.clone(), ends_at };
+    let late_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
+    let limit = StreamLimit { clock: node.clock.clone(), late_at };
     let relayed = relay_response(response, lease, None, limit);
     match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
         Ok(Ok(mut response)) => {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -62,8 +62,8 @@
     retryability: Retryability,
     arrived: Timestamp,
     deadline: Timestamp,
-    /// When a streamed response must end: at the timeout of its route, as at the edge, whose caller may wait until then.
-    stream_ends_at: Timestamp,
+    /// From when a streamed response is late: from the timeout of its route on, as at the edge.
+    stream_late_at: Timestamp,
 }
 
 /// Serves one request that arrived at the inbound address.
@@ -94,7 +94,7 @@
         retryability: route.as_ref().map_or(Retryability::AtMostOnce, |route| route.retryability),
         arrived,
         deadline: arrived + timeout,
-        stream_ends_at: arrived + route.map_or(timeout, |route| timeout.max(route.timeout)) + DEADLINE_ALLOWANCE,
+        stream_late_at: arrived + route.map_or(timeout, |route| timeout.max(route.timeout)) + DEADLINE_ALLOWANCE,
     };
     if let (Some(route), Some(caller)) = (&call.route, header_text(headers, headers::CALLER_SERVICE)) {
         node.caller_counts.borrow_mut().count_call(route, caller);
@@ -332,7 +332,7 @@
     if response.status().is_success() && (!has_stamp || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
     }
-    let limit = StreamLimit { clock: node.clock.clone(), ends_at: call.stream_ends_at };
+    let limit = StreamLimit { clock: node.clock.clone(), late_at: call.stream_late_at };
     let relayed = relay_response(response, lease, Some(slot), limit);
     match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
         Ok(relayed) => relayed.map_err(|why| Failure::new(GateOutcome::NoResponse, why)),
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
@@ -11,6 +12,7 @@
 use hyper::Response;
 use quillhatch_types::Timestamp;
 use tokio::task::AbortHandle;
+use tokio::time::sleep;
 
 use crate::body::{read_up_to, Body, BodyError, PartialBody, ReadBody};
 use crate::clock::Clock;
@@ -21,18 +23,25 @@
 /// The maximum size of a response body that is buffered whole before any of it is relayed, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// The latest time at which a streamed response may end.
+/// How long a late stream waits for the next bytes of its source.
+const MAX_SOURCE_SILENCE: Duration = Duration::from_millis(200);
+/// How long a late stream waits for its reader to accept bytes.
+const MAX_READER_STALL: Duration = Duration::from_secs(5);
+/// The interval at which a late stream is checked.
+const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time from which a streamed response is late. A late one goes on only while its bytes arrive and are read.
 #[derive(Clone, Debug)]
 pub struct StreamLimit {
     /// The clock that measures it.
     pub clock: Clock,
     /// The time.
-    pub ends_at: Timestamp,
+    pub late_at: Timestamp,
 }
 
 /// Relays a response: buffered if it is short, else streamed. The connection is returned to its pool after a complete
-/// response, and `slot` is released when the response has ended. A stream is aborted at `limit`, whether its peers
-/// are slow or silent, so that it holds neither for longer.
+/// response, and `slot` is released when the response has ended. A stream that is late by `limit` is aborted once its
+/// source falls silent or its reader stalls, so that it holds neither for longer.
 ///
 /// # Errors
 ///
@@ -104,6 +113,11 @@
     /// `None` once the response has ended or was aborted.
     stream: RefCell<Option<OpenStream>>,
     is_aborted: Cell<bool>,
+    clock: Clock,
+    /// Since when the reader waits for bytes of the source, if it does.
+    awaiting_source_since: Cell<Option<Timestamp>>,
+    /// When the reader last took bytes.
+    last_taken: Cell<Timestamp>,
     /// Wakes the task that waits for the next bytes.
     waker: RefCell<Option<Waker>>,
 }
@@ -120,6 +134,24 @@
         }
     }
 
+    /// Whether the source has fallen silent, or the reader takes no bytes.
+    fn is_stuck(&self) -> bool {
+        let now = self.clock.now();
+        match self.awaiting_source_since.get() {
+            Some(since) => now.since(since) >= MAX_SOURCE_SILENCE,
+            None => now.since(self.last_taken.get()) >= MAX_READER_STALL,
+        }
+    }
+
+    /// Aborts the response once it is late and stuck.
+    async fn abort_when_stuck(&self, late_at: Timestamp) {
+        let _ = self.clock.timeout_at(late_at, std::future::pending::<()>()).await;
+        while !self.is_stuck() {
+            sleep(LATE_CHECK_INTERVAL).await;
+        }
+        self.abort();
+    }
+
     /// Polls the next frame. A body of known length ends with its last byte, without a further poll.
     fn poll_frame(&self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let mut open = self.stream.borrow_mut();
@@ -127,8 +159,14 @@
             return Poll::Ready(self.is_aborted.get().then(|| Err("the response did not end in time".into())));
         };
         let polled = stream.body.as_mut().poll_frame(context);
+        if polled.is_ready() {
+            self.awaiting_source_since.set(None);
+            self.last_taken.set(self.clock.now());
+        }
         let is_complete = match &polled {
             Poll::Pending => {
+                let since = self.awaiting_source_since.get().unwrap_or_else(|| self.clock.now());
+                self.awaiting_source_since.set(Some(since));
                 *self.waker.borrow_mut() = Some(context.waker().clone());
                 return polled;
             }
@@ -161,18 +199,18 @@
     fn new(body: PartialBody, lease: ConnectionLease, slot: Option<Slot>, limit: StreamLimit) -> Self {
         let length = body.size_hint();
         let stream = OpenStream { body: Box::pin(body), remaining: length.exact(), lease, slot };
+        let StreamLimit { clock, late_at } = limit;
         let state = Rc::new(StreamState {
             stream: RefCell::new(Some(stream)),
             is_aborted: Cell::new(false),
+            awaiting_source_since: Cell::new(None),
+            last_taken: Cell::new(clock.now()),
+            clock,
             waker: RefCell::default(),
         });
         // A task of its own: a body is not polled while the peer that receives it accepts no bytes.
         let timed = Rc::clone(&state);
-        let timer = tokio::task::spawn_local(async move {
-            let StreamLimit { clock, ends_at } = limit;
-            let _ = clock.timeout_at(ends_at, std::future::pending::<()>()).await;
-            timed.abort();
-        });
+        let timer = tokio::task::spawn_local(async move { timed.abort_when_stuck(late_at).await });
         StreamedBody { state, length, timer: timer.abort_handle() }
     }
 }
