Let only connections of callers linger for long

Cause: kept every closed connection for as long as an idle one. Other nodes that had lost power never close theirs, so a stop waited for them, with its listeners closed. Other nodes send nothing behind a response that they still read, so a request of theirs resets nothing.

--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -258,7 +258,9 @@
 /// that is isn't known, so a connection on which something was written recently is kept as long as an idle one.
 async fn linger(io: &CallerIo, config: &ConnectionConfig) {
     let unread_for = Instant::now().duration_since(io.last_write());
-    let timeout = (config.limits)().idle_timeout.saturating_sub(unread_for).max(MIN_LINGER);
+    // A peer that sends nothing behind a response that it still reads resets nothing.
+    let max_linger = if config.concurrent_pipelining { (config.limits)().idle_timeout } else { MIN_LINGER };
+    let timeout = max_linger.saturating_sub(unread_for).max(MIN_LINGER);
     let peer_has_closed = async {
         io.shut_down().await;
         std::future::poll_fn(|context| io.poll_discard(context)).await;
