--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -10,7 +10,7 @@
 use support::caller::{call, request};
 use support::store::{StandInStore, StoreMode};
 use support::target::{CrashRule, HealthStatus, TargetBehaviour};
-use support::{eventually, run, start_sidecar, Machine};
+use support::{eventually, run, start_sidecar, unused_address, Machine};
 use tokio::time::sleep;
 
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
@@ -68,6 +68,12 @@
         eventually("both are listed", || beta.node().targets.borrow().len() == 2).await;
         let follows = || !lines_of("source", &format!("\"peer\":\"{}\"", alpha.address)).is_empty();
         eventually("the node that beta follows is logged", follows).await;
+        // A process that ends with a call in progress.
+        let ended = start_sidecar(unused_address(), "beta", alpha.target.address, store.address);
+        let cut_call = ended.node.calls.begin("cut-call", ended.node.now());
+        cut_call.set_target(Some(&"i-cut".into()));
+        let stopping = tokio::task::spawn_local(ended.stop());
+
         let pay = |id: &str| request("POST", HOST, "/pay/", id, 5000, "x");
         let read = |id: &str| request("GET", HOST, "/read/", id, 5000, "");
 
@@ -233,5 +239,10 @@
         eventually("the reason for retaining it is logged", is_retained).await;
         eventually("its removal is logged", || !lines_of("target-dropped", &id).is_empty()).await;
         drop(restarted);
+
+        assert_eq!(stopping.await.expect("it stops"), 1);
+        let cut_line = first_line("cut", "cut-call");
+        assert_eq!(cut_line["target"], "i-cut");
+        assert!(cut_line["ms"].as_u64().is_some_and(|ms| ms >= 5_000), "{cut_line}");
     });
 }
