Spread the readers' pauses after the first of several changes

Cause, first part: the first change ends the watches of all three readers at once, and each then pauses for the whole batch window, 0.6 s. In that time nobody watches the store. A change that comes meanwhile is found only after the pause, and not at all if the readers are turned away before its end.

Ruled out: a shorter window for all.

Change: the first pause of the readers is a third, two thirds and the whole of the window; the pauses after further changes in a row are whole. So one of the three reads the next change after 0.2 s, and each makes as few calls as before.

The new test of the pauses doesn't compile on the code before, which has one pause for all.

--- a/crates/mesh/src/feed/tree.rs
+++ b/crates/mesh/src/feed/tree.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::standby::STANDBYS;
 use crate::limits::machine_hash;
+use crate::settings::Bounds;
 use crate::targets::Target;
 
 /// The maximum number of nodes that have the same parent in a zone's tree.
@@ -38,6 +40,8 @@
 pub struct FeedRole {
     /// Whether it reads the store.
     pub is_reader: bool,
+    /// The number of readers before it in the order of the heads, if it is a reader.
+    pub reader_index: Option<usize>,
     /// Whether it is a head of its zone.
     pub is_head: bool,
     /// Whether it holds a standby watch.
@@ -60,6 +64,21 @@
     pub is_upstream: bool,
 }
 
+impl FeedRole {
+    /// The pause between a response of the store with changes and the next watch; `follows_changes` if the response
+    /// before contained changes too.
+    ///
+    /// The first of several changes ends the watches of all readers at once. Their first pauses have different lengths,
+    /// so that one of them soon receives what follows, and there are no more calls than with equal ones.
+    pub fn batch_pause(&self, follows_changes: bool, bounds: &Bounds) -> Duration {
+        let window = bounds.batch_window();
+        match self.reader_index {
+            Some(index) if !follows_changes => window.mul_f64((index + 1) as f64 / READERS as f64),
+            _ => window,
+        }
+    }
+}
+
 impl FeedTree {
     /// Builds the tree from the machines of the listed targets. Draining targets are left out, so that no node starts
     /// to follow theirs.
@@ -102,7 +121,8 @@
         let heads = self.heads();
         let readers = heads.len().min(READERS);
         let head_index = heads.binary_search(&own).ok();
-        let is_reader = head_index.is_some_and(|index| index < readers);
+        let reader_index = head_index.filter(|index| *index < readers);
+        let is_reader = reader_index.is_some();
 
         let mut candidates: Vec<OrderKey> = Vec::new();
         if let Some(index) = head_index {
@@ -131,7 +151,7 @@
             None => 1 + zone_index.saturating_sub(heads_per_zone),
         };
         let is_standby = head_index.is_some_and(|index| (readers..readers + STANDBYS).contains(&index));
-        FeedRole { is_reader, is_standby, is_head: head_index.is_some(), nodes_ahead, candidates }
+        FeedRole { is_reader, reader_index, is_standby, is_head: head_index.is_some(), nodes_ahead, candidates }
     }
 }
 
--- a/crates/mesh/tests/decisions/feed.rs
+++ b/crates/mesh/tests/decisions/feed.rs
@@ -54,6 +54,19 @@
     assert_eq!(roles.values().filter(|role| role.is_reader).count(), readers);
 }
 
+#[test]
+fn readers_continue_at_different_times_after_the_first_of_several_changes() {
+    let window = BOUNDS.batch_window();
+    let roles = roles(&fleet(3, 4));
+    let readers: Vec<&FeedRole> = roles.values().filter(|role| role.is_reader).collect();
+    let mut pauses: Vec<Duration> = readers.iter().map(|role| role.batch_pause(false, &BOUNDS)).collect();
+    pauses.sort_unstable();
+    assert_eq!(pauses.len(), 3);
+    assert!(pauses.windows(2).all(|pair| pair[1] - pair[0] >= window / 4), "{pauses:?}");
+    assert_eq!(pauses[2], window, "no pause is longer than the window");
+    assert!(readers.iter().all(|role| role.batch_pause(true, &BOUNDS) == window), "and no reader calls more often");
+}
+
 #[test_case(3, 4, 1)]
 #[test_case(5, 200, 3)]
 #[test_case(15, 1000, 4)]
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -105,6 +105,7 @@
                 loss: StoreAccessLoss::default(),
                 own_call_failed: false,
                 store_read_at: Some(Timestamp::ZERO),
+                last_read_had_changes: false,
                 source_choice: SourceChoice::default(),
                 store_reader: StoreReader::default(),
                 query: None,
@@ -468,8 +469,9 @@
         node.store_read_at = node.store_read_at.max(Some(read.sent));
         node.loss.store_read();
         if has_changes {
-            node.next_read_at = now + self.bounds.batch_window();
+            node.next_read_at = now + node.role.batch_pause(node.last_read_had_changes, &self.bounds);
         }
+        node.last_read_had_changes = has_changes;
     }
 
     fn store_read_failed(&mut self, number: usize) {
--- a/crates/mesh/tests/feed/node.rs
+++ b/crates/mesh/tests/feed/node.rs
@@ -60,6 +60,8 @@
     /// Whether its last call to the store failed.
     pub own_call_failed: bool,
     pub store_read_at: Option<Timestamp>,
+    /// Whether the last response of the store contained changes.
+    pub(super) last_read_had_changes: bool,
     pub(super) source_choice: SourceChoice,
     pub(super) store_reader: StoreReader,
     pub(super) query: Option<PendingQuery>,
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -206,6 +206,7 @@
 /// Watches the store for changes as long as reads are due at this node.
 async fn watch(node: &Rc<Node>, reason: ReadReason) -> Result<(), StoreError> {
     let mut is_probing = reason == ReadReason::Once || node.feed.store_loss.get().since().is_some();
+    let mut follows_changes = false;
     loop {
         let position = node.position();
         let wait = if is_probing { PROBING_WATCH_WAIT } else { watch_timeout(&node.settings.bounds) };
@@ -245,7 +246,9 @@
         // after a pause that batches changes. A change that comes without others before it is received at once, since
         // the watch is waiting for it.
         if has_changes && node.is_enabled(Mechanism::BatchedReads) {
-            sleep(node.settings.bounds.batch_window()).await;
+            let pause = node.feed.role.borrow().batch_pause(follows_changes, &node.settings.bounds);
+            sleep(pause).await;
         }
+        follows_changes = has_changes;
     }
 }
