--- a/crates/mesh/tests/decisions/feed.rs
+++ b/crates/mesh/tests/decisions/feed.rs
@@ -228,6 +228,22 @@
     assert!(!loss.is_partitioned(ms(9000)));
 }
 
+#[test]
+fn a_loss_that_sources_report_counts_from_the_last_known_read_and_only_while_this_node_has_no_access() {
+    let mut loss = StoreAccessLoss::default();
+    loss.source_reported_loss(ms(2000));
+    loss.source_reported_loss(ms(2200));
+    assert_eq!(loss.since_with_sources(None), None, "another source may have access");
+    loss.source_failed(ms(3000));
+    assert_eq!(loss.since(), Some(ms(3000)));
+    assert_eq!(loss.since_with_sources(Some(ms(900))), Some(ms(2000)));
+    assert_eq!(loss.since_with_sources(Some(ms(2500))), Some(ms(2500)), "a node has read the store meanwhile");
+    assert_eq!(loss.since_with_sources(Some(ms(3500))), Some(ms(3000)));
+    loss.source_available(Some(ms(3600)));
+    loss.source_failed(ms(5000));
+    assert_eq!(loss.since_with_sources(Some(ms(3600))), Some(ms(5000)), "the report was of an earlier loss");
+}
+
 #[test_case(true, None, ReadSchedule::Now(ReadReason::Once); "others have read the store since")]
 #[test_case(true, Some(500), ReadSchedule::After(Duration::from_millis(300)); "as far as it knows, no node can read the store")]
 #[test_case(false, None, ReadSchedule::OnChange; "no call has failed")]
