--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -6,20 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillhatch_mesh::feed::{
-    long_poll_timeout, response_timeout, watch_timeout, FeedRole, FeedTree, ReadReason, ReadSchedule,
-    ReadScheduleInputs, SoloReads, SourceChoice, SourceStatus, SourceVerdict, StandbyReader, StoreAccessLoss,
-};
+use quillhatch_mesh::feed::{FeedRole, FeedTree, SoloReads, SourceChoice, StandbyReader, StoreAccessLoss};
 use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::replica::{Change, Position, Replica, Update};
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::store_reader::{NextRead, StoreReader};
+use quillhatch_mesh::store_reader::StoreReader;
 use quillhatch_mesh::targets::Target;
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::node::{NodeFault, PendingQuery, PendingRead, SimNode, StoreAccess};
+use crate::node::{NodeFault, SimNode, StoreAccess};
 use crate::store::{registration, target_id, SimStore};
 
 pub const BOUNDS: Bounds = Bounds {
@@ -76,7 +73,7 @@
     pub has_standby_watches: bool,
     pub(crate) bounds: Bounds,
     pub(crate) random: Pcg64,
-    by_machine: HashMap<IpAddr, usize>,
+    pub(super) by_machine: HashMap<IpAddr, usize>,
 }
 
 impl Fleet {
@@ -265,64 +262,6 @@
         }
     }
 
-    fn step_query(&mut self, number: usize) {
-        let now = self.now;
-        let Some(query) = &self.nodes[number].query else {
-            if now >= self.nodes[number].next_query_at {
-                self.start_query(number);
-            }
-            return;
-        };
-        if now.since(query.sent) < TICK * 2 {
-            return;
-        }
-        let (peer, from, sent, long_poll) = (query.peer, query.from, query.sent, query.long_poll);
-        let other = &mut self.nodes[peer];
-        match other.fault {
-            NodeFault::Crashed => self.query_failed(number),
-            NodeFault::Unresponsive if now.since(sent) >= response_timeout(long_poll, &self.bounds) => {
-                self.query_failed(number)
-            }
-            NodeFault::Unresponsive => {}
-            NodeFault::FalseStatus if now.since(sent) >= long_poll => {
-                self.query_succeeded(number, None, Some(now), None)
-            }
-            NodeFault::FalseStatus => {}
-            NodeFault::None => {
-                let has_just_arrived = now.since(sent) == TICK * 2;
-                let is_lost = other.loss.is_confirmed() || (has_just_arrived && other.loss.since().is_some());
-                let has_news = other.position() > from || is_lost;
-                if !has_news && now.since(sent) < long_poll {
-                    return;
-                }
-                let update = other.replica.update_since(from, now);
-                other.answered_queries += 1;
-                other.sent_changes += update.as_ref().map_or(0, |update| update.changes.len());
-                let (store_read_at, lost_since) = (other.store_read_at, other.loss.since());
-                self.query_succeeded(number, update, store_read_at, lost_since);
-            }
-        }
-    }
-
-    fn start_query(&mut self, number: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[number];
-        let Some(candidate) = node.source_choice.next(&node.role.candidates, now) else { return };
-        let long_poll = if node.source_choice.is_searching() {
-            Duration::ZERO
-        } else {
-            long_poll_timeout(node.role.is_head, &self.bounds)
-        };
-        let query = PendingQuery {
-            peer: self.by_machine[&candidate.machine],
-            is_upstream: candidate.is_upstream,
-            sent: now,
-            long_poll,
-            from: node.position(),
-        };
-        self.nodes[number].query = Some(query);
-    }
-
     /// Applies an update. One that can't be applied was superseded by the updates of other nodes.
     pub(crate) fn apply(&mut self, number: usize, update: Update) {
         let replica = &mut self.nodes[number].replica;
@@ -335,155 +274,4 @@
         }
         let _ = replica.apply(update, self.now);
     }
-
-    fn query_succeeded(
-        &mut self,
-        number: usize,
-        update: Option<Update>,
-        store_read_at: Option<Timestamp>,
-        lost_since: Option<Timestamp>,
-    ) {
-        let now = self.now;
-        if let Some(update) = update {
-            self.apply(number, update);
-        }
-        let node = &mut self.nodes[number];
-        let is_upstream = node.query.as_ref().is_some_and(|query| query.is_upstream);
-        let status = SourceStatus { store_read_at, lost_since };
-        node.store_read_at = node.store_read_at.max(store_read_at);
-        let follows_any = self.mutation == Some(Mutation::FollowsAnySource);
-        let verdict = match lost_since {
-            None if follows_any => SourceVerdict::Usable,
-            _ => status.verdict(is_upstream, node.loss, &self.bounds, now),
-        };
-        if verdict == SourceVerdict::Usable {
-            node.is_isolated = false;
-            node.has_response = false;
-            node.loss.source_available(store_read_at);
-            node.source_choice.succeeded();
-            node.has_unverified_source = false;
-            node.query = None;
-            return;
-        }
-        if let Some(since) = lost_since {
-            node.loss.source_reported_loss(since);
-        }
-        node.has_response = true;
-        node.has_unverified_source |= verdict == SourceVerdict::Unverified;
-        self.query_failed(number);
-    }
-
-    fn query_failed(&mut self, number: usize) {
-        let now = self.now;
-        let pause = Duration::from_millis(self.random.gen_range(250..500));
-        let node = &mut self.nodes[number];
-        let sent = node.query.take().map_or(now, |query| query.sent);
-        node.source_choice.failed(now);
-        let is_reading = node.role.is_reader && node.loss.since().is_none();
-        if !is_reading {
-            node.loss.source_failed(sent);
-        }
-        if !node.source_choice.all_failed(&node.role.candidates) {
-            return;
-        }
-        node.next_query_at = now + pause;
-        node.is_isolated = !node.has_response;
-        node.has_response = false;
-        if !is_reading && !node.has_unverified_source {
-            node.loss.all_sources_failed(sent);
-        }
-        node.has_unverified_source = false;
-    }
-
-    fn step_read(&mut self, number: usize) {
-        let now = self.now;
-        let store_is_down = self.store.is_down;
-        let store_position = self.store.position;
-        let node = &mut self.nodes[number];
-        let Some(read) = &node.read else {
-            if now >= node.next_read_at {
-                self.start_read(number);
-            }
-            return;
-        };
-        if now.since(read.sent) < TICK * 2 {
-            return;
-        }
-        let access = if store_is_down { StoreAccess::Refused } else { node.store_access };
-        match access {
-            StoreAccess::Refused => self.store_read_failed(number),
-            StoreAccess::Unresponsive if now.since(read.sent) >= read.timeout + WATCH_RESPONSE_ALLOWANCE => {
-                self.store_read_failed(number)
-            }
-            StoreAccess::Unresponsive => {}
-            StoreAccess::Available => {
-                let has_news = match read.read {
-                    NextRead::Watch { after } => {
-                        store_position.revision > after || store_position.era != node.position().era
-                    }
-                    NextRead::StaleList | NextRead::List => true,
-                };
-                if has_news || now.since(read.sent) >= read.timeout {
-                    self.store_read_succeeded(number);
-                }
-            }
-        }
-    }
-
-    fn start_read(&mut self, number: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[number];
-        let inputs = ReadScheduleInputs {
-            has_view: true,
-            must_probe: false,
-            own_call_failed: node.own_call_failed && self.mutation != Some(Mutation::NeverVerifiesAccess),
-            role: &node.role,
-            loss: node.loss,
-            store_read_at: node.store_read_at.filter(|_| self.mutation != Some(Mutation::WaitsForReaders)),
-            is_isolated: node.is_isolated,
-            solo_reads: node.solo_reads,
-            proof_renewal_in: None,
-            jitter: node.jitter,
-        };
-        let ReadSchedule::Now(reason) = inputs.schedule(&self.bounds, now) else { return };
-        let is_probing = reason == ReadReason::Once || node.loss.since().is_some();
-        let timeout = if is_probing { Duration::from_millis(200) } else { watch_timeout(&self.bounds) };
-        node.read = Some(PendingRead { sent: now, timeout, read: node.store_reader.next(node.replica.position()) });
-        self.store.calls += 1;
-    }
-
-    fn store_read_succeeded(&mut self, number: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[number];
-        let Some(read) = node.read.take() else { return };
-        let update = match read.read {
-            NextRead::Watch { .. } if self.store.position.era != node.position().era => {
-                node.store_reader.history_lost();
-                return;
-            }
-            NextRead::Watch { after } => self.store.changes_since(after),
-            NextRead::StaleList | NextRead::List => self.store.list(),
-        };
-        let has_changes = !update.changes.is_empty();
-        self.apply(number, update);
-        let node = &mut self.nodes[number];
-        node.store_reader.read_succeeded();
-        node.own_call_failed = false;
-        node.store_read_at = node.store_read_at.max(Some(read.sent));
-        node.loss.store_read();
-        if has_changes {
-            node.next_read_at = now + node.role.batch_pause(node.last_read_had_changes, &self.bounds);
-        }
-        node.last_read_had_changes = has_changes;
-    }
-
-    fn store_read_failed(&mut self, number: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[number];
-        let Some(read) = node.read.take() else { return };
-        node.own_call_failed = true;
-        node.loss.store_call_failed(read.sent, node.store_read_at);
-        let max_pause = node.store_reader.read_failed(true, &self.bounds);
-        node.next_read_at = now + max_pause.mul_f64(self.random.gen_range(0.5..1.0));
-    }
 }
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -4,6 +4,8 @@
 mod exploration;
 mod fleet;
 mod node;
+mod queries;
+mod reads;
 mod standby;
 mod store;
 
