--- a/crates/mesh/src/feed/tree.rs
+++ b/crates/mesh/src/feed/tree.rs
@@ -69,7 +69,8 @@
     /// before contained changes too.
     ///
     /// The first of several changes ends the watches of all readers at once. Their first pauses have different lengths,
-    /// so that one of them soon receives what follows, and there are no more calls than with equal ones.
+    /// so that one of them soon receives what follows. While changes follow each other, each reader makes one call per
+    /// window.
     pub fn batch_pause(&self, follows_changes: bool, bounds: &Bounds) -> Duration {
         let window = bounds.batch_window();
         match self.reader_index {
