Keep the rest of a target's warm-up when it is listed again

What callers saw: nothing that broke a rule. A target whose registration had expired while its machine was partitioned, and that was listed again, got few calls for its whole warm-up time once more, though its process had long been warm.

Cause: a registration tells for how long the target is still slow, counted from its arrival; listing a target again, recording a drain notice, and telling other nodes of a target without a registration passed on the value as it had arrived, so that the time started anew. The class: a duration that is kept after the moment from which it counts. The replica of the store already computes the rest; these three places didn't. Looked for elsewhere: a target that replaces another one at its address is a new process and keeps the value of the old one, as before.

Found by reading, while the failure of a_full_target_on_a_partitioned_machine_is_not_treated_as_draining was traced; it is not its cause, that test's registrations have no warm-up.

Fix: Target::registration_at gives the registration with the rest of the time; the three places use it. The new test failed before: cold until 4.5 s in place of 3.0 s.

--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -133,7 +133,7 @@
                 continue;
             }
             if self.at_address(target.registration.address).next().is_none() {
-                self.update(target.id.clone(), target.registration.clone(), now);
+                self.update(target.id.clone(), target.registration_at(now), now);
                 self.grace_periods.insert(target.id.clone(), GracePeriod::for_partition(now + PARTITION_GRACE));
             }
         }
@@ -287,7 +287,7 @@
         self.drain_notices.forget_old(now, |other| by_id.contains_key(other));
         if let Some(target) = listed {
             let grace = self.grace_period(id);
-            self.update(target.id.clone(), target.registration.clone(), now);
+            self.update(target.id.clone(), target.registration_at(now), now);
             self.grace_periods.extend(grace.map(|grace| (target.id.clone(), grace)));
         }
         true
--- a/crates/mesh/src/targets/registration.rs
+++ b/crates/mesh/src/targets/registration.rs
@@ -75,3 +75,10 @@
     /// When it was first listed. Of two targets at one address, the one that was listed later is the current one.
     pub listed_at: Timestamp,
 }
+
+impl Target {
+    /// The registration as it is at `now`, with the rest of the time for which the target is slow after its start.
+    pub fn registration_at(&self, now: Timestamp) -> Registration {
+        Registration { cold_for: now.until(self.cold_until), ..self.registration.clone() }
+    }
+}
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -89,6 +89,19 @@
     assert_eq!(targets.len(), 1, "it was draining");
 }
 
+#[test]
+fn a_target_that_is_listed_again_is_not_cold_for_longer() {
+    let mut targets = TargetTable::default();
+    let id: Arc<str> = Arc::from("t");
+    let cold = Registration { cold_for: Duration::from_secs(2), ..registration("alpha", "10.0.0.1:80", "here") };
+    let machine = cold.address.ip();
+    targets.update(id.clone(), cold, milliseconds(1_000));
+    targets.remove_missing(std::slice::from_ref(&id), Duration::ZERO, milliseconds(2_000));
+    targets.report_store_access(machine, true, milliseconds(2_500));
+    let cold_until = targets.get(&id).map(|target| target.cold_until);
+    assert_eq!(cold_until, Some(milliseconds(3_000)), "its process is the same");
+}
+
 #[test]
 fn nodes_that_only_know_an_unregistered_target_from_each_other_remove_it_when_the_first_one_does() {
     let id: Arc<str> = Arc::from("unregistered");
--- a/crates/sidecar/src/feed/codec.rs
+++ b/crates/sidecar/src/feed/codec.rs
@@ -8,6 +8,7 @@
 use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_platform::configuration::read_configuration;
+use quillhatch_types::Timestamp;
 
 /// Why an update from another node can't be decoded.
 #[derive(Debug, Display)]
@@ -56,10 +57,10 @@
     message
 }
 
-/// Encodes a target without a registration that is retained for another `remaining`.
-pub(super) fn encode_retained(target: &Target, remaining: Duration) -> wire::KeptTarget {
-    let left_ms = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
-    wire::KeptTarget { target: Some(encode_target(0, &target.id, &target.registration)), left_ms }
+/// Encodes a target without a registration that is retained until `until`.
+pub(super) fn encode_retained(target: &Target, until: Timestamp, now: Timestamp) -> wire::KeptTarget {
+    let left_ms = u32::try_from(now.until(until).as_millis()).unwrap_or(u32::MAX);
+    wire::KeptTarget { target: Some(encode_target(0, &target.id, &target.registration_at(now))), left_ms }
 }
 
 fn encode_target(revision: u64, id: &str, registration: &Registration) -> wire::RegisteredTarget {
--- a/crates/sidecar/src/feed/serve.rs
+++ b/crates/sidecar/src/feed/serve.rs
@@ -102,7 +102,7 @@
         .into_iter()
         .chain(targets.retained())
         .filter(|(target, _)| !local_target::is_retained_and_draining(node, &target.id));
-    all.map(|(target, until)| encode_retained(target, now.until(until))).collect()
+    all.map(|(target, until)| encode_retained(target, until, now)).collect()
 }
 
 /// How long before `arrived` the time `at` was, in milliseconds and rounded up; negative if it was after `arrived`.
