Soak: a restarted process doesn't drain any more

Cause, in the soak: a target that announces a drain is restarted under its id at the end of its announcement. If planned work has registered the same target as draining, the new process registers itself as ready, and the soak went on to count its requests as those of the drained one: it compared the ids only. The logs of all six nodes show it: i- draining at 22.42 s, ready with a later start and 'target-restarted' at 22.84 s, requests from 24.97 s on counted.

The exception was there for crashes that bring a new id. The check and the bound are as they were.

--- a/crates/soak/src/planned_work.rs
+++ b/crates/soak/src/planned_work.rs
@@ -52,7 +52,7 @@
         let drained = self.random.gen_range(0..self.machines.len());
         let stopped = self.machine_of_another_service(drained);
         let draining = Rc::clone(&self.machines[drained]);
-        let id = draining.target.id();
+        let (id, process) = (draining.target.id(), draining.target.process());
         if self.drain_schedule.gen() {
             self.store.register(&draining.target, "draining");
         } else {
@@ -62,8 +62,8 @@
         let acked = Instant::now();
         self.restart_process(stopped).await?;
         sleep(DRAIN_DURATION.saturating_sub(acked.elapsed())).await;
-        // A target that crashed in the meantime may have restarted with a new id, which is not registered as draining.
-        if draining.target.id() == id {
+        // A process that has started in the meantime is registered as ready.
+        if draining.target.process() == process {
             self.record.borrow_mut().drains.push(DrainSpan { machine: drained, acked, until: Instant::now() });
         }
         draining.target.set_health(HealthStatus::Healthy);
