End a streamed response whose target goes on sending after its deadline

Callers saw: no final answer.

Cause: a late stream was aborted only when its source was silent for 0.2 s or its reader stalled for 5 s. A source that is never silent met neither.

Ruled out: a bound on the time alone (cuts sound responses that are read slowly, a test holds it), on silence alone (this fault), on the size of responses of a route (cuts a sound response larger than those before it).

Change: a target stops work at the deadline that it was given, so at its gate a response has only a rest from then on. A known rest may be 16 MiB, an unknown one 4 MiB, as much as the buffers between the two hold, and passing it on may take 0.2 s, not counting the time in which the reader accepts nothing. Such a response is recorded against the target's health, as is a short one that does not end by the deadline. What the kernel still holds of an aborted response is discarded by a reset, if it is longer than the send buffer, so that nothing of an earlier response is lost. The receive buffers of connections to targets and other nodes are limited: the buffers of two hops hold up to 20 MB of each such response by default, which the edge had to pass on first, and which count as memory. New: log line stream-aborted with the id and the reason, counter aborted_streams.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod settings;
 pub mod shutdown;
 pub mod store_reader;
+pub mod stream_monitor;
 pub mod target_limit;
 pub mod targets;
 pub mod tenants;
--- a/crates/mesh/tests/decisions/main.rs
+++ b/crates/mesh/tests/decisions/main.rs
@@ -18,6 +18,7 @@
 mod routing;
 mod shutdown;
 mod store_reader;
+mod stream_monitor;
 mod targets;
 mod tenants;
 
--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -7,6 +7,9 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
+use crate::caller_io::CallerIo;
+use crate::relay::StreamedBody;
+
 /// Why a body ended early.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -18,6 +21,8 @@
     Buffered(Bytes),
     /// A body that is sent while it is read.
     Streamed(Stream),
+    /// The body of a response that is relayed while it is read.
+    Relayed(StreamedBody),
 }
 
 impl Body {
@@ -31,20 +36,25 @@
         Body::Streamed(Box::pin(stream))
     }
 
-    /// Keeps `guard` until the body has been sent or dropped.
-    pub fn with_guard<G: 'static>(self, guard: G) -> Self {
-        match self {
+    /// Prepares it to be sent on `connection`. `guard` is kept until it has been sent or dropped.
+    pub fn sent_on<G: 'static>(self, connection: &CallerIo, guard: G) -> Self {
+        let stream = match self {
             // A buffered body is passed on in one piece.
-            Body::Buffered(bytes) => Body::Buffered(bytes),
-            Body::Streamed(stream) => Body::Streamed(Box::pin(GuardedBody { stream, _guard: guard })),
-        }
+            Body::Buffered(bytes) => return Body::Buffered(bytes),
+            Body::Streamed(stream) => stream,
+            Body::Relayed(relayed) => {
+                relayed.set_reader(connection.clone());
+                Box::pin(relayed)
+            }
+        };
+        Body::Streamed(Box::pin(GuardedBody { stream, _guard: guard }))
     }
 
     /// A copy of the body, if it is buffered.
     pub fn clone_if_buffered(&self) -> Option<Body> {
         match self {
             Body::Buffered(bytes) => Some(Body::Buffered(bytes.clone())),
-            Body::Streamed(_) => None,
+            Body::Streamed(_) | Body::Relayed(_) => None,
         }
     }
 }
@@ -58,6 +68,7 @@
             Body::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
             Body::Buffered(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Body::Streamed(stream) => stream.as_mut().poll_frame(context),
+            Body::Relayed(relayed) => Pin::new(relayed).poll_frame(context),
         }
     }
 
@@ -65,6 +76,7 @@
         match self {
             Body::Buffered(bytes) => bytes.is_empty(),
             Body::Streamed(stream) => stream.is_end_stream(),
+            Body::Relayed(relayed) => relayed.is_end_stream(),
         }
     }
 
@@ -72,6 +84,7 @@
         match self {
             Body::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Body::Streamed(stream) => stream.size_hint(),
+            Body::Relayed(relayed) => relayed.size_hint(),
         }
     }
 }
--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -8,11 +8,12 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
 use hyper::http::request::Parts;
 use hyper::rt::ReadBufCursor;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -44,8 +45,14 @@
     closed: Cell<bool>,
     last_read: Cell<Instant>,
     last_write: Cell<Instant>,
-    /// Whether bytes that hyper has to write wait for the socket.
-    is_write_blocked: Cell<bool>,
+    /// Since when bytes that hyper has to write wait for the socket, if they do.
+    write_blocked_since: Cell<Option<Instant>>,
+    /// How long they have waited before, in total.
+    write_blocked_before: Cell<Duration>,
+    /// Whether the connection is to be reset instead of closed.
+    is_reset: Cell<bool>,
+    /// Wakes the task that serves the connection.
+    waker: RefCell<Option<Waker>>,
 }
 
 /// A server connection. One clone is passed to hyper, another one reads ahead and watches for the end of the
@@ -64,7 +71,10 @@
             closed: Cell::new(false),
             last_read: Cell::new(Instant::now()),
             last_write: Cell::new(Instant::now()),
-            is_write_blocked: Cell::new(false),
+            write_blocked_since: Cell::new(None),
+            write_blocked_before: Cell::default(),
+            is_reset: Cell::new(false),
+            waker: RefCell::default(),
         }))
     }
 
@@ -121,12 +131,25 @@
     }
 
     fn record_write(&self, polled: &Poll<io::Result<usize>>) {
-        self.0.is_write_blocked.set(polled.is_pending());
+        let now = Instant::now();
+        let shared = &self.0;
+        if polled.is_pending() {
+            shared.write_blocked_since.set(shared.write_blocked_since.get().or(Some(now)));
+            return;
+        }
+        shared.write_blocked_before.set(self.write_blocked());
+        shared.write_blocked_since.set(None);
         if matches!(polled, Poll::Ready(Ok(_))) {
-            self.0.last_write.set(Instant::now());
+            shared.last_write.set(now);
         }
     }
 
+    /// The total time in which bytes that hyper had to write waited for the socket, since the caller accepted none.
+    pub fn write_blocked(&self) -> Duration {
+        let since = self.0.write_blocked_since.get();
+        self.0.write_blocked_before.get() + since.map_or(Duration::ZERO, |since| since.elapsed())
+    }
+
     /// Whether a request has arrived in part. hyper does not get it before its head is complete.
     pub fn has_partial_request(&self) -> bool {
         let split = self.0.split.borrow();
@@ -142,13 +165,13 @@
 
     /// Whether the socket has accepted all bytes that hyper had to write.
     pub fn has_written_all(&self) -> bool {
-        !self.0.is_write_blocked.get()
+        self.0.write_blocked_since.get().is_none()
     }
 
     /// Whether bytes that hyper has to write have waited for the socket for longer than `timeout`, during which the caller
     /// has read nothing.
     pub fn has_stalled_write(&self, timeout: Duration) -> bool {
-        self.0.is_write_blocked.get() && Instant::now().duration_since(self.0.last_write.get()) > timeout
+        self.0.write_blocked_since.get().is_some() && Instant::now().duration_since(self.0.last_write.get()) > timeout
     }
 
     /// The time of the last read or write of any bytes.
@@ -164,6 +187,7 @@
     /// Reads ahead. Ready once the caller has closed the connection.
     pub fn poll_closed(&self, context: &mut Context<'_>) -> Poll<()> {
         let shared = &self.0;
+        *shared.waker.borrow_mut() = Some(context.waker().clone());
         let mut storage = [0_u8; 4096];
         loop {
             if shared.closed.get() {
@@ -186,6 +210,28 @@
 }
 
 impl CallerIo {
+    /// Ends the connection in the middle of a response of which `written` bytes were written, and discards those that the
+    /// caller has not received. Only if all bytes that the kernel still holds belong to this response: those of an earlier
+    /// one must arrive. Otherwise does nothing.
+    pub fn reset_in_response(&self, written: u64) {
+        let stream = self.0.stream.borrow();
+        let socket = SockRef::from(&*stream);
+        let is_safe = socket.send_buffer_size().is_ok_and(|held| written > held as u64);
+        if !is_safe || socket.set_linger(Some(Duration::ZERO)).is_err() {
+            return;
+        }
+        self.0.is_reset.set(true);
+        self.0.closed.set(true);
+        if let Some(waker) = self.0.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Whether the connection is to be reset instead of closed.
+    pub fn is_reset(&self) -> bool {
+        self.0.is_reset.get()
+    }
+
     /// Tells the caller that no more bytes follow.
     pub async fn shut_down(&self) {
         // An error means that the connection has ended already.
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -30,6 +30,8 @@
     pub inherited_retries: Cell<u64>,
     /// Calls forwarded to the local target, whether it ran them or not.
     pub target_requests: Cell<u64>,
+    /// Streamed responses that were aborted.
+    pub aborted_streams: Cell<u64>,
     /// Requests to the platform's store.
     pub store_requests: Cell<u64>,
     /// Requests to the platform's store without a usable response.
@@ -73,6 +75,7 @@
             ("denied_retries", self.denied_retries.get()),
             ("inherited_retries", self.inherited_retries.get()),
             ("target_requests", self.target_requests.get()),
+            ("aborted_streams", self.aborted_streams.get()),
             ("store_requests", self.store_requests.get()),
             ("store_failures", self.store_failures.get()),
             ("log_lines_dropped", dropped_lines),
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -25,7 +25,7 @@
 use crate::liveness;
 use crate::node::Node;
 use crate::pool::{ConnectionLease, ExchangeError, SentFlag};
-use crate::relay::{relay_response, StreamLimit};
+use crate::relay::{relay_response, RelayedCall, StreamTimes};
 use crate::store_view;
 
 /// How long past the deadline the edge waits for a response that the target sends at the deadline: longer than the gate
@@ -335,10 +335,12 @@
 
 /// Passes a target's response on without the header of the gate. A response that is not streamed must be complete by the
 /// deadline; one that is streamed is late from the timeout of its route on.
-async fn relay(node: &Node, call: &Call, response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
+async fn relay(node: &Rc<Node>, call: &Call, response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
     let late_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
-    let limit = StreamLimit { clock: node.clock.clone(), late_at };
-    let relayed = relay_response(response, lease, None, limit);
+    // Its source is a gate, which limits what comes from the target.
+    let times = StreamTimes { late_at, work_ends_at: None };
+    let relayed =
+        relay_response(response, lease, None, RelayedCall { node: Rc::clone(node), id: call.id.clone(), times });
     match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
         Ok(Ok(mut response)) => {
             response.headers_mut().remove(HOP_HEADER);
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -34,7 +34,7 @@
 use crate::local_target;
 use crate::node::Node;
 use crate::pool::{ExchangeError, SentFlag};
-use crate::relay::{relay_response, StreamLimit};
+use crate::relay::{relay_response, RelayedCall, StreamTimes};
 use crate::store_view;
 pub use retained_target::{watch_retained_target, RetainedTargetState};
 use slots::admit;
@@ -332,10 +332,15 @@
     if response.status().is_success() && (!has_stamp || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
     }
-    let limit = StreamLimit { clock: node.clock.clone(), late_at: call.stream_late_at };
-    let relayed = relay_response(response, lease, Some(slot), limit);
-    match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
+    let work_ends_at = call.deadline + DEADLINE_ALLOWANCE;
+    let id = call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned();
+    let times = StreamTimes { late_at: call.stream_late_at, work_ends_at: Some(work_ends_at) };
+    let relayed = relay_response(response, lease, Some(slot), RelayedCall { node: Rc::clone(node), id, times });
+    match node.clock.timeout_at(work_ends_at, relayed).await {
         Ok(relayed) => relayed.map_err(|why| Failure::new(GateOutcome::NoResponse, why)),
-        Err(_) => Err(Failure::new(GateOutcome::DeadlineExceeded, "response did not end before the deadline")),
+        Err(_) => {
+            node.target_health.borrow_mut().record_bad(node.now());
+            Err(Failure::new(GateOutcome::DeadlineExceeded, "response did not end before the deadline"))
+        }
     }
 }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Releases the slot of a target that has not finished its response in time.
+    pub fn response_unfinished(self) {
+        self.node.target_health.borrow_mut().record_bad(self.node.now());
+    }
+
     /// Releases the slot after the connection to the target ended before its response did.
     pub fn connection_lost(mut self) {
         if let Some(run) = self.run.take() {
--- a/crates/sidecar/src/gate/suspects.rs
+++ b/crates/sidecar/src/gate/suspects.rs
@@ -31,7 +31,7 @@
     let header = |name| header_text(&parts.headers, name).unwrap_or_default();
     let body = match body {
         Body::Buffered(bytes) => bytes,
-        Body::Streamed(_) => [].as_slice(),
+        Body::Streamed(_) | Body::Relayed(_) => [].as_slice(),
     };
     RequestSignature::of(&RequestParts {
         method: parts.method.as_str(),
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -177,7 +177,7 @@
             let is_ambiguous = io.is_ambiguous();
             let active_request = ActiveRequest(Rc::clone(&active));
             let (handler, pipelined, draining) = (handler.clone(), Rc::clone(&pipelined), Rc::clone(&draining));
-            let (open, is_closing) = (Rc::clone(&open), Rc::clone(&is_closing));
+            let (open, is_closing, io) = (Rc::clone(&open), Rc::clone(&is_closing), io.clone());
             async move {
                 let (parts, body) = request.into_parts();
                 let mut response = match pipelined.take(&parts).await {
@@ -191,7 +191,7 @@
                     is_closing.set(true);
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
-                Ok::<_, Infallible>(response.map(|body| body.with_guard(active_request)))
+                Ok::<_, Infallible>(response.map(|body| body.sent_on(&io, active_request)))
             }
         })
     };
@@ -248,7 +248,9 @@
             }
         }
     }
-    linger(&watched, &config).await;
+    if !watched.is_reset() {
+        linger(&watched, &config).await;
+    }
 }
 
 /// Ends the sending side of a connection whose last response was written, keeps the connection until its peer has closed
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -47,6 +47,11 @@
 
 /// The slots assumed for a target until its registration is known.
 const FALLBACK_SLOTS: u32 = 16;
+/// The kernel's receive buffer of a connection to another node: what arrives ahead of a slow reader counts as memory of
+/// this process, for each response.
+const PEER_RECEIVE_BUFFER_BYTES: usize = 512 * 1024;
+/// The same of a connection to the target, which has no delay.
+const TARGET_RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
 /// The maximum rate of log lines about failures, per second.
 const MAX_FAILURE_LINES_PER_SECOND: f64 = 40.0;
 /// The maximum rate of log lines about successful calls, per second.
@@ -195,6 +200,7 @@
             tcp_user_timeout: Duration::from_millis(1500),
             honor_keep_alive_header: false,
             keepalive_interval: None,
+            receive_buffer: Some(PEER_RECEIVE_BUFFER_BYTES),
         };
         let target = PoolConfig {
             connect_timeout: Duration::from_secs(1),
@@ -202,12 +208,14 @@
             tcp_user_timeout: Duration::from_secs(5),
             honor_keep_alive_header: true,
             keepalive_interval: None,
+            receive_buffer: Some(TARGET_RECEIVE_BUFFER_BYTES),
         };
         // A watch is idle for a long time, and a partition must be detected before the registrations of targets expire.
         let store = PoolConfig {
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(8),
             keepalive_interval: Some(Duration::from_secs(1)),
+            receive_buffer: None,
             ..peers
         };
         Rc::new(Node {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -38,6 +38,8 @@
     pub honor_keep_alive_header: bool,
     /// The interval of TCP keepalive probes on an idle connection, if they are enabled.
     pub keepalive_interval: Option<Duration>,
+    /// The size of a connection's receive buffer in the kernel, in bytes, if it is limited.
+    pub receive_buffer: Option<usize>,
 }
 
 /// Why an exchange has no response.
@@ -202,6 +204,9 @@
         let _ = stream.set_nodelay(true);
         let socket = socket2::SockRef::from(&stream);
         let _ = socket.set_tcp_user_timeout(Some(self.config.tcp_user_timeout));
+        if let Some(size) = self.config.receive_buffer {
+            let _ = socket.set_recv_buffer_size(size);
+        }
         if let Some(interval) = self.config.keepalive_interval {
             let _ = socket
                 .set_tcp_keepalive(&TcpKeepalive::new().with_time(interval).with_interval(interval).with_retries(2));
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -4,44 +4,53 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
+use quillhatch_mesh::stream_monitor::{StreamFault, StreamMonitor};
 use quillhatch_types::Timestamp;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
 use crate::body::{read_up_to, Body, BodyError, PartialBody, ReadBody};
-use crate::clock::Clock;
+use crate::caller_io::CallerIo;
+use crate::counters::Counters;
 use crate::gate::Slot;
 use crate::headers::remove_hop_by_hop_headers;
+use crate::node::Node;
 use crate::pool::ConnectionLease;
 
 /// The maximum size of a response body that is buffered whole before any of it is relayed, in bytes.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// How long a late stream waits for the next bytes of its source.
-const MAX_SOURCE_SILENCE: Duration = Duration::from_millis(200);
-/// How long a late stream waits for its reader to accept bytes.
-const MAX_READER_STALL: Duration = Duration::from_secs(5);
-/// The interval at which a late stream is checked.
-const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// The time from which a streamed response is late. A late one goes on only while its bytes arrive and are read.
-#[derive(Clone, Debug)]
-pub struct StreamLimit {
-    /// The clock that measures it.
-    pub clock: Clock,
-    /// The time.
+/// The interval at which a stream is checked once it may be aborted.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The times from which a streamed response is limited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamTimes {
+    /// From when its source has finished its work, if the source has a deadline. Not later than `late_at`.
+    pub work_ends_at: Option<Timestamp>,
+    /// From when it is late.
     pub late_at: Timestamp,
 }
 
+/// What the relay of a response needs to know of its call.
+pub struct RelayedCall {
+    /// The node that relays it.
+    pub node: Rc<Node>,
+    /// The id of its request.
+    pub id: String,
+    /// The times from which a streamed response is limited.
+    pub times: StreamTimes,
+}
+
 /// Relays a response: buffered if it is short, else streamed. The connection is returned to its pool after a complete
-/// response, and `slot` is released when the response has ended. A stream that is late by `limit` is aborted once its
-/// source falls silent or its reader stalls, so that it holds neither for longer.
+/// response, and `slot` is released when the response has ended. A stream is aborted as [`StreamMonitor`] decides, so that
+/// it holds neither for longer.
 ///
 /// # Errors
 ///
@@ -50,7 +59,7 @@
     response: Response<Incoming>,
     lease: ConnectionLease,
     slot: Option<Slot>,
-    limit: StreamLimit,
+    call: RelayedCall,
 ) -> Result<Response<Body>, String> {
     let (mut parts, incoming) = response.into_parts();
     let length = parts.headers.get(CONTENT_LENGTH).cloned();
@@ -78,7 +87,7 @@
             Ok(Response::from_parts(parts, Body::Buffered(bytes)))
         }
         ReadBody::Partial(rest) => {
-            Ok(Response::from_parts(parts, Body::streamed(StreamedBody::new(rest, lease, slot, limit))))
+            Ok(Response::from_parts(parts, Body::Relayed(StreamedBody::new(rest, lease, slot, call))))
         }
     }
 }
@@ -87,6 +96,8 @@
 struct OpenStream {
     body: Pin<Box<PartialBody>>,
     remaining: Option<u64>,
+    /// The number of bytes that were passed on.
+    passed: u64,
     lease: ConnectionLease,
     slot: Option<Slot>,
 }
@@ -106,77 +117,117 @@
             slot.connection_lost();
         }
     }
+
+    /// Ends the response early because of `fault`.
+    fn abort(self, fault: StreamFault) {
+        if let Some(slot) = self.slot.filter(|_| fault.is_of_source()) {
+            slot.response_unfinished();
+        }
+    }
 }
 
 /// The state of a streamed response, which its timer shares.
 struct StreamState {
     /// `None` once the response has ended or was aborted.
     stream: RefCell<Option<OpenStream>>,
-    is_aborted: Cell<bool>,
-    clock: Clock,
-    /// Since when the reader waits for bytes of the source, if it does.
-    awaiting_source_since: Cell<Option<Timestamp>>,
-    /// When the reader last took bytes.
-    last_taken: Cell<Timestamp>,
+    monitor: RefCell<StreamMonitor>,
+    /// Why the response was aborted, if it was.
+    fault: Cell<Option<StreamFault>>,
+    call: RelayedCall,
+    /// The connection on which the response is sent, once that has begun.
+    reader: RefCell<Option<CallerIo>>,
+    started: Instant,
     /// Wakes the task that waits for the next bytes.
     waker: RefCell<Option<Waker>>,
 }
 
 impl StreamState {
     /// Drops the connection and the slot, and ends the response early.
-    fn abort(&self) {
-        if self.stream.take().is_none() {
-            return;
+    fn abort(&self, fault: StreamFault) {
+        let Some(stream) = self.stream.take() else { return };
+        if fault.is_of_source() {
+            self.reset_reader(stream.passed);
         }
-        self.is_aborted.set(true);
+        stream.abort(fault);
+        self.fault.set(Some(fault));
+        let RelayedCall { node, id, times } = &self.call;
+        Counters::increment(&node.counters.aborted_streams);
+        node.log_failure(|| {
+            let late = node.now().since(times.late_at).as_millis();
+            format!("\"event\":\"stream-aborted\",\"id\":{id:?},\"why\":\"{fault}\",\"late_ms\":{late}")
+        });
         if let Some(waker) = self.waker.take() {
             waker.wake();
         }
     }
 
-    /// Whether the source has fallen silent, or the reader takes no bytes.
-    fn is_stuck(&self) -> bool {
-        let now = self.clock.now();
-        match self.awaiting_source_since.get() {
-            Some(since) => now.since(since) >= MAX_SOURCE_SILENCE,
-            None => now.since(self.last_taken.get()) >= MAX_READER_STALL,
+    /// The time of the monotonic clock, which stops while the machine is suspended.
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.started.elapsed()
+    }
+
+    /// The total time in which the reader has accepted no bytes.
+    fn reader_blocked(&self) -> Duration {
+        self.reader.borrow().as_ref().map_or(Duration::ZERO, CallerIo::write_blocked)
+    }
+
+    /// Discards what the reader of a response that ends early has not received of its `passed` bytes.
+    fn reset_reader(&self, passed: u64) {
+        if let Some(reader) = &*self.reader.borrow() {
+            reader.reset_in_response(passed);
         }
     }
 
-    /// Aborts the response once it is late and stuck.
-    async fn abort_when_stuck(&self, late_at: Timestamp) {
-        let _ = self.clock.timeout_at(late_at, std::future::pending::<()>()).await;
-        while !self.is_stuck() {
-            sleep(LATE_CHECK_INTERVAL).await;
+    /// Aborts the response once its monitor finds a fault.
+    async fn abort_on_fault(&self) {
+        let RelayedCall { node, times, .. } = &self.call;
+        let until = |time| node.clock.timeout_at(time, std::future::pending::<()>());
+        if let Some(work_ends_at) = times.work_ends_at {
+            let _ = until(work_ends_at).await;
+            let remaining = self.stream.borrow().as_ref().and_then(|stream| stream.remaining);
+            self.monitor.borrow_mut().work_ended(remaining, self.reader_blocked(), self.now());
+        }
+        loop {
+            if node.now() >= times.late_at {
+                self.monitor.borrow_mut().became_late();
+            } else if times.work_ends_at.is_none() {
+                let _ = until(times.late_at).await;
+                continue;
+            }
+            let fault = self.monitor.borrow().fault(self.reader_blocked(), self.now());
+            if let Some(fault) = fault {
+                return self.abort(fault);
+            }
+            sleep(CHECK_INTERVAL).await;
         }
-        self.abort();
     }
 
     /// Polls the next frame. A body of known length ends with its last byte, without a further poll.
     fn poll_frame(&self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let mut open = self.stream.borrow_mut();
         let Some(stream) = open.as_mut() else {
-            return Poll::Ready(self.is_aborted.get().then(|| Err("the response did not end in time".into())));
+            return Poll::Ready(self.fault.get().map(|fault| Err(fault.to_string().into())));
         };
+        let now = self.now();
         let polled = stream.body.as_mut().poll_frame(context);
-        if polled.is_ready() {
-            self.awaiting_source_since.set(None);
-            self.last_taken.set(self.clock.now());
-        }
         let is_complete = match &polled {
             Poll::Pending => {
-                let since = self.awaiting_source_since.get().unwrap_or_else(|| self.clock.now());
-                self.awaiting_source_since.set(Some(since));
+                self.monitor.borrow_mut().source_awaited(now);
                 *self.waker.borrow_mut() = Some(context.waker().clone());
                 return polled;
             }
             Poll::Ready(None) => true,
             Poll::Ready(Some(Ok(frame))) => {
                 let length = frame.data_ref().map_or(0, |data| data.len() as u64);
+                self.monitor.borrow_mut().bytes_passed(length, now);
+                stream.passed += length;
                 stream.remaining = stream.remaining.map(|remaining| remaining.saturating_sub(length));
                 stream.remaining == Some(0)
             }
             Poll::Ready(Some(Err(_))) => {
+                if self.call.node.now() >= self.call.times.late_at {
+                    self.reset_reader(stream.passed);
+                }
                 open.take().into_iter().for_each(OpenStream::connection_lost);
                 return polled;
             }
@@ -189,30 +240,35 @@
 }
 
 /// The body of a streamed response.
-struct StreamedBody {
+pub struct StreamedBody {
     state: Rc<StreamState>,
     length: SizeHint,
     timer: AbortHandle,
 }
 
 impl StreamedBody {
-    fn new(body: PartialBody, lease: ConnectionLease, slot: Option<Slot>, limit: StreamLimit) -> Self {
+    fn new(body: PartialBody, lease: ConnectionLease, slot: Option<Slot>, call: RelayedCall) -> Self {
         let length = body.size_hint();
-        let stream = OpenStream { body: Box::pin(body), remaining: length.exact(), lease, slot };
-        let StreamLimit { clock, late_at } = limit;
+        let stream = OpenStream { body: Box::pin(body), remaining: length.exact(), passed: 0, lease, slot };
         let state = Rc::new(StreamState {
             stream: RefCell::new(Some(stream)),
-            is_aborted: Cell::new(false),
-            awaiting_source_since: Cell::new(None),
-            last_taken: Cell::new(clock.now()),
-            clock,
+            monitor: RefCell::new(StreamMonitor::new(Timestamp::ZERO)),
+            fault: Cell::new(None),
+            call,
+            reader: RefCell::default(),
+            started: Instant::now(),
             waker: RefCell::default(),
         });
         // A task of its own: a body is not polled while the peer that receives it accepts no bytes.
         let timed = Rc::clone(&state);
-        let timer = tokio::task::spawn_local(async move { timed.abort_when_stuck(late_at).await });
+        let timer = tokio::task::spawn_local(async move { timed.abort_on_fault().await });
         StreamedBody { state, length, timer: timer.abort_handle() }
     }
+
+    /// Tells it the connection on which it is sent.
+    pub fn set_reader(&self, reader: CallerIo) {
+        *self.state.reader.borrow_mut() = Some(reader);
+    }
 }
 
 impl Drop for StreamedBody {
