Read the rest of a response of unknown length ahead of its reader

Cause: the rest of a response of unknown length was limited in bytes, and these were counted at the speed of the reader.

Change: from the deadline of its target on, the rest of such a response is read ahead, at the speed of the target: what it had ready comes at once, and one that has no end is seen within 0.2 s however slow the reader is. A sound target gets its slot and its connection back by it. Streams move from relay.rs into stream.rs.

--- a/crates/mesh/src/stream_monitor.rs
+++ b/crates/mesh/src/stream_monitor.rs
@@ -18,10 +18,10 @@
 /// How long a late stream waits for its reader to accept bytes.
 const MAX_READER_STALL: Duration = Duration::from_secs(5);
 /// How long passing on what a source had left at the end of its work may take while the reader accepts bytes.
-const MAX_REST_TIME: Duration = Duration::from_millis(200);
+pub const MAX_REST_TIME: Duration = Duration::from_millis(200);
 /// How many bytes a source may have left at the end of its work if the length of the response is unknown: as many as the
 /// buffers between the two hold, 2.5 MiB to send on the loopback interface of Linux and a limited number to receive.
-const MAX_UNKNOWN_REST_BYTES: u64 = 4 * 1024 * 1024;
+pub const MAX_UNKNOWN_REST_BYTES: u64 = 4 * 1024 * 1024;
 /// The same if the length is known, so that the source may hold the rest itself.
 const MAX_KNOWN_REST_BYTES: u64 = 16 * 1024 * 1024;
 
@@ -97,6 +97,12 @@
         self.work_end = Some(WorkEnd { at: now, reader_blocked, rest });
     }
 
+    /// Records that all bytes of the source have arrived.
+    pub fn source_ended(&mut self) {
+        self.work_end = None;
+        self.source_awaited_since = None;
+    }
+
     /// Records that the response is late from now on.
     pub fn became_late(&mut self) {
         self.is_late = true;
--- a/crates/mesh/tests/decisions/stream_monitor.rs
+++ b/crates/mesh/tests/decisions/stream_monitor.rs
@@ -72,3 +72,14 @@
     monitor.bytes_passed(passed, at(1100));
     assert_eq!(monitor.fault(ms(100), at(1100)), is_endless.then_some(StreamFault::SourceEndless));
 }
+
+#[test]
+fn a_source_that_has_ended_is_not_waited_for() {
+    let mut monitor = StreamMonitor::new(at(0));
+    monitor.source_awaited(at(900));
+    monitor.work_ended(None, ms(0), at(1000));
+    monitor.source_ended();
+    monitor.became_late();
+    assert_eq!(monitor.fault(ms(0), at(4000)), None);
+    assert_eq!(monitor.fault(ms(0), at(5000)), Some(StreamFault::ReaderStalled));
+}
--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 
 use crate::caller_io::CallerIo;
-use crate::relay::StreamedBody;
+use crate::stream::StreamedBody;
 
 /// Why a body ended early.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -192,3 +192,15 @@
     }
     Ok(ReadBody::Complete(if collected.is_empty() { first } else { collected.freeze() }))
 }
+
+/// Reads a body whole.
+///
+/// # Errors
+///
+/// Returns an error if the body ends early or has more than `limit` bytes.
+pub async fn read_whole(incoming: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    match read_up_to(incoming, limit).await? {
+        ReadBody::Complete(bytes) => Ok(bytes),
+        ReadBody::Partial(_) => Err(format!("the body is longer than {limit} bytes").into()),
+    }
+}
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -25,8 +25,9 @@
 use crate::liveness;
 use crate::node::Node;
 use crate::pool::{ConnectionLease, ExchangeError, SentFlag};
-use crate::relay::{relay_response, RelayedCall, StreamTimes};
+use crate::relay::relay_response;
 use crate::store_view;
+use crate::stream::{RelayedCall, StreamTimes};
 
 /// How long past the deadline the edge waits for a response that the target sends at the deadline: longer than the gate
 /// waits.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod stop;
 pub mod store;
 pub mod store_view;
+pub mod stream;
 pub mod tenancy;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -43,6 +43,7 @@
 use crate::logging::{LineRateLimit, LogState};
 use crate::pool::{Pool, PoolConfig};
 use crate::quarantine::Outbox;
+use crate::stream::ReadAheadBudget;
 use crate::tenancy::Tenancy;
 
 /// The slots assumed for a target until its registration is known.
@@ -138,6 +139,8 @@
     pub target: Rc<Pool>,
     /// Connections to the platform's store.
     pub store: Rc<Pool>,
+    /// The memory for responses that are read ahead of their readers.
+    pub read_ahead: ReadAheadBudget,
     /// The stage of the process in its lifecycle.
     pub stage: Cell<Stage>,
     /// Whether calls of external callers are refused because the process is about to end. Calls of the local target are
@@ -251,6 +254,7 @@
             peers: Pool::new(peers, clock.clone()),
             target: Pool::new(target, clock.clone()),
             store: Pool::new(store, clock.clone()),
+            read_ahead: ReadAheadBudget::default(),
             stage: Cell::new(Stage::Serving),
             refuses_callers: Cell::new(false),
             calls: Rc::default(),
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -2,15 +2,19 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
-use support::caller::{request, Caller};
-use support::limits::{document_with_timeout, pay, two_machines, HOST};
+use quillhatch_sidecar::local_target::mark_unverified;
+use support::caller::{call, request, Caller};
+use support::limits::{document_with_timeout, pay, read, two_machines, HOST};
 use support::store::StandInStore;
-use support::target::{EndlessPart, EndlessResponse, TargetBehaviour};
-use support::{eventually, run, Machine};
+use support::target::{send_endless, EndlessPart, EndlessResponse, TargetBehaviour};
+use support::{eventually, run, start_sidecar, Machine};
 use test_case::test_case;
-use tokio::time::Instant;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, Instant};
 
 /// The timeout of all routes, in seconds.
 const TIMEOUT_S: u32 = 2;
@@ -20,6 +24,12 @@
 /// The pause of a target that sends slowly: shorter than any silence that ends a response.
 const SLOW: Duration = Duration::from_millis(50);
 const FAST: Duration = Duration::ZERO;
+/// The maximum number of bytes that are taken of a message that nobody needs, including those in kernel buffers.
+const MAX_USELESS_BYTES: u64 = 16 * 1024 * 1024;
+/// The same of a response of the store, the longest of which are some megabytes long.
+const MAX_STORE_BYTES: u64 = 48 * 1024 * 1024;
+/// The length of a response that is read slowly.
+const SLOWLY_READ_BYTES: usize = 8_000_000;
 
 async fn set_timeout(store: &StandInStore, machines: &[&Machine]) {
     store.write_configuration(&document_with_timeout(2, TIMEOUT_S));
@@ -50,19 +60,19 @@
 }
 
 /// Guards against this failure: a response that its target has sent in time was cut, since its caller reads it slowly.
-#[test]
-fn a_long_response_that_is_read_slowly_arrives_after_the_timeout() {
-    run(async {
-        const LENGTH: usize = 6_000_000;
+#[test_case(TargetBehaviour::LongBody(SLOWLY_READ_BYTES); "with a length")]
+#[test_case(TargetBehaviour::LongBodyUntilClose(SLOWLY_READ_BYTES); "until the connection closes")]
+fn a_long_response_that_is_read_slowly_arrives_after_the_timeout(behaviour: TargetBehaviour) {
+    run(async move {
         let (store, alpha, beta) = two_machines().await;
         set_timeout(&store, &[&alpha, &beta]).await;
-        alpha.target.set_behaviour(TargetBehaviour::LongBody(LENGTH));
+        alpha.target.set_behaviour(behaviour);
         let started = Instant::now();
         let mut caller = Caller::connect(beta.outbound()).await;
-        caller.limit_read_rate(LENGTH as f64 / 5.0);
+        caller.limit_read_rate(SLOWLY_READ_BYTES as f64 / 5.0);
         caller.send(&request("GET", HOST, "/read/x", "slow", 20_000, "")).await;
         let response = caller.next_response_within(6 * TIMEOUT).await.expect("a complete response");
-        assert_eq!((response.status, response.body.len()), (200, LENGTH));
+        assert_eq!((response.status, response.body.len()), (200, SLOWLY_READ_BYTES));
         assert!(started.elapsed() > TIMEOUT + TOLERANCE, "read too fast: {:?}", started.elapsed());
     });
 }
