Take the identity from the head of a health check, and don't collect its body

Cause: local_target.rs and liveness.rs collected the body of a response whole, limited by a time and not by bytes, only so that the connection could be reused. The class: a limit in time is taken for one in bytes.

Change: ConnectionLease::release_after reads what nobody needs beside the caller, at most 4 KiB and 0.2 s of it, and closes the connection otherwise. The result of the check needs no body.

--- a/crates/sidecar/src/liveness.rs
+++ b/crates/sidecar/src/liveness.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::Request;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::targets::Target;
@@ -75,7 +74,6 @@
     let Ok(request) = request else { return false };
     let address = SocketAddr::new(peer, node.settings.inbound.port());
     let Ok((response, lease)) = node.peers.exchange(address, request).await else { return false };
-    let is_whole = response.into_body().collect().await.is_ok();
-    lease.release();
-    is_whole
+    lease.release_after(response.into_body());
+    true
 }
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use quillhatch_mesh::targets::{TargetId, TargetTable};
@@ -116,9 +115,7 @@
         }
         let is_full = response.headers().contains_key(headers::REQUEST_NOT_RUN);
         let is_draining = response.status() == StatusCode::SERVICE_UNAVAILABLE && !is_full;
-        if response.into_body().collect().await.is_ok() {
-            lease.release();
-        }
+        lease.release_after(response.into_body());
         HealthResponse { identity: id.map_or(Identity::Unknown, Identity::Known), is_draining }
     };
     tokio::time::timeout(IDENTITY_QUERY_TIMEOUT, exchange).await.unwrap_or(unknown)
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, CONNECTION};
 use hyper::{Request, Response};
@@ -18,13 +18,18 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::body::Body;
+use crate::body::{read_whole, Body};
 use crate::clock::Clock;
 use crate::listener::TokioIo;
 
 /// The fraction of the timeout in a peer's `Keep-Alive` header after which an idle connection is closed.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 
+/// The maximum size of a body that is read only so that its connection can be reused, in bytes.
+const MAX_DISCARDED_BYTES: usize = 4 * 1024;
+/// How long such a body may take.
+const MAX_DISCARD_TIME: Duration = Duration::from_millis(200);
+
 /// The settings of a pool's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolConfig {
@@ -93,6 +98,21 @@
         self.sent_at
     }
 
+    /// Returns the connection to the pool once the body of its response, which nobody needs, has been read. Does not wait
+    /// for that. The connection is closed if the body is long or slow.
+    pub fn release_after(self, body: Incoming) {
+        if body.is_end_stream() {
+            self.release();
+            return;
+        }
+        tokio::task::spawn_local(async move {
+            let reading = timeout(MAX_DISCARD_TIME, read_whole(body, MAX_DISCARDED_BYTES)).await;
+            if matches!(reading, Ok(Ok(_))) {
+                self.release();
+            }
+        });
+    }
+
     /// Returns the connection to the pool after a complete response, unless its peer is about to close it.
     pub fn release(self) {
         if !self.is_reusable {
