Limit the size of responses of the store and of other nodes

What was seen: a response without end at the store's address filled 713 MB of a node's memory in 1.5 s. Not seen by callers; found by looking for the cause of the health checks elsewhere.

Cause: store/client.rs and feed/query.rs collected a body whole, limited in time only.

Change: 32 MiB for a page of the store, 16 MiB for a response of the feed. A node makes at most one listing, two watches and a few queries at a time, so together they stay within the memory of a machine.

Test: a_response_of_the_store_without_end_is_not_kept failed before (713,318,400 bytes taken; 48 MiB allowed, buffers of the kernel included).

--- a/crates/sidecar/src/feed/query.rs
+++ b/crates/sidecar/src/feed/query.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use http_body_util::BodyExt;
 use hyper::{Request, StatusCode};
 use quillhatch_mesh::feed::{response_timeout, SourceStatus};
 use quillhatch_mesh::freshness::FreshnessProof;
@@ -18,11 +17,14 @@
 
 use super::codec::{decode_target, decode_update, encode_position, MalformedUpdate};
 use super::FEED_PATH;
-use crate::body::Body;
+use crate::body::{read_whole, Body};
 use crate::node::Node;
 use crate::pool::ExchangeError;
 use crate::store::{apply_update, on_targets_changed};
 
+/// The maximum size of a response, in bytes: a configuration of a megabyte and some ten thousand targets.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a query to another node has failed.
 #[derive(Debug, Display)]
 pub(super) enum QueryError {
@@ -126,8 +128,7 @@
     let exchange = async {
         let (response, lease) = node.peers.exchange(address, request).await.map_err(QueryError::Exchange)?;
         let status = response.status();
-        let body = response.into_body().collect().await;
-        let bytes = body.map_err(|_| QueryError::Undecodable)?.to_bytes();
+        let bytes = read_whole(response.into_body(), MAX_RESPONSE_BYTES).await.map_err(|_| QueryError::Undecodable)?;
         lease.release();
         if status != StatusCode::OK {
             return Err(QueryError::Status(status));
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -4,19 +4,21 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use http_body_util::BodyExt;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use quillhatch_platform::headers;
 use quillhatch_platform::store::{Page, PageError};
 use tokio::time::timeout;
 
-use crate::body::Body;
+use crate::body::{read_whole, Body};
 use crate::counters::Counters;
 use crate::headers::header_text;
 use crate::node::Node;
 use crate::pool::ExchangeError;
 
+/// The maximum size of a response of the store, in bytes: a watch may return several configurations of a megabyte each.
+const MAX_PAGE_BYTES: usize = 32 * 1024 * 1024;
+
 /// Why a call to the store has failed.
 #[derive(Debug, Display)]
 pub(super) enum StoreError {
@@ -74,9 +76,8 @@
         let status = response.status();
         let era =
             header_text(response.headers(), headers::STORE_ERA).and_then(|text| text.parse().ok()).unwrap_or_default();
-        let body = response.into_body().collect().await;
-        let bytes =
-            body.map_err(|error| StoreError::Exchange(ExchangeError::NoResponse(error.to_string())))?.to_bytes();
+        let body = read_whole(response.into_body(), MAX_PAGE_BYTES).await;
+        let bytes = body.map_err(|error| StoreError::Exchange(ExchangeError::NoResponse(error.to_string())))?;
         lease.release();
         if status != StatusCode::OK {
             return Err(StoreError::Status(status));
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -2,15 +2,18 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use quillhatch_sidecar::local_target::mark_unverified;
 use support::caller::{call, request, Caller};
 use support::limits::{document_with_timeout, pay, two_machines, HOST};
 use support::store::StandInStore;
-use support::target::{EndlessPart, EndlessResponse, TargetBehaviour};
-use support::{eventually, run, Machine};
+use support::target::{send_endless, EndlessPart, EndlessResponse, TargetBehaviour};
+use support::{eventually, run, start_sidecar, Machine};
 use test_case::test_case;
+use tokio::net::TcpListener;
 use tokio::time::{sleep, Instant};
 
 /// The timeout of all routes, in seconds.
@@ -23,6 +26,8 @@
 const FAST: Duration = Duration::ZERO;
 /// The maximum number of bytes that are taken of a message that nobody needs, including those in kernel buffers.
 const MAX_USELESS_BYTES: u64 = 16 * 1024 * 1024;
+/// The same of a response of the store, the longest of which are some megabytes long.
+const MAX_STORE_BYTES: u64 = 48 * 1024 * 1024;
 /// The length of a response that is read slowly.
 const SLOWLY_READ_BYTES: usize = 8_000_000;
 
@@ -89,3 +94,25 @@
         assert!(alpha.target.endless_bytes() < MAX_USELESS_BYTES, "{} bytes", alpha.target.endless_bytes());
     });
 }
+
+/// Guards against this failure: the node kept the whole response of the store in memory.
+#[test]
+fn a_response_of_the_store_without_end_is_not_kept() {
+    run(async {
+        let machine = support::unused_address();
+        let listener = TcpListener::bind((machine, 0)).await.expect("a free port");
+        let store = listener.local_addr().expect("an address");
+        let taken = Rc::new(Cell::new(0));
+        let sent = Rc::clone(&taken);
+        tokio::task::spawn_local(async move {
+            let response = EndlessResponse { part: EndlessPart::BodyUntilClose, pause: FAST };
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            send_endless(&mut stream, "", response, &sent).await;
+            std::future::pending::<()>().await;
+        });
+        let sidecar = start_sidecar(machine, "beta", (machine, 9).into(), store);
+        sleep(Duration::from_millis(1700)).await;
+        assert!(taken.get() < MAX_STORE_BYTES, "{} bytes", taken.get());
+        drop(sidecar);
+    });
+}
