Pass a refusal of the target on without waiting for its body

Callers saw: nothing until their deadline, 2.0 s in the test, although the target had said at once that it had not run the request; safe and unsafe requests alike could have been tried at another target.

Cause: the gate read the body of the refusal, up to 4 KiB and until the deadline, so that the connection could be reused, before it told the edge. The class: a decision that is known waits for a message to end that nobody needs.

Change: the connection is released beside the caller (ConnectionLease::release_after). The edge does the same with responses of a gate.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::balance::Choice;
@@ -209,38 +208,38 @@
             relay(node, call, response, lease).await
         }
         GateOutcome::Full => {
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::Full
         }
         GateOutcome::Closed if is_replaced => {
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::TargetReplaced
         }
         GateOutcome::Closed => {
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::NotRun("closed")
         }
         GateOutcome::Rejected => {
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::Rejected
         }
         GateOutcome::RateLimited => {
             let retry_after = retry_after(&response).unwrap_or_default();
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::RateLimited(retry_after)
         }
         GateOutcome::Quarantined => {
             let retry_after = retry_after(&response).unwrap_or(DEFAULT_QUARANTINE_DELAY);
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::Quarantined(retry_after)
         }
         GateOutcome::NoResponse => {
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::NoResponse("gate got no valid response from the target".to_owned())
         }
         GateOutcome::DeadlineExceeded => {
             node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, now.since(started), now);
-            discard_response(response, lease).await;
+            lease.release_after(response.into_body());
             Attempt::DeadlineExceeded
         }
     }
@@ -325,15 +324,6 @@
     }
 }
 
-/// Reads the rest of a gate's own response, which is discarded, and releases the connection. Such a response has no body,
-/// so nothing is waited for.
-async fn discard_response(response: Response<Incoming>, lease: ConnectionLease) {
-    let is_empty = response.body().is_end_stream();
-    if is_empty && response.into_body().collect().await.is_ok() {
-        lease.release();
-    }
-}
-
 /// Passes a target's response on without the header of the gate. A response that is not streamed must be complete by the
 /// deadline; one that is streamed is late from the timeout of its route on.
 async fn relay(node: &Rc<Node>, call: &Call, response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -25,7 +25,7 @@
 use quillhatch_platform::headers;
 use quillhatch_types::Timestamp;
 
-use crate::body::{read_up_to, Body, ReadBody};
+use crate::body::{read_up_to, Body};
 use crate::counters::Counters;
 use crate::feed::{self, FEED_PATH};
 use crate::headers::{header_text, remove_hop_by_hop_headers};
@@ -46,8 +46,6 @@
 
 /// The maximum size of a request body that is buffered before it is forwarded, in bytes.
 const MAX_BUFFERED_REQUEST_BYTES: usize = 64 * 1024;
-/// The maximum size of the body of a refusal that is read so that its connection can be reused, in bytes.
-const MAX_BUFFERED_REFUSAL_BYTES: usize = 4 * 1024;
 /// How long past the deadline the gate waits for a response that the target sends at the deadline.
 const DEADLINE_ALLOWANCE: Duration = Duration::from_millis(20);
 /// The minimum time until the deadline with which a call is forwarded to the target.
@@ -322,10 +320,7 @@
         if status != StatusCode::MISDIRECTED_REQUEST || responder.is_some() {
             record_response(node, responder.as_ref().unwrap_or(&call.expected), sent_at, response.headers());
         }
-        let discarded = read_up_to(response.into_body(), MAX_BUFFERED_REFUSAL_BYTES);
-        if let Ok(Ok(ReadBody::Complete(_))) = node.clock.timeout_at(call.deadline, discarded).await {
-            lease.release();
-        }
+        lease.release_after(response.into_body());
         return Err(Failure::new(GateOutcome::Rejected, format!("target refused the call with status {status}")));
     }
     record_response(node, &call.expected, sent_at, response.headers());
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -116,3 +116,20 @@
         drop(sidecar);
     });
 }
+
+/// Guards against this failure: a decision that was known waited for bytes that nobody needs until the deadline.
+#[test_case(FAST; "fast")]
+#[test_case(SLOW; "slow")]
+fn a_refusal_whose_body_has_no_end_is_passed_on_at_once(pause: Duration) {
+    run(async move {
+        let (store, alpha, beta) = two_machines().await;
+        set_timeout(&store, &[&alpha, &beta]).await;
+        let response = EndlessResponse { part: EndlessPart::RefusalBody, pause };
+        alpha.target.set_behaviour(TargetBehaviour::Endless(response));
+        let started = Instant::now();
+        let response = call(beta.outbound(), &pay("refused")).await.expect("a response");
+        assert_eq!(response.status, 503);
+        assert!(started.elapsed() < Duration::from_millis(400), "refused after {:?}", started.elapsed());
+        assert_eq!(alpha.node().gate.borrow().load().running, 0);
+    });
+}
