Give up a response that sends bytes without making progress

Callers saw: 504 at the timeout of their route, although another target of the service was idle, and the gate spent 4 s of processor time in 8 s, while a target sent interim responses, or zeros where the size of a chunk is due, without end.

Cause: hyper limits the size of a head, but neither the number of interim responses before it nor the digits of a chunk's size, and the wait for the response is limited in time only. The class: a limit in time is taken for one in bytes and work.

Change: a connection to a target, another node or the store ends when 512 KiB were read without the head of a response, a frame of its body or its end. That is more than hyper accepts for a head, so no response ends that did not before. The call has no valid response then, as after bytes that are no HTTP, and is retried elsewhere if it may be.

Test: a_call_whose_response_makes_no_progress_is_served_by_another_target; of its six forms chunk sizes and interim responses failed before (504 after 2 s); heads, fields, other bytes and empty lines passed, which hyper limits itself.

--- a/crates/sidecar/src/body.rs
+++ b/crates/sidecar/src/body.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
 use crate::caller_io::CallerIo;
 use crate::stream::StreamedBody;
@@ -116,13 +116,13 @@
 }
 
 /// A body of which the first bytes were already read.
-pub struct PartialBody {
+pub struct PartialBody<B> {
     start: Bytes,
-    rest: Incoming,
+    rest: B,
     exact: Option<u64>,
 }
 
-impl HttpBody for PartialBody {
+impl<B: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin> HttpBody for PartialBody<B> {
     type Data = Bytes;
     type Error = BodyError;
 
@@ -147,14 +147,14 @@
 }
 
 /// A body that was read up to a limit.
-pub enum ReadBody {
+pub enum ReadBody<B> {
     /// The whole body.
     Complete(Bytes),
     /// A body that exceeds the limit.
-    Partial(PartialBody),
+    Partial(PartialBody<B>),
 }
 
-impl ReadBody {
+impl<B: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin + 'static> ReadBody<B> {
     /// Converts it to an outgoing body.
     pub fn into_body(self) -> Body {
         match self {
@@ -170,7 +170,10 @@
 /// # Errors
 ///
 /// Returns an error if the body ends early.
-pub async fn read_up_to(mut incoming: Incoming, limit: usize) -> Result<ReadBody, BodyError> {
+pub async fn read_up_to<B>(mut incoming: B, limit: usize) -> Result<ReadBody<B>, BodyError>
+where
+    B: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let exact = incoming.size_hint().exact();
     if exact.is_some_and(|length| length > limit as u64) {
         return Ok(ReadBody::Partial(PartialBody { start: Bytes::new(), rest: incoming, exact }));
@@ -198,7 +201,10 @@
 /// # Errors
 ///
 /// Returns an error if the body ends early or has more than `limit` bytes.
-pub async fn read_whole(incoming: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_whole<B>(incoming: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: HttpBody<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     match read_up_to(incoming, limit).await? {
         ReadBody::Complete(bytes) => Ok(bytes),
         ReadBody::Partial(_) => Err(format!("the body is longer than {limit} bytes").into()),
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::balance::Choice;
@@ -23,6 +22,7 @@
 use crate::hop::{GateOutcome, HopContext, HopReport, HOP_HEADER};
 use crate::liveness;
 use crate::node::Node;
+use crate::peer_io::PeerBody;
 use crate::pool::{ConnectionLease, ExchangeError, SentFlag};
 use crate::relay::relay_response;
 use crate::store_view;
@@ -246,7 +246,7 @@
 }
 
 /// The delay in a gate's `Retry-After` header, in seconds with fractions.
-fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+fn retry_after(response: &Response<PeerBody>) -> Option<Duration> {
     let seconds = header_text(response.headers(), RETRY_AFTER.as_str())?.parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
 }
@@ -254,7 +254,7 @@
 /// How the exchange with the target's node ended.
 enum Exchanged {
     /// The head of a response has arrived.
-    Response(Box<Response<Incoming>>, ConnectionLease),
+    Response(Box<Response<PeerBody>>, ConnectionLease),
     /// The connection failed.
     Failed(ExchangeError),
     /// The call's deadline has passed.
@@ -265,8 +265,8 @@
     Abandoned,
 }
 
-impl From<Result<(Response<Incoming>, ConnectionLease), ExchangeError>> for Exchanged {
-    fn from(result: Result<(Response<Incoming>, ConnectionLease), ExchangeError>) -> Self {
+impl From<Result<(Response<PeerBody>, ConnectionLease), ExchangeError>> for Exchanged {
+    fn from(result: Result<(Response<PeerBody>, ConnectionLease), ExchangeError>) -> Self {
         match result {
             Ok((response, lease)) => Exchanged::Response(Box::new(response), lease),
             Err(error) => Exchanged::Failed(error),
@@ -294,7 +294,7 @@
     call: &Call,
     target: &Target,
     started: Timestamp,
-    exchange: impl Future<Output = Result<(Response<Incoming>, ConnectionLease), ExchangeError>>,
+    exchange: impl Future<Output = Result<(Response<PeerBody>, ConnectionLease), ExchangeError>>,
     may_abandon: impl FnOnce() -> bool,
 ) -> Exchanged {
     let mut exchange = pin!(exchange);
@@ -326,7 +326,7 @@
 
 /// Passes a target's response on without the header of the gate. A response that is not streamed must be complete by the
 /// deadline; one that is streamed is late from the timeout of its route on.
-async fn relay(node: &Rc<Node>, call: &Call, response: Response<Incoming>, lease: ConnectionLease) -> Attempt {
+async fn relay(node: &Rc<Node>, call: &Call, response: Response<PeerBody>, lease: ConnectionLease) -> Attempt {
     let late_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
     // Its source is a gate, which limits what comes from the target.
     let times = StreamTimes { late_at, work_ends_at: None };
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -169,7 +169,7 @@
 }
 
 /// Reads the body of a request, up to the size that is buffered.
-async fn read_body(node: &Node, incoming: Incoming, deadline: Timestamp) -> Result<ReadBody, BodyFailure> {
+async fn read_body(node: &Node, incoming: Incoming, deadline: Timestamp) -> Result<ReadBody<Incoming>, BodyFailure> {
     let reading = read_up_to(incoming, MAX_BUFFERED_REQUEST_BYTES);
     let read = node.clock.timeout_at(deadline, reading).await.map_err(|_| BodyFailure::TimedOut)?;
     read.map_err(|_| BodyFailure::BrokenOff)
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod peer_io;
 pub mod pipeline;
 pub mod pool;
 pub mod quarantine;
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -5,20 +5,18 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
-use hyper::rt::ReadBufCursor;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::configuration::CallerLimits;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -41,61 +39,6 @@
 /// The minimum time for which a connection that this node closes stays open for its peer to close it too.
 const MIN_LINGER: Duration = Duration::from_millis(500);
 
-/// Adapts a Tokio TCP stream to hyper's I/O traits.
-pub struct TokioIo(TcpStream);
-
-impl TokioIo {
-    /// Wraps a TCP stream.
-    pub fn new(stream: TcpStream) -> Self {
-        TokioIo(stream)
-    }
-}
-
-impl hyper::rt::Read for TokioIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        mut cursor: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let mut storage = [0_u8; 8192];
-        let length = cursor.remaining().min(storage.len());
-        let mut buffer = ReadBuf::new(&mut storage[..length]);
-        match Pin::new(&mut self.0).poll_read(context, &mut buffer) {
-            Poll::Ready(Ok(())) => {
-                cursor.put_slice(buffer.filled());
-                Poll::Ready(Ok(()))
-            }
-            other => other,
-        }
-    }
-}
-
-impl hyper::rt::Write for TokioIo {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(context, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(context, slices)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
-    }
-}
-
 /// How a listener serves its connections.
 #[derive(Clone)]
 pub struct ConnectionConfig {
--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, CONNECTION};
 use hyper::{Request, Response};
@@ -20,7 +20,7 @@
 
 use crate::body::{read_whole, Body};
 use crate::clock::Clock;
-use crate::listener::TokioIo;
+use crate::peer_io::{PeerBody, PeerIo, ProgressLimit};
 
 /// The fraction of the timeout in a peer's `Keep-Alive` header after which an idle connection is closed.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
@@ -87,6 +87,7 @@
     address: SocketAddr,
     sender: SendRequest<Body>,
     task: ConnectionTask,
+    limit: ProgressLimit,
     idle_timeout: Duration,
     is_reusable: bool,
     sent_at: Timestamp,
@@ -100,7 +101,7 @@
 
     /// Returns the connection to the pool once the body of its response, which nobody needs, has been read. Does not wait
     /// for that. The connection is closed if the body is long or slow.
-    pub fn release_after(self, body: Incoming) {
+    pub fn release_after(self, body: PeerBody) {
         if body.is_end_stream() {
             self.release();
             return;
@@ -119,7 +120,7 @@
             return;
         }
         let expires = self.pool.clock.now() + self.idle_timeout;
-        let idle = IdleConnection { sender: self.sender, task: self.task, expires };
+        let idle = IdleConnection { sender: self.sender, task: self.task, limit: self.limit, expires };
         self.pool.idle.borrow_mut().entry(self.address).or_default().push(idle);
     }
 }
@@ -127,6 +128,7 @@
 struct IdleConnection {
     sender: SendRequest<Body>,
     task: ConnectionTask,
+    limit: ProgressLimit,
     expires: Timestamp,
 }
 
@@ -152,7 +154,7 @@
         self: &Rc<Self>,
         address: SocketAddr,
         request: Request<Body>,
-    ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
+    ) -> Result<(Response<PeerBody>, ConnectionLease), ExchangeError> {
         self.exchange_tracking_sent(address, request, &SentFlag::default()).await
     }
 
@@ -166,15 +168,15 @@
         address: SocketAddr,
         request: Request<Body>,
         sent: &SentFlag,
-    ) -> Result<(Response<Incoming>, ConnectionLease), ExchangeError> {
+    ) -> Result<(Response<PeerBody>, ConnectionLease), ExchangeError> {
         let mut request = request;
         loop {
             sent.0.set(false);
-            let (mut sender, task, is_reused) = match self.take_idle(address) {
-                Some(idle) => (idle.sender, idle.task, true),
+            let (mut sender, task, limit, is_reused) = match self.take_idle(address) {
+                Some(idle) => (idle.sender, idle.task, idle.limit, true),
                 None => {
-                    let (sender, task) = self.connect(address).await?;
-                    (sender, task, false)
+                    let (sender, task, limit) = self.connect(address).await?;
+                    (sender, task, limit, false)
                 }
             };
             if let Err(error) = sender.ready().await {
@@ -184,13 +186,17 @@
                 return Err(ExchangeError::NotSent(error.to_string()));
             }
             sent.0.set(true);
+            limit.reset();
             let sent_at = self.clock.now();
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     let idle_timeout = self.idle_timeout_for(response.headers());
                     let is_reusable = !closes_connection(response.headers());
+                    limit.reset();
+                    let response = response.map(|incoming| PeerBody::new(incoming, limit.clone()));
                     let pool = Rc::clone(self);
-                    let lease = ConnectionLease { pool, address, sender, task, idle_timeout, is_reusable, sent_at };
+                    let lease =
+                        ConnectionLease { pool, address, sender, task, limit, idle_timeout, is_reusable, sent_at };
                     return Ok((response, lease));
                 }
                 Err(mut error) => match error.take_message() {
@@ -214,7 +220,11 @@
         None
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<(SendRequest<Body>, ConnectionTask), ExchangeError> {
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Result<(SendRequest<Body>, ConnectionTask, ProgressLimit), ExchangeError> {
+        let limit = ProgressLimit::default();
         let not_sent = |reason: String| ExchangeError::NotSent(reason);
         let connecting = timeout(self.config.connect_timeout, TcpStream::connect(address)).await;
         let stream = connecting.map_err(|_| not_sent("timed out".to_owned()))?.map_err(|error| match error.kind() {
@@ -232,12 +242,12 @@
                 .set_tcp_keepalive(&TcpKeepalive::new().with_time(interval).with_interval(interval).with_retries(2));
         }
         let (sender, connection) =
-            handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(error.to_string()))?;
+            handshake(PeerIo::new(stream, limit.clone())).await.map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::task::spawn_local(async move {
             // An error of the connection is returned to the exchange that waits for a response on it.
             let _ = connection.await;
         });
-        Ok((sender, ConnectionTask(driver.abort_handle())))
+        Ok((sender, ConnectionTask(driver.abort_handle()), limit))
     }
 
     fn idle_timeout_for(&self, headers: &HeaderMap) -> Duration {
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -1,12 +1,12 @@
 //! Relays responses: short ones are buffered whole, long ones are streamed.
 
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::Response;
 
 use crate::body::{read_up_to, Body, ReadBody};
 use crate::gate::Slot;
 use crate::headers::remove_hop_by_hop_headers;
+use crate::peer_io::PeerBody;
 use crate::pool::ConnectionLease;
 use crate::stream::{RelayedCall, StreamedBody};
 
@@ -21,7 +21,7 @@
 ///
 /// Returns why a short response ended early.
 pub async fn relay_response(
-    response: Response<Incoming>,
+    response: Response<PeerBody>,
     lease: ConnectionLease,
     slot: Option<Slot>,
     call: RelayedCall,
--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -22,6 +22,7 @@
 use crate::counters::Counters;
 use crate::gate::Slot;
 use crate::node::Node;
+use crate::peer_io::PeerBody;
 use crate::pool::ConnectionLease;
 
 /// The interval at which a stream is checked once it may be aborted.
@@ -68,7 +69,7 @@
 
 /// The connection to the source of a response that has not ended, with what it holds until then.
 struct OpenSource {
-    body: Pin<Box<PartialBody>>,
+    body: Pin<Box<PartialBody<PeerBody>>>,
     remaining: Option<u64>,
     lease: ConnectionLease,
     slot: Option<Slot>,
@@ -330,7 +331,7 @@
 
 impl StreamedBody {
     /// Relays `body`, which arrives on the connection `lease` while `slot` is held.
-    pub fn new(body: PartialBody, lease: ConnectionLease, slot: Option<Slot>, call: RelayedCall) -> Self {
+    pub fn new(body: PartialBody<PeerBody>, lease: ConnectionLease, slot: Option<Slot>, call: RelayedCall) -> Self {
         let length = body.size_hint();
         let source = OpenSource { body: Box::pin(body), remaining: length.exact(), lease, slot };
         let state = Rc::new(StreamState {
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -8,7 +8,7 @@
 
 use quillhatch_sidecar::local_target::mark_unverified;
 use support::caller::{call, request, Caller};
-use support::limits::{document_with_timeout, pay, two_machines, HOST};
+use support::limits::{document_with_timeout, pay, read, two_machines, HOST};
 use support::store::StandInStore;
 use support::target::{send_endless, EndlessPart, EndlessResponse, TargetBehaviour};
 use support::{eventually, run, start_sidecar, Machine};
@@ -133,3 +133,36 @@
         assert_eq!(alpha.node().gate.borrow().load().running, 0);
     });
 }
+
+/// Guards against this failure: the node read on until the deadline, and its caller got an error although another target
+/// was idle.
+#[test_case(EndlessPart::ChunkSize)]
+#[test_case(EndlessPart::InterimResponses)]
+#[test_case(EndlessPart::Head)]
+#[test_case(EndlessPart::Field)]
+#[test_case(EndlessPart::Garbage)]
+#[test_case(EndlessPart::EmptyLines)]
+fn a_call_whose_response_makes_no_progress_is_served_by_another_target(part: EndlessPart) {
+    run(async move {
+        let (store, alpha, beta) = two_machines().await;
+        let sound = Machine::start(&store, "alpha", 4).await;
+        set_timeout(&store, &[&alpha, &beta, &sound]).await;
+        eventually("all are listed", || beta.node().targets.borrow().len() == 3).await;
+        for number in 0..40 {
+            let response = call(beta.outbound(), &read(&format!("before-{number}"))).await.expect("a response");
+            assert_eq!(response.status, 200);
+        }
+        alpha.target.set_behaviour(TargetBehaviour::Endless(EndlessResponse { part, pause: FAST }));
+        let before = alpha.target.received_count();
+        for number in 0.. {
+            let started = Instant::now();
+            let response = call(beta.outbound(), &read(&format!("during-{number}"))).await.expect("a response");
+            assert_eq!(response.status, 200, "call {number}");
+            assert!(started.elapsed() < TIMEOUT / 2, "call {number} was served after {:?}", started.elapsed());
+            if alpha.target.received_count() >= before + 2 {
+                break;
+            }
+        }
+        assert!(alpha.target.endless_bytes() < MAX_USELESS_BYTES, "{} bytes", alpha.target.endless_bytes());
+    });
+}
