Limit the time in which the body of a feed query arrives

What was seen: a connection from another node that sends the head of a query and then falls silent was held for good; the idle timeout doesn't apply to a request in progress. Found by listing what bounds each wait of a sidecar.

Cause: the body was limited in bytes and not in time.

Change: 2 s, then 400.

Test: a_feed_query_whose_body_falls_silent_is_refused failed before (no response after 3 s).

--- a/crates/sidecar/src/feed/serve.rs
+++ b/crates/sidecar/src/feed/serve.rs
@@ -15,13 +15,15 @@
 use tokio::time::timeout;
 
 use super::codec::{decode_position, encode_retained, encode_update};
-use crate::body::{read_up_to, Body, ReadBody};
+use crate::body::{read_whole, Body};
 use crate::local_target;
 use crate::node::Node;
 use crate::store_view::own_store_view;
 
 /// The maximum size of a query, in bytes.
 const MAX_QUERY_BYTES: usize = 1024;
+/// How long the body of a query may take to arrive.
+const QUERY_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The update that was encoded last. It is cached because most nodes that query one parent are at the same position.
 #[derive(Default)]
@@ -49,7 +51,7 @@
 }
 
 async fn read_query(body: Option<Incoming>) -> Option<wire::ReplicaQuestion> {
-    let Ok(ReadBody::Complete(bytes)) = read_up_to(body?, MAX_QUERY_BYTES).await else { return None };
+    let bytes = timeout(QUERY_READ_TIMEOUT, read_whole(body?, MAX_QUERY_BYTES)).await.ok()?.ok()?;
     decode(&bytes).ok()
 }
 
--- a/crates/sidecar/tests/stalled_responses.rs
+++ b/crates/sidecar/tests/stalled_responses.rs
@@ -10,6 +10,7 @@
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::{InheritedContext, ALL_ADMITTED_PERMILLE};
 use quillhatch_mesh::target_limit::KnownLimit;
+use quillhatch_sidecar::feed::FEED_PATH;
 use quillhatch_sidecar::hop::{GateOutcome, HopContext, HopReport, HOP_HEADER};
 use quillhatch_sidecar::liveness::LIVENESS_PATH;
 use quillhatch_sidecar::store_view::own_store_view;
@@ -166,3 +167,15 @@
         assert_eq!(alpha.target.received_count(), 0);
     });
 }
+
+/// Guards against this failure: a query of another node whose body never came held its connection for good.
+#[test]
+fn a_feed_query_whose_body_falls_silent_is_refused() {
+    run(async {
+        let (_store, alpha, _beta) = two_machines().await;
+        let mut silent = Caller::connect(alpha.inbound()).await;
+        silent.send(&format!("POST {FEED_PATH} HTTP/1.1\r\nHost: node\r\nContent-Length: 100\r\n\r\n")).await;
+        let response = silent.next_response_within(Duration::from_secs(3)).await.expect("a response");
+        assert_eq!(response.status, 400);
+    });
+}
