Count the header timeout from the first byte of a request

What was seen: a caller that sends one byte of a head now and then held its connection for good, and 1,950 of them all connections of a node.

Cause: the timeout was counted from the last byte that arrived. The class is that of the endless responses: a limit on silence is taken for one on not ending.

Change: it counts from the first byte of the request, or from the end of the response before it.

Not covered: after a request with a body hyper reads without this look at its bytes, so a head that drips behind such a request is held as long as it drips, as before.

Test: a_request_head_that_arrives_byte_by_byte_is_a_408 failed before (no response after 6.5 s). The other tests of connections pass.

--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -44,6 +44,8 @@
     read_ahead: RefCell<Vec<u8>>,
     closed: Cell<bool>,
     last_read: Cell<Instant>,
+    /// When the first byte of the request arrived that has not been found completely.
+    partial_since: Cell<Instant>,
     last_write: Cell<Instant>,
     /// Since when bytes that hyper has to write wait for the socket, if they do.
     write_blocked_since: Cell<Option<Instant>>,
@@ -70,6 +72,7 @@
             read_ahead: RefCell::default(),
             closed: Cell::new(false),
             last_read: Cell::new(Instant::now()),
+            partial_since: Cell::new(Instant::now()),
             last_write: Cell::new(Instant::now()),
             write_blocked_since: Cell::new(None),
             write_blocked_before: Cell::default(),
@@ -156,6 +159,12 @@
         !split.is_off && self.0.read_ahead.borrow().len() > split.found
     }
 
+    /// How long the rest of a request that has arrived in part has been missing, not counting the time of the response
+    /// before it.
+    pub fn partial_for(&self) -> Duration {
+        self.0.partial_since.get().max(self.0.last_write.get()).elapsed()
+    }
+
     /// Writes bytes if the connection accepts them without waiting. hyper must have nothing to write
     /// ([`CallerIo::has_written_all`]) and no response in progress.
     pub fn try_write_response(&self, bytes: &[u8]) {
@@ -201,6 +210,9 @@
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
                     shared.last_read.set(Instant::now());
+                    if !self.has_partial_request() {
+                        shared.partial_since.set(Instant::now());
+                    }
                     shared.read_ahead.borrow_mut().extend_from_slice(buffer.filled());
                 }
                 Poll::Ready(_) => shared.closed.set(true),
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -180,7 +180,7 @@
                     break;
                 }
                 let is_idle = active.get() == 0 && watched.has_written_all();
-                if is_idle && watched.has_partial_request() && idle_for > limits.header_timeout {
+                if is_idle && watched.has_partial_request() && watched.partial_for() > limits.header_timeout {
                     watched.try_write_response(REQUEST_TIMEOUT);
                     break;
                 }
--- a/crates/sidecar/tests/connections.rs
+++ b/crates/sidecar/tests/connections.rs
@@ -93,6 +93,22 @@
     });
 }
 
+/// Guards against this failure: a caller that sent one byte now and then held its connection for good.
+#[test]
+fn a_request_head_that_arrives_byte_by_byte_is_a_408() {
+    run(async {
+        let (_store, _alpha, beta) = two_machines().await;
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send("GET /read/x HTTP/1.1\r\nHost: ").await;
+        for _ in 0..12 {
+            sleep(Duration::from_millis(500)).await;
+            caller.send("x").await;
+        }
+        let response = caller.next_response_within(Duration::from_millis(500)).await.expect("a response");
+        assert_eq!((response.status, response.header("connection")), (408, "close"));
+    });
+}
+
 #[test]
 fn an_idle_connection_is_kept_for_the_configured_time() {
     run(async {
