Stop the timer of a stream that was aborted at the end of its source's work

Cause: the timer of the stream went on to the limits of late streams after it had aborted the response.

No test of its own: the line is not observable for callers.

--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -211,7 +211,7 @@
         if times.work_ends_at.is_some() {
             self.end_work().await;
         }
-        loop {
+        while !matches!(*self.end.borrow(), Some(StreamEnd::Aborted(_))) {
             if node.now() >= times.late_at {
                 self.monitor.borrow_mut().became_late();
             }
