--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -29,7 +29,7 @@
     }
 
     fn operands(&self) -> &'static str {
-        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages] [--slow-calls]"
+        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages] [--slow-calls] [--endless]"
     }
 
     fn declare(&self, options: &mut Options) {
@@ -45,6 +45,7 @@
         options.optopt("", "folder", "where settings and logs are kept (default the system's folder for such)", "DIR");
         options.optflag("", "calm", "only planned work, no faults");
         options.optflag("", "slow-calls", "nested calls and reads of responses are slow while processes stop");
+        options.optflag("", "endless", "also targets that send bytes without end");
         options.optflag("", "outages", "also long outages of the store, in which targets restart under their ids");
     }
 
@@ -73,6 +74,7 @@
             has_faults,
             has_outages,
             has_slow_calls,
+            has_endless_responses: arguments.has("endless"),
         };
         let report = run(&options)?;
         print(&report);
@@ -120,6 +122,9 @@
     let record = &report.record;
     let (calls, nested_calls, runs) = (record.calls.len(), record.nested_calls.len(), record.runs.len());
     println!("{calls} calls, {nested_calls} calls of targets, {runs} runs at targets");
+    if let Some((machine, bytes)) = record.peak_memory.iter().max_by_key(|(_, bytes)| *bytes) {
+        println!("peak memory of a process: {} MiB at machine {machine}", bytes / 1024 / 1024);
+    }
     for (end, count) in ends {
         println!("  {count:>7} {end}");
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -87,6 +87,12 @@
     /// In fault-free periods a draining or deregistered target receives no new requests after the bound.
     #[display("drained")]
     Drained,
+    /// A call gets its final answer soon after the timeout of its route.
+    #[display("final-answer")]
+    FinalAnswer,
+    /// A process stays within the memory of its machine.
+    #[display("memory")]
+    Memory,
     /// In fault-free periods nearly all calls are served.
     #[display("served")]
     Served,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,11 +7,13 @@
 //! targets observed, never against the product's own counters.
 //!
 //! Rounds of faults alternate with fault-free rounds of planned work. In addition,
-//! long outages of the store ([`outages`]) or slow calls ([`slow_calls`]) may be played. Some guarantees hold at any time
+//! long outages of the store ([`outages`]), slow calls ([`slow_calls`]) or targets that send without end ([`endless`]) may
+//! be played. Some guarantees hold at any time
 //! ([`checks::check_always`]); those with a time bound hold only without recent faults ([`checks::check_fault_free`]).
 
 pub mod checks;
 mod crashes;
+pub mod endless;
 pub mod faults;
 pub mod layout;
 pub mod links;
--- a/crates/soak/src/machine.rs
+++ b/crates/soak/src/machine.rs
@@ -142,6 +142,15 @@
         let _ = kill_process(pid, signal);
     }
 
+    /// The peak of the memory of its process so far, in bytes, if it is running.
+    pub fn peak_memory(&self) -> Option<u64> {
+        let process = self.process.borrow();
+        let status = std::fs::read_to_string(format!("/proc/{}/status", process.as_ref()?.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kibibytes: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kibibytes * 1024)
+    }
+
     /// The times at which its process was restarted.
     pub fn restarts(&self) -> Vec<Instant> {
         self.starts.borrow().iter().skip(1).copied().collect()
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use quillhatch_platform_standins::accept::next_connection;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,6 +18,9 @@
 /// The interval at which held bytes check whether they may be forwarded.
 const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The size of a link's buffers, in bytes. What a link holds is lost when either side resets the connection.
+const WINDOW_BYTES: usize = 128 * 1024;
+
 /// How a link handles the bytes that pass it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LinkState {
@@ -71,15 +75,19 @@
             let _ = near.set_zero_linger();
             return;
         };
-        let _ = near.set_nodelay(true);
-        let _ = far.set_nodelay(true);
+        for stream in [&near, &far] {
+            let _ = stream.set_nodelay(true);
+            let socket = SockRef::from(stream);
+            let _ = socket.set_recv_buffer_size(WINDOW_BYTES);
+            let _ = socket.set_send_buffer_size(WINDOW_BYTES);
+        }
         let was_reset = {
             let (near_read, near_write) = near.split();
             let (far_read, far_write) = far.split();
             let requests = self.copy(near_read, far_write, |state| state.holds_requests);
             let responses = self.copy(far_read, near_write, |state| state.holds_responses);
             tokio::select! {
-                _ = async { tokio::join!(requests, responses) } => false,
+                copied = async { tokio::try_join!(requests, responses) } => copied.is_err(),
                 () = self.reset.notified() => true,
             }
         };
@@ -89,19 +97,25 @@
         }
     }
 
-    /// Copies bytes in one direction until the sender closes its side.
-    async fn copy(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, holds: impl Fn(LinkState) -> bool) {
+    /// Copies bytes in one direction until the sender closes its side. Fails if either side was reset.
+    async fn copy(
+        &self,
+        mut from: ReadHalf<'_>,
+        mut to: WriteHalf<'_>,
+        holds: impl Fn(LinkState) -> bool,
+    ) -> io::Result<()> {
         let mut buf = vec![0; 16 * 1024];
-        while let Ok(count @ 1..) = from.read(&mut buf).await {
+        loop {
+            let count = from.read(&mut buf).await?;
+            if count == 0 {
+                return to.shutdown().await;
+            }
             sleep_unless_zero(self.state.get().delay).await;
             while holds(self.state.get()) {
                 sleep(HOLD_POLL_INTERVAL).await;
             }
-            if to.write_all(&buf[..count]).await.is_err() {
-                return;
-            }
+            to.write_all(&buf[..count]).await?;
         }
-        let _ = to.shutdown().await;
     }
 }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -145,6 +145,10 @@
     pub runs: Vec<RunRecord>,
     /// The injected faults.
     pub fault_spans: Vec<FaultSpan>,
+    /// When targets sent without end.
+    pub endless_spans: Vec<FaultSpan>,
+    /// The peak of the memory of each process, with the number of its machine, in bytes.
+    pub peak_memory: Vec<(usize, u64)>,
     /// Configurations, in the order in which they were written.
     pub configs: Vec<ConfigWrite>,
     /// Drains and deregistrations of targets.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::checks::{self, Violation};
+use crate::endless;
 use crate::faults::{inject, FaultKind};
 use crate::layout::{document, MachineAddrs, SoakNet, SERVICES};
 use crate::links::LinkProcess;
@@ -52,6 +53,10 @@
 const ANNOUNCEMENT_SCHEDULE_SEED: u64 = 0x5a1d;
 /// Combined with the soak's seed for the schedule of outages.
 const OUTAGE_SCHEDULE_SEED: u64 = 0x0fa1;
+/// Combined with the soak's seed for the schedule of targets that send without end.
+const ENDLESS_SCHEDULE_SEED: u64 = 0xe4d1;
+/// The interval at which the memory of the processes is read.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(500);
 /// The timeout of all routes in seconds.
 const TIMEOUT_S: u32 = 2;
 /// The time for the last calls to finish.
@@ -81,6 +86,8 @@
     pub has_outages: bool,
     /// Whether targets make several slow calls in a row and callers read large responses slowly, while processes stop.
     pub has_slow_calls: bool,
+    /// Whether targets send bytes without end.
+    pub has_endless_responses: bool,
 }
 
 /// The result of a soak.
@@ -137,6 +144,12 @@
         let outages = play_outages(run.machines.clone(), Rc::clone(&run.record), schedule, end);
         schedules.push(spawn_local(outages));
     }
+    if options.has_endless_responses {
+        let schedule = Pcg64::seed_from_u64(options.seed ^ ENDLESS_SCHEDULE_SEED);
+        let faults = endless::play_endless(run.machines.clone(), Rc::clone(&run.record), schedule, end);
+        schedules.push(spawn_local(faults));
+        schedules.push(spawn_local(watch_memory(run.machines.clone(), Rc::clone(&run.record), end)));
+    }
     while Instant::now() < end {
         if options.has_faults {
             run.fault_round().await;
@@ -152,7 +165,7 @@
         schedule.await.map_err(io::Error::other)?;
     }
     sleep(LAST_CALLS_TIMEOUT).await;
-    Ok(run.report())
+    Ok(run.report(options.has_endless_responses))
 }
 
 impl SoakRun {
@@ -202,11 +215,19 @@
         let others: Vec<&'static str> = SERVICES.into_iter().filter(|service| Some(*service) != current).collect();
         let moving = others[self.random.gen_range(0..others.len())];
         let number = self.record.borrow().configs.len();
-        let timeout_s = if self.has_slow_calls { slow_calls::TIMEOUT_S } else { TIMEOUT_S };
-        self.store.write_configuration(&document(self.version, number, moving, timeout_s));
+        self.store.write_configuration(&document(self.version, number, moving, self.timeout_s()));
         self.record.borrow_mut().configs.push(ConfigWrite { moving, acked: Instant::now() });
     }
 
+    /// The timeout of all routes in seconds.
+    fn timeout_s(&self) -> u32 {
+        if self.has_slow_calls {
+            slow_calls::TIMEOUT_S
+        } else {
+            TIMEOUT_S
+        }
+    }
+
     async fn wait_until_ready(&self) -> io::Result<()> {
         let started = Instant::now();
         for machine in &self.machines {
@@ -294,7 +315,7 @@
         }
     }
 
-    fn report(self) -> SoakReport {
+    fn report(self, has_endless_responses: bool) -> SoakReport {
         self.collect_requests();
         let mut record = self.record.borrow().clone();
         for machine in &self.machines {
@@ -302,11 +323,27 @@
             record.restarts.extend(machine.restarts().into_iter().map(|at| ProcessRestart { machine: number, at }));
             record.running_peaks.extend(machine.target.running_peak().map(|peak| (number, peak)));
         }
-        let violations = checks::check_all(&record);
+        let mut violations = checks::check_all(&record);
+        if has_endless_responses {
+            let timeout = Duration::from_secs(u64::from(self.timeout_s()));
+            violations.extend(endless::check(&record, timeout));
+        }
         SoakReport { record, faults: self.faults, violations }
     }
 }
 
+/// Records the peak of the memory of each process until `end`.
+async fn watch_memory(machines: Vec<Rc<SoakMachine>>, record: Rc<RefCell<SoakRecord>>, end: Instant) {
+    let mut peaks = vec![0; machines.len()];
+    while Instant::now() < end {
+        for (machine, peak) in machines.iter().zip(&mut peaks) {
+            *peak = machine.peak_memory().unwrap_or(0).max(*peak);
+        }
+        sleep(MEMORY_INTERVAL).await;
+    }
+    record.borrow_mut().peak_memory = peaks.into_iter().enumerate().collect();
+}
+
 fn run_record(machine: usize, request: ReceivedRequest) -> RunRecord {
     let id = request.id().to_owned();
     let caller_service = request.caller_service().to_owned();
