Give a target that left a response unfinished one call at a time

Callers saw: fewer calls served than the other targets of a service could serve, while one target sent bodies without end. Each response ends at its deadline now, but the gate sent the target as many new ones as it has slots.

Cause: a gate counted a response for good when its head was, and a target that makes no answer had only the balancer against it, which knows the rate of good responses a second or two late.

Change: from the first response that its target doesn't finish in time (a stream that is aborted for its source, a short body that doesn't end by the deadline), a gate admits one call at a time until one completes; it refuses the others as not run, so that edges try another target at once, without a retry. Log line target-suspect.

The stand-in ends the work of an endless response at its deadline: bytes after it use no slot.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -42,7 +42,7 @@
 pub enum GateRefusal {
     /// Too many calls wait, or the call may not wait longer.
     Overloaded,
-    /// The target is draining, or this node stops.
+    /// The target is draining or has to complete a response first, or this node stops.
     Closed,
 }
 
@@ -63,6 +63,8 @@
     slots: Option<u32>,
     fallback_slots: u32,
     closed: bool,
+    /// Whether the target has left a response unfinished, and has completed none since.
+    is_suspect: bool,
     running: u32,
     queue: WaitingQueue,
 }
@@ -70,7 +72,14 @@
 impl Gate {
     /// A gate that assumes `fallback_slots` until the target has announced its number of slots.
     pub fn new(fallback_slots: u32) -> Self {
-        Gate { slots: None, fallback_slots, closed: false, running: 0, queue: WaitingQueue::default() }
+        Gate {
+            slots: None,
+            fallback_slots,
+            closed: false,
+            is_suspect: false,
+            running: 0,
+            queue: WaitingQueue::default(),
+        }
     }
 
     /// Sets the number of slots that the target announced.
@@ -97,10 +106,26 @@
         self.closed
     }
 
+    /// Records that the target did not finish a response in time. Until it completes one, it gets one call at a time: it may
+    /// have as many slots as all calls of its service need. Returns whether it had completed one before.
+    pub fn response_unfinished(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_suspect, true)
+    }
+
+    /// Records a complete response of the target. Returns whether it had left one unfinished before.
+    pub fn response_completed(&mut self) -> bool {
+        std::mem::take(&mut self.is_suspect)
+    }
+
+    /// Returns whether calls are refused because the target has to complete one first.
+    pub fn is_suspended(&self) -> bool {
+        self.is_suspect && self.running > 0
+    }
+
     /// Decides on a call that may wait for at most `max_wait`. The second value is a waiting call that ranks behind it
     /// and is refused instead.
     pub fn admit(&mut self, rank: Rank, max_wait: Duration, now: Timestamp) -> (GateDecision, Option<QueueTicket>) {
-        if self.closed {
+        if self.closed || self.is_suspended() {
             return (GateDecision::Refused(GateRefusal::Closed), None);
         }
         if self.running < self.limit() && self.queue.is_empty() {
@@ -164,9 +189,9 @@
         self.closed = false;
     }
 
-    /// If the gate is closed, removes a waiting call, to be refused; call again until it returns `None`.
+    /// If the gate accepts no calls, removes a waiting call, to be refused; call again until it returns `None`.
     pub fn pop_refused(&mut self) -> Option<QueueTicket> {
-        if self.closed {
+        if self.closed || self.is_suspended() {
             return self.queue.pop();
         }
         None
--- a/crates/mesh/tests/decisions/gate.rs
+++ b/crates/mesh/tests/decisions/gate.rs
@@ -111,3 +111,24 @@
     gate.set_slots(slots);
     assert_eq!(gate.limit(), limit);
 }
+
+/// Guards against this failure: a target that finishes no response got as many calls as it has slots, again and again.
+#[test]
+fn a_target_with_an_unfinished_response_gets_one_call_at_a_time_until_it_completes_one() {
+    let mut gate = Gate::new(4);
+    for _ in 0..2 {
+        assert_eq!(gate.admit(ROOT, MAX_WAIT, Timestamp::ZERO).0, GateDecision::Runs);
+    }
+    assert!(gate.response_unfinished());
+    gate.release_slot();
+    assert_eq!(gate.admit(ROOT, MAX_WAIT, Timestamp::ZERO).0, GateDecision::Refused(GateRefusal::Closed));
+    gate.release_slot();
+    assert_eq!(gate.admit(ROOT, MAX_WAIT, Timestamp::ZERO).0, GateDecision::Runs);
+    assert!(!gate.response_unfinished(), "it was known");
+    assert_eq!(gate.admit(ROOT, MAX_WAIT, Timestamp::ZERO).0, GateDecision::Refused(GateRefusal::Closed));
+    assert!(gate.response_completed());
+    gate.release_slot();
+    for _ in 0..4 {
+        assert_eq!(gate.admit(ROOT, MAX_WAIT, Timestamp::ZERO).0, GateDecision::Runs);
+    }
+}
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -335,7 +335,7 @@
     match node.clock.timeout_at(work_ends_at, relayed).await {
         Ok(relayed) => relayed.map_err(|why| Failure::new(GateOutcome::NoResponse, why)),
         Err(_) => {
-            node.target_health.borrow_mut().record_bad(node.now());
+            slots::response_unfinished(node);
             Err(Failure::new(GateOutcome::DeadlineExceeded, "response did not end before the deadline"))
         }
     }
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -48,6 +48,9 @@
             let held_for = self.node.now().since(self.acquired_at);
             self.node.slot_durations.borrow_mut().record(route, held_for);
         }
+        if self.node.gate.borrow_mut().response_completed() {
+            self.node.log("\"event\":\"target-suspect\",\"suspect\":false");
+        }
         if let Some(run) = self.run.take() {
             let signature = self.node.run_tracker.borrow_mut().completed(run);
             if let Some(signature) = signature {
@@ -58,7 +61,7 @@
 
     /// Releases the slot of a target that has not finished its response in time.
     pub fn response_unfinished(self) {
-        self.node.target_health.borrow_mut().record_bad(self.node.now());
+        response_unfinished(&self.node);
     }
 
     /// Releases the slot after the connection to the target ended before its response did.
@@ -92,6 +95,15 @@
     }
 }
 
+/// Records that the local target did not finish a response in time.
+pub(super) fn response_unfinished(node: &Rc<Node>) {
+    node.target_health.borrow_mut().record_bad(node.now());
+    if node.gate.borrow_mut().response_unfinished() {
+        node.log("\"event\":\"target-suspect\",\"suspect\":true");
+    }
+    evict_waiting_calls(node);
+}
+
 /// Admits waiting calls to the free slots.
 pub fn admit_waiting_calls(node: &Rc<Node>) {
     loop {
@@ -104,7 +116,7 @@
     }
 }
 
-/// Refuses the waiting calls whose maximum time to wait has passed, or all of them if the gate is closed.
+/// Refuses the waiting calls whose maximum time to wait has passed, or all of them if the gate accepts no calls.
 pub fn evict_waiting_calls(node: &Rc<Node>) {
     loop {
         let now = node.now();
@@ -194,7 +206,7 @@
     if node.clock.timeout_at(call.deadline, local_target::verify_identity(node)).await.is_err() {
         return Err(GateRefusal::Overloaded.into());
     }
-    if !accepts(node, call) {
+    if !accepts(node, call) || node.gate.borrow().is_suspended() {
         return Err(GateRefusal::Closed.into());
     }
     check_rate_limit(node, call, context)?;
@@ -228,8 +240,11 @@
             node.waiting_calls.borrow_mut().insert(ticket, sender);
             node.gate_changed.notify_one();
             if !(WaitingCall { node, ticket, receiver }).admitted().await {
-                let refusal =
-                    if node.gate.borrow().is_closed() { GateRefusal::Closed } else { GateRefusal::Overloaded };
+                let is_closed = {
+                    let gate = node.gate.borrow();
+                    gate.is_closed() || gate.is_suspended()
+                };
+                let refusal = if is_closed { GateRefusal::Closed } else { GateRefusal::Overloaded };
                 record_refusal(node, context, refusal);
                 return Err(refusal.into());
             }
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -166,3 +166,55 @@
         assert!(alpha.target.endless_bytes() < MAX_USELESS_BYTES, "{} bytes", alpha.target.endless_bytes());
     });
 }
+
+/// Guards against this failure: a target that sends without end filled all its slots again and again, while the other
+/// targets of its service were idle.
+#[test_case(4; "few slots")]
+#[test_case(100; "many slots")]
+fn calls_are_served_by_other_targets_while_one_sends_without_end(slots: u32) {
+    run(async move {
+        const CALLS: usize = 300;
+        let store = StandInStore::start().await;
+        store.write_configuration(&document_with_timeout(1, TIMEOUT_S));
+        let beta = Machine::start(&store, "beta", 4).await;
+        let alpha = Machine::start(&store, "alpha", slots).await;
+        let others = [Machine::start(&store, "alpha", slots).await, Machine::start(&store, "alpha", slots).await];
+        eventually("all are listed", || beta.node().targets.borrow().len() == others.len() + 2).await;
+        for sound in &others {
+            sound.target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(100)));
+        }
+        let response = EndlessResponse { part: EndlessPart::ChunkedBody, pause: SLOW };
+        alpha.target.set_behaviour(TargetBehaviour::Endless(response));
+        let mut calls = Vec::new();
+        for number in 0..CALLS {
+            let to = beta.outbound();
+            calls.push(tokio::task::spawn_local(async move {
+                let mut caller = Caller::connect(to).await;
+                caller.send(&read(&format!("call-{number}"))).await;
+                caller.next_response_within(2 * TIMEOUT).await.map(|response| response.status)
+            }));
+            sleep(Duration::from_millis(30)).await;
+        }
+        let mut served = 0;
+        for call in calls {
+            served += usize::from(call.await.expect("no caller fails") == Some(200));
+        }
+        // Its share of the calls until the first one is cut, and then one call at a time.
+        let first_share = CALLS * TIMEOUT_S as usize / 9 / 3;
+        let lost_at_most = first_share + first_share / 2 + 9 / TIMEOUT_S as usize;
+        assert!(served + lost_at_most >= CALLS, "{served} of {CALLS} served");
+        alpha.target.set_behaviour(TargetBehaviour::Normal);
+        let before = alpha.target.received_count();
+        let started = Instant::now();
+        while alpha.target.received_count() < before + 10 {
+            assert!(started.elapsed() < 5 * TIMEOUT, "the target gets no calls again");
+            let calls = (0..3).map(|number| {
+                let to = beta.outbound();
+                tokio::task::spawn_local(async move { call(to, &read(&format!("after-{number}"))).await })
+            });
+            for call in calls.collect::<Vec<_>>() {
+                assert_eq!(call.await.expect("no caller fails").expect("a response").status, 200);
+            }
+        }
+    });
+}
