--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -7,9 +7,9 @@
 
 use quillhatch_mesh::admission_level::AdmissionLevel;
 use quillhatch_sidecar::store_view::{own_store_view, record_peer_view};
-use support::caller::{call, request};
+use support::caller::{call, request, Caller};
 use support::store::{StandInStore, StoreMode};
-use support::target::{CrashRule, HealthStatus, TargetBehaviour};
+use support::target::{CrashRule, EndlessPart, EndlessResponse, HealthStatus, TargetBehaviour};
 use support::{eventually, run, start_sidecar, unused_address, Machine};
 use tokio::time::sleep;
 
@@ -68,6 +68,20 @@
         eventually("both are listed", || beta.node().targets.borrow().len() == 2).await;
         let follows = || !lines_of("source", &format!("\"peer\":\"{}\"", alpha.address)).is_empty();
         eventually("the node that beta follows is logged", follows).await;
+        // A response that goes on beyond the deadline of its target, and whole ones.
+        let endless = EndlessResponse { part: EndlessPart::ChunkedBody, pause: Duration::from_millis(20) };
+        alpha.target.set_behaviour(TargetBehaviour::Endless(endless));
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&request("GET", HOST, "/read/", "endless", 5000, "")).await;
+        assert!(caller.is_closed_within(Duration::from_secs(3)).await);
+        let aborted = first_line("stream-aborted", "endless");
+        assert_eq!(aborted["why"], "source sends beyond its deadline");
+        alpha.target.set_behaviour(TargetBehaviour::Normal);
+        let whole = call(beta.outbound(), &request("GET", HOST, "/read/", "whole", 5000, "")).await;
+        assert_eq!(whole.expect("a response").status, 200);
+        first_line("target-suspect", "\"suspect\":true");
+        first_line("target-suspect", "\"suspect\":false");
+
         // A process that ends with a call in progress.
         let ended = start_sidecar(unused_address(), "beta", alpha.target.address, store.address);
         let cut_call = ended.node.calls.begin("cut-call", ended.node.now());
