Reset a connection in a response only if no byte of an earlier one can be unsent

What could be lost: the end of a complete response that its caller still reads, when a response without end behind it is aborted. Found by reading the diff; not reproduced.

Cause: the reset compared the bytes that hyper was given with what the kernel may hold, and hyper may hold some of them itself.

Change: hyper's part is added (512 KiB, more than its write buffer).

Test: a_response_that_is_read_slowly_survives_one_without_end_behind_it passed before as well, since a loopback connection takes both responses at once; it holds the case.

--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -22,6 +22,9 @@
 /// The maximum number of bytes that are read ahead.
 const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
 
+/// The maximum number of bytes of a response that hyper holds before it writes them to the socket.
+const MAX_UNSENT_BYTES: usize = 512 * 1024;
+
 /// How far the bytes that were read ahead have been split into requests.
 #[derive(Default)]
 struct SplitState {
@@ -222,13 +225,13 @@
 }
 
 impl CallerIo {
-    /// Ends the connection in the middle of a response of which `written` bytes were written, and discards those that the
+    /// Ends the connection in the middle of a response of which hyper was given `written` bytes, and discards those that the
     /// caller has not received. Only if all bytes that the kernel still holds belong to this response: those of an earlier
     /// one must arrive. Otherwise does nothing.
     pub fn reset_in_response(&self, written: u64) {
         let stream = self.0.stream.borrow();
         let socket = SockRef::from(&*stream);
-        let is_safe = socket.send_buffer_size().is_ok_and(|held| written > held as u64);
+        let is_safe = socket.send_buffer_size().is_ok_and(|held| written > (held + MAX_UNSENT_BYTES) as u64);
         if !is_safe || socket.set_linger(Some(Duration::ZERO)).is_err() {
             return;
         }
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -218,3 +218,23 @@
         }
     });
 }
+
+/// Guards against this failure: the reset of a response without end discarded the rest of the response before it.
+#[test]
+fn a_response_that_is_read_slowly_survives_one_without_end_behind_it() {
+    run(async {
+        const LENGTH: usize = 2_000_000;
+        let (store, alpha, beta) = two_machines().await;
+        set_timeout(&store, &[&alpha, &beta]).await;
+        alpha.target.set_behaviour(TargetBehaviour::LongBody(LENGTH));
+        let mut caller = Caller::connect(beta.outbound()).await;
+        caller.send(&request("GET", HOST, "/read/x", "sound", 20_000, "")).await;
+        eventually("it runs", || alpha.target.received_count() == 1).await;
+        let response = EndlessResponse { part: EndlessPart::BodyUntilClose, pause: FAST };
+        alpha.target.set_behaviour(TargetBehaviour::Endless(response));
+        caller.send(&request("GET", HOST, "/read/x", "endless", 20_000, "")).await;
+        sleep(TIMEOUT + TOLERANCE).await;
+        let response = caller.next_response_within(3 * TIMEOUT).await.expect("the first response");
+        assert_eq!((response.status, response.body.len()), (200, LENGTH));
+    });
+}
