Count only trial calls against a target with an unfinished response

What callers would see: nothing from a sound target for as long as somebody reads one of its responses slowly, if it has left another one unfinished.

Cause: after an unfinished response the gate admitted a call only while none was running, and calls from before counted too.

Change: a circuit breaker of its own (mesh/src/breaker.rs) counts the trials that it admits; calls that wait are refused when it trips, as before. The log line is circuit-breaker, the field's term.

--- a/crates/mesh/src/gate.rs
+++ b/crates/mesh/src/gate.rs
@@ -5,6 +5,7 @@
 
 use quillhatch_types::Timestamp;
 
+use crate::breaker::CircuitBreaker;
 use crate::queue::{QueueTicket, Rank, WaitingQueue};
 
 /// The fraction of a target's slots that is used, rounded down, since some targets slow down when their last slots
@@ -42,7 +43,7 @@
 pub enum GateRefusal {
     /// Too many calls wait, or the call may not wait longer.
     Overloaded,
-    /// The target is draining or has to complete a response first, or this node stops.
+    /// The target is draining, its circuit breaker blocks calls, or this node stops.
     Closed,
 }
 
@@ -63,8 +64,7 @@
     slots: Option<u32>,
     fallback_slots: u32,
     closed: bool,
-    /// Whether the target has left a response unfinished, and has completed none since.
-    is_suspect: bool,
+    breaker: CircuitBreaker,
     running: u32,
     queue: WaitingQueue,
 }
@@ -76,7 +76,7 @@
             slots: None,
             fallback_slots,
             closed: false,
-            is_suspect: false,
+            breaker: CircuitBreaker::default(),
             running: 0,
             queue: WaitingQueue::default(),
         }
@@ -106,30 +106,38 @@
         self.closed
     }
 
-    /// Records that the target did not finish a response in time. Until it completes one, it gets one call at a time: it may
-    /// have as many slots as all calls of its service need. Returns whether it had completed one before.
-    pub fn response_unfinished(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_suspect, true)
+    /// Returns the target's circuit breaker.
+    pub fn breaker(&self) -> &CircuitBreaker {
+        &self.breaker
     }
 
-    /// Records a complete response of the target. Returns whether it had left one unfinished before.
-    pub fn response_completed(&mut self) -> bool {
-        std::mem::take(&mut self.is_suspect)
+    /// Returns the target's circuit breaker, to record what happens at the target.
+    pub fn breaker_mut(&mut self) -> &mut CircuitBreaker {
+        &mut self.breaker
     }
 
-    /// Returns whether calls are refused because the target has to complete one first.
-    pub fn is_suspended(&self) -> bool {
-        self.is_suspect && self.running > 0
+    /// Returns whether all calls are refused now.
+    pub fn refuses_all(&self) -> bool {
+        let has_no_trial_slot = self.breaker.is_tripped() && self.running >= self.limit();
+        self.closed || self.breaker.is_blocking() || has_no_trial_slot
+    }
+
+    /// Returns whether all waiting calls are refused now.
+    pub fn refuses_waiting(&self) -> bool {
+        self.closed || self.breaker.is_tripped()
     }
 
     /// Decides on a call that may wait for at most `max_wait`. The second value is a waiting call that ranks behind it
     /// and is refused instead.
     pub fn admit(&mut self, rank: Rank, max_wait: Duration, now: Timestamp) -> (GateDecision, Option<QueueTicket>) {
-        if self.closed || self.is_suspended() {
+        if self.refuses_all() {
             return (GateDecision::Refused(GateRefusal::Closed), None);
         }
         if self.running < self.limit() && self.queue.is_empty() {
             self.running += 1;
+            if self.breaker.is_tripped() {
+                self.breaker.trial_started();
+            }
             return (GateDecision::Runs, None);
         }
         let displaced = if self.queue.len() >= self.limit() as usize * MAX_QUEUE_PER_RUNNING_CALL {
@@ -189,9 +197,10 @@
         self.closed = false;
     }
 
-    /// If the gate accepts no calls, removes a waiting call, to be refused; call again until it returns `None`.
+    /// If the gate is closed or the circuit breaker is tripped, removes a waiting call, to be refused; call again until it
+    /// returns `None`.
     pub fn pop_refused(&mut self) -> Option<QueueTicket> {
-        if self.closed || self.is_suspended() {
+        if self.refuses_waiting() {
             return self.queue.pop();
         }
         None
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission_level;
 pub mod authentication;
 pub mod balance;
+pub mod breaker;
 pub mod call_graph;
 pub mod callers;
 pub mod capacity;
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -23,15 +23,17 @@
     route: Option<Arc<str>>,
     running_call: Option<RunningCallId>,
     run: Option<RunId>,
+    /// Whether the call is a trial of the target's circuit breaker.
+    is_trial: bool,
     acquired_at: Timestamp,
 }
 
 impl Slot {
-    fn new(node: &Rc<Node>, route: Option<Arc<str>>) -> Self {
+    fn new(node: &Rc<Node>, route: Option<Arc<str>>, is_trial: bool) -> Self {
         if let Some(route) = &route {
             node.call_graph.borrow_mut().call_started(route, node.now());
         }
-        Slot { node: Rc::clone(node), route, running_call: None, run: None, acquired_at: node.now() }
+        Slot { node: Rc::clone(node), route, running_call: None, run: None, is_trial, acquired_at: node.now() }
     }
 
     /// Records that the call is sent to the target with `deadline`.
@@ -48,8 +50,8 @@
             let held_for = self.node.now().since(self.acquired_at);
             self.node.slot_durations.borrow_mut().record(route, held_for);
         }
-        if self.node.gate.borrow_mut().response_completed() {
-            self.node.log("\"event\":\"target-suspect\",\"suspect\":false");
+        if self.node.gate.borrow_mut().breaker_mut().response_completed() {
+            self.node.log("\"event\":\"circuit-breaker\",\"tripped\":false");
         }
         if let Some(run) = self.run.take() {
             let signature = self.node.run_tracker.borrow_mut().completed(run);
@@ -90,7 +92,13 @@
         if let Some(route) = &self.route {
             self.node.call_graph.borrow_mut().call_ended(route, self.node.now());
         }
-        self.node.gate.borrow_mut().release_slot();
+        {
+            let mut gate = self.node.gate.borrow_mut();
+            if self.is_trial {
+                gate.breaker_mut().trial_ended();
+            }
+            gate.release_slot();
+        }
         admit_waiting_calls(&self.node);
     }
 }
@@ -98,8 +106,8 @@
 /// Records that the local target did not finish a response in time.
 pub(super) fn response_unfinished(node: &Rc<Node>) {
     node.target_health.borrow_mut().record_bad(node.now());
-    if node.gate.borrow_mut().response_unfinished() {
-        node.log("\"event\":\"target-suspect\",\"suspect\":true");
+    if node.gate.borrow_mut().breaker_mut().response_unfinished() {
+        node.log("\"event\":\"circuit-breaker\",\"tripped\":true");
     }
     evict_waiting_calls(node);
 }
@@ -206,7 +214,7 @@
     if node.clock.timeout_at(call.deadline, local_target::verify_identity(node)).await.is_err() {
         return Err(GateRefusal::Overloaded.into());
     }
-    if !accepts(node, call) || node.gate.borrow().is_suspended() {
+    if !accepts(node, call) || node.gate.borrow().breaker().is_blocking() {
         return Err(GateRefusal::Closed.into());
     }
     check_rate_limit(node, call, context)?;
@@ -230,7 +238,10 @@
         refuse_waiting(node, ticket);
     }
     match decision {
-        GateDecision::Runs => Ok(Slot::new(node, call.route.clone())),
+        GateDecision::Runs => {
+            let is_trial = node.gate.borrow().breaker().is_tripped();
+            Ok(Slot::new(node, call.route.clone(), is_trial))
+        }
         GateDecision::Refused(refusal) => {
             record_refusal(node, context, refusal);
             Err(refusal.into())
@@ -240,15 +251,12 @@
             node.waiting_calls.borrow_mut().insert(ticket, sender);
             node.gate_changed.notify_one();
             if !(WaitingCall { node, ticket, receiver }).admitted().await {
-                let is_closed = {
-                    let gate = node.gate.borrow();
-                    gate.is_closed() || gate.is_suspended()
-                };
-                let refusal = if is_closed { GateRefusal::Closed } else { GateRefusal::Overloaded };
+                let refusal =
+                    if node.gate.borrow().refuses_waiting() { GateRefusal::Closed } else { GateRefusal::Overloaded };
                 record_refusal(node, context, refusal);
                 return Err(refusal.into());
             }
-            let slot = Slot::new(node, call.route.clone());
+            let slot = Slot::new(node, call.route.clone(), false);
             if accepts(node, call) {
                 Ok(slot)
             } else {
