Keep only the memory of what was read ahead, and clone no waker that is stored already

From reading the diff: a response that was read ahead kept 4 MiB of the node's 32 until its reader was through, however short its rest, so eight slow readers used it up; and each poll of a connection cloned a waker.

--- a/crates/sidecar/src/caller_io.rs
+++ b/crates/sidecar/src/caller_io.rs
@@ -199,7 +199,7 @@
     /// Reads ahead. Ready once the caller has closed the connection.
     pub fn poll_closed(&self, context: &mut Context<'_>) -> Poll<()> {
         let shared = &self.0;
-        *shared.waker.borrow_mut() = Some(context.waker().clone());
+        store_waker(&mut shared.waker.borrow_mut(), context.waker());
         let mut storage = [0_u8; 4096];
         loop {
             if shared.closed.get() {
@@ -266,6 +266,14 @@
     }
 }
 
+/// Stores the waker of a task, without cloning it again while it stays the same.
+fn store_waker(stored: &mut Option<Waker>, waker: &Waker) {
+    match stored {
+        Some(stored) => stored.clone_from(waker),
+        None => *stored = Some(waker.clone()),
+    }
+}
+
 impl hyper::rt::Read for CallerIo {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -232,13 +232,15 @@
             return;
         }
         // Without memory the rest is read as the reader accepts it.
-        let Some(memory) = self.call.node.read_ahead.reserve().await else { return };
+        let Some(mut memory) = self.call.node.read_ahead.reserve().await else { return };
         self.reads_ahead.set(true);
         let end = timeout(MAX_REST_TIME, self.read_rest()).await;
         match end.unwrap_or(StreamEnd::Aborted(StreamFault::SourceEndless)) {
             StreamEnd::Aborted(fault) => self.abort(fault),
             end => {
                 self.monitor.borrow_mut().source_ended();
+                let unread: usize = self.ahead.borrow().iter().map(Bytes::len).sum();
+                drop(memory.split((MAX_UNKNOWN_REST_BYTES as usize).saturating_sub(unread)));
                 *self.memory.borrow_mut() = Some(memory);
                 self.end(end);
             }
