Log which part of a call the end of a process cuts, and answers given while a target may be at work

The logs could not tell the three hypotheses apart: a response that was cut after its head had no line; a node whose process ended while calls of other nodes were at its target named none of them, so that the edge's "connection closed" had no other side; and given-up told neither that the node was stopping nor that it had ended the attempt itself.

cut has a part now (request, response, target), stopped counts streamed responses, given-up has at_work (the target of the last attempt that this node ended while it may have been working) and stopping, and in a stop such lines have a rate limit of their own, so that a burst of refusals hides none. Counter: given_up_at_work. No decision changes.

By hypothesis 1 the request has a line cut with part=request at its node; by 2 a given-up with may_have_run and stopping, and at_work or, if another process ended under it, a line cut with part=target there; by 3 a line cut with part=response or stream-aborted.

--- a/crates/sidecar/src/calls_in_progress.rs
+++ b/crates/sidecar/src/calls_in_progress.rs
@@ -1,24 +1,39 @@
-//! The calls that a node's edge serves, from their arrival until their responses begin.
+//! The calls that a node serves, by the part of their way on which the exit of the process would cut them off.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use derive_more::Display;
 use quillhatch_mesh::targets::TargetId;
 use quillhatch_types::Timestamp;
 
-/// A call without a response yet.
+/// The part of its way on which a call is.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CallPart {
+    /// At the edge, from its arrival until its response begins.
+    #[display("request")]
+    Request,
+    /// A streamed response that has begun, at the edge or at the gate.
+    #[display("response")]
+    Response,
+    /// At the local target, until its slot is released.
+    #[display("target")]
+    Target,
+}
+
+/// A call in progress.
 #[derive(Clone, Debug)]
 pub struct CallInProgress {
     /// The id of its request.
     pub id: String,
-    /// When it arrived.
-    pub arrived: Timestamp,
+    /// When this part of it began.
+    pub began: Timestamp,
     /// The target that it was last sent to, unless that attempt has ended without the call having run.
     pub target: Option<TargetId>,
 }
 
-/// All calls in progress at a node.
+/// The calls of a node that are on one part of their way ([`CallPart`]).
 #[derive(Debug, Default)]
 pub struct CallsInProgress {
     calls: RefCell<BTreeMap<u64, CallInProgress>>,
@@ -27,11 +42,11 @@
 }
 
 impl CallsInProgress {
-    /// Adds a call that has just arrived, until the returned ticket is dropped.
-    pub fn begin(self: &Rc<Self>, id: &str, arrived: Timestamp) -> CallTicket {
+    /// Adds a call, until the returned ticket is dropped.
+    pub fn begin(self: &Rc<Self>, id: &str, began: Timestamp) -> CallTicket {
         let key = self.next_key.get();
         self.next_key.set(key + 1);
-        let call = CallInProgress { id: id.to_owned(), arrived, target: None };
+        let call = CallInProgress { id: id.to_owned(), began, target: None };
         self.calls.borrow_mut().insert(key, call);
         CallTicket { calls: Rc::clone(self), key, is_root: Cell::new(false) }
     }
@@ -51,7 +66,7 @@
         self.root_calls.get()
     }
 
-    /// The oldest calls, at most `limit`, in the order of their arrival.
+    /// The oldest calls, at most `limit`, oldest first.
     pub fn oldest(&self, limit: usize) -> Vec<CallInProgress> {
         self.calls.borrow().values().take(limit).cloned().collect()
     }
--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -30,6 +30,8 @@
     pub inherited_retries: Cell<u64>,
     /// Calls forwarded to the local target, whether it ran them or not.
     pub target_requests: Cell<u64>,
+    /// Calls that the node answered itself after it had ended an attempt whose target may have been working on it.
+    pub given_up_at_work: Cell<u64>,
     /// Streamed responses that were aborted.
     pub aborted_streams: Cell<u64>,
     /// Requests to the platform's store.
@@ -75,6 +77,7 @@
             ("denied_retries", self.denied_retries.get()),
             ("inherited_retries", self.inherited_retries.get()),
             ("target_requests", self.target_requests.get()),
+            ("given_up_at_work", self.given_up_at_work.get()),
             ("aborted_streams", self.aborted_streams.get()),
             ("store_requests", self.store_requests.get()),
             ("store_failures", self.store_failures.get()),
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -67,6 +67,8 @@
     NoResponse(String),
     /// The call may have run: the attempt was abandoned because the target is slow and another one may respond in time.
     Abandoned,
+    /// The call may have run: the target's node did not respond to a liveness probe.
+    Unresponsive,
     /// The call may have run, and its deadline has passed.
     DeadlineExceeded,
 }
@@ -81,9 +83,27 @@
             | Attempt::Rejected
             | Attempt::RateLimited(_)
             | Attempt::Quarantined(_) => true,
-            Attempt::Response(_) | Attempt::NoResponse(_) | Attempt::Abandoned | Attempt::DeadlineExceeded => false,
+            Attempt::Response(_)
+            | Attempt::NoResponse(_)
+            | Attempt::Abandoned
+            | Attempt::Unresponsive
+            | Attempt::DeadlineExceeded => false,
         }
     }
+
+    /// Why an attempt that may have run brought no response.
+    pub(super) fn failure(&self) -> &str {
+        match self {
+            Attempt::NoResponse(why) => why,
+            Attempt::Unresponsive => "node did not respond to the liveness probe",
+            _ => "",
+        }
+    }
+
+    /// Whether this node has ended the attempt while the target may be working on the call.
+    pub(super) fn may_be_at_work(&self) -> bool {
+        matches!(self, Attempt::Abandoned | Attempt::Unresponsive | Attempt::DeadlineExceeded)
+    }
 }
 
 /// An attempt that the load balancer counts as in flight at its target, until it is dropped.
@@ -159,7 +179,7 @@
             node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, now.since(started), now);
             return Attempt::Abandoned;
         }
-        Exchanged::Unresponsive => return Attempt::NoResponse("node did not respond to the liveness probe".to_owned()),
+        Exchanged::Unresponsive => return Attempt::Unresponsive,
         Exchanged::Failed(ExchangeError::ConnectionRefused | ExchangeError::NotSent(_)) => {
             return Attempt::NotRun("unreachable")
         }
--- a/crates/sidecar/src/edge/responses.rs
+++ b/crates/sidecar/src/edge/responses.rs
@@ -10,8 +10,10 @@
 use quillhatch_types::Timestamp;
 use rand::Rng;
 
+use super::run::Progress;
 use super::Call;
 use crate::body::Body;
+use crate::counters::Counters;
 use crate::node::Node;
 
 /// The range of `Retry-After`, as fractions of the call's latency objective: late enough for a short shortage to be
@@ -27,19 +29,27 @@
 pub(super) fn give_up(
     node: &Node,
     call: &Call,
-    may_have_run: bool,
+    progress: &Progress,
     why: &'static str,
-    tried: usize,
     retry_after: Duration,
 ) -> Response<Body> {
     let now = node.now();
-    let version = node.configuration.borrow().version();
-    node.log_failure(|| {
+    let (version, may_have_run) = (node.configuration.borrow().version(), progress.may_have_run());
+    let line = || {
+        let at_work = progress.left_at_work.as_deref().unwrap_or_default();
+        let (tried, is_stopping) = (progress.tried.len(), node.is_stopping());
         format!(
-            "\"event\":\"given-up\",\"id\":{:?},\"route\":\"{}\",\"why\":\"{why}\",\"may_have_run\":{may_have_run},\"tried\":{tried},\"ms\":{},\"version\":{version}",
+            "\"event\":\"given-up\",\"id\":{:?},\"route\":\"{}\",\"why\":\"{why}\",\"may_have_run\":{may_have_run},\"at_work\":\"{at_work}\",\"tried\":{tried},\"ms\":{},\"version\":{version},\"stopping\":{is_stopping}",
             call.id, call.route.name, now.since(call.arrived).as_millis()
         )
-    });
+    };
+    match may_have_run && node.is_stopping() {
+        true => node.log_stop_failure(line),
+        false => node.log_failure(line),
+    }
+    if progress.left_at_work.is_some() {
+        Counters::increment(&node.counters.given_up_at_work);
+    }
     if !may_have_run {
         if let Some(tenant) = &call.tenant {
             node.tenancy.refund(tenant, now);
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -36,19 +36,21 @@
 
 /// The attempts of a call so far.
 #[derive(Default)]
-struct Progress {
+pub(super) struct Progress {
     /// The targets that were tried.
-    tried: Vec<TargetId>,
+    pub(super) tried: Vec<TargetId>,
     /// The number of attempts that a full gate refused.
     full: usize,
     /// The number of attempts that may have run.
     runs: u32,
+    /// The target of the last attempt that this node has ended while the target may have been working on the call.
+    pub(super) left_at_work: Option<TargetId>,
     /// The shortest delay after which a target whose rate limit refused the call accepts it again.
     rate_limited: Option<Duration>,
 }
 
 impl Progress {
-    fn may_have_run(&self) -> bool {
+    pub(super) fn may_have_run(&self) -> bool {
         self.runs > 0
     }
 
@@ -69,9 +71,8 @@
     let mut call = call;
     let mut body = Some(body);
     let mut progress = Progress::default();
-    let give_up_with = |call: &Call, progress: &Progress, why, retry_after| {
-        responses::give_up(node, call, progress.may_have_run(), why, progress.tried.len(), retry_after)
-    };
+    let give_up_with =
+        |call: &Call, progress: &Progress, why, retry_after| responses::give_up(node, call, progress, why, retry_after);
     let give_up = |call: &Call, progress: &Progress, why| {
         give_up_with(call, progress, why, responses::retry_delay(node, &call.route))
     };
@@ -130,6 +131,9 @@
         if outcome.is_not_run() {
             ticket.set_target(None);
         }
+        if outcome.may_be_at_work() {
+            progress.left_at_work = Some(target.id.clone());
+        }
         progress.tried.push(target.id.clone());
         match outcome {
             Attempt::Response(response) => {
@@ -162,8 +166,8 @@
             }
             // The other gates of the service have the same quarantine entries.
             Attempt::Quarantined(retry_after) => return give_up_with(&call, &progress, "quarantined", retry_after),
-            Attempt::NoResponse(why) => {
-                node.log_failure(|| failed_attempt_line(&call, target, &why));
+            Attempt::NoResponse(_) | Attempt::Unresponsive => {
+                node.log_failure(|| failed_attempt_line(&call, target, outcome.failure()));
                 progress.runs += 1;
                 if !progress.may_retry(&call) || !node.try_retry(&service, &call.route.name) {
                     return give_up(&call, &progress, "broken");
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -65,6 +65,13 @@
     stream_late_at: Timestamp,
 }
 
+impl Call {
+    /// The id of its request, or an empty string if it has none.
+    fn id_text(&self) -> &str {
+        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+}
+
 /// Serves one request that arrived at the inbound address.
 pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>) -> Response<Body> {
     if parts.uri.path() == FEED_PATH && !parts.headers.contains_key(HOP_HEADER) {
@@ -151,7 +158,7 @@
 fn log_failure(node: &Node, call: &Call, outcome: GateOutcome, why: &str, arrived: Timestamp) {
     node.log_failure(|| {
         let load = node.gate.borrow().load();
-        let id = call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let id = call.id_text();
         format!(
             "\"event\":\"gate\",\"id\":{id:?},\"outcome\":\"{}\",\"why\":{why:?},\"expected\":\"{}\",\"running\":{},\"limit\":{},\"waiting\":{},\"ms\":{}",
             outcome.name(), call.expected, load.running, load.limit, load.waiting, node.now().since(arrived).as_millis()
@@ -281,7 +288,7 @@
     let request = Request::from_parts(parts, body);
     let target_timeout = Duration::from_millis(remaining.as_millis() as u64);
     let RunRecord { inherited, signature } = record;
-    slot.start_run(node.now() + target_timeout, inherited, signature);
+    slot.start_run(call, node.now() + target_timeout, inherited, signature);
     Counters::increment(&node.counters.target_requests);
     let sent = SentFlag::default();
     let exchange = node.target.exchange_tracking_sent(node.settings.local_target, request, &sent);
@@ -329,7 +336,7 @@
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
     }
     let work_ends_at = call.deadline + DEADLINE_ALLOWANCE;
-    let id = call.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned();
+    let id = call.id_text().to_owned();
     let times = StreamTimes { late_at: call.stream_late_at, work_ends_at: Some(work_ends_at) };
     let relayed = relay_response(response, lease, Some(slot), RelayedCall { node: Rc::clone(node), id, times });
     match node.clock.timeout_at(work_ends_at, relayed).await {
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 
 use super::{target_crash, Call, Failure};
+use crate::calls_in_progress::CallTicket;
 use crate::hop::HopContext;
 use crate::local_target;
 use crate::node::{Admitted, Node};
@@ -23,6 +24,7 @@
     route: Option<Arc<str>>,
     running_call: Option<RunningCallId>,
     run: Option<RunId>,
+    ticket: Option<CallTicket>,
     /// Whether the call is a trial of the target's circuit breaker.
     is_trial: bool,
     acquired_at: Timestamp,
@@ -33,11 +35,28 @@
         if let Some(route) = &route {
             node.call_graph.borrow_mut().call_started(route, node.now());
         }
-        Slot { node: Rc::clone(node), route, running_call: None, run: None, is_trial, acquired_at: node.now() }
+        Slot {
+            node: Rc::clone(node),
+            route,
+            running_call: None,
+            run: None,
+            ticket: None,
+            is_trial,
+            acquired_at: node.now(),
+        }
     }
 
-    /// Records that the call is sent to the target with `deadline`.
-    pub(super) fn start_run(&mut self, deadline: Timestamp, inherited: InheritedContext, signature: RequestSignature) {
+    /// Records that `call` is sent to the target with `deadline`.
+    pub(super) fn start_run(
+        &mut self,
+        call: &Call,
+        deadline: Timestamp,
+        inherited: InheritedContext,
+        signature: RequestSignature,
+    ) {
+        let ticket = self.node.runs.begin(call.id_text(), self.node.now());
+        ticket.set_target(Some(&Arc::from(call.expected.as_str())));
+        self.ticket = Some(ticket);
         self.run = Some(self.node.run_tracker.borrow_mut().begin(signature, self.node.now()));
         if let Some(route) = self.route.clone() {
             self.running_call = Some(self.node.parent_tracker.borrow_mut().call_started(deadline, route, inherited));
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -146,8 +146,12 @@
     /// Whether calls of external callers are refused because the process is about to end. Calls of the local target are
     /// still accepted.
     pub refuses_callers: Cell<bool>,
-    /// The calls that are being served at the edge.
+    /// The calls at the edge whose responses have not begun.
     pub calls: Rc<CallsInProgress>,
+    /// The streamed responses that have begun.
+    pub responses: Rc<CallsInProgress>,
+    /// The calls at the local target.
+    pub runs: Rc<CallsInProgress>,
     /// The random number generator.
     pub random: RefCell<Pcg64>,
     /// The counters of the metrics page.
@@ -181,6 +185,7 @@
     pub probe_locks: KeyedLock<IpAddr>,
     log_state: LogState,
     failure_lines: RefCell<LineRateLimit>,
+    stop_lines: RefCell<LineRateLimit>,
     success_lines: RefCell<LineRateLimit>,
     /// The clock that all decisions use.
     pub clock: Clock,
@@ -258,6 +263,8 @@
             stage: Cell::new(Stage::Serving),
             refuses_callers: Cell::new(false),
             calls: Rc::default(),
+            responses: Rc::default(),
+            runs: Rc::default(),
             random: RefCell::new(Pcg64::from_entropy()),
             counters: Counters::default(),
             gate_changed: Notify::new(),
@@ -276,6 +283,7 @@
             settings,
             log_state,
             failure_lines: RefCell::new(LineRateLimit::new(MAX_FAILURE_LINES_PER_SECOND)),
+            stop_lines: RefCell::new(LineRateLimit::new(MAX_FAILURE_LINES_PER_SECOND)),
             success_lines: RefCell::new(LineRateLimit::new(MAX_SUCCESS_LINES_PER_SECOND)),
             clock,
         })
@@ -431,6 +439,13 @@
         }
     }
 
+    /// Logs a call that a stopping node has not finished, if the rate limit of such lines allows it.
+    pub fn log_stop_failure(&self, line: impl FnOnce() -> String) {
+        if self.stop_lines.borrow_mut().allows() {
+            self.log(&line());
+        }
+    }
+
     /// Logs a successful call, if the rate limit allows it.
     pub fn log_success(&self, line: impl FnOnce() -> String) {
         if self.success_lines.borrow_mut().allows() {
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -6,7 +6,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use crate::calls_in_progress::CallInProgress;
+use crate::calls_in_progress::{CallInProgress, CallPart, CallsInProgress};
 use crate::gate;
 use crate::node::{Node, Stage};
 use crate::run::Running;
@@ -17,19 +17,24 @@
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 /// The interval at which the node checks whether they are written.
 const LOG_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// The maximum number of aborted calls that are logged one by one; `stopped` has their total.
+/// The maximum number of aborted calls of each part that are logged one by one; `stopped` has their totals.
 const MAX_CUT_CALL_LINES: usize = 50;
 /// The interval at which a stopping process checks whether its calls and connections have ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Logs the calls that the exit of the process aborts.
 fn log_cut_calls(node: &Node) {
+    log_cut_part(node, CallPart::Request, &node.calls);
+    log_cut_part(node, CallPart::Response, &node.responses);
+    log_cut_part(node, CallPart::Target, &node.runs);
+}
+
+fn log_cut_part(node: &Node, part: CallPart, calls: &CallsInProgress) {
     let now = node.now();
-    for call in node.calls.oldest(MAX_CUT_CALL_LINES) {
-        let CallInProgress { id, arrived, target } = call;
+    for CallInProgress { id, began, target } in calls.oldest(MAX_CUT_CALL_LINES) {
         let target = target.as_deref().unwrap_or_default();
-        let ms = now.since(arrived).as_millis();
-        node.log(&format!("\"event\":\"cut\",\"id\":{id:?},\"target\":\"{target}\",\"ms\":{ms}"));
+        let ms = now.since(began).as_millis();
+        node.log(&format!("\"event\":\"cut\",\"id\":{id:?},\"part\":\"{part}\",\"target\":\"{target}\",\"ms\":{ms}"));
     }
 }
 
@@ -71,9 +76,9 @@
         log_cut_calls(node);
         let (calls, connections) = (node.calls.len(), self.open_connections.get());
         let dropped = self.dropped_connections.get();
-        let running = node.gate.borrow().load().running;
+        let (running, responses) = (node.gate.borrow().load().running, node.responses.len());
         node.log(&format!(
-            "\"event\":\"stopped\",\"edge_calls\":{calls},\"running\":{running},\"connections\":{connections},\"dropped_connections\":{dropped},\"ms\":{}",
+            "\"event\":\"stopped\",\"edge_calls\":{calls},\"responses\":{responses},\"running\":{running},\"connections\":{connections},\"dropped_connections\":{dropped},\"ms\":{}",
             node.now().since(schedule.requested()).as_millis()
         ));
         node.log_state().flush_without_delay();
--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -19,6 +19,7 @@
 
 use crate::body::{BodyError, PartialBody};
 use crate::caller_io::CallerIo;
+use crate::calls_in_progress::CallTicket;
 use crate::counters::Counters;
 use crate::gate::Slot;
 use crate::node::Node;
@@ -329,12 +330,14 @@
     state: Rc<StreamState>,
     length: SizeHint,
     timer: AbortHandle,
+    _ticket: CallTicket,
 }
 
 impl StreamedBody {
     /// Relays `body`, which arrives on the connection `lease` while `slot` is held.
     pub fn new(body: PartialBody<PeerBody>, lease: ConnectionLease, slot: Option<Slot>, call: RelayedCall) -> Self {
         let length = body.size_hint();
+        let ticket = call.node.responses.begin(&call.id, call.node.now());
         let source = OpenSource { body: Box::pin(body), remaining: length.exact(), lease, slot };
         let state = Rc::new(StreamState {
             call,
@@ -352,7 +355,7 @@
         // A task of its own: a body is not polled while the peer that receives it accepts no bytes.
         let timed = Rc::clone(&state);
         let timer = tokio::task::spawn_local(async move { timed.supervise().await });
-        StreamedBody { state, length, timer: timer.abort_handle() }
+        StreamedBody { state, length, timer: timer.abort_handle(), _ticket: ticket }
     }
 
     /// Tells it the connection on which it is sent.
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -87,6 +87,8 @@
         let ended = start_sidecar(unused_address(), "beta", alpha.target.address, store.address);
         let cut_call = ended.node.calls.begin("cut-call", ended.node.now());
         cut_call.set_target(Some(&"i-cut".into()));
+        let _cut_response = ended.node.responses.begin("cut-response", ended.node.now());
+        let _cut_run = ended.node.runs.begin("cut-run", ended.node.now());
         let stopping = tokio::task::spawn_local(ended.stop());
 
         let pay = |id: &str| request("POST", HOST, "/pay/", id, 5000, "x");
@@ -104,6 +106,7 @@
             (&given_up["why"], &given_up["may_have_run"], &given_up["version"]),
             (&"broken".into(), &true.into(), &5.into())
         );
+        assert_eq!((&given_up["at_work"], &given_up["stopping"]), (&"".into(), &false.into()));
 
         // A target that names a rate limit, and then one that is no number.
         alpha.target.set_behaviour(TargetBehaviour::Normal);
@@ -260,7 +263,9 @@
 
         assert_eq!(stopping.await.expect("it stops"), 1);
         let cut_line = first_line("cut", "cut-call");
-        assert_eq!(cut_line["target"], "i-cut");
+        assert_eq!((&cut_line["target"], &cut_line["part"]), (&"i-cut".into(), &"request".into()));
+        assert_eq!(first_line("cut", "cut-response")["part"], "response");
+        assert_eq!(first_line("cut", "cut-run")["part"], "target");
         assert!(cut_line["ms"].as_u64().is_some_and(|ms| ms >= 5_000), "{cut_line}");
     });
 }
