Soak: overlapping series of stops, with both forms of a lost request checked

Targets record how each run ended, so that the check "lost" sees an answer of a node in place of a target at work, with the rule's exceptions (deadline reached, target ended, work in the last sixth of the grace period). Served shares aren't checked there, since all machines of a service may stop at once.

--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -29,7 +29,7 @@
     }
 
     fn operands(&self) -> &'static str {
-        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages] [--slow-calls] [--endless]"
+        "[--seed N] [--time SECONDS] [--targets-each N] [--program FILE] [--folder DIR] [--calm] [--outages] [--slow-calls] [--stop-series] [--endless]"
     }
 
     fn declare(&self, options: &mut Options) {
@@ -45,6 +45,7 @@
         options.optopt("", "folder", "where settings and logs are kept (default the system's folder for such)", "DIR");
         options.optflag("", "calm", "only planned work, no faults");
         options.optflag("", "slow-calls", "nested calls and reads of responses are slow while processes stop");
+        options.optflag("", "stop-series", "processes stop in overlapping series, under calls of various durations");
         options.optflag("", "endless", "also targets that send bytes without end");
         options.optflag("", "outages", "also long outages of the store, in which targets restart under their ids");
     }
@@ -74,6 +75,7 @@
             has_faults,
             has_outages,
             has_slow_calls,
+            has_stop_series: arguments.has("stop-series"),
             has_endless_responses: arguments.has("endless"),
         };
         let report = run(&options)?;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,6 +9,7 @@
 
 use crate::crashes;
 use crate::layout::{MachineAddrs, RouteKind, SERVICES, SLOTS};
+use crate::lost;
 use crate::record::{CallEnd, CallRecord, NestedCall, RunRecord, SoakRecord};
 use crate::slow_calls::MAX_CHAINED_CALLS;
 use crate::target_status;
@@ -22,7 +23,7 @@
 pub const SCHEDULING_SLACK: Duration = Duration::from_millis(500);
 /// A connection that ends without a response within this time after a request may have been closed before the node read
 /// the request.
-const UNREAD_CLOSE_TOLERANCE: Duration = Duration::from_millis(200);
+pub const UNREAD_CLOSE_TOLERANCE: Duration = Duration::from_millis(200);
 /// The minimum share of calls that must be served in fault-free periods.
 const MIN_SERVED_SHARE: f64 = 0.95;
 /// The number of retries that a service may receive in a window in addition to [`RETRY_RATIO`].
@@ -81,6 +82,9 @@
     /// In fault-free periods no call times out or loses its connection, even during planned stops.
     #[display("uncut")]
     Uncut,
+    /// A planned stop costs no request the response of a target that is at work on it.
+    #[display("lost")]
+    Lost,
     /// In fault-free periods a configuration is in force within the bound.
     #[display("in-force")]
     InForce,
@@ -128,7 +132,7 @@
         if call.kind == RouteKind::Chain {
             sent.extend((0..MAX_CHAINED_CALLS).map(|index| (chained_id_at(&call.id, index), call)));
         }
-        if let CallEnd::Answered { is_own: false, status } = call.end {
+        if let CallEnd::Answered { is_own: false, status, .. } = call.end {
             found.push(violation(
                 Guarantee::OwnAnswer,
                 format!("{} received a foreign or incomplete response with status {status}", call.id),
@@ -142,7 +146,8 @@
             found.push(violation(Guarantee::AsSent, format!("{} ran but was never sent", run.id)));
             continue;
         };
-        let kind = if run.id == call.id { call.kind } else { RouteKind::Read };
+        let nested_kind = record.nested_kind.unwrap_or(RouteKind::Read);
+        let kind = if run.id == call.id { call.kind } else { nested_kind };
         if let Some(description) = describe_change(run, kind, call) {
             found.push(violation(Guarantee::AsSent, description));
         }
@@ -259,6 +264,8 @@
             CallEnd::Unreached => counted -= usize::from(is_counted && was_stopping(record, call)),
             CallEnd::Unread if !ran.contains(call.id.as_str()) => counted -= usize::from(is_counted),
             CallEnd::Cut if !ran.contains(call.id.as_str()) && call.ended - call.sent <= UNREAD_CLOSE_TOLERANCE => {}
+            // `lost` has the exact bounds of series of stops, in which all machines of a service may stop at once.
+            CallEnd::Cut | CallEnd::Unread if record.has_stop_series => {}
             CallEnd::Cut | CallEnd::Silent | CallEnd::Unread => {
                 let description = format!(
                     "{} at machine {} ended as {:?} after {:?}",
@@ -271,14 +278,17 @@
             }
         }
     }
-    if (served as f64) < MIN_SERVED_SHARE * counted as f64 {
+    if !record.has_stop_series && (served as f64) < MIN_SERVED_SHARE * counted as f64 {
         let description = format!(
             "{served} of {counted} calls were served in fault-free periods; not served:{}",
             describe_unserved(&unserved)
         );
         found.push(violation(Guarantee::Served, description));
     }
-    found.extend(nested_call_violations(record, &ran));
+    match record.has_stop_series {
+        true => found.extend(lost::check(record)),
+        false => found.extend(nested_call_violations(record, &ran)),
+    }
     found.extend(stale_configuration_violations(record));
     found.extend(drain_violations(record));
     found
@@ -288,7 +298,7 @@
 fn nested_call_violations(record: &SoakRecord, ran: &HashSet<&str>) -> Vec<Violation> {
     let mut found = Vec::new();
     for NestedCall { machine, call } in &record.nested_calls {
-        let ChainedRecord { id, sent, ended, status, is_timed_out } = call;
+        let ChainedRecord { id, sent, ended, status, is_timed_out, .. } = call;
         let is_excused = !record.is_fault_and_crash_free(SETTLE_TIME, *sent, *ended)
             || (!ran.contains(id.as_str()) && *ended - *sent <= UNREAD_CLOSE_TOLERANCE);
         if status.is_some() || *is_timed_out || is_excused {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,7 +7,7 @@
 //! targets observed, never against the product's own counters.
 //!
 //! Rounds of faults alternate with fault-free rounds of planned work. In addition,
-//! long outages of the store ([`outages`]), slow calls ([`slow_calls`]) or targets that send without end ([`endless`]) may
+//! long outages of the store ([`outages`]), slow calls ([`slow_calls`]), series of stops ([`stop_series`]) or targets that send without end ([`endless`]) may
 //! be played. Some guarantees hold at any time
 //! ([`checks::check_always`]); those with a time bound hold only without recent faults ([`checks::check_fault_free`]).
 
@@ -17,6 +17,7 @@
 pub mod faults;
 pub mod layout;
 pub mod links;
+mod lost;
 pub mod machine;
 pub mod outages;
 mod planned_work;
@@ -24,6 +25,7 @@
 pub mod record;
 pub mod run;
 pub mod slow_calls;
+pub mod stop_series;
 pub mod target_status;
 pub mod tenancy;
 pub mod traffic;
--- a/crates/soak/src/planned_work.rs
+++ b/crates/soak/src/planned_work.rs
@@ -36,7 +36,11 @@
     /// Does planned work: one change of each kind or a series of overlapping changes, or overlapping stops if calls are
     /// slow.
     pub(crate) async fn planned_work(&mut self) -> io::Result<()> {
-        if self.has_slow_calls {
+        if let Some(mut series) = self.stop_series.take() {
+            let round = self.stop_series_round(&mut series).await;
+            self.stop_series = Some(series);
+            round
+        } else if self.has_slow_calls {
             self.overlapping_stops().await
         } else if self.random.gen() {
             self.one_of_each_kind().await
@@ -135,7 +139,7 @@
 }
 
 /// Asks a process to stop, and restarts it after it has exited.
-async fn restart_process(machine: &SoakMachine, record: &RefCell<SoakRecord>) -> io::Result<()> {
+pub(crate) async fn restart_process(machine: &SoakMachine, record: &RefCell<SoakRecord>) -> io::Result<()> {
     let requested = Instant::now();
     record.borrow_mut().stops.push(StopSpan { machine: machine.addrs.number, requested, grace: STOP_GRACE });
     machine.signal(Signal::TERM);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use quillhatch_platform_standins::target::{ChainedRecord, RunningPeak};
+use quillhatch_platform_standins::target::{ChainedRecord, FinishedRun, RunningPeak};
 
 use crate::layout::{RouteKind, CRASH_DOWNTIME};
 use crate::target_status::{AnnouncementSpan, ArrivalRecord, NestedResponse, RateLimitSpan, ResponderStatus};
@@ -18,6 +18,8 @@
         /// Whether the response has the id of the request and, on success, also the target's signature and complete
         /// body.
         is_own: bool,
+        /// Whether it has a target's signature. Otherwise it is a node's.
+        is_signed: bool,
     },
     /// The connection was reset or closed before a complete response.
     Cut,
@@ -143,6 +145,8 @@
     pub calls: Vec<CallRecord>,
     /// Requests that targets ran.
     pub runs: Vec<RunRecord>,
+    /// Requests that targets have stopped working on.
+    pub finished_runs: Vec<FinishedRun>,
     /// The injected faults.
     pub fault_spans: Vec<FaultSpan>,
     /// When targets sent without end.
@@ -155,6 +159,10 @@
     pub drains: Vec<DrainSpan>,
     /// Planned stops.
     pub stops: Vec<StopSpan>,
+    /// The kind of the calls that targets make, if it isn't [`RouteKind::Read`].
+    pub nested_kind: Option<RouteKind>,
+    /// Whether the stops are so many that all machines of a service may stop at once.
+    pub has_stop_series: bool,
     /// When targets started to run requests that crash them.
     pub crashes: Vec<Instant>,
     /// Restarts of processes.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,6 +25,7 @@
 use crate::outages::play_outages;
 use crate::record::{ConfigWrite, FaultSpan, NestedCall, ProcessRestart, RunRecord, SoakRecord};
 use crate::slow_calls;
+use crate::stop_series::StopSeries;
 use crate::target_status::{play_announcements, ArrivalRecord, NestedResponse};
 use crate::traffic::{SoakCaller, DEADLINE};
 
@@ -86,6 +87,8 @@
     pub has_outages: bool,
     /// Whether targets make several slow calls in a row and callers read large responses slowly, while processes stop.
     pub has_slow_calls: bool,
+    /// Whether processes stop in overlapping series, under calls of various durations.
+    pub has_stop_series: bool,
     /// Whether targets send bytes without end.
     pub has_endless_responses: bool,
 }
@@ -124,6 +127,7 @@
     pub(crate) drain_schedule: Pcg64,
     version: u64,
     pub(crate) has_slow_calls: bool,
+    pub(crate) stop_series: Option<StopSeries>,
 }
 
 async fn run_rounds(options: &SoakOptions) -> io::Result<SoakReport> {
@@ -135,10 +139,13 @@
     let schedule = Pcg64::seed_from_u64(options.seed ^ ANNOUNCEMENT_SCHEDULE_SEED);
     let announcements = play_announcements(run.machines.clone(), Rc::clone(&run.record), schedule, end);
     let mut schedules = Vec::new();
-    match options.has_slow_calls {
+    match run.has_slow_calls {
         true => schedules.extend(slow_calls::start_readers(&run.machines, &run.record, options.seed, end)),
         false => schedules.push(spawn_local(announcements)),
     }
+    if let Some(series) = &mut run.stop_series {
+        schedules.extend(series.start_standstills(&run.machines, end));
+    }
     if options.has_outages {
         let schedule = Pcg64::seed_from_u64(options.seed ^ OUTAGE_SCHEDULE_SEED);
         let outages = play_outages(run.machines.clone(), Rc::clone(&run.record), schedule, end);
@@ -189,10 +196,18 @@
             machines.push(machine);
         }
         let version = random.gen_range(1..50);
-        let record = Rc::default();
-        let has_slow_calls = options.has_slow_calls;
-        if has_slow_calls {
-            machines.iter().for_each(|machine| slow_calls::slow_down(machine));
+        let has_slow_calls = options.has_slow_calls || options.has_stop_series;
+        let mut stop_series = options.has_stop_series.then(|| StopSeries::draw(options.seed));
+        let record = Rc::new(RefCell::new(SoakRecord {
+            nested_kind: stop_series.as_ref().and_then(StopSeries::nested_kind),
+            has_stop_series: options.has_stop_series,
+            ..Default::default()
+        }));
+        for machine in machines.iter().filter(|_| has_slow_calls) {
+            match &mut stop_series {
+                Some(series) => series.prepare(machine),
+                None => slow_calls::slow_down(machine),
+            }
         }
         Ok(SoakRun {
             store,
@@ -204,6 +219,7 @@
             drain_schedule,
             version,
             has_slow_calls,
+            stop_series,
         })
     }
 
@@ -303,6 +319,7 @@
                 machine.target.take_started_requests().into_iter().map(|request| run_record(number, request)).collect();
             record.crashes.extend(runs.iter().filter(|run| run.crashes_targets()).map(|run| run.at));
             record.runs.extend(runs);
+            record.finished_runs.extend(machine.target.take_finished_runs());
             record.arrivals.extend(machine.target.take_arrivals().into_iter().map(ArrivalRecord::from));
             let calls = machine.target.take_chained_records().into_iter();
             record.nested_calls.extend(calls.map(|call| NestedCall { machine: number, call }));
--- a/crates/soak/src/slow_calls.rs
+++ b/crates/soak/src/slow_calls.rs
@@ -123,7 +123,12 @@
                 _ => response.is_own(&id),
             };
             is_closed = response.header("connection").eq_ignore_ascii_case("close");
-            self.record_call(kind, id, sent, CallEnd::Answered { status: response.status, is_own });
+            self.record_call(
+                kind,
+                id,
+                sent,
+                CallEnd::Answered { status: response.status, is_own, is_signed: response.is_signed() },
+            );
         }
     }
 
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -98,7 +98,11 @@
             self.record_call(kind, key, id, sent, end, ResponderStatus::default());
             return None;
         };
-        let end = CallEnd::Answered { status: response.status, is_own: response.is_own(&id) };
+        let end = CallEnd::Answered {
+            status: response.status,
+            is_own: response.is_own(&id),
+            is_signed: response.is_signed(),
+        };
         self.record_call(kind, key, id, sent, end, ResponderStatus::read(&response));
         let closes = response.header("connection").eq_ignore_ascii_case("close");
         (!closes && self.random.gen_bool(REUSE_PROBABILITY)).then_some(caller)
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use quillhatch_platform_standins::target::{ChainedRecord, RunningPeak, RunningRequest};
+use quillhatch_platform_standins::target::{ChainedRecord, FinishedRun, RunEnd, RunningPeak, RunningRequest};
 use quillhatch_soak::checks::{check_all, Guarantee};
 use quillhatch_soak::layout::{RouteKind, SLOTS};
 use quillhatch_soak::record::{
@@ -121,11 +121,11 @@
 }
 
 fn ok() -> CallEnd {
-    CallEnd::Answered { status: 200, is_own: true }
+    CallEnd::Answered { status: 200, is_own: true, is_signed: true }
 }
 
 fn status(status: u16) -> CallEnd {
-    CallEnd::Answered { status, is_own: true }
+    CallEnd::Answered { status, is_own: true, is_signed: false }
 }
 
 #[test]
@@ -133,7 +133,7 @@
     assert_eq!(Scenario::new().violated_guarantees(), []);
 }
 
-#[test_case(Guarantee::OwnAnswer, |scenario| scenario.call("x", RouteKind::Read, 6_000, CallEnd::Answered { status: 200, is_own: false }))]
+#[test_case(Guarantee::OwnAnswer, |scenario| scenario.call("x", RouteKind::Read, 6_000, CallEnd::Answered { status: 200, is_own: false, is_signed: true }))]
 #[test_case(Guarantee::AsSent, |scenario| scenario.run("nobody-sent", RouteKind::Read, BETA, 6_000))]
 #[test_case(Guarantee::AsSent, |scenario| scenario.record.runs[0].request.1 = "/read/y".to_owned())]
 #[test_case(Guarantee::AsSent, |scenario| scenario.record.runs[0].caller_service = "beta".to_owned())]
@@ -257,12 +257,47 @@
     let mut scenario = Scenario::new();
     scenario.add_fault(8_000, 9_500);
     let (sent, ended) = (scenario.at(at_ms), scenario.at(at_ms + 300));
-    let call = ChainedRecord { id: "chain-chained".to_owned(), sent, ended, status, is_timed_out };
+    let deadline = sent + Duration::from_secs(6);
+    let id = "chain-chained".to_owned();
+    let call = ChainedRecord { id, sent, ended, status, is_timed_out, deadline, is_signed: false };
     scenario.record.nested_calls.push(NestedCall { machine: ALPHA, call });
     let expected: &[Guarantee] = if reported { &[Guarantee::Uncut] } else { &[] };
     assert_eq!(scenario.violated_guarantees(), expected);
 }
 
+/// A request that is sent at 6 s ends after 400 ms; its run ends at `run_ended`. The process of its machine is stopped at
+/// `stopped`. All in milliseconds.
+#[test_case(CallEnd::Cut, Some((RunEnd::Unfinished, 6_390)), 5_000, true; "cut at work")]
+#[test_case(CallEnd::Cut, Some((RunEnd::TargetEnded, 6_390)), 5_000, false; "cut by the end of its target")]
+#[test_case(CallEnd::Cut, None, 5_000, true; "cut and never passed on")]
+#[test_case(CallEnd::Unread, None, 5_000, false; "behind a closing response")]
+#[test_case(status(502), Some((RunEnd::Responded, 6_500)), 5_000, true; "answered at work")]
+#[test_case(status(502), Some((RunEnd::Unfinished, 6_390)), 5_000, true; "answered after the attempt was broken off")]
+#[test_case(status(504), Some((RunEnd::Responded, 6_390)), 5_000, false; "answered after its target")]
+#[test_case(status(503), None, 5_000, false; "refused")]
+#[test_case(status(502), Some((RunEnd::Responded, 6_500)), 1_350, true; "at work at the end of the grace period but sent late")]
+#[test_case(status(502), Some((RunEnd::Responded, 6_500)), 3_100, true; "at work before the end of the grace period")]
+#[test_case(status(502), Some((RunEnd::Responded, 8_100)), 3_100, false; "at work at the end of the grace period")]
+fn a_request_that_a_stop_costs_its_response_is_reported(
+    end: CallEnd,
+    run: Option<(RunEnd, u64)>,
+    stopped_ms: u64,
+    reported: bool,
+) {
+    let mut scenario = Scenario::new();
+    scenario.record.has_stop_series = true;
+    scenario.call("stopped", RouteKind::Read, 6_000, end);
+    if let Some((end, ended_ms)) = run {
+        scenario.run("stopped", RouteKind::Read, BETA, 6_010);
+        let (started, ended) = (scenario.at(6_010), scenario.at(ended_ms));
+        scenario.record.finished_runs.push(FinishedRun { id: "stopped".to_owned(), started, ended, end });
+    }
+    let requested = scenario.at(stopped_ms);
+    scenario.record.stops.push(StopSpan { machine: ALPHA, requested, grace: Duration::from_secs(6) });
+    let expected: &[Guarantee] = if reported { &[Guarantee::Lost] } else { &[] };
+    assert_eq!(scenario.violated_guarantees(), expected);
+}
+
 #[test]
 fn a_request_behind_a_closing_response_is_reported_only_if_it_ran() {
     let mut scenario = Scenario::new();
