Wait for a target's response beyond the deadline that a stop has shortened

What callers saw: a target's call through a stopping node got 504 about 5.07 s after its SIGTERM while the called target was answering.

Cause: the stop shortened the deadline of the whole call, so edge and gate gave up 40 and 20 ms after it, with most of the caller's time left. The class: one bound for two things, how long a target may work and how long its response is waited for.

Now the edge names the target's earlier deadline to the gate beside the call's own (work_time in the hop header, which older nodes ignore), and both wait until the call's own deadline. The process ends 0.4 s before the end of the grace period in place of 0.8 s if calls are in progress until then; the last deadline of a target stays at 0.95 s before it, so that a target may be half a second late. The gate closes 0.15 s earlier at most, by that last deadline.

--- a/crates/mesh/src/shutdown.rs
+++ b/crates/mesh/src/shutdown.rs
@@ -4,7 +4,7 @@
 //! the caller nothing. So each call is accepted by the time that calls of its route take, the calls that they make
 //! included ([`RouteDurations::needed`](crate::durations::RouteDurations::needed)). Targets receive a deadline that ends
 //! before the process does: a target that takes longer than expected responds itself, instead of working for a caller
-//! whose connection is gone.
+//! whose connection is gone. The nodes go on waiting for its response after that deadline.
 
 use std::time::Duration;
 
@@ -16,12 +16,13 @@
 /// The platform checks readiness once a second, and two failed checks redirect callers.
 const CALLER_DRAIN_TIME: Duration = Duration::from_millis(2200);
 /// The part of the grace period that is reserved at its end for the exit of the process.
-const EXIT_RESERVE: Duration = Duration::from_millis(800);
+const EXIT_RESERVE: Duration = Duration::from_millis(400);
 /// The part of the grace period that is reserved for the calls at the target, after the gate has closed. Also the time
 /// that a call is expected to take if no call of its route was measured.
 const TARGET_DRAIN_TIME: Duration = Duration::from_millis(2200);
-/// How long before the end of the process the last responses of targets must be on their way back.
-const RESPONSE_RESERVE: Duration = Duration::from_millis(150);
+/// How long before the end of the process the last deadline of a target is: it may be late to respond, and its response
+/// takes a moment to arrive.
+const RESPONSE_RESERVE: Duration = Duration::from_millis(550);
 
 /// The times of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +51,7 @@
 
     /// When the gate closes at the latest. External callers are refused from then on.
     pub fn gate_closes_at(&self) -> Timestamp {
-        (self.process_end - TARGET_DRAIN_TIME).max(self.requested)
+        (self.last_response_at() - TARGET_DRAIN_TIME).max(self.requested)
     }
 
     /// When the process ends at the latest, whatever is still in progress.
@@ -58,9 +59,11 @@
         self.process_end
     }
 
-    /// The deadline with which a call is sent to a target.
-    pub fn limit_deadline(&self, deadline: Timestamp) -> Timestamp {
-        deadline.min(self.last_response_at())
+    /// The time from `now` until the deadline that a target gets for a call, if that is earlier than `deadline`, until
+    /// which its response is waited for.
+    pub fn work_time(&self, deadline: Timestamp, now: Timestamp) -> Option<Duration> {
+        let work_deadline = self.last_response_at();
+        (work_deadline < deadline).then(|| now.until(work_deadline))
     }
 
     /// Whether a call that is sent now can finish before the process ends. `duration` is the time that it needs, if any
@@ -71,6 +74,6 @@
     }
 
     fn last_response_at(&self) -> Timestamp {
-        self.process_end - RESPONSE_RESERVE
+        (self.process_end - RESPONSE_RESERVE).max(self.requested)
     }
 }
--- a/crates/mesh/tests/decisions/shutdown.rs
+++ b/crates/mesh/tests/decisions/shutdown.rs
@@ -36,9 +36,10 @@
 #[test]
 fn the_deadline_of_a_target_ends_before_the_process_does() {
     let schedule = schedule();
-    let limited = schedule.limit_deadline(after(20_000));
-    assert!(limited < schedule.process_end() && schedule.process_end() < REQUESTED + GRACE);
-    assert_eq!(schedule.limit_deadline(after(1_000)), after(1_000));
+    let now = after(1_000);
+    let work_time = schedule.work_time(after(20_000), now).expect("it is limited");
+    assert!(now + work_time < schedule.process_end() && schedule.process_end() < REQUESTED + GRACE);
+    assert_eq!(schedule.work_time(after(2_000), now), None);
 }
 
 #[test]
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -130,6 +130,7 @@
     let Choice { target, is_over_limit } = choice;
     let started = node.now();
     let remaining = started.until(call.deadline);
+    let work_time = node.shutdown().and_then(|schedule| schedule.work_time(call.deadline, started));
     let mut request = Request::new(body);
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
@@ -137,7 +138,7 @@
     let max_wait = if !node.is_enabled(Mechanism::QueueTimeout) {
         remaining
     } else if call.is_nested {
-        remaining.mul_f64(NESTED_QUEUE_FRACTION)
+        work_time.unwrap_or(remaining).mul_f64(NESTED_QUEUE_FRACTION)
     } else {
         started.until(call.arrived + call.route.latency_objective.mul_f64(DISPATCH_FRACTION)).min(remaining)
     };
@@ -149,6 +150,7 @@
         edge_ip: node.settings.local_target.ip(),
         is_over_limit: *is_over_limit,
         rate_limit: node.load_balancer.borrow().rate_limit(&target.id),
+        work_time,
     };
     let added = [
         (HOP_HEADER, context.encode()),
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -83,7 +83,6 @@
                 let retry_after = responses::retry_delay_while_stopping(&call, schedule, now);
                 return give_up_with(&call, &progress, "stopping", retry_after);
             }
-            call.deadline = schedule.limit_deadline(call.deadline);
         }
         if now.until(call.deadline) < MIN_ATTEMPT_TIME {
             let why = if progress.may_have_run() { "late" } else { "late-not-run" };
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -60,7 +60,10 @@
     /// Whether it may run more than once. A call of an unknown route may not.
     retryability: Retryability,
     arrived: Timestamp,
+    /// Until when the edge waits for the response.
     deadline: Timestamp,
+    /// The deadline that the target gets, not later than `deadline`.
+    work_deadline: Timestamp,
     /// From when a streamed response is late: from the timeout of its route on, as at the edge.
     stream_late_at: Timestamp,
 }
@@ -100,6 +103,7 @@
         retryability: route.as_ref().map_or(Retryability::AtMostOnce, |route| route.retryability),
         arrived,
         deadline: arrived + timeout,
+        work_deadline: arrived + context.work_time.map_or(timeout, |work_time| work_time.min(timeout)),
         stream_late_at: arrived + route.map_or(timeout, |route| timeout.max(route.timeout)) + DEADLINE_ALLOWANCE,
     };
     if let (Some(route), Some(caller)) = (&call.route, header_text(headers, headers::CALLER_SERVICE)) {
@@ -275,7 +279,7 @@
     mut slot: Slot,
     record: RunRecord,
 ) -> Result<Response<Body>, Failure> {
-    let remaining = node.now().until(call.deadline);
+    let remaining = node.now().until(call.work_deadline);
     if remaining < MIN_FORWARD_TIME {
         return Err(Failure::new(GateOutcome::Full, "too little time until the deadline"));
     }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -77,6 +77,9 @@
     pub is_over_limit: bool,
     /// The target's rate limit, if the edge knows one. A gate that has just started does not.
     pub rate_limit: Option<AnnouncedLimit>,
+    /// The time until the deadline that the target gets, if it is earlier than the one until which the edge waits for
+    /// the response.
+    pub work_time: Option<Duration>,
 }
 
 impl HopContext {
@@ -93,6 +96,10 @@
         if let Some(AnnouncedLimit { per_second, running_at: RunningAt(running_at) }) = self.rate_limit {
             let _ = write!(text, "{per_second};{running_at}");
         }
+        if let Some(work_time) = self.work_time {
+            let separators = if self.rate_limit.is_some() { ";" } else { ";;" };
+            let _ = write!(text, "{separators}{}", work_time.as_millis());
+        }
         text
     }
 
@@ -110,7 +117,8 @@
         let per_second = parts.next().and_then(decode_rate);
         let running_at = parts.next().map(decode_running_at).unwrap_or_default();
         let rate_limit = per_second.map(|per_second| AnnouncedLimit { per_second, running_at });
-        Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip, is_over_limit, rate_limit })
+        let work_time = parts.next().and_then(|work_time| work_time.parse().ok()).map(Duration::from_millis);
+        Some(HopContext { is_root, inherited, max_wait, store_view, edge_ip, is_over_limit, rate_limit, work_time })
     }
 }
 
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -22,16 +22,21 @@
 
 #[test]
 fn a_hop_context_round_trips() {
-    let context = HopContext {
-        is_root: true,
-        inherited: InheritedContext { priority: 2, position: 255, is_retry: true, admitted_permille: 250 },
-        max_wait: Duration::from_millis(330),
-        store_view: StoreView { position: Position { era: 2, revision: 77 }, store_unreachable: true },
-        edge_ip: IpAddr::from([10, 1, 0, 8]),
-        is_over_limit: true,
-        rate_limit: Some(AnnouncedLimit { per_second: 0.125, running_at: RunningAt(1_790_000_000_000) }),
-    };
-    assert_eq!(HopContext::decode(&context.encode()), Some(context));
+    let limit = AnnouncedLimit { per_second: 0.125, running_at: RunningAt(1_790_000_000_000) };
+    let work_time = Some(Duration::from_millis(1_250));
+    for (rate_limit, work_time) in [(Some(limit), work_time), (Some(limit), None), (None, work_time), (None, None)] {
+        let context = HopContext {
+            is_root: true,
+            inherited: InheritedContext { priority: 2, position: 255, is_retry: true, admitted_permille: 250 },
+            max_wait: Duration::from_millis(330),
+            store_view: StoreView { position: Position { era: 2, revision: 77 }, store_unreachable: true },
+            edge_ip: IpAddr::from([10, 1, 0, 8]),
+            is_over_limit: true,
+            rate_limit,
+            work_time,
+        };
+        assert_eq!(HopContext::decode(&context.encode()), Some(context));
+    }
 }
 
 #[test]
--- a/crates/sidecar/tests/stalled_responses.rs
+++ b/crates/sidecar/tests/stalled_responses.rs
@@ -116,6 +116,7 @@
             edge_ip: beta.address.into(),
             is_over_limit: false,
             rate_limit: None,
+            work_time: None,
         };
         let headers = format!(
             "\r\n{HOP_HEADER}: {}\r\nQuillhatch-Expect-Instance: {}\r\nQuillhatch-Caller-Service: beta\r\n\r\n",
