Give a target a deadline before the end of its gate's process

What callers saw: a call that a stopping node had let in, since calls of its route are usually short, was cut at its target by the end of that node's process, and the node that had sent it answered 502, also one that was in a stop itself.

Cause: only the edge shortened deadlines in its own stop; the gate let calls in by their usual time and passed their own deadlines on.

Now the gate gives its target the earlier of the call's deadline and the last one of its own stop. The target's 504 at such a deadline is reported as interrupted: the edge tries another target if the call may be retried and the budget allows it, as it did after a cut, and passes that 504 on if none serves the call. Older nodes read the report as answered. Calls that were at the target before the SIGTERM keep their deadlines.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -51,6 +51,8 @@
 pub(super) enum Attempt {
     /// The target's response.
     Response(Box<Response<Body>>),
+    /// The target's response: it has ended the call early, because the node beside it is stopping.
+    Interrupted(Box<Response<Body>>),
     /// The call has not run: the gate has no free slot for it.
     Full,
     /// The call has not run and no target has received it, for this reason.
@@ -84,6 +86,7 @@
             | Attempt::RateLimited(_)
             | Attempt::Quarantined(_) => true,
             Attempt::Response(_)
+            | Attempt::Interrupted(_)
             | Attempt::NoResponse(_)
             | Attempt::Abandoned
             | Attempt::Unresponsive
@@ -219,7 +222,7 @@
         targets.get(&replacement.id).is_some()
     });
     match report.outcome {
-        GateOutcome::Answered => {
+        GateOutcome::Answered | GateOutcome::Interrupted => {
             let took = now.since(started);
             if response.status().is_success() {
                 node.load_balancer.borrow_mut().record_response_time(&target.id, &call.route.name, took, now);
@@ -227,7 +230,12 @@
                 node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, took, now);
             }
             drop(in_flight);
-            relay(node, call, response, lease).await
+            match relay(node, call, response, lease).await {
+                Attempt::Response(response) if report.outcome == GateOutcome::Interrupted => {
+                    Attempt::Interrupted(response)
+                }
+                relayed => relayed,
+            }
         }
         GateOutcome::Full => {
             lease.release_after(response.into_body());
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -1,6 +1,7 @@
 //! Sends a call to one target after another until one responds or no further attempt is allowed.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::{Response, StatusCode};
@@ -47,6 +48,8 @@
     pub(super) left_at_work: Option<TargetId>,
     /// The shortest delay after which a target whose rate limit refused the call accepts it again.
     rate_limited: Option<Duration>,
+    /// The response of a target that has ended the call early, in case no other one serves it.
+    interrupted: Option<TargetResponse>,
 }
 
 impl Progress {
@@ -60,39 +63,73 @@
     }
 }
 
+/// The response of a target to a call.
+struct TargetResponse {
+    target: Arc<Target>,
+    response: Response<Body>,
+}
+
+/// Why no target is tried any more.
+struct GivenUp {
+    why: &'static str,
+    /// When the call may be retried if it has not run.
+    retry_after: Duration,
+}
+
+impl GivenUp {
+    /// The call may be retried after the usual delay of its route.
+    fn new(node: &Node, call: &Call, why: &'static str) -> Self {
+        GivenUp { why, retry_after: responses::retry_delay(node, &call.route) }
+    }
+}
+
 /// Serves a call and returns the target's response, or the node's own if there is none.
-pub(super) async fn run(node: &Rc<Node>, ticket: &CallTicket, call: Call, body: Body) -> Response<Body> {
+pub(super) async fn run(node: &Rc<Node>, ticket: &CallTicket, mut call: Call, body: Body) -> Response<Body> {
     let service = choose_service(&call.route, &mut *node.random.borrow_mut()).cloned();
     let Some(service) = service else {
         return refuse(node, &call.id, "no-destination", NO_DESTINATION_RETRY_AFTER, call.arrived);
     };
     node.count_call(&service, call.inherited.is_retry);
+    let mut progress = Progress::default();
+    let served = try_targets(node, ticket, &mut call, body, &service, &mut progress).await;
+    let interrupted = progress.interrupted.take();
+    match served.or_else(|given_up| interrupted.ok_or(given_up)) {
+        Ok(TargetResponse { target, response }) => {
+            record_response(node, &call, &target, &response, progress.tried.len());
+            response
+        }
+        Err(GivenUp { why, retry_after }) => responses::give_up(node, &call, &progress, why, retry_after),
+    }
+}
+
+/// Tries one target after the other.
+async fn try_targets(
+    node: &Rc<Node>,
+    ticket: &CallTicket,
+    call: &mut Call,
+    body: Body,
+    service: &Arc<str>,
+    progress: &mut Progress,
+) -> Result<TargetResponse, GivenUp> {
     let dispatch_until = call.arrived + call.route.latency_objective.mul_f64(super::attempt::DISPATCH_FRACTION);
-    let mut call = call;
     let mut body = Some(body);
-    let mut progress = Progress::default();
-    let give_up_with =
-        |call: &Call, progress: &Progress, why, retry_after| responses::give_up(node, call, progress, why, retry_after);
-    let give_up = |call: &Call, progress: &Progress, why| {
-        give_up_with(call, progress, why, responses::retry_delay(node, &call.route))
-    };
     loop {
         let now = node.now();
         if let Some(schedule) = node.shutdown() {
-            if !can_finish(node, &call, schedule, now) {
-                let retry_after = responses::retry_delay_while_stopping(&call, schedule, now);
-                return give_up_with(&call, &progress, "stopping", retry_after);
+            if !can_finish(node, call, schedule, now) {
+                let retry_after = responses::retry_delay_while_stopping(call, schedule, now);
+                return Err(GivenUp { why: "stopping", retry_after });
             }
         }
         if now.until(call.deadline) < MIN_ATTEMPT_TIME {
             let why = if progress.may_have_run() { "late" } else { "late-not-run" };
-            return give_up(&call, &progress, why);
+            return Err(GivenUp::new(node, call, why));
         }
-        let Some(choice) = choose_target(node, &call, &service, &progress) else {
+        let Some(choice) = choose_target(node, call, service, progress) else {
             if let Some(wait) = progress.rate_limited {
                 let spread_wait = wait.mul_f64(node.random.borrow_mut().gen_range(RATE_LIMIT_WAIT_SPREAD));
                 let retry_after = spread_wait.max(responses::retry_delay(node, &call.route));
-                return give_up_with(&call, &progress, "rate-limited", retry_after);
+                return Err(GivenUp { why: "rate-limited", retry_after });
             }
             if progress.full == 0 && now < dispatch_until && !progress.may_have_run() {
                 tokio::time::sleep(UNREACHABLE_RETRY_DELAY).await;
@@ -104,29 +141,29 @@
                 AdmissionLevel::from_priority_share(0.0),
                 now,
             );
-            return give_up(&call, &progress, "no-target");
+            return Err(GivenUp::new(node, call, "no-target"));
         };
         let target = &choice.target;
         let runs_once = call.route.retryability == Retryability::AtMostOnce;
         if runs_once && !liveness::is_live_now(node, target).await {
             node.log_failure(|| {
-                failed_attempt_line(&call, target, "node did not respond to the liveness probe; not sent")
+                failed_attempt_line(call, target, "node did not respond to the liveness probe; not sent")
             });
             progress.tried.push(target.id.clone());
             continue;
         }
         let Some(attempt_body) = body.as_ref().and_then(Body::clone_if_buffered).or_else(|| body.take()) else {
-            return give_up(&call, &progress, "body-gone");
+            return Err(GivenUp::new(node, call, "body-gone"));
         };
         let may_abandon = || {
             let can_be_retried = body.is_some() && progress.runs == 0 && call.route.max_attempts > 1;
             can_be_retried
-                && has_other_target(node, &service, target, &progress.tried)
-                && should_abandon(node, &call)
-                && node.try_retry(&service, &call.route.name)
+                && has_other_target(node, service, target, &progress.tried)
+                && should_abandon(node, call)
+                && node.try_retry(service, &call.route.name)
         };
         ticket.set_target(Some(&target.id));
-        let outcome = attempt(node, &call, &choice, attempt_body, may_abandon).await;
+        let outcome = attempt(node, call, &choice, attempt_body, may_abandon).await;
         if outcome.is_not_run() {
             ticket.set_target(None);
         }
@@ -136,18 +173,28 @@
         progress.tried.push(target.id.clone());
         match outcome {
             Attempt::Response(response) => {
-                record_response(node, &call, target, &response, progress.tried.len());
-                return *response;
+                return Ok(TargetResponse { target: Arc::clone(target), response: *response });
+            }
+            Attempt::Interrupted(response) => {
+                progress.runs += 1;
+                let responded = TargetResponse { target: Arc::clone(target), response: *response };
+                let may_retry = progress.may_retry(call) && has_other_target(node, service, target, &progress.tried);
+                if !may_retry || !node.try_retry(service, &call.route.name) {
+                    return Ok(responded);
+                }
+                node.log_failure(|| failed_attempt_line(call, target, "node of the target is stopping"));
+                progress.interrupted = Some(responded);
+                record_retry(node, call);
             }
             Attempt::Full => {
                 progress.full += 1;
                 // If the whole service is out of capacity, its other gates are full too.
-                if progress.full >= MAX_FULL_GATES || !has_spare_capacity(node, &call) {
-                    return give_up(&call, &progress, "full");
+                if progress.full >= MAX_FULL_GATES || !has_spare_capacity(node, call) {
+                    return Err(GivenUp::new(node, call, "full"));
                 }
             }
             Attempt::NotRun(why) => {
-                node.log_failure(|| failed_attempt_line(&call, target, why));
+                node.log_failure(|| failed_attempt_line(call, target, why));
                 node.load_balancer.borrow_mut().record_refusal(&target.id, node.now());
             }
             Attempt::TargetReplaced => {}
@@ -155,33 +202,33 @@
                 progress.rate_limited = Some(progress.rate_limited.map_or(wait, |shortest| shortest.min(wait)));
             }
             Attempt::Rejected => {
-                node.log_failure(|| failed_attempt_line(&call, target, "rejected"));
+                node.log_failure(|| failed_attempt_line(call, target, "rejected"));
                 // The target refuses quickly, so it would attract calls, each of which costs a retry.
                 node.load_balancer.borrow_mut().record_refusal(&target.id, node.now());
-                if !node.try_retry(&service, &call.route.name) {
-                    return give_up(&call, &progress, "rejected");
+                if !node.try_retry(service, &call.route.name) {
+                    return Err(GivenUp::new(node, call, "rejected"));
                 }
-                record_retry(node, &mut call);
+                record_retry(node, call);
             }
             // The other gates of the service have the same quarantine entries.
-            Attempt::Quarantined(retry_after) => return give_up_with(&call, &progress, "quarantined", retry_after),
+            Attempt::Quarantined(retry_after) => return Err(GivenUp { why: "quarantined", retry_after }),
             Attempt::NoResponse(_) | Attempt::Unresponsive => {
-                node.log_failure(|| failed_attempt_line(&call, target, outcome.failure()));
+                node.log_failure(|| failed_attempt_line(call, target, outcome.failure()));
                 progress.runs += 1;
-                if !progress.may_retry(&call) || !node.try_retry(&service, &call.route.name) {
-                    return give_up(&call, &progress, "broken");
+                if !progress.may_retry(call) || !node.try_retry(service, &call.route.name) {
+                    return Err(GivenUp::new(node, call, "broken"));
                 }
-                record_retry(node, &mut call);
+                record_retry(node, call);
             }
             Attempt::Abandoned => {
                 // The retry was taken from the budget when the attempt was abandoned.
-                node.log_failure(|| failed_attempt_line(&call, target, "target is slow; trying another one"));
+                node.log_failure(|| failed_attempt_line(call, target, "target is slow; trying another one"));
                 progress.runs += 1;
-                record_retry(node, &mut call);
+                record_retry(node, call);
             }
             Attempt::DeadlineExceeded => {
                 progress.runs += 1;
-                return give_up(&call, &progress, "late");
+                return Err(GivenUp::new(node, call, "late"));
             }
         }
     }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -112,9 +112,9 @@
     let outcome = admit_and_forward(&node, &call, &context, parts, body).await;
     record_health(&node, &outcome);
     match outcome {
-        Ok(mut response) => {
-            node.counters.count_gate_call("answered");
-            attach_report(&node, &call, GateOutcome::Answered, &mut response);
+        Ok(TargetResponse { outcome, mut response }) => {
+            node.counters.count_gate_call(outcome.name());
+            attach_report(&node, &call, outcome, &mut response);
             response
         }
         Err(Failure { outcome, why, retry_after }) => {
@@ -147,10 +147,10 @@
 
 /// Records whether the target responded well. A target that exceeds the deadline is not counted, since the calls that
 /// it made may be the cause.
-fn record_health(node: &Node, outcome: &Result<Response<Body>, Failure>) {
+fn record_health(node: &Node, outcome: &Result<TargetResponse, Failure>) {
     let now = node.now();
     let mut health = node.target_health.borrow_mut();
-    match outcome {
+    match outcome.as_ref().map(|responded| &responded.response) {
         Ok(response) if response.status() == StatusCode::GATEWAY_TIMEOUT => {}
         Ok(response) if response.status().is_server_error() => health.record_error(now),
         Ok(_) => health.record_good(now),
@@ -209,6 +209,13 @@
     }
 }
 
+/// The response of the target.
+struct TargetResponse {
+    /// `Answered` or `Interrupted`.
+    outcome: GateOutcome,
+    response: Response<Body>,
+}
+
 /// Why the gate has no response from the target.
 struct Failure {
     outcome: GateOutcome,
@@ -243,7 +250,7 @@
     context: &HopContext,
     parts: Parts,
     body: Option<Incoming>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<TargetResponse, Failure> {
     // Read before the call takes a slot: the quarantine check needs the signature, which covers the body.
     let body = match body.filter(|body| !body.is_end_stream()) {
         None => Body::empty(),
@@ -278,8 +285,10 @@
     body: Body,
     mut slot: Slot,
     record: RunRecord,
-) -> Result<Response<Body>, Failure> {
-    let remaining = node.now().until(call.work_deadline);
+) -> Result<TargetResponse, Failure> {
+    let now = node.now();
+    let time_until_stop = node.shutdown().and_then(|schedule| schedule.work_time(call.work_deadline, now));
+    let remaining = time_until_stop.unwrap_or(now.until(call.work_deadline));
     if remaining < MIN_FORWARD_TIME {
         return Err(Failure::new(GateOutcome::Full, "too little time until the deadline"));
     }
@@ -339,12 +348,16 @@
     if response.status().is_success() && (!has_stamp || response.headers().contains_key(CONTENT_ENCODING)) {
         return Err(Failure::new(GateOutcome::NoResponse, "response is encoded or has no server stamp"));
     }
+    let status = response.status();
     let work_ends_at = call.deadline + DEADLINE_ALLOWANCE;
     let id = call.id_text().to_owned();
     let times = StreamTimes { late_at: call.stream_late_at, work_ends_at: Some(work_ends_at) };
     let relayed = relay_response(response, lease, Some(slot), RelayedCall { node: Rc::clone(node), id, times });
+    let is_interrupted = time_until_stop.is_some() && status == StatusCode::GATEWAY_TIMEOUT;
+    let outcome = if is_interrupted { GateOutcome::Interrupted } else { GateOutcome::Answered };
     match node.clock.timeout_at(work_ends_at, relayed).await {
-        Ok(relayed) => relayed.map_err(|why| Failure::new(GateOutcome::NoResponse, why)),
+        Ok(Ok(response)) => Ok(TargetResponse { outcome, response }),
+        Ok(Err(why)) => Err(Failure::new(GateOutcome::NoResponse, why)),
         Err(_) => {
             slots::response_unfinished(node);
             Err(Failure::new(GateOutcome::DeadlineExceeded, "response did not end before the deadline"))
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -127,6 +127,9 @@
 pub enum GateOutcome {
     /// The target has responded; the response is the target's.
     Answered,
+    /// The target has ended the call at a deadline that was earlier than the call's own, because the gate's node is
+    /// stopping. The response is the target's.
+    Interrupted,
     /// The call has not run: the gate had no slot for it in time.
     Full,
     /// The call has not run and the target has not received it: the target is draining, was replaced by another one or
@@ -146,8 +149,9 @@
 
 impl GateOutcome {
     /// All outcomes.
-    pub const ALL: [GateOutcome; 8] = [
+    pub const ALL: [GateOutcome; 9] = [
         GateOutcome::Answered,
+        GateOutcome::Interrupted,
         GateOutcome::Full,
         GateOutcome::Closed,
         GateOutcome::Rejected,
@@ -161,6 +165,7 @@
     pub fn name(self) -> &'static str {
         match self {
             GateOutcome::Answered => "answered",
+            GateOutcome::Interrupted => "interrupted",
             GateOutcome::Full => "full",
             GateOutcome::Closed => "closed",
             GateOutcome::Rejected => "rejected",
@@ -171,21 +176,24 @@
         }
     }
 
-    fn code(self) -> char {
+    /// The code in the header. Older nodes read its first character only, so `Interrupted` is `Answered` to them.
+    fn code(self) -> &'static str {
         match self {
-            GateOutcome::Answered => 'a',
-            GateOutcome::Full => 'f',
-            GateOutcome::Closed => 'c',
-            GateOutcome::Rejected => 'r',
-            GateOutcome::RateLimited => 't',
-            GateOutcome::Quarantined => 'q',
-            GateOutcome::NoResponse => 'b',
-            GateOutcome::DeadlineExceeded => 'l',
+            GateOutcome::Answered => "a",
+            GateOutcome::Interrupted => "ai",
+            GateOutcome::Full => "f",
+            GateOutcome::Closed => "c",
+            GateOutcome::Rejected => "r",
+            GateOutcome::RateLimited => "t",
+            GateOutcome::Quarantined => "q",
+            GateOutcome::NoResponse => "b",
+            GateOutcome::DeadlineExceeded => "l",
         }
     }
 
     fn from_code(code: &str) -> Option<Self> {
-        Self::ALL.into_iter().find(|outcome| code.starts_with(outcome.code()))
+        let exact = Self::ALL.into_iter().find(|outcome| code == outcome.code());
+        exact.or_else(|| Self::ALL.into_iter().find(|outcome| code.starts_with(outcome.code())))
     }
 }
 
--- a/crates/sidecar/tests/stop_losses.rs
+++ b/crates/sidecar/tests/stop_losses.rs
@@ -57,10 +57,10 @@
         beta.target.set_behaviour(TargetBehaviour::SlowUntilDeadline(work, work));
         beta.target.set_deadline_delay(Duration::from_millis(90));
         let to = beta.outbound();
-        let stopping = spawn_local(alpha.sidecar.stop());
-        sleep(Duration::from_millis(1000)).await;
+        alpha.target.set_chained_delay(Duration::from_millis(800));
         let parent = spawn_local(async move { call(to, &chain("parent")).await });
-        stopping.await.expect("it stops");
+        eventually("the parent runs", || alpha.target.running() == 1).await;
+        alpha.sidecar.stop().await;
         let nested = alpha.target.take_chained_records();
         let ends: Vec<_> = nested.iter().map(|call| (call.status, call.is_signed)).collect();
         assert_eq!(ends, [(Some(504), true)], "the target's own response");
@@ -164,13 +164,33 @@
         }
         alpha.target.take_chained_records();
         let node = alpha.node().clone();
-        let stopping = spawn_local(alpha.sidecar.stop());
-        sleep(Duration::from_millis(1000)).await;
         // The target makes its call when the node hardly has the time left for its response.
-        alpha.target.set_chained_delay(Duration::from_millis(3200));
+        alpha.target.set_chained_delay(Duration::from_millis(4300));
         let parent = spawn_local(async move { call(to, &chain("parent")).await });
-        stopping.await.expect("it stops");
+        eventually("the parent runs", || alpha.target.running() == 1).await;
+        alpha.sidecar.stop().await;
         assert_eq!(node.responses.len(), 0, "responses that have begun when the process ends");
         parent.await.expect("the caller ends");
     });
 }
+
+#[test]
+fn a_call_that_a_stopping_gate_ends_early_is_served_by_another_target() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        let own = alpha.outbound();
+        warm_up(own, read).await;
+        let work = Duration::from_millis(5500);
+        beta.target.set_behaviour(TargetBehaviour::SlowUntilDeadline(work, work));
+        let stopping = spawn_local(beta.sidecar.stop());
+        sleep(Duration::from_millis(600)).await;
+        let mut caller = Caller::connect(own).await;
+        caller.send(&request("GET", HOST, "/read/x", "long", 6000, "")).await;
+        eventually("it runs", || beta.target.running() == 1).await;
+        let other = Machine::start(&store, "beta", 64).await;
+        eventually("it is listed", || alpha.node().targets.borrow().get(&other.target.id()).is_some()).await;
+        stopping.await.expect("it stops");
+        let response = caller.next_response().await.expect("a response");
+        assert_eq!((response.status, response.is_signed()), (200, true));
+    });
+}
