End no attempt after a failed liveness probe while a target may still respond in a stop

What callers saw: 502 of a stopping node about 0.4 s after a call was sent, while its target was working on it and had its response 0.05 s later. The users' record has three attempts that ended like this in one millisecond, at the target with which the runs of the lost request begin.

Cause: a failed probe ended the attempt first, and only then the node looked for another target, a retry in the budget and the time for it; without one of them it answered itself. A node that stands still for 0.3 s fails the probe, and its target works on. The class: an attempt is ended on a suspicion, before anything can take its place.

Now the order is turned around. After a failed probe the retry is taken from the budget first; the second attempt runs beside the first (edge/hedge.rs) and the call gets whichever response comes first. Without a retry a stopping node waits for the first one until the deadline, also if the second attempt fails. A node that isn't stopping gives up as before, so that its callers can come back at once. Weighed against it: never to end an attempt while probes fail, which would hold callers of a machine that is cut off until their deadlines; to wait for all in a stop without a retry, which serves fewer.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -47,6 +47,9 @@
 /// The retry delay of a quarantined request if the gate's response has no valid `Retry-After` header.
 const DEFAULT_QUARANTINE_DELAY: Duration = Duration::from_secs(60);
 
+/// Why an attempt has failed whose node has failed a liveness probe, for the log.
+pub(super) const SILENT_NODE: &str = "node did not respond to the liveness probe";
+
 /// How one attempt ended.
 pub(super) enum Attempt {
     /// The target's response.
@@ -69,7 +72,7 @@
     NoResponse(String),
     /// The call may have run: the attempt was abandoned because the target is slow and another one may respond in time.
     Abandoned,
-    /// The call may have run: the target's node did not respond to a liveness probe.
+    /// The call may have run: the target's node did not respond to a liveness probe, and no other target could be tried.
     Unresponsive,
     /// The call may have run, and its deadline has passed.
     DeadlineExceeded,
@@ -94,12 +97,21 @@
         }
     }
 
-    /// Why an attempt that may have run brought no response.
+    /// Why the attempt did not serve the call, for the log.
     pub(super) fn failure(&self) -> &str {
         match self {
+            Attempt::Response(_) => "",
+            Attempt::Interrupted(_) => "node of the target is stopping",
+            Attempt::Full => "full",
+            Attempt::NotRun(why) => why,
+            Attempt::TargetReplaced => "target was replaced",
+            Attempt::Rejected => "rejected",
+            Attempt::RateLimited(_) => "rate-limited",
+            Attempt::Quarantined(_) => "quarantined",
             Attempt::NoResponse(why) => why,
-            Attempt::Unresponsive => "node did not respond to the liveness probe",
-            _ => "",
+            Attempt::Abandoned => "target is slow; trying another one",
+            Attempt::Unresponsive => SILENT_NODE,
+            Attempt::DeadlineExceeded => "no response before the deadline",
         }
     }
 
@@ -109,6 +121,23 @@
     }
 }
 
+/// Whether an attempt goes on after the node of its target has failed a liveness probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SilentNode {
+    /// The attempt ends.
+    End,
+    /// The response is awaited until the deadline.
+    Wait,
+}
+
+/// Decides what becomes of an attempt that takes long.
+pub(super) trait SlowAttemptPolicy {
+    /// Whether the attempt is abandoned for another target while its target still works on the call.
+    fn may_abandon(&self) -> bool;
+    /// What becomes of it after the node of its target has failed a liveness probe.
+    fn on_silent_node(&self) -> SilentNode;
+}
+
 /// An attempt that the load balancer counts as in flight at its target, until it is dropped.
 struct InFlight<'a> {
     node: &'a Node,
@@ -121,14 +150,13 @@
     }
 }
 
-/// Sends a call to a target and waits for the outcome. `may_abandon` decides whether a slow attempt is abandoned for
-/// another target while its target still works on the call.
+/// Sends a call to a target and waits for the outcome.
 pub(super) async fn attempt(
     node: &Rc<Node>,
     call: &Call,
     choice: &Choice,
     body: Body,
-    may_abandon: impl FnOnce() -> bool,
+    policy: &impl SlowAttemptPolicy,
 ) -> Attempt {
     let Choice { target, is_over_limit } = choice;
     let started = node.now();
@@ -169,7 +197,7 @@
     let in_flight = InFlight { node, target: &target.id };
     let sent = SentFlag::default();
     let exchange = node.peers.exchange_tracking_sent(address, request, &sent);
-    let (response, lease) = match exchange_while_alive(node, call, target, started, exchange, may_abandon).await {
+    let (response, lease) = match exchange_while_alive(node, call, target, started, exchange, policy).await {
         // The attempt was still waiting for a connection, so no target has received the call.
         Exchanged::DeadlineExceeded | Exchanged::Unresponsive if !sent.is_set() => {
             return Attempt::NotRun("no connection in time")
@@ -317,15 +345,15 @@
         && now.until(call.deadline) >= mean * MIN_REMAINING_FACTOR
 }
 
-/// Waits for a response until the call's deadline. Ends earlier if the target's node fails the liveness probe, or if
-/// the attempt is abandoned because the target is slow.
+/// Waits for a response until the call's deadline. May end earlier if the target's node fails the liveness probe or if
+/// the target is slow, as `policy` decides.
 async fn exchange_while_alive(
     node: &Rc<Node>,
     call: &Call,
     target: &Target,
     started: Timestamp,
     exchange: impl Future<Output = Result<(Response<PeerBody>, ConnectionLease), ExchangeError>>,
-    may_abandon: impl FnOnce() -> bool,
+    policy: &impl SlowAttemptPolicy,
 ) -> Exchanged {
     let mut exchange = pin!(exchange);
     let give_up_at = call.deadline + DEADLINE_ALLOWANCE;
@@ -339,12 +367,15 @@
         if node.now() >= give_up_at {
             return Exchanged::DeadlineExceeded;
         }
-        tokio::select! {
+        let is_alive = tokio::select! {
             biased;
             result = &mut exchange => return result.into(),
-            is_alive = liveness::is_live(node, target, started) => if !is_alive { return Exchanged::Unresponsive },
+            is_alive = liveness::is_live(node, target, started) => is_alive,
+        };
+        if !is_alive && policy.on_silent_node() == SilentNode::End {
+            return Exchanged::Unresponsive;
         }
-        if may_abandon() {
+        if is_alive && policy.may_abandon() {
             return Exchanged::Abandoned;
         }
     }
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod entry;
+mod hedge;
 mod responses;
 mod run;
 mod sender;
@@ -39,6 +40,7 @@
 const NO_CONFIGURATION_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// A call in progress at the edge.
+#[derive(Clone)]
 pub(super) struct Call {
     pub(super) id: String,
     pub(super) route: Arc<Route>,
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -14,7 +14,8 @@
 use quillhatch_types::Timestamp;
 use rand::Rng;
 
-use super::attempt::{attempt, should_abandon, Attempt};
+use super::attempt::Attempt;
+use super::hedge::{hedged_attempt, EndedAttempt, HedgedEnd};
 use super::responses::{self, refuse};
 use super::Call;
 use crate::body::Body;
@@ -61,6 +62,11 @@
     fn may_retry(&self, call: &Call) -> bool {
         call.route.retryability == Retryability::Retryable && self.runs < call.route.max_attempts
     }
+
+    /// Whether the call may be sent to another target while an attempt is in progress.
+    pub(super) fn may_retry_beside(&self, call: &Call) -> bool {
+        call.route.retryability == Retryability::Retryable && self.runs + 1 < call.route.max_attempts
+    }
 }
 
 /// The response of a target to a call.
@@ -125,7 +131,7 @@
             let why = if progress.may_have_run() { "late" } else { "late-not-run" };
             return Err(GivenUp::new(node, call, why));
         }
-        let Some(choice) = choose_target(node, call, service, progress) else {
+        let Some(choice) = choose_target(node, call, service, progress, None) else {
             if let Some(wait) = progress.rate_limited {
                 let spread_wait = wait.mul_f64(node.random.borrow_mut().gen_range(RATE_LIMIT_WAIT_SPREAD));
                 let retry_after = spread_wait.max(responses::retry_delay(node, &call.route));
@@ -155,15 +161,21 @@
         let Some(attempt_body) = body.as_ref().and_then(Body::clone_if_buffered).or_else(|| body.take()) else {
             return Err(GivenUp::new(node, call, "body-gone"));
         };
-        let may_abandon = || {
-            let can_be_retried = body.is_some() && progress.runs == 0 && call.route.max_attempts > 1;
-            can_be_retried
-                && has_other_target(node, service, target, &progress.tried)
-                && should_abandon(node, call)
-                && node.try_retry(service, &call.route.name)
-        };
         ticket.set_target(Some(&target.id));
-        let outcome = attempt(node, call, &choice, attempt_body, may_abandon).await;
+        let bodies = (attempt_body, body.as_ref());
+        let HedgedEnd { last, other } = hedged_attempt(node, call, &choice, bodies, service, progress).await;
+        if let Some(EndedAttempt { target, outcome }) = other {
+            node.log_failure(|| failed_attempt_line(call, &target, outcome.failure()));
+            if outcome.is_not_run() {
+                node.load_balancer.borrow_mut().record_refusal(&target.id, node.now());
+            } else {
+                progress.runs += 1;
+            }
+            progress.tried.push(target.id.clone());
+            call.inherited.is_retry = true;
+        }
+        let EndedAttempt { target, outcome } = last;
+        let target = &target;
         if outcome.is_not_run() {
             ticket.set_target(None);
         }
@@ -212,7 +224,13 @@
             }
             // The other gates of the service have the same quarantine entries.
             Attempt::Quarantined(retry_after) => return Err(GivenUp { why: "quarantined", retry_after }),
-            Attempt::NoResponse(_) | Attempt::Unresponsive => {
+            Attempt::Unresponsive => {
+                // No retry was possible when the probe failed.
+                node.log_failure(|| failed_attempt_line(call, target, outcome.failure()));
+                progress.runs += 1;
+                return Err(GivenUp::new(node, call, "broken"));
+            }
+            Attempt::NoResponse(_) => {
                 node.log_failure(|| failed_attempt_line(call, target, outcome.failure()));
                 progress.runs += 1;
                 if !progress.may_retry(call) || !node.try_retry(service, &call.route.name) {
@@ -244,7 +262,14 @@
     schedule.can_finish(duration, call.deadline, now)
 }
 
-fn choose_target(node: &Node, call: &Call, service: &str, progress: &Progress) -> Option<Choice> {
+/// Chooses a target that was not tried yet and is not `other`.
+pub(super) fn choose_target(
+    node: &Node,
+    call: &Call,
+    service: &str,
+    progress: &Progress,
+    other: Option<&TargetId>,
+) -> Option<Choice> {
     let targets = node.targets.borrow();
     let members = targets.of_service(service);
     let mut random = node.random.borrow_mut();
@@ -252,12 +277,13 @@
     let now = node.now();
     let response_time = call.route.latency_objective.min(now.until(call.deadline));
     let zone_preference = load_balancer.zone_preference(&node.settings.zone, &call.route.name, response_time);
-    let excluded = Exclusions { tried: &progress.tried, over_limit: progress.rate_limited.is_some() };
+    let tried: Vec<TargetId> = progress.tried.iter().chain(other).cloned().collect();
+    let excluded = Exclusions { tried: &tried, over_limit: progress.rate_limited.is_some() };
     load_balancer.choose(members, excluded, zone_preference, now, &mut *random)
 }
 
 /// Whether the service has another target that is not draining, has no rate limit and was not tried yet.
-fn has_other_target(node: &Node, service: &str, target: &Target, tried: &[TargetId]) -> bool {
+pub(super) fn has_other_target(node: &Node, service: &str, target: &Target, tried: &[TargetId]) -> bool {
     let targets = node.targets.borrow();
     let load_balancer = node.load_balancer.borrow();
     let not_draining = targets.of_service(service).iter().filter(|other| !other.registration.draining);
@@ -271,7 +297,7 @@
 }
 
 /// Counts a retry and marks the call as one, so that the calls nested in it count as retries too.
-fn record_retry(node: &Node, call: &mut Call) {
+pub(super) fn record_retry(node: &Node, call: &mut Call) {
     call.inherited.is_retry = true;
     Counters::increment(&node.counters.retries);
 }
--- a/crates/sidecar/tests/stop_losses.rs
+++ b/crates/sidecar/tests/stop_losses.rs
@@ -107,20 +107,25 @@
     }
 }
 
+/// Lists a target of `beta` that works for 1.5 s, behind a node that answers no probes.
+async fn list_silent_node(store: &StandInStore, alpha: &Machine) {
+    let silent = unused_address();
+    let address = (silent, alpha.inbound().port()).into();
+    spawn_local(serve_without_probes(address, Duration::from_millis(1500), report(alpha)));
+    let entry = format!(
+        r#"{{"service":"beta","address":"{silent}:9","zone":"zone-a","version":"v1","slots":4,"state":"ready","cold_remaining_s":0,"seq":1}}"#
+    );
+    store.write("servers/i-silent", Some(&entry));
+    eventually("it is listed", || alpha.node().targets.borrow().get("i-silent").is_some()).await;
+}
+
 #[test]
 fn a_stopping_node_does_not_answer_a_call_whose_only_target_is_behind_a_node_that_stands_still() {
     run(async {
         let store = StandInStore::start().await;
         store.write_configuration(&chain_document_with_timeout(TIMEOUT_S));
         let alpha = Machine::start(&store, "alpha", 64).await;
-        let silent = unused_address();
-        let address = (silent, alpha.inbound().port()).into();
-        spawn_local(serve_without_probes(address, Duration::from_millis(1500), report(&alpha)));
-        let entry = format!(
-            r#"{{"service":"beta","address":"{silent}:9","zone":"zone-a","version":"v1","slots":4,"state":"ready","cold_remaining_s":0,"seq":1}}"#
-        );
-        store.write("servers/i-silent", Some(&entry));
-        eventually("it is listed", || alpha.node().targets.borrow().get("i-silent").is_some()).await;
+        list_silent_node(&store, &alpha).await;
         let mut caller = Caller::connect(alpha.outbound()).await;
         caller.send(&read("waits")).await;
         sleep(Duration::from_millis(50)).await;
@@ -131,6 +136,44 @@
     });
 }
 
+/// Sends a call to a target behind a silent node, while there is another one with this behaviour, and returns the status
+/// and the body of the response.
+async fn call_beside_silent_node(behaviour: TargetBehaviour, is_stopping: bool) -> (u16, String) {
+    let (store, alpha, beta) = two_machines().await;
+    // These calls are the budget for the retry. A target that was not measured yet is preferred to a measured one.
+    beta.target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(20)));
+    warm_up(alpha.outbound(), read).await;
+    list_silent_node(&store, &alpha).await;
+    beta.target.set_behaviour(behaviour);
+    let mut caller = Caller::connect(alpha.outbound()).await;
+    caller.send(&read("waits")).await;
+    sleep(Duration::from_millis(20)).await;
+    let node = alpha.node().clone();
+    let stopping = is_stopping.then(|| spawn_local(alpha.sidecar.stop()));
+    let response = caller.next_response().await.expect("a response");
+    assert_eq!(node.counters.retries.get(), 1, "the first target is the one behind the silent node");
+    if let Some(stopping) = stopping {
+        stopping.await.expect("it stops");
+    }
+    (response.status, String::from_utf8_lossy(&response.body).into_owned())
+}
+
+#[test]
+fn a_call_whose_node_stands_still_is_served_by_another_target() {
+    run(async {
+        let served = call_beside_silent_node(TargetBehaviour::Normal, false).await;
+        assert_eq!(served, (200, "the answer to waits".to_owned()));
+    });
+}
+
+#[test]
+fn a_stopping_node_waits_for_a_node_that_stands_still_if_the_second_target_fails() {
+    run(async {
+        let served = call_beside_silent_node(TargetBehaviour::NoResponse, true).await;
+        assert_eq!(served, (200, "ok".to_owned()));
+    });
+}
+
 #[test]
 fn the_end_of_a_gate_cuts_no_call_that_it_let_in_while_stopping() {
     run(async {
