Measure calls with streamed responses until their responses end

What callers saw: none of the users' cases is shown to be this one. A target's call through a stopping node, with a long response that the target reads slowly, was sent 0.9 s before the last deadline and cut in its body by the end of the process.

Cause: a stop lets in what usually ends in time, and what was measured ended with the head of a response.

Now the edge also measures such calls until the last byte is passed on, and a stop wants the time within which nearly all of a route end, since no deadline of a target ends a response that has begun.

--- a/crates/mesh/src/durations.rs
+++ b/crates/mesh/src/durations.rs
@@ -35,22 +35,34 @@
     }
 }
 
+type RouteEstimates = HashMap<Arc<str>, DurationEstimate>;
+
+fn add_to(estimates: &mut RouteEstimates, route: &Arc<str>, duration: Duration) {
+    let seconds = duration.as_secs_f64();
+    match estimates.get_mut(route) {
+        Some(estimate) => estimate.add(seconds),
+        None => {
+            estimates.insert(route.clone(), DurationEstimate::first(seconds));
+        }
+    }
+}
+
 /// The durations of the calls of each route, the calls that they make included.
 #[derive(Clone, Debug, Default)]
 pub struct RouteDurations {
-    estimates: HashMap<Arc<str>, DurationEstimate>,
+    estimates: RouteEstimates,
+    streamed: RouteEstimates,
 }
 
 impl RouteDurations {
     /// Records how long a call took from its arrival to its response.
     pub fn record(&mut self, route: &Arc<str>, duration: Duration) {
-        let seconds = duration.as_secs_f64();
-        match self.estimates.get_mut(route) {
-            Some(estimate) => estimate.add(seconds),
-            None => {
-                self.estimates.insert(route.clone(), DurationEstimate::first(seconds));
-            }
-        }
+        add_to(&mut self.estimates, route, duration);
+    }
+
+    /// Records how long a call with a streamed response took from its arrival to the end of its response.
+    pub fn record_streamed(&mut self, route: &Arc<str>, duration: Duration) {
+        add_to(&mut self.streamed, route, duration);
     }
 
     /// The time that calls of a route take on average, if any has been measured.
@@ -64,11 +76,14 @@
     }
 
     /// The time that a stopping node must have left for a call of a route, if any has been measured: the mean for one
-    /// that may be retried, and for one that runs at most once the time within which nearly all end.
+    /// that may be retried, and for one that runs at most once the time within which nearly all end. Responses that are
+    /// streamed must nearly all end too, since no deadline of the target ends a response that has begun.
     pub fn needed(&self, route: &str, retryability: Retryability) -> Option<Duration> {
-        match retryability {
+        let until_response = match retryability {
             Retryability::Retryable => self.mean(route),
             Retryability::AtMostOnce => self.upper_bound(route),
-        }
+        };
+        let until_end = self.streamed.get(route).map(|estimate| estimate.upper_bound());
+        until_response.into_iter().chain(until_end).max()
     }
 }
--- a/crates/mesh/tests/decisions/shutdown.rs
+++ b/crates/mesh/tests/decisions/shutdown.rs
@@ -65,4 +65,7 @@
     assert!(mean > Duration::from_millis(1_600) && mean < Duration::from_millis(2_000), "{mean:?}");
     assert_eq!(durations.needed(&route, Retryability::Retryable), Some(mean));
     assert_eq!(durations.needed(&route, Retryability::AtMostOnce), Some(bound));
+    durations.record_streamed(&route, Duration::from_secs(4));
+    let until_end = durations.needed(&route, Retryability::Retryable).expect("it was measured");
+    assert!(until_end >= Duration::from_secs(4), "{until_end:?}");
 }
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -391,8 +391,9 @@
     let late_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
     // Its source is a gate, which limits what comes from the target.
     let times = StreamTimes { late_at, work_ends_at: None };
-    let relayed =
-        relay_response(response, lease, None, RelayedCall { node: Rc::clone(node), id: call.id.clone(), times });
+    let timed = Some((Arc::clone(&call.route.name), call.arrived));
+    let relayed_call = RelayedCall { node: Rc::clone(node), id: call.id.clone(), times, timed };
+    let relayed = relay_response(response, lease, None, relayed_call);
     match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
         Ok(Ok(mut response)) => {
             response.headers_mut().remove(HOP_HEADER);
--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -48,6 +48,8 @@
     pub id: String,
     /// The times from which a streamed response is limited.
     pub times: StreamTimes,
+    /// The route and the arrival of the call, at the edge, which measures how long it takes.
+    pub timed: Option<(Arc<str>, Timestamp)>,
 }
 
 /// The memory for bytes that are read ahead of their readers, shared by all responses of a node.
@@ -189,7 +191,7 @@
         }
         self.ahead.borrow_mut().clear();
         self.end(StreamEnd::Aborted(fault));
-        let RelayedCall { node, id, times } = &self.call;
+        let RelayedCall { node, id, times, .. } = &self.call;
         Counters::increment(&node.counters.aborted_streams);
         node.log_failure(|| {
             let late = node.now().since(times.late_at).as_millis();
@@ -316,6 +318,15 @@
         }
     }
 
+    /// Records how long the call took, if the whole response was passed on.
+    fn record_duration(&self) {
+        let is_complete = matches!(*self.end.borrow(), Some(StreamEnd::Complete)) && self.ahead.borrow().is_empty();
+        let RelayedCall { node, timed, .. } = &self.call;
+        if let Some((route, arrived)) = timed.as_ref().filter(|_| is_complete) {
+            node.edge_durations.borrow_mut().record_streamed(route, node.now().since(*arrived));
+        }
+    }
+
     /// Records that data is passed on.
     fn pass(&self, data: Bytes) -> Bytes {
         let length = data.len() as u64;
@@ -367,6 +378,7 @@
 impl Drop for StreamedBody {
     fn drop(&mut self) {
         self.timer.abort();
+        self.state.record_duration();
         self.state.source.take();
     }
 }
