Try a second target beside a slow one, and end neither before the other has responded

What callers saw: a target's call got 502 from its node, while the slow target that it had been sent to first was working on it: the attempt had been abandoned for another target, which refused it or could not be reached. It happens with or without a stop; in overlapping stops the other target is often closed.

Cause and class: those of the failed liveness probe: an attempt is ended before anything has taken its place.

Now the second attempt for a slow target runs beside the first one, as that for a silent node does, and the first one is dropped when the second has responded. Abandoned attempts are gone. The retry is paid for as before; what it costs is that the slow target works on until the second responds. A stopping node still tries no second target beside a slow one.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -40,16 +40,13 @@
 /// The minimum admission level of a route, as a share of the priorities, at which its service has spare capacity. A
 /// call that takes long is then slow because of its target, and one more attempt does not add to an overload.
 const SPARE_CAPACITY_MIN_LEVEL: f64 = 0.95;
-/// The minimum time until the deadline for a slow attempt to be abandoned for another target, as a multiple of the mean
+/// The minimum time until the deadline for another target to be tried beside a slow one, as a multiple of the mean
 /// response time of the route.
 const MIN_REMAINING_FACTOR: u32 = 2;
 
 /// The retry delay of a quarantined request if the gate's response has no valid `Retry-After` header.
 const DEFAULT_QUARANTINE_DELAY: Duration = Duration::from_secs(60);
 
-/// Why an attempt has failed whose node has failed a liveness probe, for the log.
-pub(super) const SILENT_NODE: &str = "node did not respond to the liveness probe";
-
 /// How one attempt ended.
 pub(super) enum Attempt {
     /// The target's response.
@@ -70,8 +67,6 @@
     Quarantined(Duration),
     /// The call may have run, and there is no valid response, for this reason.
     NoResponse(String),
-    /// The call may have run: the attempt was abandoned because the target is slow and another one may respond in time.
-    Abandoned,
     /// The call may have run: the target's node did not respond to a liveness probe, and no other target could be tried.
     Unresponsive,
     /// The call may have run, and its deadline has passed.
@@ -91,7 +86,6 @@
             Attempt::Response(_)
             | Attempt::Interrupted(_)
             | Attempt::NoResponse(_)
-            | Attempt::Abandoned
             | Attempt::Unresponsive
             | Attempt::DeadlineExceeded => false,
         }
@@ -109,33 +103,40 @@
             Attempt::RateLimited(_) => "rate-limited",
             Attempt::Quarantined(_) => "quarantined",
             Attempt::NoResponse(why) => why,
-            Attempt::Abandoned => "target is slow; trying another one",
-            Attempt::Unresponsive => SILENT_NODE,
+            Attempt::Unresponsive => Overdue::SilentNode.failure(),
             Attempt::DeadlineExceeded => "no response before the deadline",
         }
     }
 
     /// Whether this node has ended the attempt while the target may be working on the call.
     pub(super) fn may_be_at_work(&self) -> bool {
-        matches!(self, Attempt::Abandoned | Attempt::Unresponsive | Attempt::DeadlineExceeded)
+        matches!(self, Attempt::Unresponsive | Attempt::DeadlineExceeded)
     }
 }
 
-/// Whether an attempt goes on after the node of its target has failed a liveness probe.
+/// Why an attempt takes longer than usual.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum SilentNode {
-    /// The attempt ends.
-    End,
-    /// The response is awaited until the deadline.
-    Wait,
+pub(super) enum Overdue {
+    /// The node of the target has failed a liveness probe.
+    SilentNode,
+    /// The node is alive, and its target has not responded.
+    SlowTarget,
+}
+
+impl Overdue {
+    /// Why the attempt has failed if another target has responded, for the log.
+    pub(super) fn failure(self) -> &'static str {
+        match self {
+            Overdue::SilentNode => "node did not respond to the liveness probe",
+            Overdue::SlowTarget => "target is slow; trying another one",
+        }
+    }
 }
 
-/// Decides what becomes of an attempt that takes long.
-pub(super) trait SlowAttemptPolicy {
-    /// Whether the attempt is abandoned for another target while its target still works on the call.
-    fn may_abandon(&self) -> bool;
-    /// What becomes of it after the node of its target has failed a liveness probe.
-    fn on_silent_node(&self) -> SilentNode;
+/// Decides what becomes of an attempt that takes longer than usual.
+pub(super) trait OverduePolicy {
+    /// Whether the response is awaited until the deadline. Otherwise the attempt ends.
+    fn goes_on(&self, overdue: Overdue) -> bool;
 }
 
 /// An attempt that the load balancer counts as in flight at its target, until it is dropped.
@@ -156,7 +157,7 @@
     call: &Call,
     choice: &Choice,
     body: Body,
-    policy: &impl SlowAttemptPolicy,
+    policy: &impl OverduePolicy,
 ) -> Attempt {
     let Choice { target, is_over_limit } = choice;
     let started = node.now();
@@ -207,11 +208,6 @@
             node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, now.since(started), now);
             return Attempt::DeadlineExceeded;
         }
-        Exchanged::Abandoned => {
-            let now = node.now();
-            node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, now.since(started), now);
-            return Attempt::Abandoned;
-        }
         Exchanged::Unresponsive => return Attempt::Unresponsive,
         Exchanged::Failed(ExchangeError::ConnectionRefused | ExchangeError::NotSent(_)) => {
             return Attempt::NotRun("unreachable")
@@ -319,8 +315,6 @@
     DeadlineExceeded,
     /// The node did not respond to the liveness probe. Only for calls that may be retried.
     Unresponsive,
-    /// The node is alive but slow, and the attempt was abandoned. Only for calls that may be retried.
-    Abandoned,
 }
 
 impl From<Result<(Response<PeerBody>, ConnectionLease), ExchangeError>> for Exchanged {
@@ -332,10 +326,9 @@
     }
 }
 
-/// Whether a slow attempt should be abandoned for another target: the call is nested, so its parent call fails with it,
-/// its service has spare capacity, and enough time is left. A stopping node abandons nothing: the other target may
-/// refuse the call, and the caller would then get this node's error instead of a target's response.
-pub(super) fn should_abandon(node: &Node, call: &Call) -> bool {
+/// Whether another target should be tried beside a slow one: the call is nested, so its parent call fails with it, its
+/// service has spare capacity, and enough time is left. A stopping node sends no further work.
+pub(super) fn should_hedge(node: &Node, call: &Call) -> bool {
     let now = node.now();
     let Some(mean) = node.load_balancer.borrow().mean_response_time(&call.route.name) else { return false };
     node.is_enabled(Mechanism::SlowAttemptRetry)
@@ -353,7 +346,7 @@
     target: &Target,
     started: Timestamp,
     exchange: impl Future<Output = Result<(Response<PeerBody>, ConnectionLease), ExchangeError>>,
-    policy: &impl SlowAttemptPolicy,
+    policy: &impl OverduePolicy,
 ) -> Exchanged {
     let mut exchange = pin!(exchange);
     let give_up_at = call.deadline + DEADLINE_ALLOWANCE;
@@ -372,12 +365,10 @@
             result = &mut exchange => return result.into(),
             is_alive = liveness::is_live(node, target, started) => is_alive,
         };
-        if !is_alive && policy.on_silent_node() == SilentNode::End {
+        let overdue = if is_alive { Overdue::SlowTarget } else { Overdue::SilentNode };
+        if !policy.goes_on(overdue) {
             return Exchanged::Unresponsive;
         }
-        if is_alive && policy.may_abandon() {
-            return Exchanged::Abandoned;
-        }
     }
     match node.clock.timeout_at(give_up_at, exchange).await {
         Ok(result) => result.into(),
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -238,12 +238,6 @@
                 }
                 record_retry(node, call);
             }
-            Attempt::Abandoned => {
-                // The retry was taken from the budget when the attempt was abandoned.
-                node.log_failure(|| failed_attempt_line(call, target, "target is slow; trying another one"));
-                progress.runs += 1;
-                record_retry(node, call);
-            }
             Attempt::DeadlineExceeded => {
                 progress.runs += 1;
                 return Err(GivenUp::new(node, call, "late"));
--- a/crates/sidecar/tests/calls.rs
+++ b/crates/sidecar/tests/calls.rs
@@ -374,6 +374,22 @@
     });
 }
 
+#[test]
+fn a_nested_call_is_not_lost_if_the_target_that_is_tried_beside_a_slow_one_fails() {
+    run(async {
+        let (_store, _alpha, betas) = chained_machines().await;
+        betas.iter().for_each(|beta| drop(beta.target.take_started_requests()));
+        assert_eq!(call(betas[0].outbound(), &chain("last")).await.expect("a response").status, 200);
+        for beta in &betas {
+            let is_next = !beta.target.started_requests().is_empty();
+            let slow = TargetBehaviour::Slow(Duration::from_millis(900));
+            beta.target.set_behaviour(if is_next { slow } else { TargetBehaviour::NoResponse });
+        }
+        let response = call(betas[0].outbound(), &chain("slow")).await.expect("a response");
+        assert_eq!(response.status, 200);
+    });
+}
+
 #[test]
 fn a_stopping_node_abandons_no_slow_attempt() {
     run(async {
