Count a streamed response that breaks off against its target's health

Cause: the gate counted a response as good at its head, and nothing when its body was lost; the edge, which sees the loss, recorded nothing.

Now the gate counts the loss, and the edge lowers what it knows of the target's health until the next report.

--- a/crates/mesh/src/balance.rs
+++ b/crates/mesh/src/balance.rs
@@ -36,6 +36,9 @@
 const FAILURE_COST: f64 = 10.0;
 /// The half-life of the reported failures of a target that receives no calls, so that it is tried again.
 const HEALTH_HALF_LIFE: Duration = Duration::from_millis(1500);
+/// The factor by which one lost response lowers the health of its target until its gate reports it: that of one bad
+/// response among few.
+const LOST_RESPONSE_HEALTH: f64 = 5.0 / 6.0;
 /// The weight of one response in the relative latency of its target.
 const TARGET_LATENCY_GAIN: f64 = 0.05;
 /// The weight of one response in the mean response time of its route.
@@ -275,6 +278,13 @@
         state.last_contact = now;
     }
 
+    /// Records that a response of a target broke off after its head, which reported the health of the target before that.
+    pub fn record_lost_response(&mut self, target: &TargetId, now: Timestamp) {
+        let state = self.target_states.entry(target.clone()).or_default();
+        state.health = current_health(state, now) * LOST_RESPONSE_HEALTH;
+        state.reported_at = now;
+    }
+
     /// Records what a target's gate has reported of the target's rate limit.
     pub fn record_rate_limit(&mut self, target: &TargetId, limit: KnownLimit, now: Timestamp) {
         self.rate_limits.record(target, limit, now);
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -26,7 +26,7 @@
 use crate::pool::{ConnectionLease, ExchangeError, SentFlag};
 use crate::relay::relay_response;
 use crate::store_view;
-use crate::stream::{RelayedCall, StreamTimes};
+use crate::stream::{MeasuredCall, RelayedCall, StreamTimes};
 
 /// How long past the deadline the edge waits for a response that the target sends at the deadline: longer than the gate
 /// waits.
@@ -254,7 +254,7 @@
                 node.load_balancer.borrow_mut().record_unfinished(&target.id, &call.route.name, took, now);
             }
             drop(in_flight);
-            match relay(node, call, response, lease).await {
+            match relay(node, call, target, response, lease).await {
                 Attempt::Response(response) if report.outcome == GateOutcome::Interrupted => {
                     Attempt::Interrupted(response)
                 }
@@ -378,12 +378,19 @@
 
 /// Passes a target's response on without the header of the gate. A response that is not streamed must be complete by the
 /// deadline; one that is streamed is late from the timeout of its route on.
-async fn relay(node: &Rc<Node>, call: &Call, response: Response<PeerBody>, lease: ConnectionLease) -> Attempt {
+async fn relay(
+    node: &Rc<Node>,
+    call: &Call,
+    target: &Target,
+    response: Response<PeerBody>,
+    lease: ConnectionLease,
+) -> Attempt {
     let late_at = call.arrived + call.route.timeout + DEADLINE_ALLOWANCE;
     // Its source is a gate, which limits what comes from the target.
     let times = StreamTimes { late_at, work_ends_at: None };
-    let timed = Some((Arc::clone(&call.route.name), call.arrived));
-    let relayed_call = RelayedCall { node: Rc::clone(node), id: call.id.clone(), times, timed };
+    let measured =
+        MeasuredCall { route: Arc::clone(&call.route.name), target: target.id.clone(), arrived: call.arrived };
+    let relayed_call = RelayedCall { node: Rc::clone(node), id: call.id.clone(), times, measured: Some(measured) };
     let relayed = relay_response(response, lease, None, relayed_call);
     match node.clock.timeout_at(call.deadline + DEADLINE_ALLOWANCE, relayed).await {
         Ok(Ok(mut response)) => {
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -353,7 +353,7 @@
     let id = call.id_text().to_owned();
     let times = StreamTimes { late_at: call.stream_late_at, work_ends_at: Some(work_ends_at) };
     let relayed =
-        relay_response(response, lease, Some(slot), RelayedCall { node: Rc::clone(node), id, times, timed: None });
+        relay_response(response, lease, Some(slot), RelayedCall { node: Rc::clone(node), id, times, measured: None });
     let is_interrupted = time_until_stop.is_some() && status == StatusCode::GATEWAY_TIMEOUT;
     let outcome = if is_interrupted { GateOutcome::Interrupted } else { GateOutcome::Answered };
     match node.clock.timeout_at(work_ends_at, relayed).await {
--- a/crates/sidecar/src/gate/slots.rs
+++ b/crates/sidecar/src/gate/slots.rs
@@ -85,6 +85,13 @@
         response_unfinished(&self.node);
     }
 
+    /// Releases the slot after the connection to the target ended in a streamed response, whose head counted as a good
+    /// one.
+    pub fn response_lost(self) {
+        self.node.target_health.borrow_mut().record_bad(self.node.now());
+        self.connection_lost();
+    }
+
     /// Releases the slot after the connection to the target ended before its response did.
     pub fn connection_lost(mut self) {
         if let Some(run) = self.run.take() {
--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -12,6 +12,7 @@
 use derive_more::Display;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use quillhatch_mesh::stream_monitor::{StreamFault, StreamMonitor, MAX_REST_TIME, MAX_UNKNOWN_REST_BYTES};
+use quillhatch_mesh::targets::TargetId;
 use quillhatch_types::Timestamp;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
@@ -48,8 +49,18 @@
     pub id: String,
     /// The times from which a streamed response is limited.
     pub times: StreamTimes,
-    /// The route and the arrival of the call, at the edge, which measures how long it takes.
-    pub timed: Option<(Arc<str>, Timestamp)>,
+    /// What the edge measures of the call. `None` at the gate.
+    pub measured: Option<MeasuredCall>,
+}
+
+/// A call whose target and duration the edge measures.
+pub struct MeasuredCall {
+    /// Its route.
+    pub route: Arc<str>,
+    /// The target that responds.
+    pub target: TargetId,
+    /// When it arrived.
+    pub arrived: Timestamp,
 }
 
 /// The memory for bytes that are read ahead of their readers, shared by all responses of a node.
@@ -106,7 +117,7 @@
     /// Records that the response has ended early.
     fn connection_lost(self) {
         if let Some(slot) = self.slot {
-            slot.connection_lost();
+            slot.response_lost();
         }
     }
 
@@ -177,7 +188,13 @@
         let source = self.source.take();
         match &end {
             StreamEnd::Complete => source.into_iter().for_each(OpenSource::complete),
-            StreamEnd::Lost(_) => source.into_iter().for_each(OpenSource::connection_lost),
+            StreamEnd::Lost(_) => {
+                if let Some(MeasuredCall { target, .. }) = &self.call.measured {
+                    let node = &self.call.node;
+                    node.load_balancer.borrow_mut().record_lost_response(target, node.now());
+                }
+                source.into_iter().for_each(OpenSource::connection_lost);
+            }
             StreamEnd::Aborted(fault) => source.into_iter().for_each(|source| source.abort(*fault)),
         }
         *self.end.borrow_mut() = Some(end);
@@ -321,8 +338,8 @@
     /// Records how long the call took, if the whole response was passed on.
     fn record_duration(&self) {
         let is_complete = matches!(*self.end.borrow(), Some(StreamEnd::Complete)) && self.ahead.borrow().is_empty();
-        let RelayedCall { node, timed, .. } = &self.call;
-        if let Some((route, arrived)) = timed.as_ref().filter(|_| is_complete) {
+        let RelayedCall { node, measured, .. } = &self.call;
+        if let Some(MeasuredCall { route, arrived, .. }) = measured.as_ref().filter(|_| is_complete) {
             node.edge_durations.borrow_mut().record_streamed(route, node.now().since(*arrived));
         }
     }
--- a/crates/sidecar/tests/endless_responses.rs
+++ b/crates/sidecar/tests/endless_responses.rs
@@ -219,6 +219,40 @@
     });
 }
 
+/// Sends calls to three targets, one of which behaves like this, and returns how many of them it received.
+async fn calls_at_faulty_target(behaviour: TargetBehaviour) -> usize {
+    let (store, alpha, beta) = two_machines().await;
+    set_timeout(&store, &[&alpha, &beta]).await;
+    let others = [Machine::start(&store, "alpha", 4).await, Machine::start(&store, "alpha", 4).await];
+    eventually("all are listed", || beta.node().targets.borrow().len() == others.len() + 2).await;
+    for sound in &others {
+        sound.target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(20)));
+    }
+    alpha.target.set_behaviour(behaviour);
+    let before = alpha.target.received_count();
+    for number in 0..200 {
+        let to = beta.outbound();
+        let text = read(&format!("call-{number}"));
+        tokio::task::spawn_local(async move {
+            let mut caller = Caller::connect(to).await;
+            caller.send(&text).await;
+            caller.next_response_within(TIMEOUT).await
+        });
+        sleep(Duration::from_millis(20)).await;
+    }
+    alpha.target.received_count() - before
+}
+
+#[test]
+fn a_target_whose_long_responses_break_off_receives_no_more_calls_than_one_whose_short_ones_do() {
+    run(async {
+        let short = calls_at_faulty_target(TargetBehaviour::TruncatedBody).await;
+        let long = calls_at_faulty_target(TargetBehaviour::TruncatedLongBody(200_000)).await;
+        println!("{short} calls with short responses, {long} with long ones");
+        assert!(long <= short + short / 2 + 2, "{long} calls, {short} with short responses");
+    });
+}
+
 /// Guards against this failure: the reset of a response without end discarded the rest of the response before it.
 #[test]
 fn a_response_that_is_read_slowly_survives_one_without_end_behind_it() {
