Probe a silent node once more before an attempt ends that can't be retried

What callers saw: 502 for calls whose target was at work and responded 0.1 to 0.8 s later, behind a node that stood still for 0.3 to 0.5 s, at nodes that had started some seconds before and had no retry in their budget yet.

Cause: one failed probe of 0.25 s ended an attempt that nothing could replace.

A second probe follows when the result of the first has expired, 0.55 s later at most; without an answer to it the attempt ends as before.

--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -44,6 +44,10 @@
 /// response time of the route.
 const MIN_REMAINING_FACTOR: u32 = 2;
 
+/// The number of failed liveness probes after which an attempt ends that can't be retried: a node that stands still for
+/// some tenths of a second fails only one.
+const MAX_FAILED_PROBES: u32 = 2;
+
 /// The retry delay of a quarantined request if the gate's response has no valid `Retry-After` header.
 const DEFAULT_QUARANTINE_DELAY: Duration = Duration::from_secs(60);
 
@@ -360,14 +364,28 @@
         if node.now() >= give_up_at {
             return Exchanged::DeadlineExceeded;
         }
-        let is_alive = tokio::select! {
-            biased;
-            result = &mut exchange => return result.into(),
-            is_alive = liveness::is_live(node, target, started) => is_alive,
-        };
-        let overdue = if is_alive { Overdue::SlowTarget } else { Overdue::SilentNode };
-        if !policy.goes_on(overdue) {
-            return Exchanged::Unresponsive;
+        let mut failed_probes = 0;
+        loop {
+            let is_alive = tokio::select! {
+                biased;
+                result = &mut exchange => return result.into(),
+                is_alive = liveness::is_live(node, target, started) => is_alive,
+            };
+            let overdue = if is_alive { Overdue::SlowTarget } else { Overdue::SilentNode };
+            if policy.goes_on(overdue) {
+                break;
+            }
+            failed_probes += 1;
+            if failed_probes == MAX_FAILED_PROBES {
+                return Exchanged::Unresponsive;
+            }
+            let next_probe_at = node.now() + liveness::FAILURE_CACHE_TIME;
+            if next_probe_at >= give_up_at {
+                break;
+            }
+            if let Ok(result) = node.clock.timeout_at(next_probe_at, &mut exchange).await {
+                return result.into();
+            }
         }
     }
     match node.clock.timeout_at(give_up_at, exchange).await {
--- a/crates/sidecar/src/liveness.rs
+++ b/crates/sidecar/src/liveness.rs
@@ -21,7 +21,7 @@
 /// The timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// How long the result of a failed probe is reused.
-const FAILURE_CACHE_TIME: Duration = Duration::from_millis(300);
+pub const FAILURE_CACHE_TIME: Duration = Duration::from_millis(300);
 /// The maximum age of the last contact with a node for which the node counts as live without a probe.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(60);
 
