--- a/crates/soak/src/lost.rs
+++ b/crates/soak/src/lost.rs
@@ -112,7 +112,7 @@
     let is_lost = match loss.kind {
         LossKind::Cut if runs.is_empty() => {
             let is_unread = record.calls.iter().any(|call| call.id == loss.id && call.end == CallEnd::Unread);
-            !is_unread && loss.ended - loss.sent > UNREAD_CLOSE_TOLERANCE
+            !is_unread && loss.ended - loss.sent > UNREAD_CLOSE_TOLERANCE && !stood_still(record, loss)
         }
         LossKind::Cut => runs.iter().all(|run| run.end != RunEnd::TargetEnded),
         LossKind::OwnResponse(_) => runs.iter().any(|run| loss.was_at_work(run)),
@@ -130,6 +130,15 @@
     Some(violation(Guarantee::Lost, loss.describe(stop, &runs)))
 }
 
+/// Whether the process of the request's machine stood still in the meantime, so that it may not have read the request.
+fn stood_still(record: &SoakRecord, loss: &Loss<'_>) -> bool {
+    record.standstills.iter().any(|span| {
+        span.machine == Some(loss.machine)
+            && span.from <= loss.ended
+            && span.until + UNREAD_CLOSE_TOLERANCE >= loss.sent
+    })
+}
+
 /// Whether another call had the same id at the same time: a request that runs again makes its calls again.
 fn is_ambiguous(record: &SoakRecord, loss: &Loss<'_>) -> bool {
     let overlapping = |nested: &&NestedCall| {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -159,6 +159,8 @@
     pub drains: Vec<DrainSpan>,
     /// Planned stops.
     pub stops: Vec<StopSpan>,
+    /// When processes stood still during stops, which is not counted as a fault.
+    pub standstills: Vec<FaultSpan>,
     /// The kind of the calls that targets make, if it isn't [`RouteKind::Read`].
     pub nested_kind: Option<RouteKind>,
     /// Whether the stops are so many that all machines of a service may stop at once.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -144,7 +144,7 @@
         false => schedules.push(spawn_local(announcements)),
     }
     if let Some(series) = &mut run.stop_series {
-        schedules.extend(series.start_standstills(&run.machines, end));
+        schedules.extend(series.start_standstills(&run.machines, &run.record, end));
     }
     if options.has_outages {
         let schedule = Pcg64::seed_from_u64(options.seed ^ OUTAGE_SCHEDULE_SEED);
--- a/crates/soak/src/stop_series.rs
+++ b/crates/soak/src/stop_series.rs
@@ -17,7 +17,7 @@
 use crate::layout::{RouteKind, HOST, SERVICES};
 use crate::machine::SoakMachine;
 use crate::planned_work::restart_process;
-use crate::record::SoakRecord;
+use crate::record::{FaultSpan, SoakRecord};
 use crate::run::{SoakRun, POLL_INTERVAL};
 
 /// Combined with the soak's seed for the schedule of the series.
@@ -123,17 +123,25 @@
     }
 
     /// Starts the moments in which processes stand still, if they are played.
-    pub fn start_standstills(&mut self, machines: &[Rc<SoakMachine>], end: Instant) -> Option<JoinHandle<()>> {
+    pub fn start_standstills(
+        &mut self,
+        machines: &[Rc<SoakMachine>],
+        record: &Rc<RefCell<SoakRecord>>,
+        end: Instant,
+    ) -> Option<JoinHandle<()>> {
         let mut random = Pcg64::seed_from_u64(self.random.gen());
-        let machines = machines.to_vec();
+        let (machines, record) = (machines.to_vec(), Rc::clone(record));
         self.has_standstills.then(|| {
             spawn_local(async move {
                 while Instant::now() < end {
                     sleep(Duration::from_millis(random.gen_range(PAUSE_MS))).await;
                     let machine = &machines[random.gen_range(0..machines.len())];
+                    let from = Instant::now();
                     machine.signal(Signal::STOP);
                     sleep(Duration::from_millis(random.gen_range(STANDSTILL_MS))).await;
                     machine.signal(Signal::CONT);
+                    let span = FaultSpan { machine: Some(machine.addrs.number), from, until: Instant::now() };
+                    record.borrow_mut().standstills.push(span);
                 }
             })
         })
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -298,6 +298,24 @@
     assert_eq!(scenario.violated_guarantees(), expected);
 }
 
+#[test]
+fn a_request_that_a_process_has_not_read_while_it_stood_still_is_not_reported() {
+    let mut scenario = Scenario::new();
+    scenario.record.has_stop_series = true;
+    scenario.call("unread", RouteKind::Read, 6_000, CallEnd::Cut);
+    let requested = scenario.at(5_000);
+    scenario.record.stops.push(StopSpan { machine: ALPHA, requested, grace: Duration::from_secs(6) });
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::Lost]);
+    let (from, until) = (scenario.at(5_900), scenario.at(6_350));
+    scenario.record.standstills.push(FaultSpan { machine: Some(ALPHA), from, until });
+    assert_eq!(scenario.violated_guarantees(), []);
+    scenario.run("unread", RouteKind::Read, BETA, 6_010);
+    let (started, ended) = (scenario.at(6_010), scenario.at(6_390));
+    let run = FinishedRun { id: "unread".to_owned(), started, ended, end: RunEnd::Unfinished };
+    scenario.record.finished_runs.push(run);
+    assert_eq!(scenario.violated_guarantees(), [Guarantee::Lost]);
+}
+
 #[test]
 fn a_request_behind_a_closing_response_is_reported_only_if_it_ran() {
     let mut scenario = Scenario::new();
