--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -202,7 +202,7 @@
     let in_flight = InFlight { node, target: &target.id };
     let sent = SentFlag::default();
     let exchange = node.peers.exchange_tracking_sent(address, request, &sent);
-    let (response, lease) = match exchange_while_alive(node, call, target, started, exchange, policy).await {
+    let (response, lease) = match exchange_while_alive(node, call, target, (started, &sent), exchange, policy).await {
         // The attempt was still waiting for a connection, so no target has received the call.
         Exchanged::DeadlineExceeded | Exchanged::Unresponsive if !sent.is_set() => {
             return Attempt::NotRun("no connection in time")
@@ -348,7 +348,7 @@
     node: &Rc<Node>,
     call: &Call,
     target: &Target,
-    started: Timestamp,
+    (started, sent): (Timestamp, &SentFlag),
     exchange: impl Future<Output = Result<(Response<PeerBody>, ConnectionLease), ExchangeError>>,
     policy: &impl OverduePolicy,
 ) -> Exchanged {
@@ -371,6 +371,10 @@
                 result = &mut exchange => return result.into(),
                 is_alive = liveness::is_live(node, target, started) => is_alive,
             };
+            // No target has received the call, so another one is tried without a retry.
+            if !is_alive && !sent.is_set() {
+                return Exchanged::Unresponsive;
+            }
             let overdue = if is_alive { Overdue::SlowTarget } else { Overdue::SilentNode };
             if policy.goes_on(overdue) {
                 break;
--- a/crates/sidecar/tests/stop_losses.rs
+++ b/crates/sidecar/tests/stop_losses.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use quillhatch_mesh::admission_level::AdmissionLevel;
@@ -15,7 +15,7 @@
 use support::shop::{chain_document_with_timeout, read, HOST};
 use support::store::StandInStore;
 use support::target::{ChainedCall, TargetBehaviour};
-use support::{eventually, run, unused_address, Machine};
+use support::{eventually, run, unused_address, FullListener, Machine};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -112,6 +112,11 @@
     let silent = unused_address();
     let address = (silent, alpha.inbound().port()).into();
     spawn_local(serve_without_probes(address, Duration::from_millis(1450), report(alpha)));
+    list_target_of_beta(store, alpha, silent).await;
+}
+
+/// Lists a target of `beta` on this machine.
+async fn list_target_of_beta(store: &StandInStore, alpha: &Machine, silent: Ipv4Addr) {
     let entry = format!(
         r#"{{"service":"beta","address":"{silent}:9","zone":"zone-a","version":"v1","slots":4,"state":"ready","cold_remaining_s":0,"seq":1}}"#
     );
@@ -170,6 +175,22 @@
     (response.status, String::from_utf8_lossy(&response.body).into_owned())
 }
 
+#[test]
+fn a_call_that_its_silent_node_has_not_received_is_sent_to_another_target_without_a_retry() {
+    run(async {
+        let (store, alpha, beta) = two_machines().await;
+        beta.target.set_behaviour(TargetBehaviour::Slow(Duration::from_millis(20)));
+        warm_up(alpha.outbound(), read).await;
+        let silent = unused_address();
+        let _listener = FullListener::start((silent, alpha.inbound().port()).into()).await;
+        list_target_of_beta(&store, &alpha, silent).await;
+        let response = call(alpha.outbound(), &read("waits")).await.expect("a response");
+        assert_eq!((response.status, response.is_signed()), (200, true));
+        let states = alpha.node().probe_results.borrow().len();
+        assert_eq!((states, alpha.node().counters.retries.get()), (1, 0), "silent nodes, retries");
+    });
+}
+
 #[test]
 fn a_call_whose_node_stands_still_is_served_by_another_target() {
     run(async {
