--- a/crates/sidecar/tests/stalled_responses.rs
+++ b/crates/sidecar/tests/stalled_responses.rs
@@ -5,19 +5,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use quillhatch_mesh::admission_level::AdmissionLevel;
-use quillhatch_mesh::callers::CallerKind;
-use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::{InheritedContext, ALL_ADMITTED_PERMILLE};
-use quillhatch_mesh::target_limit::KnownLimit;
 use quillhatch_sidecar::feed::FEED_PATH;
-use quillhatch_sidecar::hop::{GateOutcome, HopContext, HopReport, HOP_HEADER};
+use quillhatch_sidecar::hop::{HopContext, HopReport, HOP_HEADER};
 use quillhatch_sidecar::liveness::LIVENESS_PATH;
 use quillhatch_sidecar::store_view::own_store_view;
 use support::caller::{call, request, Caller};
+use support::hop::report;
 use support::limits::{document_with_timeout, pay, two_machines, HOST};
 use support::target::TargetBehaviour;
-use support::{eventually, run, unused_address, Machine};
+use support::{eventually, run, unused_address};
 use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -53,22 +50,6 @@
     }
 }
 
-fn report(machine: &Machine) -> HopReport {
-    HopReport {
-        outcome: GateOutcome::Answered,
-        load: GateLoad { running: 1, limit: 4, waiting: 0 },
-        admission_level: AdmissionLevel::FULL,
-        health: 1.0,
-        caller_kind: CallerKind::Unknown,
-        store_view: own_store_view(machine.node()),
-        proof: None,
-        current_target: None,
-        rate_limit: KnownLimit::Unknown,
-        drain_notice: None,
-        retry_level: AdmissionLevel::FULL,
-    }
-}
-
 #[test_case(1_000; "buffered")]
 #[test_case(200_000; "streamed")]
 fn a_response_that_falls_silent_ends_at_the_timeout(length: usize) {
--- a/crates/sidecar/tests/stop_losses.rs
+++ b/crates/sidecar/tests/stop_losses.rs
@@ -5,13 +5,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use quillhatch_mesh::admission_level::AdmissionLevel;
-use quillhatch_mesh::callers::CallerKind;
-use quillhatch_mesh::gate::GateLoad;
-use quillhatch_mesh::target_limit::KnownLimit;
-use quillhatch_sidecar::hop::{GateOutcome, HopReport, HOP_HEADER};
-use quillhatch_sidecar::store_view::own_store_view;
+use quillhatch_sidecar::hop::{HopReport, HOP_HEADER};
 use support::caller::{call, request, Caller};
+use support::hop::report;
 use support::shop::{chain_document_with_timeout, read, HOST};
 use support::store::StandInStore;
 use support::target::{ChainedCall, TargetBehaviour};
@@ -91,22 +87,6 @@
     }
 }
 
-fn report(machine: &Machine) -> HopReport {
-    HopReport {
-        outcome: GateOutcome::Answered,
-        load: GateLoad { running: 1, limit: 4, waiting: 0 },
-        admission_level: AdmissionLevel::FULL,
-        health: 1.0,
-        caller_kind: CallerKind::Unknown,
-        store_view: own_store_view(machine.node()),
-        proof: None,
-        current_target: None,
-        rate_limit: KnownLimit::Unknown,
-        drain_notice: None,
-        retry_level: AdmissionLevel::FULL,
-    }
-}
-
 /// Lists a target of `beta` that works for 1.45 s, behind a node that answers no probes.
 async fn list_silent_node(store: &StandInStore, alpha: &Machine) {
     let silent = unused_address();
--- a/crates/sidecar/tests/support/mod.rs
+++ b/crates/sidecar/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test binary uses only a part of this module.
 
+pub mod hop;
 pub mod limits;
 pub mod shop;
 pub mod tenancy;
