--- a/review/standins-2/stop_behind.rs
+++ b/review/standins-2/stop_behind.rs
@@ -1,5 +1,5 @@
-//! A machine is stopped while a client waits for a long request. The answers to the requests behind it on the same
-//! connection have arrived at the machine seconds before.
+//! A machine is stopped while clients wait for long requests. The answers to the requests behind these on the same
+//! connections arrive at the machine seconds before it ends.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -13,9 +13,12 @@
 const CONNECTIONS: usize = 6;
 /// Requests sent on a connection behind the long one.
 const BEHIND: usize = 3;
-const DEADLINE: Duration = Duration::from_secs(8);
-const LONG_WORK: Duration = Duration::from_millis(7500);
-const SHORT_WORK: Duration = Duration::from_millis(100);
+/// As `spot-lookup` of the site.
+const DEADLINE: Duration = Duration::from_secs(6);
+const LONG_WORK: Duration = Duration::from_millis(5920);
+/// When the machine is stopped, after the clients have begun to send.
+const STOP_AFTER: Duration = Duration::from_millis(80);
+const SHORT_WORK: Duration = Duration::from_millis(90);
 const GRACE: Duration = Duration::from_secs(6);
 
 /// What a client got for one request.
@@ -29,15 +32,15 @@
 
 pub fn play(case_folder: &Path, program: &Path, folder: &Path) -> ! {
     let mut deployment = Deployment::prepare(case_folder, program, folder, 4);
-    let routes = [Route { name: "lookup", kind: "safe", service: "directory", timeout_s: 8.0, max_attempts: 2 }];
-    deployment.store.put("op/config", &configuration(3, &routes, &["directory", "events"], &[]));
+    let routes = [Route { name: "lookup", kind: "safe", service: "disponibilidad", timeout_s: 6.0, max_attempts: 2 }];
+    deployment.store.put("op/config", &configuration(3, &routes, &["disponibilidad", "flotillas"], &[]));
     let work = Arc::new(|request: &Request, _: &Target| {
         let time = if request.path().ends_with("/long") { LONG_WORK } else { SHORT_WORK };
         Target::work_for(request, time);
         Reply::Whole(format!("the answer to {}", request.header("quillhatch-request-id")))
     });
     // Machine 1 takes the requests of the clients; the targets that run them are beside machines 2 to 4.
-    for (number, service) in [(1, "events"), (2, "directory"), (3, "directory"), (4, "directory")] {
+    for (number, service) in [(1, "flotillas"), (2, "disponibilidad"), (3, "disponibilidad"), (4, "disponibilidad")] {
         deployment.start_target(number, &format!("i-{service}-{number}"), service, work.clone());
         deployment.start_sidecar(number, service);
     }
@@ -50,7 +53,7 @@
             thread::spawn(move || client(number, outbound, &record))
         })
         .collect();
-    thread::sleep(Duration::from_millis(800));
+    thread::sleep(STOP_AFTER);
     let stopped_at = deployment.record.now();
     if deployment.trouble {
         deployment.sidecars[0].signal("TERM");
