--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -114,8 +114,13 @@
 
     /// Starts the sidecar of machine `number`.
     pub fn start_sidecar(&mut self, number: u8, service: &str) {
-        let Deployment { record, network, store, program, folder, bounds, .. } = self;
-        let (zone, store) = (zone(number), store.address);
+        self.start_sidecar_at(number, service, self.store.address);
+    }
+
+    /// The same with an address of the store of its own.
+    pub fn start_sidecar_at(&mut self, number: u8, service: &str, store: std::net::SocketAddr) {
+        let Deployment { record, network, program, folder, bounds, .. } = self;
+        let zone = zone(number);
         let sidecar = Sidecar::start(program, folder, network, number, service, zone, store, bounds, record);
         self.sidecars.push(or_stop(sidecar, "a sidecar"));
     }
@@ -155,7 +160,7 @@
     }
 }
 
-fn or_stop<T>(result: std::io::Result<T>, what: &str) -> T {
+pub fn or_stop<T>(result: std::io::Result<T>, what: &str) -> T {
     result.unwrap_or_else(|error| {
         println!("{what}: {error}");
         exit(COULD_NOT_RUN);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod http;
 mod machine;
+mod readers_refused;
 mod record;
 mod restored_store;
 mod stop_behind;
@@ -26,6 +27,7 @@
     let (case_folder, program, folder) = (PathBuf::from(case_folder), PathBuf::from(program), PathBuf::from(folder));
     match case.as_str() {
         "stop-behind" => stop_behind::play(&case_folder, &program, &folder),
+        "readers-refused" => readers_refused::play(&case_folder, &program, &folder),
         "restored-store" => restored_store::play(&case_folder, &program, &folder),
         "broken-stream" => broken_stream::play(&case_folder, &program, &folder),
         _ => {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -46,6 +47,29 @@
     connections: Vec<TcpStream>,
 }
 
+/// An address of the store, for one machine. The machines of a test share an address of the loopback range as callers,
+/// so this tells them apart.
+#[derive(Clone)]
+pub struct Door {
+    pub address: SocketAddr,
+    /// Whether the store turns the machine away: it gets no answer.
+    is_shut: Arc<AtomicBool>,
+    /// How many watches wait here.
+    waiting: Arc<AtomicUsize>,
+}
+
+impl Door {
+    /// Turns the machine away in silence, or serves it again.
+    pub fn shut(&self, is_shut: bool) {
+        self.is_shut.store(is_shut, Ordering::SeqCst);
+    }
+
+    /// Whether the machine watches the store now.
+    pub fn is_watching(&self) -> bool {
+        self.waiting.load(Ordering::SeqCst) > 0
+    }
+}
+
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
@@ -54,12 +78,18 @@
 
 impl Store {
     pub fn start(ip: IpAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0))?;
         let contents = Contents { revision: 1, ..Contents::default() };
         let state = State { contents, era: 1, ..State::default() };
-        let store =
-            Store { address: listener.local_addr()?, shared: Arc::new((Mutex::new(state), Condvar::new())) };
-        let served = store.clone();
+        let mut store = Store { address: SocketAddr::new(ip, 0), shared: Arc::new((Mutex::new(state), Condvar::new())) };
+        store.address = store.open_door(ip)?.address;
+        Ok(store)
+    }
+
+    /// Opens a further address of the store.
+    pub fn open_door(&self, ip: IpAddr) -> std::io::Result<Door> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let door = Door { address: listener.local_addr()?, is_shut: Arc::default(), waiting: Arc::default() };
+        let (served, entered) = (self.clone(), door.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let mut state = served.state();
@@ -68,11 +98,11 @@
                 }
                 state.connections.extend(stream.try_clone());
                 drop(state);
-                let store = served.clone();
-                thread::spawn(move || store.serve(Connection::new(stream)));
+                let (store, door) = (served.clone(), entered.clone());
+                thread::spawn(move || store.serve(Connection::new(stream), &door));
             }
         });
-        Ok(store)
+        Ok(door)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -125,9 +155,18 @@
         self.shared.1.notify_all();
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(&self, mut connection: Connection, door: &Door) {
         while let Some(request) = connection.next_request(Duration::from_secs(60)) {
+            let was_shut = door.is_shut.load(Ordering::SeqCst);
+            let is_watch = request.path() == "/kv-watch";
+            door.waiting.fetch_add(usize::from(is_watch), Ordering::SeqCst);
             let (era, status, body) = self.respond(&request);
+            door.waiting.fetch_sub(usize::from(is_watch), Ordering::SeqCst);
+            if was_shut || door.is_shut.load(Ordering::SeqCst) {
+                // An answer is lost, so this connection says nothing more.
+                while connection.next_request(Duration::from_secs(60)).is_some() {}
+                return;
+            }
             let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
             // Each call answers after 4 ms.
             thread::sleep(Duration::from_millis(4));
