Log where a node's configuration falls behind its position, and what its single reads of the store prove

Hypotheses: (a) the source of such a node withholds the configuration; (b) the node receives it and refuses it; (c) the node takes proofs of freshness from nodes that are as far behind; (d) its own reads of the store renew its lease. The logs showed neither what a response lacked nor where a proof came from.

configuration-behind: the response of another node was applied, and proves a newer configuration than the one in force. store-read-once: position, version and age of the proof after a read of a node that reads only occasionally.

--- a/crates/sidecar/src/feed/query.rs
+++ b/crates/sidecar/src/feed/query.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, StatusCode};
 use quillhatch_mesh::feed::{response_timeout, SourceStatus};
 use quillhatch_mesh::freshness::FreshnessProof;
-use quillhatch_mesh::replica::UpdateError;
+use quillhatch_mesh::replica::{Position, UpdateError};
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
@@ -78,6 +78,7 @@
     if let Some(proof) = &response.proof {
         let proof = FreshnessProof { version: proof.version, age_at_arrival_ms: proof.age_at_arrival_ms };
         node.tenancy.record_replica_proof(proof, &node.configuration.borrow(), sent);
+        log_if_behind(node, peer, proof);
     }
     let lost_for = Duration::from_millis(response.lost_ms);
     let now = node.now();
@@ -86,6 +87,19 @@
     Ok(SourceStatus { store_read_at: store_read_at(sent, response.read_ms), lost_since })
 }
 
+/// Logs that the other node's configuration is newer than this node's although its response was applied.
+fn log_if_behind(node: &Node, peer: IpAddr, proof: FreshnessProof) {
+    let in_force = node.configuration.borrow().version();
+    if in_force >= proof.version {
+        return;
+    }
+    let Position { era, revision } = node.position();
+    let newest = proof.version;
+    node.log_failure(|| {
+        format!("\"event\":\"configuration-behind\",\"peer\":\"{peer}\",\"newest\":{newest},\"version\":{in_force},\"position\":\"{era}.{revision}\"")
+    });
+}
+
 /// Converts the age of a store read, `age_ms` before this node's query arrived at the other node, to this node's clock.
 /// The query was sent at `sent`. A read from before the start of this process's clock counts as made at the start.
 fn store_read_at(sent: Timestamp, age_ms: i64) -> Option<Timestamp> {
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -203,6 +203,17 @@
     }
 }
 
+/// Logs what a node that reads the store only occasionally knows after a read, and how old its proof of freshness is.
+fn log_single_read(node: &Node) {
+    let Position { era, revision } = node.position();
+    let version = node.configuration.borrow().version();
+    let proof_age = node.tenancy.freshness.borrow().age(node.now());
+    let proof_ms = proof_age.map_or(-1, |age| age.as_millis() as i64);
+    node.log_failure(|| {
+        format!("\"event\":\"store-read-once\",\"position\":\"{era}.{revision}\",\"version\":{version},\"proof_ms\":{proof_ms}")
+    });
+}
+
 /// Watches the store for changes as long as reads are due at this node.
 async fn watch(node: &Rc<Node>, reason: ReadReason) -> Result<(), StoreError> {
     let mut is_probing = reason == ReadReason::Once || node.feed.store_loss.get().since().is_some();
@@ -239,6 +250,9 @@
             record_freshness(node, sent);
         }
         node.targets_known.set(true);
+        if reason == ReadReason::Once {
+            log_single_read(node);
+        }
         if !is_due(node) {
             return Ok(());
         }
