Give each key of a replica the revision of its last write, whatever that write changed

Any start in between does it (a restart as well as an added machine).

Cause: a position stood for contents that a node did not have. A replica that remembered the configuration from before the restore ignored the second write, as it changed nothing there, and kept the revision of the restored store for it. Differences contain what has a revision after the asking node's, so they lacked it, while they took the asker past the second write. From then on the asker's position was that of all others.

The same cause on related paths, each with a test: the removal of a target that the source had removed before the restore, or never had, was not in its differences; nor was a late write that a removal outlives; nor the write of an older version, when the asker had none at all. A configuration of the same version with other contents was ignored for good.

Why this works: the revision of a key is now that of its last write, so a difference covers every key that was written in between, with what the source holds, which is that write or something newer. By induction a replica at a position holds at least what the store contained there. That is what the lease and the watch rely on.

Ruled out: sending everything in a new era (the second write comes later), and taking a node out that is behind (it can't know).

--- a/crates/mesh/src/configuration.rs
+++ b/crates/mesh/src/configuration.rs
@@ -132,17 +132,23 @@
     }
 }
 
-/// The configuration that is in force at a node. It is only ever replaced by a newer version.
+/// The configuration that is in force at a node. It is only ever replaced by a newer version, or by other contents of
+/// the same one.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigurationInForce {
     current: Option<Arc<Configuration>>,
 }
 
 impl ConfigurationInForce {
-    /// Puts `offered` in force if it is newer than the current configuration; returns whether it is.
+    /// Puts `offered` in force unless it is older than the current configuration or the same; returns whether it is in
+    /// force now. Of two documents with the same version, the caller offers the one that was written later.
     pub fn offer(&mut self, offered: impl Into<Arc<Configuration>>) -> bool {
         let offered = offered.into();
-        if self.current.as_ref().is_some_and(|current| current.version >= offered.version) {
+        let is_refused = |current: &Arc<Configuration>| {
+            let is_same = current.version == offered.version && current.document == offered.document;
+            current.version > offered.version || is_same
+        };
+        if self.current.as_ref().is_some_and(is_refused) {
             return false;
         }
         self.current = Some(offered);
--- a/crates/mesh/src/replica/mod.rs
+++ b/crates/mesh/src/replica/mod.rs
@@ -4,6 +4,11 @@
 //! with, it holds the contents of the store with the revision of each entry, and for some time also the entries that
 //! were removed. From that it computes what has changed since the position of another node, or sends everything.
 //!
+//! The revision of an entry is that of the last write of its key, even if this replica holds something newer and the
+//! write changed nothing in it. So the changes after a revision cover every key that was written since, and a replica at
+//! some position holds at least what the store contained there. What else two replicas at the same position hold may
+//! differ: one of them may remember what a restored store has lost.
+//!
 //! The store may be restored from a backup. Its era is higher then, and its revisions start again from an earlier one.
 //! A position of a later era is later than any position of an earlier era, and differences are only computed within an
 //! era.
@@ -46,6 +51,7 @@
     tombstones: VecDeque<Tombstone>,
     /// Tombstones up to this revision may have been discarded.
     discarded_revision: u64,
+    /// With the revision of its last write.
     configuration: Option<(u64, Arc<Configuration>)>,
 }
 
@@ -139,14 +145,7 @@
     /// Applies a change; returns whether it is new.
     fn apply_change(&mut self, revision: u64, change: &Change, is_new_era: bool, now: Timestamp) -> bool {
         match change {
-            Change::Configuration(written) => {
-                let known = self.configuration.as_ref().map_or(0, |(_, known)| known.version);
-                let is_newer = written.version > known;
-                if is_newer {
-                    self.configuration = Some((revision, Arc::clone(written)));
-                }
-                is_newer
-            }
+            Change::Configuration(written) => self.configure(revision, written, is_new_era),
             Change::UnusableConfiguration(_) => true,
             Change::Target(id, registration) => self.register(id, revision, registration, is_new_era, now),
             Change::UnusableTarget(id, _) => {
@@ -157,6 +156,23 @@
         }
     }
 
+    /// Records a write of the configuration; returns whether it replaces the known one. One of the same version does if
+    /// it has other contents and was written later, as after a restore that the known one did not survive.
+    fn configure(&mut self, revision: u64, written: &Arc<Configuration>, is_new_era: bool) -> bool {
+        let Some((known_revision, known)) = &mut self.configuration else {
+            self.configuration = Some((revision, Arc::clone(written)));
+            return true;
+        };
+        let is_later = is_new_era || revision > *known_revision;
+        let is_rewritten = written.version == known.version && is_later && written.document != known.document;
+        let is_newer = written.version > known.version || is_rewritten;
+        if is_newer {
+            *known = Arc::clone(written);
+        }
+        *known_revision = revision.max(*known_revision);
+        is_newer
+    }
+
     fn register(
         &mut self,
         id: &TargetId,
@@ -183,10 +199,12 @@
                 return false;
             }
         }
-        let tombstone = self.tombstones.iter().rev().find(|tombstone| tombstone.id == *id);
-        if tombstone.is_some_and(|tombstone| {
+        let tombstone = self.tombstones.iter_mut().rev().find(|tombstone| tombstone.id == *id);
+        let outlived = tombstone.filter(|tombstone| {
             write_order < tombstone.last_write || (is_new_era && write_order == tombstone.last_write)
-        }) {
+        });
+        if let Some(tombstone) = outlived {
+            tombstone.revision = revision.max(tombstone.revision);
             return false;
         }
         self.tombstones.retain(|tombstone| tombstone.id != *id);
@@ -196,17 +214,34 @@
         true
     }
 
+    /// Records that the entry of `id` was removed; returns whether this replica held an earlier one.
     fn remove_before(&mut self, id: &TargetId, revision: u64) -> bool {
-        if self.entries.get(id).is_none_or(|entry| entry.revision >= revision) {
-            return false;
+        match self.entries.get(id) {
+            Some(entry) if entry.revision >= revision => false,
+            Some(_) => {
+                self.remove(id, revision);
+                true
+            }
+            None => {
+                // Another replica may still hold it, and asks this one for changes.
+                let known = self.tombstones.iter().find(|tombstone| tombstone.id == *id);
+                let (known_revision, last_write) =
+                    known.map_or_else(Default::default, |tombstone| (tombstone.revision, tombstone.last_write));
+                self.remember_removal(Tombstone { revision: revision.max(known_revision), id: id.clone(), last_write });
+                false
+            }
         }
-        self.remove(id, revision);
-        true
     }
 
     fn remove(&mut self, id: &TargetId, revision: u64) {
         let Some(entry) = self.entries.remove(id) else { return };
-        self.tombstones.push_back(Tombstone { revision, id: id.clone(), last_write: entry.registration.write_order() });
+        let last_write = entry.registration.write_order();
+        self.remember_removal(Tombstone { revision, id: id.clone(), last_write });
+    }
+
+    fn remember_removal(&mut self, tombstone: Tombstone) {
+        self.tombstones.retain(|known| known.id != tombstone.id);
+        self.tombstones.push_back(tombstone);
         if self.tombstones.len() > MAX_TOMBSTONES {
             let oldest = self.tombstones.pop_front();
             self.discarded_revision =
--- a/crates/mesh/tests/decisions/replica.rs
+++ b/crates/mesh/tests/decisions/replica.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillhatch_mesh::configuration::Configuration;
+use quillhatch_mesh::configuration::{Configuration, Document};
 use quillhatch_mesh::replica::{Change, Position, Replica, RevisedChange, Update, UpdateError, UpdateScope};
 use quillhatch_mesh::targets::Registration;
 use quillhatch_types::Timestamp;
@@ -242,3 +242,105 @@
     let changes: Vec<Change> = update.changes.into_iter().map(|revised| revised.change).collect();
     assert_eq!(summary(&changes), ["-a"], "it is sent to others as removed");
 }
+
+/// A replica of the backup to which [`replica`]'s store was restored: version 6 of the configuration, and the target
+/// `b`. It has read the restored store itself and remembers nothing else.
+fn restored() -> Replica {
+    let mut restored = Replica::default();
+    restored.apply(full(at(4, 5), backup()), NOW).expect("the first update applies");
+    restored
+}
+
+fn backup() -> Vec<RevisedChange> {
+    vec![configuration_change(2, 6), listed(3, "b", registered(1, 1, false))]
+}
+
+fn configuration_version(update: &Update) -> Option<u64> {
+    update.changes.iter().find_map(|revised| match &revised.change {
+        Change::Configuration(configuration) => Some(configuration.version),
+        _ => None,
+    })
+}
+
+// A configuration that was written again after a restore did not reach replicas that lacked it, if their source
+// remembered it from before the restore.
+#[test]
+fn a_configuration_written_again_after_a_restore_is_part_of_the_differences() {
+    let mut source = replica();
+    source.apply(full(at(4, 5), backup()), NOW).expect("a later era");
+    let mut joined = restored();
+    let applied =
+        source.apply(changes_after(at(4, 5), at(4, 6), vec![configuration_change(6, 7)]), NOW).expect("it applies");
+    assert_eq!(summary(&applied.changes), Vec::<String>::new(), "it has had this version all the time");
+    let update = source.update_since(joined.position(), NOW).expect("an update");
+    assert_eq!(update.scope, UpdateScope::After(at(4, 5)));
+    assert_eq!(summary(&joined.apply(update, NOW).expect("it applies").changes), ["v7"]);
+}
+
+// An older version that the operator writes after a restore is a write of the configuration too: a replica without any
+// configuration received none.
+#[test]
+fn a_write_of_an_older_configuration_sends_the_newer_one_that_the_source_holds() {
+    let mut source = replica();
+    source.apply(full(at(4, 5), vec![]), NOW).expect("a later era");
+    let mut joined = Replica::default();
+    joined.apply(full(at(4, 5), vec![]), NOW).expect("the first update applies");
+    source.apply(changes_after(at(4, 5), at(4, 6), vec![configuration_change(6, 6)]), NOW).expect("it applies");
+    let update = source.update_since(joined.position(), NOW).expect("an update");
+    assert_eq!(configuration_version(&update), Some(7), "its version 7 is newer than what was written");
+}
+
+// A removal after a restore did not reach replicas that had the target from the backup, if their source remembered an
+// earlier removal: they kept the target for good.
+#[test]
+fn a_removal_after_a_restore_is_part_of_the_differences_of_a_source_that_knew_it() {
+    let mut source = replica();
+    source.apply(changes_after(at(3, 10), at(3, 12), vec![removed(12, "b")]), NOW).expect("it applies");
+    source.apply(full(at(4, 5), backup()), NOW).expect("a later era");
+    assert_eq!(ids(&source), Vec::<String>::new(), "b is not revived, and the backup lacks a");
+    let mut joined = restored();
+    source.apply(changes_after(at(4, 5), at(4, 9), vec![removed(9, "b")]), NOW).expect("it applies");
+    let update = source.update_since(joined.position(), NOW).expect("an update");
+    assert_eq!(summary(&joined.apply(update, NOW).expect("it applies").changes), ["-b"]);
+}
+
+#[test]
+fn a_removal_of_a_target_that_the_source_never_had_is_part_of_its_differences() {
+    let mut source = Replica::default();
+    source.apply(full(at(4, 5), vec![configuration_change(2, 6)]), NOW).expect("the first update applies");
+    let mut joined = restored();
+    source.apply(changes_after(at(4, 5), at(4, 9), vec![removed(9, "b")]), NOW).expect("it applies");
+    let update = source.update_since(joined.position(), NOW).expect("an update");
+    assert_eq!(summary(&joined.apply(update, NOW).expect("it applies").changes), ["-b"]);
+}
+
+// A late write of a removed target was ignored, but not its removal at replicas that held it.
+#[test]
+fn a_late_write_of_a_removed_target_removes_it_at_replicas_that_hold_it() {
+    let mut source = replica();
+    let changes = vec![listed(11, "b", registered(1, 5, true)), removed(12, "b")];
+    source.apply(changes_after(at(3, 10), at(3, 12), changes), NOW).expect("it applies");
+    source.apply(full(at(4, 5), backup()), NOW).expect("a later era");
+    let mut joined = restored();
+    let late = vec![listed(6, "b", registered(1, 2, false))];
+    source.apply(changes_after(at(4, 5), at(4, 6), late), NOW).expect("it applies");
+    let update = source.update_since(joined.position(), NOW).expect("an update");
+    assert_eq!(summary(&joined.apply(update, NOW).expect("it applies").changes), ["-b"]);
+}
+
+#[test]
+fn other_contents_of_the_same_version_replace_it_if_they_were_written_later() {
+    let written = |revision, text: &str| {
+        let document = Document(Arc::from(text.as_bytes()));
+        let configuration = Configuration { version: 7, document, ..Configuration::default() };
+        RevisedChange { revision, change: Change::Configuration(Arc::new(configuration)) }
+    };
+    let mut replica = replica();
+    replica.apply(full(at(4, 5), backup()), NOW).expect("a later era");
+    let applied = replica.apply(changes_after(at(4, 5), at(4, 6), vec![written(6, "other")]), NOW);
+    assert_eq!(summary(&applied.expect("it applies").changes), ["v7"]);
+    let applied = replica.apply(changes_after(at(4, 5), at(4, 7), vec![written(5, "earlier")]), NOW);
+    assert_eq!(summary(&applied.expect("it applies").changes), Vec::<String>::new());
+    let second_backup = full(at(5, 7), vec![written(4, "of the second backup"), backup()[1].clone()]);
+    assert_eq!(summary(&replica.apply(second_backup, NOW).expect("a later era").changes), ["v7"]);
+}
