Renew no lease by a read of the store while another node has proved a newer configuration

Cause: a node's own read that returns nothing newer than its position proved whatever configuration was in force. A restored store can't show what it has lost, so that read says nothing where another node is known to have more.

An earlier proof still holds, so a change on its way causes no refusals.

Failed before: freshness::a_read_proves_nothing_about_a_configuration_older_than_another_nodes (with the condition off).

--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -58,6 +58,8 @@
     duration: Option<Duration>,
     renewal_age: Duration,
     proved_at: Option<SignedTimestamp>,
+    /// The newest version of the configuration that another node has proved to exist.
+    newest_version: u64,
 }
 
 impl FreshnessLease {
@@ -67,7 +69,7 @@
         let duration = revocation.map(|bound| bound.saturating_sub(MAX_WATCH_LAG).mul_f64(1.0 - CLOCK_DRIFT_FRACTION));
         let (from, to) = RENEWAL_AGE_FRACTIONS;
         let renewal_age = duration.map_or(Duration::MAX, |duration| duration.mul_f64(from + (to - from) * jitter));
-        FreshnessLease { duration, renewal_age, proved_at: None }
+        FreshnessLease { duration, renewal_age, proved_at: None, newest_version: 0 }
     }
 
     /// Whether there is a bound on revocation, so that the lease can expire.
@@ -75,14 +77,18 @@
         self.duration.is_some()
     }
 
-    /// Records that a read of the store, sent at `sent`, returned nothing newer than the configuration in force.
-    pub fn record_read(&mut self, sent: Timestamp) {
-        self.prove(SignedTimestamp::of(sent));
+    /// Records that a read of the store, sent at `sent`, returned nothing newer than the configuration in force, with
+    /// the given `version`. It proves nothing if another node has a newer one, which a restored store may have lost.
+    pub fn record_read(&mut self, version: u64, sent: Timestamp) {
+        if version >= self.newest_version {
+            self.prove(SignedTimestamp::of(sent));
+        }
     }
 
     /// Records the proof in another node's response to a call that was sent at `sent`. It counts only if this node's
     /// configuration, with the given `version`, is at least as new as the one that the proof is about.
     pub fn record_proof(&mut self, proof: FreshnessProof, version: u64, sent: Timestamp) {
+        self.newest_version = self.newest_version.max(proof.version);
         if version < proof.version || version == 0 {
             return;
         }
--- a/crates/mesh/tests/freshness/main.rs
+++ b/crates/mesh/tests/freshness/main.rs
@@ -146,7 +146,7 @@
                 Message::ReadResponse(version) => {
                     node.version = node.version.max(version);
                     let counted = if rule == Rule::ReadFromResponse { now } else { sent };
-                    node.lease.record_read(node.clock(counted));
+                    node.lease.record_read(node.version, node.clock(counted));
                 }
                 Message::Call { from, from_started } => {
                     let arrived = node.clock(now);
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -199,7 +199,7 @@
 /// recently restored from a backup: the backup may lack a configuration that was acknowledged.
 fn record_freshness(node: &Node, sent: Timestamp) {
     if node.now() >= node.rewrite_deadline.get() {
-        node.tenancy.record_store_read(sent);
+        node.tenancy.record_store_read(&node.configuration.borrow(), sent);
     }
 }
 
--- a/crates/sidecar/src/tenancy.rs
+++ b/crates/sidecar/src/tenancy.rs
@@ -50,9 +50,9 @@
 
     /// Records that the store was read by a call that was sent at `sent`, and the response was applied. So this node's
     /// configuration was the newest at that time, unless the newest one is invalid.
-    pub fn record_store_read(&self, sent: Timestamp) {
+    pub fn record_store_read(&self, in_force: &ConfigurationInForce, sent: Timestamp) {
         if !self.newer_is_unusable.get() {
-            self.freshness.borrow_mut().record_read(sent);
+            self.freshness.borrow_mut().record_read(in_force.version(), sent);
         }
     }
 
