Replicate the configuration by its version, beside the position

What callers saw: between a restore of the store and the second write of what it lost, a node that had started after the restore used the older configuration, beside nodes that remembered the newer one: two services for one route, and a removed key accepted.

Cause: two nodes at one position may differ in what they remember of before the restore, and a query by position can't tell.

Change: a query states the version that the asker holds, and a node that has a newer one answers at once and sends it, whatever the positions. Views in calls and responses carry the version too, so a node that reads the store learns of a newer configuration from its callers and from nodes that it calls, and queries them after 0.4 s as for a later position.

Weighed: the configuration in the store, as it is what the operator would see. The operator writes the lost one again, and a running node may not go back; the newer one is what callers of the running nodes get, and a removed key stays removed. So a node that starts joins them.

A node of the version before reads 'store unreachable' in a view as false, and states no version, so it gets configurations by their revisions as before.

--- a/crates/mesh/src/replica/mod.rs
+++ b/crates/mesh/src/replica/mod.rs
@@ -23,7 +23,7 @@
 use crate::configuration::Configuration;
 use crate::targets::{Registration, TargetId};
 
-pub use update::{AppliedUpdate, Change, Position, RevisedChange, Update, UpdateError, UpdateScope};
+pub use update::{AppliedUpdate, Change, Position, ReplicaState, RevisedChange, Update, UpdateError, UpdateScope};
 
 /// The maximum number of removed entries that are remembered. A node that is further behind gets everything.
 const MAX_TOMBSTONES: usize = 2048;
@@ -61,6 +61,26 @@
         self.position
     }
 
+    /// What it holds.
+    pub fn state(&self) -> ReplicaState {
+        let version = self.configuration.as_ref().map_or(0, |(_, known)| known.version);
+        ReplicaState { position: self.position, version }
+    }
+
+    /// The configuration if it is newer than `version`.
+    pub fn configuration_after(&self, version: u64) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref().map(|(_, known)| known).filter(|known| known.version > version)
+    }
+
+    /// Takes a configuration that another replica holds, at whatever position; returns whether it is a newer version.
+    pub fn take_configuration(&mut self, offered: &Arc<Configuration>) -> bool {
+        if offered.version <= self.state().version {
+            return false;
+        }
+        self.configuration = Some((self.position.revision, Arc::clone(offered)));
+        true
+    }
+
     /// The targets that it contains.
     pub fn ids(&self) -> impl Iterator<Item = &TargetId> {
         self.entries.keys()
--- a/crates/mesh/src/replica/update.rs
+++ b/crates/mesh/src/replica/update.rs
@@ -21,6 +21,30 @@
     }
 }
 
+/// What a replica holds: the position that it has reached, and the version of its configuration.
+///
+/// The configuration may be newer than the one that the store contained at that position, if a restore has lost it. So
+/// nodes replicate it by its version too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaState {
+    /// The position.
+    pub position: Position,
+    /// The version of the configuration; 0 if there is none.
+    pub version: u64,
+}
+
+impl ReplicaState {
+    /// Whether it is ahead of `other` in its position or in its configuration.
+    pub fn is_ahead_of(self, other: ReplicaState) -> bool {
+        self.position > other.position || self.version > other.version
+    }
+
+    /// The later position and the newer version of the two.
+    pub fn merge(self, other: ReplicaState) -> ReplicaState {
+        ReplicaState { position: self.position.max(other.position), version: self.version.max(other.version) }
+    }
+}
+
 /// A change of one entry of the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
--- a/crates/sidecar/src/feed/codec.rs
+++ b/crates/sidecar/src/feed/codec.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use quillhatch_mesh::configuration::Configuration;
 use quillhatch_mesh::replica::{Change, Position, RevisedChange, Update, UpdateScope};
 use quillhatch_mesh::targets::{Registration, Target};
 use quillhatch_messages::generated::replica as wire;
@@ -45,8 +46,7 @@
         let revision = *revision;
         match change {
             Change::Configuration(configuration) => {
-                let document = configuration.document.0.to_vec();
-                message.configuration = Some(wire::ConfigurationDocument { revision, document });
+                message.configuration = Some(encode_configuration(revision, configuration));
             }
             Change::Target(id, registration) => message.targets.push(encode_target(revision, id, registration)),
             Change::TargetRemoved(id) => message.gone.push(wire::GoneTarget { id: id.to_string(), revision }),
@@ -57,6 +57,10 @@
     message
 }
 
+pub(super) fn encode_configuration(revision: u64, configuration: &Configuration) -> wire::ConfigurationDocument {
+    wire::ConfigurationDocument { revision, document: configuration.document.0.to_vec() }
+}
+
 /// Encodes a target without a registration that is retained until `until`.
 pub(super) fn encode_retained(target: &Target, until: Timestamp, now: Timestamp) -> wire::KeptTarget {
     let left_ms = u32::try_from(now.until(until).as_millis()).unwrap_or(u32::MAX);
@@ -87,13 +91,9 @@
     let position = message.position.as_ref().map(decode_position).ok_or(MalformedUpdate::NoPosition)?;
     let scope = message.after.as_ref().map_or(UpdateScope::Full, |after| UpdateScope::After(decode_position(after)));
     let mut changes = Vec::with_capacity(message.targets.len() + message.gone.len() + 1);
-    if let Some(wire::ConfigurationDocument { revision, document }) = &message.configuration {
-        let configuration = read_configuration(document).map_err(|findings| {
-            let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
-            MalformedUpdate::Configuration(findings.join("; "))
-        })?;
-        let change = Change::Configuration(Arc::new(configuration));
-        changes.push(RevisedChange { revision: *revision, change });
+    if let Some(document) = &message.configuration {
+        let change = Change::Configuration(decode_configuration(document)?);
+        changes.push(RevisedChange { revision: document.revision, change });
     }
     for target in &message.targets {
         let change = Change::Target(Arc::from(target.id.as_str()), decode_target(target)?);
@@ -107,6 +107,21 @@
     Ok(Update { scope, position, changes })
 }
 
+/// Decodes a configuration.
+///
+/// # Errors
+///
+/// Returns all errors in the document.
+pub(super) fn decode_configuration(
+    configuration: &wire::ConfigurationDocument,
+) -> Result<Arc<Configuration>, MalformedUpdate> {
+    let read = read_configuration(&configuration.document).map_err(|findings| {
+        let findings: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        MalformedUpdate::Configuration(findings.join("; "))
+    })?;
+    Ok(Arc::new(read))
+}
+
 pub(super) fn decode_target(target: &wire::RegisteredTarget) -> Result<Registration, MalformedUpdate> {
     let malformed = |_| MalformedUpdate::Address(target.id.clone(), target.address.clone());
     Ok(Registration {
--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -18,7 +18,7 @@
     long_poll_timeout, FeedRole, FeedTree, SourceChoice, SourceStatus, SourceVerdict, StoreAccessLoss,
 };
 use quillhatch_mesh::mechanisms::Mechanism;
-use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::replica::{Position, ReplicaState};
 use quillhatch_mesh::targets::Target;
 use quillhatch_types::Timestamp;
 use rand::Rng;
@@ -34,7 +34,7 @@
 
 /// The path at which a node answers queries for changes.
 pub const FEED_PATH: &str = "/quillhatch/replica";
-/// How long this node may lag behind a position that a peer reported before it queries that peer, because its own
+/// How long this node may lag behind what a peer reported before it queries that peer, because its own
 /// source may hang. A change takes a few round trips to propagate, and 0.3 s more where the store is slow.
 const MAX_PROPAGATION_DELAY: Duration = Duration::from_millis(400);
 /// The minimum time between two queries for targets without a registration.
@@ -58,10 +58,10 @@
     /// Notified when the position advances or the access to the store is lost or regained. Wakes the held queries of
     /// other nodes and the task that waits until a read of the store is due.
     pub view_changed: Notify,
-    /// The latest position that another node has reported beyond this node's, and the node's address.
-    pub latest_peer_position: Cell<Option<(Position, IpAddr)>>,
-    /// Notified when another node reports a later position.
-    pub later_position_reported: Notify,
+    /// The state of another node's replica that was reported last as ahead of this node's, and that node's address.
+    pub peer_ahead: Cell<Option<(ReplicaState, IpAddr)>>,
+    /// Notified when another node reports such a state.
+    pub peer_ahead_reported: Notify,
     /// A node that is partitioned from the store, and on whose machine no target is listed.
     pub unlisted_peer: Cell<Option<IpAddr>>,
     /// Notified when such a node sends its view.
@@ -223,17 +223,17 @@
     node.feed.role.borrow().is_reader && node.position().is_known() && node.feed.store_loss.get().since().is_none()
 }
 
-/// Queries nodes whose reported position this node has not reached after `MAX_PROPAGATION_DELAY`, until the process
+/// Queries nodes whose reported state this node has not reached after `MAX_PROPAGATION_DELAY`, until the process
 /// ends.
 pub async fn catch_up(node: Rc<Node>) {
     loop {
-        node.feed.later_position_reported.notified().await;
+        node.feed.peer_ahead_reported.notified().await;
         if node.position().is_known() {
             sleep(MAX_PROPAGATION_DELAY).await;
         }
-        // Positions that are reported from now on start a new delay.
-        let Some((reported, peer)) = node.feed.latest_peer_position.take() else { continue };
-        if reported <= node.position() {
+        // States that are reported from now on start a new delay.
+        let Some((reported, peer)) = node.feed.peer_ahead.take() else { continue };
+        if !reported.is_ahead_of(node.replica.borrow().state()) {
             continue;
         }
         let outcome = match query(&node, peer, Requested::Changes { hold: Duration::ZERO }).await {
@@ -244,10 +244,11 @@
             Err(error) => error.to_string(),
         };
         node.log_failure(|| {
-            let (Position { era, revision }, reached) = (reported, node.position().revision);
-            format!(
-                "\"event\":\"caught-up\",\"peer\":\"{peer}\",\"heard\":\"{era}.{revision}\",\"revision\":{reached},\"outcome\":{outcome:?}"
-            )
+            let ReplicaState { position: Position { era, revision }, version: heard } = reported;
+            let ReplicaState { position: reached, version } = node.replica.borrow().state();
+            let revisions = format!("\"heard\":\"{era}.{revision}\",\"revision\":{}", reached.revision);
+            let versions = format!("\"heard_version\":{heard},\"version\":{version}");
+            format!("\"event\":\"caught-up\",\"peer\":\"{peer}\",{revisions},{versions},\"outcome\":{outcome:?}")
         });
     }
 }
--- a/crates/sidecar/src/feed/query.rs
+++ b/crates/sidecar/src/feed/query.rs
@@ -9,18 +9,18 @@
 use hyper::{Request, StatusCode};
 use quillhatch_mesh::feed::{response_timeout, SourceStatus};
 use quillhatch_mesh::freshness::FreshnessProof;
-use quillhatch_mesh::replica::{Position, UpdateError};
+use quillhatch_mesh::replica::{Position, ReplicaState, UpdateError};
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
 use tokio::time::timeout;
 
-use super::codec::{decode_target, decode_update, encode_position, MalformedUpdate};
+use super::codec::{decode_configuration, decode_target, decode_update, encode_position, MalformedUpdate};
 use super::FEED_PATH;
 use crate::body::{read_whole, Body};
 use crate::node::Node;
 use crate::pool::ExchangeError;
-use crate::store::{apply_update, on_targets_changed};
+use crate::store::{apply_update, on_targets_changed, take_configuration};
 
 /// The maximum size of a response, in bytes: a configuration of a megabyte and some ten thousand targets.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -64,6 +64,9 @@
 pub(super) async fn query(node: &Rc<Node>, peer: IpAddr, requested: Requested) -> Result<SourceStatus, QueryError> {
     let sent = node.now();
     let response = exchange(node, peer, requested).await?;
+    if let Some(document) = &response.configuration {
+        take_configuration(node, decode_configuration(document).map_err(QueryError::Malformed)?);
+    }
     if let Some(update) = &response.update {
         let update = decode_update(update).map_err(QueryError::Malformed)?;
         // This node may have read a lagging replica of the store itself; the other node has had the time to catch up.
@@ -125,7 +128,7 @@
 }
 
 async fn exchange(node: &Rc<Node>, peer: IpAddr, requested: Requested) -> Result<wire::ReplicaAnswer, QueryError> {
-    let position = node.position();
+    let ReplicaState { position, version } = node.replica.borrow().state();
     let hold = match requested {
         Requested::Changes { hold } => hold,
         Requested::Unregistered => Duration::ZERO,
@@ -134,6 +137,7 @@
         position: position.is_known().then(|| encode_position(position)),
         hold_ms: hold.as_millis() as u32,
         wants_kept: requested == Requested::Unregistered,
+        configuration: Some(wire::HeldConfiguration { version }),
     };
     let request =
         Request::post(FEED_PATH).header("host", peer.to_string()).body(Body::Buffered(encode(&message).into()));
--- a/crates/sidecar/src/feed/serve.rs
+++ b/crates/sidecar/src/feed/serve.rs
@@ -7,14 +7,14 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use quillhatch_mesh::feed::long_poll_timeout;
-use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::replica::{Position, ReplicaState};
 use quillhatch_mesh::targets::PARTITION_GRACE;
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
 use tokio::time::timeout;
 
-use super::codec::{decode_position, encode_retained, encode_update};
+use super::codec::{decode_position, encode_configuration, encode_retained, encode_update};
 use crate::body::{read_whole, Body};
 use crate::local_target;
 use crate::node::Node;
@@ -29,7 +29,7 @@
 #[derive(Default)]
 pub struct EncodedUpdate {
     from: Position,
-    to: Position,
+    to: ReplicaState,
     message: wire::ReplicaUpdate,
 }
 
@@ -37,7 +37,10 @@
 pub async fn serve_query(node: &Rc<Node>, body: Option<Incoming>) -> Response<Body> {
     let arrived = node.now();
     let Some(query) = read_query(body).await else { return empty_response(StatusCode::BAD_REQUEST) };
-    let from = query.position.as_ref().map(decode_position).unwrap_or_default();
+    let position = query.position.as_ref().map(decode_position).unwrap_or_default();
+    // A node that doesn't state its version gets configurations by their revisions only.
+    let version = query.configuration.as_ref().map_or(u64::MAX, |held| held.version);
+    let from = ReplicaState { position, version };
     let hold = Duration::from_millis(u64::from(query.hold_ms)).min(long_poll_timeout(false, &node.settings.bounds));
     if node.position().is_known() && !node.is_stopping() {
         // If the hold time ends first there are no changes, and the response says so.
@@ -61,28 +64,36 @@
     response
 }
 
-/// Waits until this node's replica is beyond `from`, or the node is known to have no access to the store. A query that
+/// Waits until this node's replica is ahead of `from`, or the node is known to have no access to the store. A query that
 /// arrived before the loss is held while the node searches for another source, since it mostly finds one immediately.
-async fn advance_beyond(node: &Node, from: Position) {
+async fn advance_beyond(node: &Node, from: ReplicaState) {
     if node.feed.store_loss.get().since().is_some() {
         return;
     }
     loop {
         let view_changed = node.feed.view_changed.notified();
-        if node.position() > from || node.feed.store_loss.get().is_confirmed() || node.is_stopping() {
+        if node.replica.borrow().state().is_ahead_of(from)
+            || node.feed.store_loss.get().is_confirmed()
+            || node.is_stopping()
+        {
             return;
         }
         view_changed.await;
     }
 }
 
-fn encode_response(node: &Node, from: Position, arrived: Timestamp, retained: Vec<wire::KeptTarget>) -> Bytes {
+fn encode_response(node: &Node, from: ReplicaState, arrived: Timestamp, retained: Vec<wire::KeptTarget>) -> Bytes {
     let now = node.now();
     let lost_ms = node.feed.store_loss.get().since().map_or(0, |since| now.since(since).as_millis().max(1) as u64);
     let read_at = node.feed.store_read_at.get().unwrap_or_default();
+    let update = encoded_update(node, from.position);
+    let has_configuration = update.as_ref().is_some_and(|update| update.configuration.is_some());
+    let replica = node.replica.borrow();
+    let configuration = replica.configuration_after(from.version).filter(|_| !has_configuration);
     let proof = node.tenancy.replica_proof(&node.configuration.borrow(), arrived);
     let response = wire::ReplicaAnswer {
-        update: encoded_update(node, from),
+        update,
+        configuration: configuration.map(|known| encode_configuration(0, known)),
         lost_ms,
         read_ms: age_at(arrived, read_at),
         kept: retained,
@@ -115,8 +126,8 @@
 }
 
 fn encoded_update(node: &Node, from: Position) -> Option<wire::ReplicaUpdate> {
-    let to = node.position();
-    if from >= to {
+    let to = node.replica.borrow().state();
+    if from >= to.position {
         return None;
     }
     let mut last = node.feed.encoded_update.borrow_mut();
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -13,7 +13,7 @@
 use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
-use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::replica::{Position, ReplicaState};
 use quillhatch_mesh::target_limit::{AnnouncedLimit, KnownLimit, RateLimitReport};
 use quillhatch_mesh::targets::RunningAt;
 
@@ -31,22 +31,25 @@
 /// How current a node's view of the platform's store is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreView {
-    /// The position in the store's history up to which the node has read.
-    pub position: Position,
+    /// What the node's replica of the store holds.
+    pub replica: ReplicaState,
     /// Whether the node can't read the store.
     pub store_unreachable: bool,
 }
 
 impl StoreView {
     fn encode(self) -> String {
-        format!("{}.{},{}", self.position.era, self.position.revision, u8::from(self.store_unreachable))
+        let ReplicaState { position: Position { era, revision }, version } = self.replica;
+        format!("{era}.{revision},{},{version}", u8::from(self.store_unreachable))
     }
 
     fn decode(text: &str) -> Option<Self> {
-        let (position, store_unreachable) = text.split_once(',')?;
-        let (era, revision) = position.split_once('.')?;
+        let mut parts = text.split(',');
+        let (era, revision) = parts.next()?.split_once('.')?;
         let position = Position { era: era.parse().ok()?, revision: revision.parse().ok()? };
-        Some(StoreView { position, store_unreachable: store_unreachable == "1" })
+        let store_unreachable = parts.next()? == "1";
+        let version = parts.next().and_then(|version| version.parse().ok()).unwrap_or_default();
+        Some(StoreView { replica: ReplicaState { position, version }, store_unreachable })
     }
 }
 
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -2,8 +2,10 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use quillhatch_mesh::configuration::Configuration;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::replica::{Change, Update, UpdateError, UpdateScope};
 use quillhatch_mesh::store_reader::{may_have_expired, reregistration_timeout_after_restore, REREGISTRATION_TIMEOUT};
@@ -51,6 +53,17 @@
     Ok(())
 }
 
+/// Takes a configuration that another node holds if it is newer than this node's, whatever the positions of the two.
+pub fn take_configuration(node: &Rc<Node>, offered: Arc<Configuration>) {
+    let is_newer = node.replica.borrow_mut().take_configuration(&offered);
+    if !is_newer {
+        return;
+    }
+    apply_changes(node, vec![Change::Configuration(offered)], node.now());
+    on_targets_changed(node);
+    node.feed.view_changed.notify_waiters();
+}
+
 /// Records that this node has access to the store again, after it had none since `lost_since`. If the store was in an
 /// outage since `outage_since`, registrations may have expired meanwhile.
 pub fn on_access_regained(node: &Node, lost_since: Option<Timestamp>, outage_since: Option<Timestamp>) {
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -30,7 +30,7 @@
 use crate::feed;
 use crate::node::Node;
 pub use access::watch_access;
-pub use apply::{apply_update, drop_expired_targets, on_access_regained, on_targets_changed};
+pub use apply::{apply_update, drop_expired_targets, on_access_regained, on_targets_changed, take_configuration};
 use client::{get, StoreError, StoreResponse};
 use schedule::{is_due, wait_until_due};
 pub use standby::watch_as_standby;
--- a/crates/sidecar/src/store_view.rs
+++ b/crates/sidecar/src/store_view.rs
@@ -13,12 +13,13 @@
     let own_reads_fail = node.store_access_lost.get();
     let store_unreachable =
         own_reads_fail || !node.position().is_known() || node.feed.store_loss.get().is_partitioned(now);
-    StoreView { position: node.position(), store_unreachable }
+    StoreView { replica: node.replica.borrow().state(), store_unreachable }
 }
 
 /// Records the view that the node at `peer` reported.
 ///
-/// If the peer's position is later than this node's, this node's source may hang, so the feed is notified. A peer that
+/// If the peer's replica is ahead of this node's, this node's source may hang, or may have lost what a restored store
+/// lacks, so the feed is notified. A peer that
 /// is partitioned from the store and not listed may run beside a target whose registration has expired, so the feed
 /// queries it.
 pub fn record_peer_view(node: &Rc<Node>, peer: IpAddr, view: StoreView) {
@@ -27,17 +28,18 @@
         node.feed.unlisted_peer.set(Some(peer));
         node.feed.unlisted_peer_reported.notify_one();
     }
-    let known = node.feed.latest_peer_position.get().map_or(node.position(), |(latest, _)| latest.max(node.position()));
-    if view.position > known {
-        node.feed.latest_peer_position.set(Some((view.position, peer)));
-        node.feed.later_position_reported.notify_one();
+    let own = node.replica.borrow().state();
+    let known = node.feed.peer_ahead.get().map_or(own, |(reported, _)| own.merge(reported));
+    if view.replica.is_ahead_of(known) {
+        node.feed.peer_ahead.set(Some((view.replica, peer)));
+        node.feed.peer_ahead_reported.notify_one();
     }
 }
 
 /// Whether a node has lost access to a store that it read before. A node that has just started also reports that it is
 /// partitioned, which says nothing about its machine.
 fn has_lost_store(view: StoreView) -> bool {
-    view.store_unreachable && view.position.is_known()
+    view.store_unreachable && view.replica.position.is_known()
 }
 
 /// Records in the list of targets whether the machine of `peer` and this machine can read the store.
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -202,7 +202,10 @@
         store.restore_backup(Duration::ZERO);
         eventually("the new era is logged", || !lines_of("store-era", "\"era\":2").is_empty()).await;
         let position = quillhatch_mesh::replica::Position { era: 9, revision: 1_000_000 };
-        let later = quillhatch_sidecar::hop::StoreView { position, store_unreachable: false };
+        let later = quillhatch_sidecar::hop::StoreView {
+            replica: quillhatch_mesh::replica::ReplicaState { position, version: 0 },
+            store_unreachable: false,
+        };
         record_peer_view(beta.node(), alpha.address.into(), later);
         eventually("another node is queried", || !lines_of("caught-up", "\"heard\":\"9.1000000\"").is_empty()).await;
         store.write_configuration("{");
--- a/crates/sidecar/tests/parts.rs
+++ b/crates/sidecar/tests/parts.rs
@@ -9,7 +9,7 @@
 use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::gate::GateLoad;
 use quillhatch_mesh::parents::InheritedContext;
-use quillhatch_mesh::replica::Position;
+use quillhatch_mesh::replica::{Position, ReplicaState};
 use quillhatch_mesh::target_limit::{AnnouncedLimit, KnownLimit, RateLimitReport};
 use quillhatch_mesh::targets::RunningAt;
 use quillhatch_messages::generated::limits::LimitMessage;
@@ -29,7 +29,10 @@
             is_root: true,
             inherited: InheritedContext { priority: 2, position: 255, is_retry: true, admitted_permille: 250 },
             max_wait: Duration::from_millis(330),
-            store_view: StoreView { position: Position { era: 2, revision: 77 }, store_unreachable: true },
+            store_view: StoreView {
+                replica: ReplicaState { position: Position { era: 2, revision: 77 }, version: 12 },
+                store_unreachable: true,
+            },
             edge_ip: IpAddr::from([10, 1, 0, 8]),
             is_over_limit: true,
             rate_limit,
@@ -60,7 +63,7 @@
                 admission_level: AdmissionLevel::from_priority_share(0.125),
                 health: 0.75,
                 caller_kind: CallerKind::TargetsOnly,
-                store_view: StoreView { position: Position::default(), store_unreachable: false },
+                store_view: StoreView { replica: ReplicaState::default(), store_unreachable: false },
                 proof,
                 current_target,
                 rate_limit,
--- a/crates/sidecar/tests/restored_store.rs
+++ b/crates/sidecar/tests/restored_store.rs
@@ -10,7 +10,7 @@
 use support::tenancy::{document, read, with_strict_revocation, FREE_KEY, REVOCATION};
 use support::{eventually, run, Machine, BOUNDS};
 use test_case::test_case;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// With a single zone, five nodes read or watch the store; the others follow them.
 const MACHINES: usize = 9;
@@ -51,28 +51,38 @@
         }
         let all_listed = || machines.iter().all(|machine| machine.node().targets.borrow().len() == MACHINES);
         eventually("all are listed", all_listed).await;
-        sleep(Duration::from_millis(300)).await;
+        let copied = Instant::now();
         store.write_configuration(&document(6, &[FREE_KEY]));
         let all_have = || machines.iter().all(|machine| version(machine) == 6);
         eventually("all have version 6", all_have).await;
-        let lost = store.restore_backup(Duration::from_millis(250));
+        let lost = store.restore_backup(copied.elapsed());
         assert_eq!(lost.len(), 1, "only the configuration is lost");
         let all_in_new_era = || machines.iter().all(|machine| machine.node().position().era == 2);
         eventually("all have noticed the new era", all_in_new_era).await;
         RestoredFleet { store, machines, lost }
     }
 
+    /// The machines whose nodes have a role.
+    fn with_role(&self, wanted: Role) -> Vec<usize> {
+        (0..MACHINES).filter(|number| role(&self.machines[*number]) == wanted).collect()
+    }
+
     /// Ends the sidecar of a node with `wanted`, without a warning, and starts another one in its place.
     async fn restart(&mut self, wanted: Role) -> usize {
-        let number = self.machines.iter().position(|machine| role(machine) == wanted).expect("a node with this role");
+        let number = self.with_role(wanted)[0];
+        self.restart_machine(number).await;
+        number
+    }
+
+    async fn restart_machine(&mut self, number: usize) {
         let Machine { target, sidecar, address } = self.machines.remove(number);
         let settings = sidecar.node.settings.clone();
         drop(sidecar);
+        // The runtime drops the aborted tasks, which hold the addresses, in the meantime.
         sleep(Duration::from_millis(50)).await;
         let sidecar = start(Node::new(settings, Default::default())).expect("its addresses are free");
         eventually("the restarted node is ready", || sidecar.node.is_ready()).await;
         self.machines.insert(number, Machine { target, sidecar, address });
-        number
     }
 }
 
@@ -97,3 +107,40 @@
         assert_eq!(refused.status, 401, "the key was removed");
     });
 }
+
+// Between a restore and the second write, a node that had started after the restore used the older configuration of the
+// store although all others remembered the newer one.
+#[test_case(Role::Reader)]
+#[test_case(Role::Standby)]
+#[test_case(Role::Follower)]
+fn a_node_that_starts_after_a_restore_gets_the_newer_configuration_that_others_remember(restarted: Role) {
+    run(async move {
+        let mut fleet = RestoredFleet::start().await;
+        let number = fleet.restart(restarted).await;
+        sleep(BOUNDS.apply).await;
+        assert_eq!(version(&fleet.machines[number]), 6);
+        let refused = read(&fleet.machines[number], "removed", REMOVED_KEY).await;
+        assert_ne!(refused.status, 200, "the key was removed");
+    });
+}
+
+// If all nodes that read the store had started after a restore, the newer configuration that their followers remembered
+// did not reach them.
+#[test]
+fn nodes_that_read_a_restored_store_learn_from_calls_that_others_have_a_newer_configuration() {
+    run(async move {
+        let mut fleet = RestoredFleet::start().await;
+        let heads = [fleet.with_role(Role::Reader), fleet.with_role(Role::Standby)].concat();
+        for number in &heads {
+            fleet.restart_machine(*number).await;
+        }
+        for number in &heads {
+            for call in 0..8 {
+                read(&fleet.machines[*number], &format!("call-{number}-{call}"), FREE_KEY).await;
+            }
+        }
+        sleep(BOUNDS.apply).await;
+        let versions: Vec<u64> = heads.iter().map(|number| version(&fleet.machines[*number])).collect();
+        assert_eq!(versions, [6; 5]);
+    });
+}
--- a/crates/sidecar/tests/store.rs
+++ b/crates/sidecar/tests/store.rs
@@ -114,7 +114,10 @@
         let renewals = store.calls() - before;
         let before = store.calls();
         let position = quillhatch_mesh::replica::Position { era: 1, revision: 1_000_000 };
-        let later = quillhatch_sidecar::hop::StoreView { position, store_unreachable: false };
+        let later = quillhatch_sidecar::hop::StoreView {
+            replica: quillhatch_mesh::replica::ReplicaState { position, version: 0 },
+            store_unreachable: false,
+        };
         for _ in 0..6 {
             quillhatch_sidecar::store_view::record_peer_view(beta.node(), beta.address.into(), later);
             sleep(Duration::from_millis(500)).await;
@@ -169,7 +172,7 @@
         let (store, alpha, _beta) = two_machines().await;
         let path = quillhatch_sidecar::feed::FEED_PATH;
         let ahead =
-            ReplicaQuestion { position: Some(Position { era: 9, revision: 1_000 }), hold_ms: 0, wants_kept: false };
+            ReplicaQuestion { position: Some(Position { era: 9, revision: 1_000 }), ..ReplicaQuestion::default() };
         for query in [ReplicaQuestion::default(), ahead] {
             let query = quillhatch_messages::encode(&query);
             assert_eq!(support::caller::post(alpha.inbound(), path, &query).await, 200);
