Read a restored store for a proof of freshness only once a read can prove something

With 9 nodes 57 calls in 2.5 s, 25 in as long before the restore; it grows with the fleet and with each further restore.

Cause: the schedule renews the proof by its age alone, and the age doesn't change by a read that doesn't count.

Change: the renewal is due at the end of that time at the earliest.

Failed before: nodes_read_a_restored_store_no_more_often_while_their_reads_prove_nothing (57, 34 allowed). After: 8 of 8 in restored_store.rs.

--- a/crates/sidecar/src/store/schedule.rs
+++ b/crates/sidecar/src/store/schedule.rs
@@ -42,6 +42,8 @@
         return ReadSchedule::Now(ReadReason::Reader);
     }
     let now = node.now();
+    // A read proves nothing until the operator has had the time to write again what a restored store has lost.
+    let provable_in = now.until(node.rewrite_deadline.get());
     let inputs = ReadScheduleInputs {
         has_view: node.position().is_known(),
         must_probe: node.must_probe_store.get(),
@@ -51,7 +53,7 @@
         store_read_at: node.feed.store_read_at.get(),
         is_isolated: node.feed.is_isolated.get(),
         solo_reads: node.solo_reads.get(),
-        proof_renewal_in: node.tenancy.freshness.borrow().renew_in(now),
+        proof_renewal_in: node.tenancy.freshness.borrow().renew_in(now).map(|wait| wait.max(provable_in)),
         jitter: node.jitter,
     };
     inputs.schedule(&node.settings.bounds, now)
--- a/crates/sidecar/tests/restored_store.rs
+++ b/crates/sidecar/tests/restored_store.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use quillhatch_mesh::store_reader::reregistration_timeout_after_restore;
 use quillhatch_sidecar::node::Node;
 use quillhatch_sidecar::run::start;
 use support::store::{LostWrite, StandInStore};
@@ -43,6 +44,11 @@
 
 impl RestoredFleet {
     async fn start() -> Self {
+        Self::start_after(Duration::ZERO).await.0
+    }
+
+    /// Also returns the number of calls to the store during `quiet`, before the last write.
+    async fn start_after(quiet: Duration) -> (Self, usize) {
         let store = StandInStore::start().await;
         store.write_configuration(&document(5, &[FREE_KEY, REMOVED_KEY]));
         let mut machines = Vec::new();
@@ -51,6 +57,9 @@
         }
         let all_listed = || machines.iter().all(|machine| machine.node().targets.borrow().len() == MACHINES);
         eventually("all are listed", all_listed).await;
+        let calls = store.calls();
+        sleep(quiet).await;
+        let quiet_calls = store.calls() - calls;
         let copied = Instant::now();
         store.write_configuration(&document(6, &[FREE_KEY]));
         let all_have = || machines.iter().all(|machine| version(machine) == 6);
@@ -59,7 +68,7 @@
         assert_eq!(lost.len(), 1, "only the configuration is lost");
         let all_in_new_era = || machines.iter().all(|machine| machine.node().position().era == 2);
         eventually("all have noticed the new era", all_in_new_era).await;
-        RestoredFleet { store, machines, lost }
+        (RestoredFleet { store, machines, lost }, quiet_calls)
     }
 
     /// The machines whose nodes have a role.
@@ -144,3 +153,16 @@
         assert_eq!(versions, [6; 5]);
     });
 }
+
+// After a restore each node read the store several times a second, although no read counted as a proof of freshness yet.
+#[test]
+fn nodes_read_a_restored_store_no_more_often_while_their_reads_prove_nothing() {
+    run(async move {
+        let period = reregistration_timeout_after_restore(&BOUNDS);
+        let (fleet, before) = RestoredFleet::start_after(period).await;
+        let calls = fleet.store.calls();
+        sleep(period).await;
+        let calls = fleet.store.calls() - calls;
+        assert!(calls <= before + MACHINES, "{calls} calls by {MACHINES} nodes in {period:?}, {before} before");
+    });
+}
