Explore restores, starts and second writes in fleets in which most nodes follow

Cause: a source that had got the second removal with a full update, since it was behind, kept the revision of the first one for its tombstone; the full update doesn't name what it lacks. So its differences left the removal out. It is the class of: a position stood for contents that a difference doesn't bring.

Change: a tombstone knows whether the store contains its target nevertheless; a full update without that target is its removal.

Why nothing met this: the exploration of the feed had eight nodes, of which five read or watch the store, no node that starts, one key (a drain), and a second write at a fixed time. The soak has six processes, so one follower at most.

New: tests/feed/restores.rs, 288 schedules of 14 and 24 nodes (9 and 18 follow): which nodes start again, when, from the store or from another node, when the lost writes are repeated, a second restore; a configuration, a removal and a drain are lost. Each schedule is played with and without the exchange by version.

Failed before: a_removal_that_a_full_update_implies_is_part_of_the_differences.

--- a/crates/mesh/src/replica/mod.rs
+++ b/crates/mesh/src/replica/mod.rs
@@ -41,6 +41,8 @@
     id: TargetId,
     /// The [`Registration::write_order`] of the target's last registration.
     last_write: (u64, u64),
+    /// Whether the store contains the target nevertheless: it was restored, or an outdated registration was written.
+    is_listed: bool,
 }
 
 /// The contents of the store, as far as a node knows them.
@@ -148,6 +150,11 @@
             self.remove(&id, revision);
             changes.push(Change::TargetRemoved(id));
         }
+        for tombstone in &mut self.tombstones {
+            if tombstone.is_listed && !contained.contains(&tombstone.id) {
+                (tombstone.revision, tombstone.is_listed) = (revision, false);
+            }
+        }
         self.position = update.position;
         AppliedUpdate { changes, is_new_era }
     }
@@ -224,7 +231,7 @@
             write_order < tombstone.last_write || (is_new_era && write_order == tombstone.last_write)
         });
         if let Some(tombstone) = outlived {
-            tombstone.revision = revision.max(tombstone.revision);
+            (tombstone.revision, tombstone.is_listed) = (revision.max(tombstone.revision), true);
             return false;
         }
         self.tombstones.retain(|tombstone| tombstone.id != *id);
@@ -247,7 +254,7 @@
                 let known = self.tombstones.iter().find(|tombstone| tombstone.id == *id);
                 let (known_revision, last_write) =
                     known.map_or_else(Default::default, |tombstone| (tombstone.revision, tombstone.last_write));
-                self.remember_removal(Tombstone { revision: revision.max(known_revision), id: id.clone(), last_write });
+                self.remember_removal(id.clone(), revision.max(known_revision), last_write);
                 false
             }
         }
@@ -256,12 +263,12 @@
     fn remove(&mut self, id: &TargetId, revision: u64) {
         let Some(entry) = self.entries.remove(id) else { return };
         let last_write = entry.registration.write_order();
-        self.remember_removal(Tombstone { revision, id: id.clone(), last_write });
+        self.remember_removal(id.clone(), revision, last_write);
     }
 
-    fn remember_removal(&mut self, tombstone: Tombstone) {
-        self.tombstones.retain(|known| known.id != tombstone.id);
-        self.tombstones.push_back(tombstone);
+    fn remember_removal(&mut self, id: TargetId, revision: u64, last_write: (u64, u64)) {
+        self.tombstones.retain(|known| known.id != id);
+        self.tombstones.push_back(Tombstone { revision, id, last_write, is_listed: false });
         if self.tombstones.len() > MAX_TOMBSTONES {
             let oldest = self.tombstones.pop_front();
             self.discarded_revision =
--- a/crates/mesh/tests/decisions/replica.rs
+++ b/crates/mesh/tests/decisions/replica.rs
@@ -314,6 +314,18 @@
     assert_eq!(summary(&joined.apply(update, NOW).expect("it applies").changes), ["-b"]);
 }
 
+// A removal that a source learned from a full update was not in its differences, if it had known the removal already.
+#[test]
+fn a_removal_that_a_full_update_implies_is_part_of_the_differences() {
+    let mut source = replica();
+    source.apply(changes_after(at(3, 10), at(3, 12), vec![removed(12, "b")]), NOW).expect("it applies");
+    source.apply(full(at(4, 5), backup()), NOW).expect("a later era");
+    let mut joined = restored();
+    source.apply(full(at(4, 9), vec![configuration_change(2, 6)]), NOW).expect("it applies");
+    let update = source.update_since(joined.position(), NOW).expect("an update");
+    assert_eq!(summary(&joined.apply(update, NOW).expect("it applies").changes), ["-b"]);
+}
+
 // A late write of a removed target was ignored, but not its removal at replicas that held it.
 #[test]
 fn a_late_write_of_a_removed_target_removes_it_at_replicas_that_hold_it() {
--- a/crates/mesh/tests/feed/fleet.rs
+++ b/crates/mesh/tests/feed/fleet.rs
@@ -6,17 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quillhatch_mesh::feed::{FeedRole, FeedTree, SoloReads, SourceChoice, StandbyReader, StoreAccessLoss};
+use quillhatch_mesh::feed::FeedTree;
 use quillhatch_mesh::limits::LimitBounds;
 use quillhatch_mesh::replica::{Change, Position, Replica, Update};
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::store_reader::StoreReader;
 use quillhatch_mesh::targets::Target;
 use quillhatch_types::Timestamp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::node::{NodeFault, SimNode, StoreAccess};
+use crate::node::{NodeFault, SimNode};
 use crate::store::{registration, target_id, SimStore};
 
 pub const BOUNDS: Bounds = Bounds {
@@ -62,6 +61,8 @@
     WaitsForReaders,
     /// A node whose call to the store failed makes no further call while it follows others.
     NeverVerifiesAccess,
+    /// Configurations are replicated by their revisions only.
+    IgnoresVersions,
 }
 
 pub struct Fleet {
@@ -92,36 +93,7 @@
                 IpAddr::from([10, (number % zones) as u8, (number / zones / 250) as u8, (number / zones % 250) as u8]);
             let zone = format!("zone-{}", number % zones);
             store.write(Change::Target(target_id(number), registration(machine, &zone, false, 1)));
-            nodes.push(SimNode {
-                machine,
-                zone,
-                replica: Replica::default(),
-                role: FeedRole::default(),
-                store_access: StoreAccess::Available,
-                fault: NodeFault::None,
-                loss: StoreAccessLoss::default(),
-                own_call_failed: false,
-                store_read_at: Some(Timestamp::ZERO),
-                last_read_had_changes: false,
-                source_choice: SourceChoice::default(),
-                store_reader: StoreReader::default(),
-                query: None,
-                read: None,
-                standby_reader: StandbyReader::default(),
-                standby_read: None,
-                standby_position: Position::default(),
-                next_standby_read_at: Timestamp::ZERO,
-                next_query_at: Timestamp::ZERO,
-                next_read_at: Timestamp::ZERO,
-                is_isolated: false,
-                has_unverified_source: false,
-                has_response: false,
-                solo_reads: SoloReads::default(),
-                jitter: random.gen(),
-                ahead_peer: None,
-                answered_queries: 0,
-                sent_changes: 0,
-            });
+            nodes.push(SimNode::new(machine, zone, random.gen()));
         }
         let by_machine = nodes.iter().enumerate().map(|(number, node)| (node.machine, number)).collect();
         let mut fleet = Fleet {
@@ -247,7 +219,7 @@
         if self.random.gen_bool(CALLS_PER_TICK) {
             let other = self.random.gen_range(0..self.nodes.len());
             let is_responding = self.nodes[other].fault == NodeFault::None;
-            if is_responding && self.nodes[other].position() > self.nodes[number].position() {
+            if is_responding && self.is_ahead(other, number) {
                 self.nodes[number].ahead_peer.get_or_insert((now, other));
             }
         }
@@ -259,9 +231,43 @@
         if self.nodes[other].fault == NodeFault::None {
             let update = self.nodes[other].replica.update_since(self.nodes[number].position(), now);
             let _ = update.map(|update| self.nodes[number].replica.apply(update, now));
+            self.copy_configuration(other, number);
         }
     }
 
+    /// Whether `node` is ahead of `other`, as far as the two compare.
+    fn is_ahead(&self, node: usize, other: usize) -> bool {
+        let (state, other) = (self.nodes[node].replica.state(), self.nodes[other].replica.state());
+        match self.mutation {
+            Some(Mutation::IgnoresVersions) => state.position > other.position,
+            _ => state.is_ahead_of(other),
+        }
+    }
+
+    /// Passes the configuration of `source` on to `number` if it is newer.
+    pub(crate) fn copy_configuration(&mut self, source: usize, number: usize) {
+        let version = self.nodes[number].replica.state().version;
+        let newer = self.nodes[source].replica.configuration_after(version).cloned();
+        let newer = newer.filter(|_| self.mutation != Some(Mutation::IgnoresVersions));
+        newer.map(|newer| self.nodes[number].replica.take_configuration(&newer));
+    }
+
+    /// Starts the process of a node again. It reads the store itself, or gets everything from the first node that it
+    /// may follow.
+    pub fn restart(&mut self, number: usize, reads_store: bool) {
+        let node = &self.nodes[number];
+        let source = node.role.candidates.first().map(|candidate| self.by_machine[&candidate.machine]);
+        let mut started = SimNode::new(node.machine, node.zone.clone(), self.random.gen());
+        started.role = node.role.clone();
+        started.store_read_at = Some(self.now);
+        let from_source = source.filter(|_| !reads_store && !node.role.is_reader);
+        let from_source =
+            from_source.and_then(|source| self.nodes[source].replica.update_since(Position::default(), self.now));
+        let update = from_source.unwrap_or_else(|| self.store.list());
+        started.replica.apply(update, self.now).expect("the first update applies");
+        self.nodes[number] = started;
+    }
+
     /// Applies an update. One that can't be applied was superseded by the updates of other nodes.
     pub(crate) fn apply(&mut self, number: usize, update: Update) {
         let replica = &mut self.nodes[number].replica;
--- a/crates/mesh/tests/feed/main.rs
+++ b/crates/mesh/tests/feed/main.rs
@@ -6,6 +6,7 @@
 mod node;
 mod queries;
 mod reads;
+mod restores;
 mod standby;
 mod store;
 
--- a/crates/mesh/tests/feed/node.rs
+++ b/crates/mesh/tests/feed/node.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::feed::{FeedRole, SoloReads, SourceChoice, StandbyReader, StoreAccessLoss};
-use quillhatch_mesh::replica::{Position, Replica};
+use quillhatch_mesh::replica::{Position, Replica, ReplicaState};
 use quillhatch_mesh::store_reader::{NextRead, StoreReader};
 use quillhatch_types::Timestamp;
 
@@ -38,7 +38,7 @@
     pub(super) is_upstream: bool,
     pub(super) sent: Timestamp,
     pub(super) long_poll: Duration,
-    pub(super) from: Position,
+    pub(super) from: ReplicaState,
 }
 
 /// A call to the store that has no response yet.
@@ -91,6 +91,40 @@
 }
 
 impl SimNode {
+    /// A node that has just started and knows nothing.
+    pub(super) fn new(machine: IpAddr, zone: String, jitter: f64) -> Self {
+        SimNode {
+            machine,
+            zone,
+            replica: Replica::default(),
+            role: FeedRole::default(),
+            store_access: StoreAccess::Available,
+            fault: NodeFault::None,
+            loss: StoreAccessLoss::default(),
+            own_call_failed: false,
+            store_read_at: Some(Timestamp::ZERO),
+            last_read_had_changes: false,
+            source_choice: SourceChoice::default(),
+            store_reader: StoreReader::default(),
+            query: None,
+            read: None,
+            standby_reader: StandbyReader::default(),
+            standby_read: None,
+            standby_position: Position::default(),
+            next_standby_read_at: Timestamp::ZERO,
+            next_query_at: Timestamp::ZERO,
+            next_read_at: Timestamp::ZERO,
+            is_isolated: false,
+            has_unverified_source: false,
+            has_response: false,
+            solo_reads: SoloReads::default(),
+            jitter,
+            ahead_peer: None,
+            answered_queries: 0,
+            sent_changes: 0,
+        }
+    }
+
     pub fn position(&self) -> Position {
         self.replica.position()
     }
--- a/crates/mesh/tests/feed/queries.rs
+++ b/crates/mesh/tests/feed/queries.rs
@@ -38,14 +38,19 @@
             NodeFault::None => {
                 let has_just_arrived = now.since(sent) == TICK * 2;
                 let is_lost = other.loss.is_confirmed() || (has_just_arrived && other.loss.since().is_some());
-                let has_news = other.position() > from || is_lost;
+                let state = other.replica.state();
+                let has_news = match self.mutation {
+                    Some(Mutation::IgnoresVersions) => state.position > from.position || is_lost,
+                    _ => state.is_ahead_of(from) || is_lost,
+                };
                 if !has_news && now.since(sent) < long_poll {
                     return;
                 }
-                let update = other.replica.update_since(from, now);
+                let update = other.replica.update_since(from.position, now);
                 other.answered_queries += 1;
                 other.sent_changes += update.as_ref().map_or(0, |update| update.changes.len());
                 let (store_read_at, lost_since) = (other.store_read_at, other.loss.since());
+                self.copy_configuration(peer, number);
                 self.query_succeeded(number, update, store_read_at, lost_since);
             }
         }
@@ -65,7 +70,7 @@
             is_upstream: candidate.is_upstream,
             sent: now,
             long_poll,
-            from: node.position(),
+            from: node.replica.state(),
         };
         self.nodes[number].query = Some(query);
     }
--- a/crates/mesh/tests/feed/store.rs
+++ b/crates/mesh/tests/feed/store.rs
@@ -1,4 +1,4 @@
-//! A simulated store: a log of the registrations of targets.
+//! A simulated store: a log of the registrations of targets and of configurations.
 
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -17,7 +17,7 @@
 }
 
 impl SimStore {
-    pub(super) fn write(&mut self, change: Change) {
+    pub fn write(&mut self, change: Change) {
         self.position.revision += 1;
         self.log.push(RevisedChange { revision: self.position.revision, change });
     }
@@ -29,6 +29,11 @@
         self.position.era += 1;
     }
 
+    /// The number of writes after the last one of which `is_last` is true.
+    pub(super) fn writes_after(&self, is_last: impl Fn(&Change) -> bool) -> usize {
+        self.log.iter().rev().take_while(|revised| !is_last(&revised.change)).count()
+    }
+
     pub(super) fn list(&self) -> Update {
         let mut last: HashMap<Arc<str>, RevisedChange> = HashMap::new();
         for revised in &self.log {
@@ -37,6 +42,8 @@
         }
         let mut changes: Vec<RevisedChange> =
             last.into_values().filter(|revised| matches!(revised.change, Change::Target(..))).collect();
+        let is_configuration = |revised: &&RevisedChange| matches!(revised.change, Change::Configuration(_));
+        changes.extend(self.log.iter().rev().find(is_configuration).cloned());
         changes.sort_by_key(|revised| revised.revision);
         Update { scope: UpdateScope::Full, position: self.position, changes }
     }
