Count and name the responses that wait behind an earlier one on their connection

Hypotheses: (a) the answers had not arrived at the node; (b) they had, and waited for the one before them; (c) they were written and lost with the connection. No gauge and no line showed finished responses that hyper has not been given: 'stopped' counts calls until their responses begin, streamed responses, and connections.

Change: a ticket for each such response, in the list that the calls in progress use: 'waiting' in 'stopped', lines 'cut' with part 'waiting' and how long it had been ready, and the gauge edge_responses_waiting. A listener's handler is a trait for this.

--- a/crates/sidecar/src/calls_in_progress.rs
+++ b/crates/sidecar/src/calls_in_progress.rs
@@ -14,6 +14,9 @@
     /// At the edge, from its arrival until its response begins.
     #[display("request")]
     Request,
+    /// At the edge, a response that is ready and waits behind an earlier one on its connection.
+    #[display("waiting")]
+    Waiting,
     /// A streamed response that has begun, at the edge or at the gate.
     #[display("response")]
     Response,
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod run;
 mod sender;
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 use crate::calls_in_progress::CallTicket;
 use crate::headers::{header_text, remove_hop_by_hop_headers};
 use crate::hop::HOP_HEADER;
+use crate::listener::RequestHandler;
 use crate::node::Node;
 use entry::{admitted_share, inherited_context, is_refused, malformed_status};
 use responses::{local_response, refuse, retry_delay, STOPPING_RETRY_AFTER};
@@ -56,8 +58,30 @@
     pub(super) deadline: Timestamp,
 }
 
+/// Serves the requests that arrive at the outbound address.
+#[derive(Clone)]
+pub struct EdgeHandler {
+    /// The node.
+    pub node: Rc<Node>,
+}
+
+impl RequestHandler for EdgeHandler {
+    fn respond(
+        &self,
+        parts: Parts,
+        body: Option<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + 'static {
+        serve(Rc::clone(&self.node), parts, body, peer)
+    }
+
+    fn begin_waiting(&self, id: &str) -> Option<CallTicket> {
+        Some(self.node.waiting_responses.begin(id, self.node.now()))
+    }
+}
+
 /// Serves one request that arrived at the outbound address.
-pub async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
+async fn serve(node: Rc<Node>, parts: Parts, body: Option<Incoming>, peer: SocketAddr) -> Response<Body> {
     node.detect_suspension();
     let id = header_text(&parts.headers, headers::REQUEST_ID).unwrap_or_default();
     let ticket = node.calls.begin(id, node.now());
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -17,12 +17,15 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use quillhatch_mesh::configuration::CallerLimits;
+use quillhatch_platform::headers::REQUEST_ID;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::body::Body;
 use crate::caller_io::CallerIo;
-use crate::pipeline::{PipelinedCalls, MAX_PIPELINED_CALLS};
+use crate::calls_in_progress::CallTicket;
+use crate::headers::header_text;
+use crate::pipeline::{PipelinedCalls, WaitingResponse, MAX_PIPELINED_CALLS};
 
 /// The backlog of a listening socket: the maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -60,6 +63,38 @@
     pub concurrent_pipelining: bool,
 }
 
+/// Serves the requests that arrive at a listener.
+pub trait RequestHandler: Clone + 'static {
+    /// Responds to a request.
+    fn respond(
+        &self,
+        parts: Parts,
+        body: Option<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + 'static;
+
+    /// Records that the response to the request with this id is ready and waits behind another one on its connection,
+    /// until the returned ticket is dropped.
+    fn begin_waiting(&self, _id: &str) -> Option<CallTicket> {
+        None
+    }
+}
+
+impl<Handler, ResponseFuture> RequestHandler for Handler
+where
+    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> ResponseFuture + Clone + 'static,
+    ResponseFuture: Future<Output = Response<Body>> + 'static,
+{
+    fn respond(
+        &self,
+        parts: Parts,
+        body: Option<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<Body>> + 'static {
+        self(parts, body, peer)
+    }
+}
+
 /// Opens a listening socket.
 ///
 /// # Errors
@@ -73,11 +108,7 @@
 }
 
 /// Accepts connections and serves their requests with `handler`. Does not return.
-pub async fn serve<Handler, ResponseFuture>(listener: TcpListener, config: ConnectionConfig, handler: Handler)
-where
-    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> ResponseFuture + Clone + 'static,
-    ResponseFuture: Future<Output = Response<Body>> + 'static,
-{
+pub async fn serve(listener: TcpListener, config: ConnectionConfig, handler: impl RequestHandler) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -95,15 +126,7 @@
     }
 }
 
-async fn serve_connection<Handler, ResponseFuture>(
-    stream: TcpStream,
-    peer: SocketAddr,
-    config: ConnectionConfig,
-    handler: Handler,
-) where
-    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> ResponseFuture + Clone + 'static,
-    ResponseFuture: Future<Output = Response<Body>> + 'static,
-{
+async fn serve_connection(stream: TcpStream, peer: SocketAddr, config: ConnectionConfig, handler: impl RequestHandler) {
     let io = CallerIo::new(stream, config.concurrent_pipelining);
     let watched = io.clone();
     let active = Rc::new(Cell::new(0_usize));
@@ -126,7 +149,7 @@
                 let mut response = match pipelined.take(&parts).await {
                     Some(response) => response,
                     None if is_ambiguous => refuse_ambiguous(),
-                    None => handler(parts, Some(body), peer).await,
+                    None => handler.respond(parts, Some(body), peer).await,
                 };
                 // The responses to pipelined calls that were started are written before the connection closes.
                 let closes = draining.get() || open.get() > keep_alive_limit;
@@ -225,17 +248,14 @@
 
 /// Starts the calls of pipelined requests that were read ahead. The first request of an idle connection is left to
 /// hyper.
-fn start_pipelined_calls<Handler, ResponseFuture>(
+fn start_pipelined_calls(
     io: &CallerIo,
     pipelined: &PipelinedCalls,
     active: usize,
     config: &ConnectionConfig,
-    handler: &Handler,
+    handler: &impl RequestHandler,
     peer: SocketAddr,
-) where
-    Handler: Fn(Parts, Option<Incoming>, SocketAddr) -> ResponseFuture + Clone + 'static,
-    ResponseFuture: Future<Output = Response<Body>> + 'static,
-{
+) {
     let mut first_is_for_hyper = active == 0 && pipelined.is_empty();
     while !config.draining.get() || first_is_for_hyper {
         if pipelined.len() >= MAX_PIPELINED_CALLS {
@@ -246,7 +266,13 @@
             first_is_for_hyper = false;
             continue;
         }
-        let task = tokio::task::spawn_local(handler((*parts).clone(), None, peer));
+        let responding = handler.respond((*parts).clone(), None, peer);
+        let id = header_text(&parts.headers, REQUEST_ID).unwrap_or_default().to_owned();
+        let handler = handler.clone();
+        let task = tokio::task::spawn_local(async move {
+            let response = responding.await;
+            WaitingResponse { response, _ticket: handler.begin_waiting(&id) }
+        });
         pipelined.push(&parts, task);
     }
 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -18,6 +18,7 @@
         ("target_leaving", f64::from(u8::from(status.is_draining))),
         ("quarantine_suspects", node.quarantine.borrow().len() as f64),
         ("edge_running", node.calls.len() as f64),
+        ("edge_responses_waiting", node.waiting_responses.len() as f64),
         ("tenants", node.current_configuration().map_or(0.0, |current| current.tenants.len() as f64)),
         (
             "configuration_age_seconds",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -148,6 +148,8 @@
     pub refuses_callers: Cell<bool>,
     /// The calls at the edge whose responses have not begun.
     pub calls: Rc<CallsInProgress>,
+    /// The responses that are ready and wait behind earlier ones on their connections.
+    pub waiting_responses: Rc<CallsInProgress>,
     /// The streamed responses that have begun.
     pub responses: Rc<CallsInProgress>,
     /// The calls at the local target.
@@ -263,6 +265,7 @@
             stage: Cell::new(Stage::Serving),
             refuses_callers: Cell::new(false),
             calls: Rc::default(),
+            waiting_responses: Rc::default(),
             responses: Rc::default(),
             runs: Rc::default(),
             random: RefCell::new(Pcg64::from_entropy()),
--- a/crates/sidecar/src/pipeline.rs
+++ b/crates/sidecar/src/pipeline.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::body::Body;
+use crate::calls_in_progress::CallTicket;
 
 /// The maximum number of headers of a request that is parsed here.
 const MAX_HEADERS: usize = 64;
@@ -67,11 +68,19 @@
     Some(request.into_parts().0)
 }
 
+/// The response to a pipelined call, until hyper has read its request and gets it.
+pub struct WaitingResponse {
+    /// The response.
+    pub response: Response<Body>,
+    /// Keeps it among the responses that wait.
+    pub _ticket: Option<CallTicket>,
+}
+
 /// A pipelined call. Its task is aborted when it is dropped.
 struct PipelinedCall {
     uri: Uri,
     headers: HeaderMap,
-    task: JoinHandle<Response<Body>>,
+    task: JoinHandle<WaitingResponse>,
 }
 
 impl Drop for PipelinedCall {
@@ -86,7 +95,7 @@
 
 impl PipelinedCalls {
     /// Adds a call that was started.
-    pub fn push(&self, parts: &Parts, task: JoinHandle<Response<Body>>) {
+    pub fn push(&self, parts: &Parts, task: JoinHandle<WaitingResponse>) {
         let call = PipelinedCall { uri: parts.uri.clone(), headers: parts.headers.clone(), task };
         self.0.borrow_mut().push_back(call);
     }
@@ -108,6 +117,6 @@
             let is_first = calls.front().is_some_and(|call| call.uri == request.uri && call.headers == request.headers);
             is_first.then(|| calls.pop_front()).flatten()?
         };
-        (&mut call.task).await.ok()
+        (&mut call.task).await.ok().map(|waiting| waiting.response)
     }
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -20,10 +20,11 @@
 use tokio::time::sleep;
 
 use crate::body::Body;
+use crate::edge::EdgeHandler;
 use crate::listener::{bind, serve, ConnectionConfig};
 use crate::logging;
 use crate::node::Node;
-use crate::{datagrams, edge, feed, gate, limits, metrics, quarantine, store};
+use crate::{datagrams, feed, gate, limits, metrics, quarantine, store};
 
 /// The interval at which idle connections and unused locks are removed and suspensions are detected.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
@@ -160,10 +161,8 @@
     let ready = bind(settings.ready).map_err(system_error("ready"))?;
     let mut tasks = JoinSet::new();
 
-    let for_edge = Rc::clone(&node);
-    let accepting_callers = tasks.spawn_local(serve(outbound, callers, move |parts, body, peer| {
-        edge::serve(Rc::clone(&for_edge), parts, body, peer)
-    }));
+    let edge = EdgeHandler { node: Rc::clone(&node) };
+    let accepting_callers = tasks.spawn_local(serve(outbound, callers, edge));
     let for_gate = Rc::clone(&node);
     let accepting_peers = tasks.spawn_local(serve(inbound, peers.clone(), move |parts, body, _| {
         gate::serve(Rc::clone(&for_gate), parts, body)
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -25,6 +25,7 @@
 /// Logs the calls that the exit of the process aborts.
 fn log_cut_calls(node: &Node) {
     log_cut_part(node, CallPart::Request, &node.calls);
+    log_cut_part(node, CallPart::Waiting, &node.waiting_responses);
     log_cut_part(node, CallPart::Response, &node.responses);
     log_cut_part(node, CallPart::Target, &node.runs);
 }
@@ -77,8 +78,9 @@
         let (calls, connections) = (node.calls.len(), self.open_connections.get());
         let dropped = self.dropped_connections.get();
         let (running, responses) = (node.gate.borrow().load().running, node.responses.len());
+        let waiting = node.waiting_responses.len();
         node.log(&format!(
-            "\"event\":\"stopped\",\"edge_calls\":{calls},\"responses\":{responses},\"running\":{running},\"connections\":{connections},\"dropped_connections\":{dropped},\"ms\":{}",
+            "\"event\":\"stopped\",\"edge_calls\":{calls},\"waiting\":{waiting},\"responses\":{responses},\"running\":{running},\"connections\":{connections},\"dropped_connections\":{dropped},\"ms\":{}",
             node.now().since(schedule.requested()).as_millis()
         ));
         node.log_state().flush_without_delay();
