Give up a response that ready ones wait behind, shortly before a stop ends the process

Cause: requests on one connection are passed on at once and answered in order. A stop awaits each response until the process ends, whatever waits behind it, and then discards all.

Change: 0.4 s before the end, and not before the last sixth of the grace period, a response that ready ones wait behind is given up with 504 (given-up, why blocking, with its target); those behind are written, the last one closes the connection. A response that nothing waits behind, or only others that aren't ready, is awaited until the end as before.

--- a/crates/mesh/src/shutdown.rs
+++ b/crates/mesh/src/shutdown.rs
@@ -20,6 +20,11 @@
 /// The part of the grace period that is reserved for the calls at the target, after the gate has closed. Also the time
 /// that a call is expected to take if no call of its route was measured.
 const TARGET_DRAIN_TIME: Duration = Duration::from_millis(2200);
+/// How long before the end of the process a response is given up that others wait behind: these take a moment to be
+/// written.
+const UNBLOCK_RESERVE: Duration = Duration::from_millis(400);
+/// The part of the grace period, from its start, in which no response is given up that a target works on.
+const PROTECTED_FRACTION: f64 = 5.0 / 6.0;
 /// How long before the end of the process the last deadline of a target is: it may be late to respond, and its response
 /// takes a moment to arrive.
 const RESPONSE_RESERVE: Duration = Duration::from_millis(550);
@@ -31,12 +36,18 @@
     requested: Timestamp,
     /// When the process ends at the latest.
     process_end: Timestamp,
+    /// When unfinished responses are given up at the earliest.
+    protected_until: Timestamp,
 }
 
 impl ShutdownSchedule {
     /// The schedule of a process that was asked to stop at `requested` and is killed after `grace`.
     pub fn new(requested: Timestamp, grace: Duration) -> Self {
-        ShutdownSchedule { requested, process_end: requested + grace.saturating_sub(EXIT_RESERVE) }
+        ShutdownSchedule {
+            requested,
+            process_end: requested + grace.saturating_sub(EXIT_RESERVE),
+            protected_until: requested + grace.mul_f64(PROTECTED_FRACTION),
+        }
     }
 
     /// When the process was asked to stop.
@@ -59,6 +70,11 @@
         self.process_end
     }
 
+    /// When responses are given up that ready ones wait behind on their connections, so that those can be written.
+    pub fn unblocks_at(&self) -> Timestamp {
+        (self.process_end - UNBLOCK_RESERVE).max(self.protected_until).min(self.process_end)
+    }
+
     /// The time from `now` until the deadline that a target gets for a call, if that is earlier than `deadline`, until
     /// which its response is waited for.
     pub fn work_time(&self, deadline: Timestamp, now: Timestamp) -> Option<Duration> {
--- a/crates/mesh/tests/decisions/shutdown.rs
+++ b/crates/mesh/tests/decisions/shutdown.rs
@@ -69,3 +69,13 @@
     let until_end = durations.needed(&route, Retryability::Retryable).expect("it was measured");
     assert!(until_end >= Duration::from_secs(4), "{until_end:?}");
 }
+
+// A response may be given up only in the last sixth of the grace period, and those behind it need time to be written.
+#[test_case(2_000, 1_600; "a grace period that leaves no such time")]
+#[test_case(6_000, 5_200)]
+#[test_case(30_000, 29_200)]
+fn responses_are_given_up_for_those_behind_them_shortly_before_the_end(grace_ms: u64, expected_ms: u64) {
+    let grace = Duration::from_millis(grace_ms);
+    let schedule = ShutdownSchedule::new(REQUESTED, grace);
+    assert_eq!(schedule.unblocks_at(), after(expected_ms));
+}
--- a/crates/sidecar/src/calls_in_progress.rs
+++ b/crates/sidecar/src/calls_in_progress.rs
@@ -69,6 +69,11 @@
         self.root_calls.get()
     }
 
+    /// The call with this id that began last.
+    pub fn find(&self, id: &str) -> Option<CallInProgress> {
+        self.calls.borrow().values().rev().find(|call| call.id == id).cloned()
+    }
+
     /// The oldest calls, at most `limit`, oldest first.
     pub fn oldest(&self, limit: usize) -> Vec<CallInProgress> {
         self.calls.borrow().values().take(limit).cloned().collect()
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -33,7 +33,7 @@
 use crate::listener::RequestHandler;
 use crate::node::Node;
 use entry::{admitted_share, inherited_context, is_refused, malformed_status};
-use responses::{local_response, refuse, retry_delay, STOPPING_RETRY_AFTER};
+use responses::{give_up_blocking, local_response, refuse, retry_delay, STOPPING_RETRY_AFTER};
 use sender::{check_limit, deny, identify_sender, origin_of, refuse_over_limit, CallerEvidence};
 
 /// The maximum size of a request body that is buffered so that the call can be retried, in bytes.
@@ -78,6 +78,10 @@
     fn begin_waiting(&self, id: &str) -> Option<CallTicket> {
         Some(self.node.waiting_responses.begin(id, self.node.now()))
     }
+
+    fn give_up(&self, id: &str) -> Response<Body> {
+        give_up_blocking(&self.node, id)
+    }
 }
 
 /// Serves one request that arrived at the outbound address.
--- a/crates/sidecar/src/edge/responses.rs
+++ b/crates/sidecar/src/edge/responses.rs
@@ -60,6 +60,21 @@
     local_response(node, &call.id, status, why, call.arrived)
 }
 
+/// The final response to a call that a target may be at work on, while ready responses wait behind it and the process
+/// ends soon.
+pub(super) fn give_up_blocking(node: &Node, id: &str) -> Response<Body> {
+    let call = node.calls.find(id);
+    let arrived = call.as_ref().map_or_else(|| node.now(), |call| call.began);
+    let target = call.and_then(|call| call.target);
+    node.log_stop_failure(|| {
+        let at_work = target.as_deref().unwrap_or_default();
+        let ms = node.now().since(arrived).as_millis();
+        format!("\"event\":\"given-up\",\"id\":{id:?},\"why\":\"blocking\",\"at_work\":\"{at_work}\",\"ms\":{ms},\"stopping\":true")
+    });
+    Counters::increment(&node.counters.given_up_at_work);
+    local_response(node, id, StatusCode::GATEWAY_TIMEOUT, "blocking", arrived)
+}
+
 /// A random `Retry-After` for a call of `route` that has not run.
 pub(super) fn retry_delay(node: &Node, route: &Route) -> Duration {
     route.latency_objective.mul_f64(node.random.borrow_mut().gen_range(RETRY_AFTER_FRACTION))
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -42,13 +42,28 @@
 /// The minimum time for which a connection that this node closes stays open for its peer to close it too.
 const MIN_LINGER: Duration = Duration::from_millis(500);
 
+/// How often a connection checks whether ready responses wait behind one that it must give up for them.
+const UNBLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// What the connections of a process do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ConnectionPhase {
+    /// They serve requests.
+    #[default]
+    Serving,
+    /// They also give up a response that ready ones wait behind: the process ends soon.
+    Unblocking,
+    /// They close after their current response.
+    Closing,
+}
+
 /// How a listener serves its connections.
 #[derive(Clone)]
 pub struct ConnectionConfig {
     /// Returns the size limits and timeouts in force.
     pub limits: Rc<dyn Fn() -> CallerLimits>,
-    /// Becomes true when connections must close after their current request.
-    pub shutdown: watch::Receiver<bool>,
+    /// What the connections do.
+    pub phase: watch::Receiver<ConnectionPhase>,
     /// The number of open connections of all listeners that share this counter.
     pub open_connections: Rc<Cell<usize>>,
     /// The number of connections that this node closed for good before their peers did. What a peer had not received
@@ -78,6 +93,14 @@
     fn begin_waiting(&self, _id: &str) -> Option<CallTicket> {
         None
     }
+
+    /// The response in place of the one to the request with this id, which is given up because ready ones wait behind
+    /// it and the process ends soon.
+    fn give_up(&self, _id: &str) -> Response<Body> {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::GATEWAY_TIMEOUT;
+        response
+    }
 }
 
 impl<Handler, ResponseFuture> RequestHandler for Handler
@@ -132,11 +155,12 @@
     let active = Rc::new(Cell::new(0_usize));
     let pipelined = Rc::new(PipelinedCalls::default());
     let is_closing = Rc::new(Cell::new(false));
+    let is_unblocking = Rc::new(Cell::new(false));
     let draining = Rc::clone(&config.draining);
     let (open, keep_alive_limit) = (Rc::clone(&config.open_connections), config.keep_alive_limit);
     let service = {
         let (handler, active, pipelined) = (handler.clone(), Rc::clone(&active), Rc::clone(&pipelined));
-        let is_closing = Rc::clone(&is_closing);
+        let (is_closing, is_unblocking) = (Rc::clone(&is_closing), Rc::clone(&is_unblocking));
         let io = io.clone();
         service_fn(move |request: Request<Incoming>| {
             active.set(active.get() + 1);
@@ -144,13 +168,26 @@
             let active_request = ActiveRequest(Rc::clone(&active));
             let (handler, pipelined, draining) = (handler.clone(), Rc::clone(&pipelined), Rc::clone(&draining));
             let (open, is_closing, io) = (Rc::clone(&open), Rc::clone(&is_closing), io.clone());
+            let is_unblocking = Rc::clone(&is_unblocking);
             async move {
                 let (parts, body) = request.into_parts();
-                let mut response = match pipelined.take(&parts).await {
-                    Some(response) => response,
-                    None if is_ambiguous => refuse_ambiguous(),
-                    None => handler.respond(parts, Some(body), peer).await,
+                let id = parts.headers.get(REQUEST_ID).cloned();
+                let responding = async {
+                    match pipelined.take(&parts).await {
+                        Some(response) => response,
+                        None if is_ambiguous => refuse_ambiguous(),
+                        None => handler.respond(parts, Some(body), peer).await,
+                    }
                 };
+                let mut responding = pin!(responding);
+                let mut response = std::future::poll_fn(|context| match responding.as_mut().poll(context) {
+                    Poll::Pending if is_unblocking.get() && pipelined.has_ready() => {
+                        let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+                        Poll::Ready(handler.give_up(id))
+                    }
+                    polled => polled,
+                })
+                .await;
                 // The responses to pipelined calls that were started are written before the connection closes.
                 let closes = draining.get() || open.get() > keep_alive_limit;
                 if closes && pipelined.is_empty() {
@@ -169,8 +206,8 @@
         .pipeline_flush(false)
         .max_buf_size((config.limits)().header_bytes.max(8192) * HEAD_BUFFER_FACTOR);
     let mut connection = pin!(builder.serve_connection(io, service));
-    let mut shutdown = config.shutdown.clone();
-    let mut is_shutting_down = false;
+    let mut phases = config.phase.clone();
+    let mut has_process_ended = false;
     let mut timeout_check = pin!(tokio::time::sleep(TIMEOUT_CHECK_INTERVAL));
     loop {
         let connection_ended = std::future::poll_fn(|context| {
@@ -186,14 +223,18 @@
         tokio::select! {
             biased;
             () = connection_ended => break,
-            _ = shutdown.changed(), if !is_shutting_down => {
-                is_shutting_down = true;
+            changed = phases.changed(), if !has_process_ended => {
+                has_process_ended = changed.is_err();
+                let phase = if has_process_ended { ConnectionPhase::Closing } else { *phases.borrow_and_update() };
+                is_unblocking.set(phase >= ConnectionPhase::Unblocking);
                 // Pipelined calls have already been forwarded, so their responses must be written; the last one closes
                 // the connection.
-                if pipelined.is_empty() {
+                if phase == ConnectionPhase::Closing && pipelined.is_empty() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            // Polls the connection again.
+            () = tokio::time::sleep(UNBLOCK_CHECK_INTERVAL), if is_unblocking.get() => {}
             () = &mut timeout_check => {
                 let limits = (config.limits)();
                 // By the monotonic clock, which stops while the machine is suspended: what arrived meanwhile must be
--- a/crates/sidecar/src/pipeline.rs
+++ b/crates/sidecar/src/pipeline.rs
@@ -105,6 +105,11 @@
         self.0.borrow().len()
     }
 
+    /// Whether the response to any of them is ready.
+    pub fn has_ready(&self) -> bool {
+        self.0.borrow().iter().any(|call| call.task.is_finished())
+    }
+
     /// Whether there are no such calls.
     pub fn is_empty(&self) -> bool {
         self.0.borrow().is_empty()
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -21,7 +21,7 @@
 
 use crate::body::Body;
 use crate::edge::EdgeHandler;
-use crate::listener::{bind, serve, ConnectionConfig};
+use crate::listener::{bind, serve, ConnectionConfig, ConnectionPhase};
 use crate::logging;
 use crate::node::Node;
 use crate::{datagrams, feed, gate, limits, metrics, quarantine, store};
@@ -119,7 +119,7 @@
 pub struct Running {
     /// Its shared state.
     pub node: Rc<Node>,
-    pub(crate) close_connections: watch::Sender<bool>,
+    pub(crate) connection_phase: watch::Sender<ConnectionPhase>,
     pub(crate) open_connections: Rc<Cell<usize>>,
     pub(crate) dropped_connections: Rc<Cell<u64>>,
     pub(crate) draining: Rc<Cell<bool>>,
@@ -134,14 +134,14 @@
 /// Returns an error that names the address that can't be bound.
 pub fn start(node: Rc<Node>) -> Result<Running, StartError> {
     let settings = node.settings.clone();
-    let (close_connections, shutdown) = watch::channel(false);
+    let (connection_phase, phase) = watch::channel(ConnectionPhase::default());
     let open_connections = Rc::new(Cell::new(0));
     let draining: Rc<Cell<bool>> = Rc::default();
     let dropped_connections: Rc<Cell<u64>> = Rc::default();
     let for_limits = Rc::clone(&node);
     let callers = ConnectionConfig {
         limits: Rc::new(move || for_limits.current_configuration().map(|in_force| in_force.limits).unwrap_or_default()),
-        shutdown,
+        phase,
         open_connections: Rc::clone(&open_connections),
         dropped_connections: Rc::clone(&dropped_connections),
         keep_alive_limit: settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2,
@@ -204,7 +204,7 @@
         settings.mechanisms.disabled_names()
     ));
     let accepting = [accepting_callers, accepting_peers];
-    Ok(Running { node, close_connections, open_connections, dropped_connections, draining, accepting, tasks })
+    Ok(Running { node, connection_phase, open_connections, dropped_connections, draining, accepting, tasks })
 }
 
 /// Logs whether the settings file differs from the settings in use. They take effect only at a restart, since addresses
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -8,6 +8,7 @@
 
 use crate::calls_in_progress::{CallInProgress, CallPart, CallsInProgress};
 use crate::gate;
+use crate::listener::ConnectionPhase;
 use crate::node::{Node, Stage};
 use crate::run::Running;
 
@@ -65,11 +66,14 @@
         node.gate.borrow_mut().close();
         gate::evict_waiting_calls(node);
         while node.now() < schedule.process_end() && (!node.calls.is_empty() || node.gate.borrow().load().running > 0) {
+            if node.now() >= schedule.unblocks_at() {
+                self.connection_phase.send_replace(ConnectionPhase::Unblocking);
+            }
             sleep(STOP_POLL_INTERVAL).await;
         }
         // Stop accepting connections; the open ones close after their current response.
         self.accepting.iter().for_each(AbortHandle::abort);
-        let _ = self.close_connections.send(true);
+        self.connection_phase.send_replace(ConnectionPhase::Closing);
         while node.now() < schedule.process_end() && self.open_connections.get() > 0 {
             sleep(STOP_POLL_INTERVAL).await;
         }
