--- /dev/null
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -0,0 +1,96 @@
+//! Entries that other writers have left among those of the targets.
+
+mod support;
+
+use std::time::Duration;
+
+use quillhatch_sidecar::run::Running;
+use support::caller::call;
+use support::shop::{document, read};
+use support::store::StandInStore;
+use support::target::StandInTarget;
+use support::{run, start_sidecar, unused_address, OUTBOUND};
+use test_case::test_case;
+use tokio::time::{sleep, Instant};
+
+/// The machines: half of them run targets of `alpha`, which is called.
+const MACHINES: usize = 6;
+/// The number of items in one page of the store.
+const PAGE_SIZE: usize = 4;
+/// The names of entries that fill the first page together with the configuration and one more.
+const FILLERS: [&str; 2] = ["!1", "!2"];
+/// How long processes may take to serve after they have started.
+const START_TIME: Duration = Duration::from_secs(3);
+/// The number of calls.
+const CALLS: usize = 30;
+
+/// A store in which entries stand among those of the targets, and sidecars that have started meanwhile.
+struct Fleet {
+    store: StandInStore,
+    sidecars: Vec<Running>,
+    targets: Vec<StandInTarget>,
+}
+
+impl Fleet {
+    /// Lets `write` write entries and starts all processes.
+    async fn start(write: impl Fn(&StandInStore)) -> Self {
+        let store = StandInStore::start().await;
+        store.set_page_size(PAGE_SIZE);
+        store.write_configuration(&document(1, "alpha"));
+        write(&store);
+        let mut fleet = Fleet { store, sidecars: Vec::new(), targets: Vec::new() };
+        for machine in 0..MACHINES {
+            let service = if machine % 2 == 0 { "alpha" } else { "beta" };
+            let target = StandInTarget::start(unused_address(), service, 8).await;
+            fleet.store.register(&target, "ready");
+            fleet.targets.push(target);
+        }
+        for target in &fleet.targets {
+            let std::net::IpAddr::V4(machine) = target.address.ip() else { unreachable!("an IPv4 address") };
+            let sidecar = start_sidecar(machine, &target.service, target.address, fleet.store.address);
+            fleet.sidecars.push(sidecar);
+        }
+        let started = Instant::now();
+        while started.elapsed() < START_TIME && !fleet.sidecars.iter().all(|sidecar| sidecar.node.is_ready()) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        fleet
+    }
+
+    /// The number of [`CALLS`] calls that are served.
+    async fn serve_calls(&self) -> usize {
+        let mut served = 0;
+        for number in 0..CALLS {
+            let outbound = std::net::SocketAddr::new(self.targets[number % MACHINES].address.ip(), OUTBOUND);
+            let response = call(outbound, &read(&format!("call-{number}"))).await;
+            served += usize::from(response.is_some_and(|response| response.status == 200));
+        }
+        served
+    }
+}
+
+fn write_entries(store: &StandInStore, names: &[&str]) {
+    for name in FILLERS.iter().chain(names) {
+        store.write(&format!("servers/{name}"), Some("none"));
+    }
+}
+
+#[test_case(&["b"]; "letters only")]
+#[test_case(&["b c"]; "a blank")]
+#[test_case(&["b\"c"]; "a quote")]
+#[test_case(&["b\tc"]; "a tab")]
+#[test_case(&["b\u{1}c"]; "a control byte")]
+#[test_case(&["b\r\nc"]; "a line break")]
+#[test_case(&["b#c"]; "a number sign")]
+#[test_case(&["b+c"]; "a plus sign")]
+#[test_case(&["b%"]; "a percent sign")]
+#[test_case(&["bü"]; "an umlaut")]
+#[test_case(&["%7E"]; "an escape of a later character")]
+#[test_case(&["b&1", "b&2", "b&3", "b&4", "b&5", "b&6", "b&7", "b&8"]; "a page of names with ampersands")]
+fn processes_that_start_serve_although_the_last_name_of_a_page_holds(names: &'static [&'static str]) {
+    // Guards against this failure: the key was sent as it stands in the query for the next page.
+    run(async move {
+        let fleet = Fleet::start(|store| write_entries(store, names)).await;
+        assert_eq!(fleet.serve_calls().await, CALLS);
+    });
+}
