Give up a list of the store whose pages repeat, and serve with what could be read

Cause: read_all asked for the page after the last key as long as `more` was true, whatever that page had brought. A page without items even began the list anew.

Change: ListingCursor refuses a key that was used before, or none. Nothing is assumed about the order of keys. The read then fails like any other, with the growing pause between reads, and reads the store itself next, not its replica. What is best for callers meanwhile: a node with a view keeps it, since what is missing in a part of the list may be registered. A node that knows nothing else takes the configuration and the targets of the pages that it could read; to refuse all calls until the list ends helps nobody. That part is not a position of the store, so the node doesn't answer other nodes' queries with it, and a complete list or another node's view replaces it. Ruled out: listing by shorter prefixes, which can skip targets; ending the process, which would read the same page again.

Not dealt with: a node with a view learns no change by its own reads while the list doesn't end; it still follows others.

--- a/crates/mesh/src/replica/mod.rs
+++ b/crates/mesh/src/replica/mod.rs
@@ -219,9 +219,7 @@
                 entry.revision = revision;
                 return false;
             }
-            let is_same =
-                Registration { cold_for: registration.cold_for, ..entry.registration.clone() } == *registration;
-            if is_same {
+            if entry.registration.has_same_content(registration) {
                 entry.revision = revision;
                 return false;
             }
--- a/crates/mesh/src/store_reader.rs
+++ b/crates/mesh/src/store_reader.rs
@@ -5,8 +5,11 @@
 //! following watch returns what that replica lacked. After an outage the watch continues from the same revision.
 //! Everything is listed again only if the store no longer has the changes in between.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
+use derive_more::{Display, Error};
+
 use crate::replica::Position;
 use crate::settings::Bounds;
 
@@ -86,6 +89,43 @@
     }
 }
 
+/// A list of the store that doesn't continue.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("the list of the store does not continue after the key {after:?}")]
+pub struct StalledListing {
+    /// The key after which the next page was requested.
+    pub after: String,
+}
+
+/// The progress of a listing through the pages of the store.
+#[derive(Clone, Debug, Default)]
+pub struct ListingCursor {
+    after: String,
+    earlier: HashSet<String>,
+}
+
+impl ListingCursor {
+    /// The key after which the next page starts; empty for the first page.
+    pub fn after(&self) -> &str {
+        &self.after
+    }
+
+    /// Advances to the page after `last_key`, the last key of the current page, which is not the last page.
+    ///
+    /// Nothing is assumed about the order of keys in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the page has no key, or if the same page was requested before.
+    pub fn advance(&mut self, last_key: Option<String>) -> Result<(), StalledListing> {
+        let Some(next) = last_key.filter(|next| *next != self.after && !self.earlier.contains(next)) else {
+            return Err(StalledListing { after: self.after.clone() });
+        };
+        self.earlier.insert(std::mem::replace(&mut self.after, next));
+        Ok(())
+    }
+}
+
 /// The maximum timeout of a watch, by the bounds that readers must meet on their own.
 pub fn max_watch_timeout(bounds: &Bounds) -> Duration {
     let for_revocation =
--- a/crates/mesh/src/targets/registration.rs
+++ b/crates/mesh/src/targets/registration.rs
@@ -61,6 +61,11 @@
     pub fn write_order(&self) -> (u64, u64) {
         (self.started, self.sequence)
     }
+
+    /// Whether `other` says the same, apart from how long the target will still be slow: that time passes without a write.
+    pub fn has_same_content(&self, other: &Registration) -> bool {
+        Registration { cold_for: other.cold_for, ..self.clone() } == *other
+    }
 }
 
 /// A listed target.
--- a/crates/mesh/tests/decisions/store_reader.rs
+++ b/crates/mesh/tests/decisions/store_reader.rs
@@ -5,7 +5,9 @@
 use quillhatch_mesh::feed::watch_timeout;
 use quillhatch_mesh::replica::Position;
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::store_reader::{may_have_expired, reregistration_timeout_after_restore, NextRead, StoreReader};
+use quillhatch_mesh::store_reader::{
+    may_have_expired, reregistration_timeout_after_restore, ListingCursor, NextRead, StalledListing, StoreReader,
+};
 
 /// Longer bounds than those of the other tests, so that they do not shorten the timeout of a watch.
 const BOUNDS: Bounds = Bounds {
@@ -84,3 +86,25 @@
     let slow_heartbeat = Bounds { heartbeat: Duration::from_secs(5), ..BOUNDS };
     assert!(reregistration_timeout_after_restore(&slow_heartbeat) > slow_heartbeat.heartbeat);
 }
+
+#[test]
+fn a_listing_that_returns_to_an_earlier_page_is_stalled() {
+    let key = |name: &str| Some(name.to_owned());
+    let mut cursor = ListingCursor::default();
+    for name in ["m", "a", "z"] {
+        assert_eq!(cursor.advance(key(name)), Ok(()), "keys may come in any order");
+        assert_eq!(cursor.after(), name);
+    }
+    let stalled = Err(StalledListing { after: "z".to_owned() });
+    for name in [key("z"), key("a"), key("m"), None] {
+        assert_eq!(cursor.advance(name), stalled);
+    }
+    assert_eq!(cursor.after(), "z", "it remains where it was");
+}
+
+#[test]
+fn a_listing_whose_first_page_has_no_key_is_stalled() {
+    for name in [None, Some(String::new())] {
+        assert_eq!(ListingCursor::default().advance(name), Err(StalledListing { after: String::new() }));
+    }
+}
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -7,7 +7,7 @@
 
 use quillhatch_mesh::configuration::Configuration;
 use quillhatch_mesh::mechanisms::Mechanism;
-use quillhatch_mesh::replica::{Change, Update, UpdateError, UpdateScope};
+use quillhatch_mesh::replica::{Change, RevisedChange, Update, UpdateError, UpdateScope};
 use quillhatch_mesh::store_reader::{may_have_expired, reregistration_timeout_after_restore, REREGISTRATION_TIMEOUT};
 use quillhatch_mesh::targets::{GracePeriod, TargetId, TargetProcess};
 use quillhatch_types::Timestamp;
@@ -64,6 +64,29 @@
     node.feed.view_changed.notify_waiters();
 }
 
+/// Lists the targets of an incomplete list, which is no update of the replica, and takes its configuration. Targets that
+/// it lacks are removed.
+pub(super) fn apply_partial_list(node: &Rc<Node>, revised: Vec<RevisedChange>) {
+    let now = node.now();
+    let mut listed = HashSet::new();
+    let mut changes = Vec::new();
+    for RevisedChange { change, .. } in revised {
+        if let Change::Target(id, registration) = &change {
+            listed.insert(id.clone());
+            if node.targets.borrow().get(id).is_some_and(|known| known.registration.has_same_content(registration)) {
+                continue;
+            }
+        }
+        changes.push(change);
+    }
+    apply_changes(node, changes, now);
+    let missing = node.targets.borrow().missing_from(&listed);
+    remove_gone(node, &missing);
+    node.log_failure(|| {
+        format!("\"event\":\"store-read-partly\",\"targets\":{},\"missing\":{}", listed.len(), missing.len())
+    });
+}
+
 /// Records that this node has access to the store again, after it had none since `lost_since`. If the store was in an
 /// outage since `outage_since`, registrations may have expired meanwhile.
 pub fn on_access_regained(node: &Node, lost_since: Option<Timestamp>, outage_since: Option<Timestamp>) {
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
+use quillhatch_mesh::store_reader::StalledListing;
 use quillhatch_platform::headers;
 use quillhatch_platform::store::{Page, PageError};
 use tokio::time::timeout;
@@ -37,6 +38,9 @@
     /// The store was restored from a backup, or the response is from before the restore.
     #[display("the response is from another era of the store")]
     OtherEra,
+    /// The pages of a list repeat.
+    #[display("{_0}")]
+    Stalled(StalledListing),
 }
 
 impl StoreError {
@@ -46,7 +50,7 @@
         match self {
             StoreError::Exchange(_) | StoreError::TimedOut => true,
             StoreError::Status(status) => status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS,
-            StoreError::Page(_) | StoreError::OtherEra => false,
+            StoreError::Page(_) | StoreError::OtherEra | StoreError::Stalled(_) => false,
         }
     }
 }
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -19,7 +19,7 @@
 use quillhatch_mesh::freshness::MAX_COMPLETE_PAGE_CHANGES;
 use quillhatch_mesh::mechanisms::Mechanism;
 use quillhatch_mesh::replica::{Change, Position, RevisedChange, Update, UpdateError, UpdateScope};
-use quillhatch_mesh::store_reader::NextRead;
+use quillhatch_mesh::store_reader::{ListingCursor, NextRead};
 use quillhatch_mesh::targets::Target;
 use quillhatch_platform::store::{listing_path, read_page, watch_path, ReadConsistency};
 use quillhatch_types::Timestamp;
@@ -30,6 +30,7 @@
 use crate::feed;
 use crate::node::Node;
 pub use access::watch_access;
+use apply::apply_partial_list;
 pub use apply::{apply_update, drop_expired_targets, on_access_regained, on_targets_changed, take_configuration};
 use client::{get, StoreError, StoreResponse};
 use schedule::{is_due, wait_until_due};
@@ -59,7 +60,7 @@
         if matches!(error, StoreError::Status(StatusCode::GONE)) {
             continue;
         }
-        let has_view = node.position().is_known();
+        let has_view = node.position().is_known() || node.targets_known.get();
         let max_pause = node.store_reader.borrow_mut().read_failed(has_view, &node.settings.bounds);
         let pause = node.random.borrow_mut().gen_range(max_pause / 2..max_pause);
         sleep(pause).await;
@@ -68,11 +69,13 @@
 
 /// Reads the store until no further read is due at this node or a call fails.
 async fn read_while_due(node: &Rc<Node>, reason: ReadReason) -> Result<(), StoreError> {
+    let next = node.store_reader.borrow().next(node.position());
     if reason == ReadReason::Initial {
         node.solo_reads.set(node.solo_reads.get().increment(node.now()));
-        return read_all(node, ReadConsistency::Stale).await;
+        // A list that failed for another reason than an outage may not fail in the store itself.
+        let consistency = if next == NextRead::List { ReadConsistency::Current } else { ReadConsistency::Stale };
+        return read_all(node, consistency).await;
     }
-    let next = node.store_reader.borrow().next(node.position());
     match next {
         NextRead::Watch { .. } => {}
         NextRead::List => read_all(node, ReadConsistency::Current).await?,
@@ -126,9 +129,9 @@
     let sent = node.now();
     let mut changes: Vec<RevisedChange> = Vec::new();
     let mut position: Option<Position> = None;
-    let mut after = String::new();
+    let mut cursor = ListingCursor::default();
     loop {
-        let response = get(node, &listing_path(&after, consistency), LIST_TIMEOUT, read_page).await?;
+        let response = get(node, &listing_path(cursor.after(), consistency), LIST_TIMEOUT, read_page).await?;
         let StoreResponse { era, page } = response;
         // The pages are not a snapshot: a change after the lowest of their revisions may be missing from one of them.
         let page_position = Position { era, revision: page.revision };
@@ -140,10 +143,14 @@
         if !page.more {
             break;
         }
-        if consistency == ReadConsistency::Stale && after.is_empty() && peers_supply_rest(node, &changes).await {
+        let is_first = cursor.after().is_empty();
+        if consistency == ReadConsistency::Stale && is_first && peers_supply_rest(node, &changes).await {
             return Ok(());
         }
-        after.clone_from(&page.last_key);
+        if let Err(stalled) = cursor.advance(page.last_key) {
+            serve_with_partial_list(node, changes, consistency, sent);
+            return Err(StoreError::Stalled(stalled));
+        }
     }
     let position = position.unwrap_or_default();
     let update = Update { scope: UpdateScope::Full, position, changes };
@@ -169,6 +176,28 @@
     Ok(())
 }
 
+/// Lets a node that knows nothing else serve with the part of the list that could be read. A node that has a view keeps
+/// it: what is missing in a part of the list may still be registered.
+///
+/// The part is no position of the store, so it doesn't reach other nodes.
+fn serve_with_partial_list(
+    node: &Rc<Node>,
+    changes: Vec<RevisedChange>,
+    consistency: ReadConsistency,
+    sent: Timestamp,
+) {
+    if node.position().is_known() {
+        return;
+    }
+    let has_configuration = changes.iter().any(|revised| matches!(revised.change, Change::Configuration(_)));
+    apply_partial_list(node, changes);
+    if has_configuration && consistency == ReadConsistency::Current {
+        record_freshness(node, sent);
+    }
+    node.targets_known.set(true);
+    on_targets_changed(node);
+}
+
 /// Whether other nodes, found among the targets of the first page, supply the full view within a while. A node that is
 /// itself a reader of the store according to that page does not wait for them.
 async fn peers_supply_rest(node: &Rc<Node>, changes: &[RevisedChange]) -> bool {
--- a/crates/sidecar/tests/foreign_entries.rs
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -6,10 +6,10 @@
 
 use quillhatch_sidecar::run::Running;
 use support::caller::call;
-use support::shop::{document, read};
-use support::store::StandInStore;
+use support::shop::{document, read, two_machines};
+use support::store::{StandInStore, StoreMode};
 use support::target::StandInTarget;
-use support::{run, start_sidecar, unused_address, OUTBOUND};
+use support::{eventually, run, start_sidecar, unused_address, OUTBOUND};
 use test_case::test_case;
 use tokio::time::{sleep, Instant};
 
@@ -94,3 +94,50 @@
         assert_eq!(fleet.serve_calls().await, CALLS);
     });
 }
+
+/// The number of calls that a process without a view makes to a store whose list doesn't end, in a second: two for each
+/// list, and a pause of 0.4 s or more before each list once the first ones have failed.
+const MAX_CALLS_PER_SECOND: usize = 5;
+
+#[test]
+fn a_list_that_repeats_its_first_page_is_read_with_pauses_and_what_it_names_is_used() {
+    // Guards against this failure: the same page was requested again and again without a pause, by all processes.
+    run(async {
+        let fleet = Fleet::start(|store| {
+            store.set_page_size(MACHINES);
+            store.set_mode(StoreMode::RepeatsPage);
+        })
+        .await;
+        assert_eq!(fleet.serve_calls().await, CALLS, "the page names all targets but one");
+        sleep(Duration::from_secs(1)).await;
+        let before = fleet.store.calls();
+        sleep(Duration::from_secs(2)).await;
+        let calls = fleet.store.calls() - before;
+        assert!(calls <= 2 * MACHINES * MAX_CALLS_PER_SECOND, "{calls} calls by {MACHINES} processes in 2 s");
+        fleet.store.set_mode(StoreMode::Normal);
+        let know_all = || fleet.sidecars.iter().all(|sidecar| sidecar.node.replica.borrow().len() == MACHINES);
+        eventually("all targets are known once the list continues", know_all).await;
+    });
+}
+
+#[test]
+fn a_node_with_a_view_keeps_it_while_the_list_does_not_continue() {
+    run(async {
+        let (store, _alpha, beta) = two_machines().await;
+        sleep(Duration::from_millis(50)).await;
+        store.set_page_size(2);
+        store.set_mode(StoreMode::RepeatsPage);
+        // The watches end, and everything is listed again.
+        store.restore_backup(Duration::ZERO);
+        let before = store.calls();
+        sleep(Duration::from_secs(1)).await;
+        let calls = store.calls() - before;
+        // Five lists of two calls after pauses that double from 0.05 s on, and watches.
+        assert!(calls <= 2 * 12, "{calls} calls by two nodes in 1 s");
+        assert_eq!((beta.node().targets.borrow().len(), beta.node().position().era), (2, 1));
+        assert_eq!(call(beta.outbound(), &read("one")).await.expect("a response").status, 200);
+        store.set_mode(StoreMode::Normal);
+        eventually("the list is read", || beta.node().position().era == 2).await;
+        assert_eq!(beta.node().targets.borrow().len(), 2);
+    });
+}
