Parse each item of the store's responses on its own

What callers saw: one item of another writer has a key with a lone surrogate, no key, a number beyond all ranges or 5,000 nested arrays in a field of its own. All processes that start while it stands answer every call with 503; those that run stop following the store at the next page or event that holds it.

Cause: read_page parsed the whole response at once, so an error in one item was an error of the page. The page was refused and read again, with the same result.

--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -87,6 +87,9 @@
             return Err(StoreError::Status(status));
         }
         let page = parse(&bytes).map_err(StoreError::Page)?;
+        for item in &page.invalid_items {
+            node.log_failure(|| format!("\"event\":\"store-item-invalid\",\"why\":{:?}", item.to_string()));
+        }
         Ok(StoreResponse { era, page })
     };
     timeout(time_limit, exchange).await.unwrap_or(Err(StoreError::TimedOut))
--- a/crates/sidecar/tests/foreign_entries.rs
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -95,6 +95,23 @@
     });
 }
 
+#[test_case(r#"{"key":"servers/\ud800","value":"bm9uZQ==","revision":3}"#; "a lone surrogate in its key")]
+#[test_case(r#"{"value":"bm9uZQ==","revision":3}"#; "no key")]
+#[test_case(r#"{"key":"servers/b","value":"bm9uZQ==","revision":1e999}"#; "a number beyond all ranges")]
+#[test_case(&format!(r#"{{"key":"servers/b","value":{}1{}}}"#, "[".repeat(5000), "]".repeat(5000)); "deep nesting")]
+fn processes_that_start_serve_although_an_item_has(item: &str) {
+    // Guards against this failure: one item made all processes refuse the page that it stood in.
+    let item = item.to_owned();
+    run(async move {
+        let fleet = Fleet::start(|store| {
+            write_entries(store, &[]);
+            store.write_raw("servers/b", &item);
+        })
+        .await;
+        assert_eq!(fleet.serve_calls().await, CALLS);
+    });
+}
+
 /// The number of calls that a process without a view makes to a store whose list doesn't end, in a second: two for each
 /// list, and a pause of 0.4 s or more before each list once the first ones have failed.
 const MAX_CALLS_PER_SECOND: usize = 5;
