Decide in one place which names can be those of targets

What callers saw: an entry with a valid registration stands among the targets under a name that no header can hold (a blank, a control byte, a quote, a byte beyond ASCII), or with a semicolon. It was listed as a target. By reading, not measured in calls: a call for it either fails before it is sent (invalid header value), costing one of its attempts, or is sent with a name that its gate reads as none; a semicolon shifts the fields of the header that nodes exchange.

Cause: a target's id was whatever text the store, another node or a response of a target held; nothing decided which text can be one.

An id is visible ASCII without quotes, backslashes, commas and semicolons.

The update from a node of an earlier version with such a name has no test of its own.

--- a/crates/mesh/src/targets/mod.rs
+++ b/crates/mesh/src/targets/mod.rs
@@ -14,7 +14,7 @@
 
 use drain::DrainNotices;
 pub use grace::{GracePeriod, GraceReason, PARTITION_GRACE};
-pub use registration::{Registration, RunningAt, Target, TargetId, TargetProcess};
+pub use registration::{parse_target_id, Registration, RunningAt, Target, TargetId, TargetIdError, TargetProcess};
 pub use status::TargetStatus;
 
 /// All listed targets.
--- a/crates/mesh/src/targets/registration.rs
+++ b/crates/mesh/src/targets/registration.rs
@@ -4,12 +4,35 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::{Display, Error};
 use quillhatch_types::Timestamp;
 
 /// Identifies a target. A restarted target usually has a new identity; otherwise [`Registration::started`]
 /// distinguishes its processes.
 pub type TargetId = Arc<str>;
 
+/// A name that can't be a target's identity.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{name:?} can't identify a target: only visible ASCII characters other than quotes, backslashes, commas and semicolons can")]
+pub struct TargetIdError {
+    /// The name.
+    pub name: String,
+}
+
+/// Parses a target's identity. It travels in headers, as a value of its own and as one of several, so it must consist of
+/// characters that have no meaning there. No target can be reached under another name.
+///
+/// # Errors
+///
+/// Returns an error if the name is empty or contains another character.
+pub fn parse_target_id(name: &str) -> Result<TargetId, TargetIdError> {
+    let is_allowed = |byte: u8| byte.is_ascii_graphic() && !b"\"\\,;".contains(&byte);
+    match !name.is_empty() && name.bytes().all(is_allowed) {
+        true => Ok(Arc::from(name)),
+        false => Err(TargetIdError { name: name.to_owned() }),
+    }
+}
+
 /// Identifies one process of a target.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct TargetProcess {
--- a/crates/mesh/tests/decisions/targets.rs
+++ b/crates/mesh/tests/decisions/targets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use quillhatch_mesh::settings::Bounds;
-use quillhatch_mesh::targets::{Registration, RunningAt, TargetTable, PARTITION_GRACE};
+use quillhatch_mesh::targets::{parse_target_id, Registration, RunningAt, TargetTable, PARTITION_GRACE};
 use quillhatch_types::Timestamp;
 use test_case::test_case;
 
@@ -299,3 +299,23 @@
     targets.extend_outage_grace(milliseconds(1_000));
     assert!(targets.drop_expired(milliseconds(2_600)));
 }
+
+#[test_case("i-7f3a91c2"; "an ordinary name")]
+#[test_case("zone/a:1@b+c&d#e%f"; "characters that a header can hold")]
+fn a_name_that_a_header_can_hold_identifies_a_target(name: &str) {
+    assert_eq!(parse_target_id(name).as_deref(), Ok(name));
+}
+
+#[test_case(""; "empty")]
+#[test_case("a b"; "a blank")]
+#[test_case("a\tb"; "a tab")]
+#[test_case("a\r\nb"; "a line break")]
+#[test_case("a\u{7f}"; "a control byte")]
+#[test_case("a\"b"; "a quote")]
+#[test_case("a;b"; "a semicolon")]
+#[test_case("a,b"; "a comma")]
+#[test_case("ü"; "an umlaut")]
+fn a_name_that_no_header_can_hold_identifies_no_target(name: &str) {
+    let error = parse_target_id(name).expect_err("an error");
+    assert_eq!(error.name, name);
+}
--- a/crates/sidecar/src/feed/codec.rs
+++ b/crates/sidecar/src/feed/codec.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use quillhatch_mesh::configuration::Configuration;
 use quillhatch_mesh::replica::{Change, Position, RevisedChange, Update, UpdateScope};
-use quillhatch_mesh::targets::{Registration, Target};
+use quillhatch_mesh::targets::{parse_target_id, Registration, Target};
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_platform::configuration::read_configuration;
 use quillhatch_types::Timestamp;
@@ -95,13 +95,14 @@
         let change = Change::Configuration(decode_configuration(document)?);
         changes.push(RevisedChange { revision: document.revision, change });
     }
+    // A node of an earlier version also sends names that can't be a target's. They say nothing about the others.
     for target in &message.targets {
-        let change = Change::Target(Arc::from(target.id.as_str()), decode_target(target)?);
-        changes.push(RevisedChange { revision: target.revision, change });
+        let Ok(id) = parse_target_id(&target.id) else { continue };
+        changes.push(RevisedChange { revision: target.revision, change: Change::Target(id, decode_target(target)?) });
     }
     for gone in &message.gone {
-        let change = Change::TargetRemoved(Arc::from(gone.id.as_str()));
-        changes.push(RevisedChange { revision: gone.revision, change });
+        let Ok(id) = parse_target_id(&gone.id) else { continue };
+        changes.push(RevisedChange { revision: gone.revision, change: Change::TargetRemoved(id) });
     }
     changes.sort_by_key(|revised| revised.revision);
     Ok(Update { scope, position, changes })
--- a/crates/sidecar/src/feed/query.rs
+++ b/crates/sidecar/src/feed/query.rs
@@ -2,7 +2,6 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -10,6 +9,7 @@
 use quillhatch_mesh::feed::{response_timeout, SourceStatus};
 use quillhatch_mesh::freshness::FreshnessProof;
 use quillhatch_mesh::replica::{Position, ReplicaState, UpdateError};
+use quillhatch_mesh::targets::parse_target_id;
 use quillhatch_messages::generated::replica as wire;
 use quillhatch_messages::{decode, encode};
 use quillhatch_types::Timestamp;
@@ -119,8 +119,8 @@
     let now = node.now();
     for wire::KeptTarget { target, left_ms } in retained {
         let Some(target) = target else { continue };
-        let Ok(registration) = decode_target(target) else { continue };
-        let (id, remaining) = (Arc::from(target.id.as_str()), Duration::from_millis(u64::from(*left_ms)));
+        let (Ok(id), Ok(registration)) = (parse_target_id(&target.id), decode_target(target)) else { continue };
+        let remaining = Duration::from_millis(u64::from(*left_ms));
         node.targets.borrow_mut().retain_unregistered(id, registration, remaining, now);
     }
     node.grace_changed.notify_one();
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -333,12 +333,12 @@
     if response.status() == StatusCode::MISDIRECTED_REQUEST || response.headers().contains_key(headers::REQUEST_NOT_RUN)
     {
         let status = response.status();
-        let responder = header_text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
+        let responder = local_target::reported_id(node, response.headers());
         if let Some(id) = &responder {
-            local_target::record_identity(node, id);
+            local_target::record_identity(node, id.clone());
         }
         if status != StatusCode::MISDIRECTED_REQUEST || responder.is_some() {
-            record_response(node, responder.as_ref().unwrap_or(&call.expected), sent_at, response.headers());
+            record_response(node, responder.as_deref().unwrap_or(&call.expected), sent_at, response.headers());
         }
         lease.release_after(response.into_body());
         return Err(Failure::new(GateOutcome::Rejected, format!("target refused the call with status {status}")));
--- a/crates/sidecar/src/gate/retained_target.rs
+++ b/crates/sidecar/src/gate/retained_target.rs
@@ -36,7 +36,7 @@
         }
         let HealthResponse { identity, is_draining } = local_target::query_health(&node).await;
         if let Identity::Known(id) = identity {
-            local_target::record_identity(&node, &id);
+            local_target::record_identity(&node, id);
             record_health(&node, is_draining);
         }
         sleep(POLL_INTERVAL).await;
--- a/crates/sidecar/src/gate/target_crash.rs
+++ b/crates/sidecar/src/gate/target_crash.rs
@@ -36,7 +36,7 @@
         return;
     }
     match local_target::query_identity(&node).await {
-        Identity::Known(id) => local_target::record_identity(&node, &id),
+        Identity::Known(id) => local_target::record_identity(&node, id),
         Identity::Refused => {
             local_target::mark_unverified(&node);
             let crash = node.run_tracker.borrow_mut().target_crashed(node.now());
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -15,7 +15,7 @@
 use quillhatch_mesh::parents::InheritedContext;
 use quillhatch_mesh::replica::{Position, ReplicaState};
 use quillhatch_mesh::target_limit::{AnnouncedLimit, KnownLimit, RateLimitReport};
-use quillhatch_mesh::targets::RunningAt;
+use quillhatch_mesh::targets::{parse_target_id, RunningAt};
 
 /// The name of the header.
 pub const HOP_HEADER: &str = "quillhatch-hop";
@@ -323,7 +323,7 @@
         let store_view = StoreView::decode(parts.next()?)?;
         let proof = decode_proof(parts.next()?)?;
         let current_target = match (parts.next(), parts.next()) {
-            (Some(id), Some(service)) if !id.is_empty() => {
+            (Some(id), Some(service)) if parse_target_id(id).is_ok() => {
                 Some(LocalTarget { id: id.to_owned(), service: service.to_owned() })
             }
             _ => None,
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -5,12 +5,11 @@
 //! response overrides the list.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::header::HOST;
+use hyper::header::{HeaderMap, HOST};
 use hyper::{Request, StatusCode};
-use quillhatch_mesh::targets::{TargetId, TargetTable};
+use quillhatch_mesh::targets::{parse_target_id, TargetId, TargetTable};
 use quillhatch_platform::headers;
 
 use crate::body::Body;
@@ -60,7 +59,7 @@
         return;
     }
     if let Identity::Known(id) = query_identity(node).await {
-        record_identity(node, &id);
+        record_identity(node, id);
     }
 }
 
@@ -68,7 +67,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Identity {
     /// The target responded with this identity.
-    Known(String),
+    Known(TargetId),
     /// The connection was refused: no target listens at the address.
     Refused,
     /// The query failed in another way, timed out, or the response names no identity.
@@ -91,6 +90,18 @@
     }
 }
 
+/// The identity that a response of the target names, if it can be one.
+pub fn reported_id(node: &Node, response_headers: &HeaderMap) -> Option<TargetId> {
+    match parse_target_id(header_text(response_headers, headers::INSTANCE_ID)?) {
+        Ok(id) => Some(id),
+        Err(error) => {
+            let why = error.to_string();
+            node.log_failure(|| format!("\"event\":\"target-id-unusable\",\"why\":{why:?}"));
+            None
+        }
+    }
+}
+
 /// Queries the target's identity.
 pub async fn query_identity(node: &Rc<Node>) -> Identity {
     query_health(node).await.identity
@@ -109,7 +120,7 @@
             Err(ExchangeError::ConnectionRefused) => return HealthResponse::no_response(Identity::Refused),
             Err(_) => return HealthResponse::no_response(Identity::Unknown),
         };
-        let id = header_text(response.headers(), headers::INSTANCE_ID).map(str::to_owned);
+        let id = reported_id(node, response.headers());
         if let Some(id) = &id {
             gate::record_health_check(node, id, lease.sent_at(), response.headers());
         }
@@ -128,19 +139,19 @@
 }
 
 /// Records the identity that the target reported, and updates the target list and the gate if it changed.
-pub fn record_identity(node: &Rc<Node>, id: &str) {
+pub fn record_identity(node: &Rc<Node>, id: TargetId) {
     node.identity_verified.set(true);
     node.identity_received_at.set(node.now());
     let former = node.local_target_id.borrow().clone();
-    gate::target_identified(node, id);
-    if former.as_deref() == Some(id) {
+    gate::target_identified(node, &id);
+    if former.as_ref() == Some(&id) {
         return;
     }
     let former = former.as_deref().unwrap_or_default();
     node.log(&format!("\"event\":\"target-told\",\"target\":\"{id}\",\"before\":\"{former}\""));
     let now = node.now();
-    node.targets.borrow_mut().replace_at_address(former, Arc::from(id), &node.settings.service, now);
-    *node.local_target_id.borrow_mut() = Some(Arc::from(id));
+    node.targets.borrow_mut().replace_at_address(former, id.clone(), &node.settings.service, now);
+    *node.local_target_id.borrow_mut() = Some(id);
     update_gate(node);
 }
 
--- a/crates/sidecar/tests/foreign_entries.rs
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -95,6 +95,45 @@
     });
 }
 
+#[test_case("b c"; "a blank")]
+#[test_case("b\r\nc"; "a line break")]
+#[test_case("b\"c"; "a quote")]
+#[test_case("b;c"; "a semicolon")]
+#[test_case("bü"; "an umlaut")]
+fn an_entry_names_no_target_if_its_name_holds(name: &'static str) {
+    run(async move {
+        let (store, alpha, beta) = two_machines().await;
+        store.register_as(name, &alpha.target, "ready");
+        store.register_as("valid", &alpha.target, "ready");
+        eventually("the entry after it is read", || beta.node().targets.borrow().get("valid").is_some()).await;
+        assert!(beta.node().targets.borrow().get(name).is_none());
+        for number in 0..CALLS {
+            let response = call(beta.outbound(), &read(&format!("call-{number}"))).await;
+            assert_eq!(response.expect("a response").status, 200);
+        }
+        store.write(&format!("servers/{name}"), None);
+        store.deregister("valid");
+        eventually("the removal after it is read", || beta.node().targets.borrow().get("valid").is_none()).await;
+    });
+}
+
+#[test_case("b c"; "a blank")]
+#[test_case("b;c"; "a semicolon")]
+fn a_health_check_names_no_target_if_its_id_holds(name: &'static str) {
+    run(async move {
+        let (_store, alpha, beta) = two_machines().await;
+        call(beta.outbound(), &read("known")).await.expect("a response");
+        alpha.target.set_id(name);
+        for number in 0..3 {
+            call(beta.outbound(), &read(&format!("call-{number}"))).await.expect("a response");
+        }
+        for machine in [&alpha, &beta] {
+            assert!(machine.node().targets.borrow().get(name).is_none());
+            assert_ne!(machine.node().local_target_id.borrow().as_deref(), Some(name));
+        }
+    });
+}
+
 #[test_case(r#"{"key":"servers/\ud800","value":"bm9uZQ==","revision":3}"#; "a lone surrogate in its key")]
 #[test_case(r#"{"value":"bm9uZQ==","revision":3}"#; "no key")]
 #[test_case(r#"{"key":"servers/b","value":"bm9uZQ==","revision":1e999}"#; "a number beyond all ranges")]
