Escape every text in a log line as JSON

Cause: some 30 log lines put a text between quotes as it stood, others used Rust's debug form, which writes control bytes as \u{1} and is no JSON either. The texts come from the store, other nodes, targets, callers and the operating system.

Change: logging::JsonText writes a text as a JSON string, with serde_json; every text that isn't a constant, a number or an address goes through it. Ruled out: checking each finished line, which can't repair it.

Evidence: log_lines.rs writes entries, a name, a Host and a request id that need escapes, and parses every line. It passes now, and the fields read back as they were written.

--- a/crates/sidecar/src/datagrams.rs
+++ b/crates/sidecar/src/datagrams.rs
@@ -7,6 +7,7 @@
 use quillhatch_messages::decode;
 use tokio::net::UdpSocket;
 
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The maximum size of a received datagram, in bytes.
@@ -28,8 +29,8 @@
     match decode(bytes) {
         Ok(message) => Some(message),
         Err(error) => {
-            let why = error.to_string();
-            node.log_failure(|| format!("\"event\":\"datagram-unusable\",\"peer\":\"{from}\",\"why\":{why:?}"));
+            let why = JsonText(error);
+            node.log_failure(|| format!("\"event\":\"datagram-unusable\",\"peer\":\"{from}\",\"why\":{why}"));
             None
         }
     }
@@ -38,7 +39,7 @@
 /// Sends a message to another node. A failure is logged and otherwise treated like a lost datagram.
 pub async fn send(node: &Node, socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
     if let Err(error) = socket.send_to(bytes, to).await {
-        let why = error.to_string();
-        node.log_failure(|| format!("\"event\":\"datagram-unsent\",\"peer\":\"{to}\",\"why\":{why:?}"));
+        let why = JsonText(error);
+        node.log_failure(|| format!("\"event\":\"datagram-unsent\",\"peer\":\"{to}\",\"why\":{why}"));
     }
 }
--- a/crates/sidecar/src/edge/attempt.rs
+++ b/crates/sidecar/src/edge/attempt.rs
@@ -21,6 +21,7 @@
 use crate::headers::header_text;
 use crate::hop::{GateOutcome, HopContext, HopReport, HOP_HEADER};
 use crate::liveness;
+use crate::logging::JsonText;
 use crate::node::Node;
 use crate::peer_io::PeerBody;
 use crate::pool::{ConnectionLease, ExchangeError, SentFlag};
@@ -234,8 +235,9 @@
     if let Some(running_at) = report.drain_notice {
         if node.targets.borrow_mut().record_drain_notice(&target.id, running_at, now) {
             node.log(&format!(
-                "\"event\":\"target-leaving\",\"target\":\"{}\",\"leaving\":true,\"running_at\":{}",
-                target.id, running_at.0
+                "\"event\":\"target-leaving\",\"target\":{},\"leaving\":true,\"running_at\":{}",
+                JsonText(&target.id),
+                running_at.0
             ));
         }
     }
--- a/crates/sidecar/src/edge/mod.rs
+++ b/crates/sidecar/src/edge/mod.rs
@@ -31,6 +31,7 @@
 use crate::headers::{header_text, remove_hop_by_hop_headers};
 use crate::hop::HOP_HEADER;
 use crate::listener::RequestHandler;
+use crate::logging::JsonText;
 use crate::node::Node;
 use entry::{admitted_share, inherited_context, is_refused, malformed_status};
 use responses::{give_up_blocking, local_response, refuse, retry_delay, STOPPING_RETRY_AFTER};
@@ -111,12 +112,16 @@
     let Some(route) = find_route(&configuration, &authority, parts.uri.path()).cloned() else {
         let version = configuration.version;
         node.log_failure(|| {
-            format!("\"event\":\"no-route\",\"id\":{id:?},\"host\":{authority:?},\"version\":{version}")
+            format!(
+                "\"event\":\"no-route\",\"id\":{},\"host\":{},\"version\":{version}",
+                JsonText(&id),
+                JsonText(&authority)
+            )
         });
         return local_response(node, &id, StatusCode::NOT_FOUND, "no-route", arrived);
     };
     if let Some(status) = malformed_status(&configuration, &parts, incoming.as_ref()) {
-        node.log_failure(|| format!("\"event\":\"malformed\",\"id\":{id:?},\"status\":{}", status.as_u16()));
+        node.log_failure(|| format!("\"event\":\"malformed\",\"id\":{},\"status\":{}", JsonText(&id), status.as_u16()));
         return local_response(node, &id, status, "malformed", arrived);
     }
     let time_left =
@@ -137,7 +142,11 @@
     let is_nested = origin != CallOrigin::Caller;
     if !is_nested && node.refuses_callers.get() {
         node.log_failure(|| {
-            format!("\"event\":\"refused\",\"id\":{id:?},\"route\":\"{}\",\"why\":\"stopping\"", route.name)
+            format!(
+                "\"event\":\"refused\",\"id\":{},\"route\":{},\"why\":\"stopping\"",
+                JsonText(&id),
+                JsonText(&route.name)
+            )
         });
         return refuse(node, &id, "stopping", STOPPING_RETRY_AFTER, arrived);
     }
@@ -225,7 +234,8 @@
         let age = node.admission_levels.borrow().age(name, arrived).unwrap_or_default().as_millis();
         let (position, version) = (inherited.position, configuration.version);
         format!(
-            "\"event\":\"refused\",\"id\":{id:?},\"route\":\"{name}\",\"share\":{share:.3},\"share_age_ms\":{age},\"position\":{position},\"version\":{version}"
+            "\"event\":\"refused\",\"id\":{},\"route\":{},\"share\":{share:.3},\"share_age_ms\":{age},\"position\":{position},\"version\":{version}",
+            JsonText(id), JsonText(name)
         )
     });
     Some(refuse(node, id, "shed", retry_delay(node, route), arrived))
--- a/crates/sidecar/src/edge/responses.rs
+++ b/crates/sidecar/src/edge/responses.rs
@@ -14,6 +14,7 @@
 use super::Call;
 use crate::body::Body;
 use crate::counters::Counters;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The range of `Retry-After`, as fractions of the call's latency objective: late enough for a short shortage to be
@@ -39,8 +40,8 @@
         let at_work = progress.left_at_work.as_deref().unwrap_or_default();
         let (tried, is_stopping) = (progress.tried.len(), node.is_stopping());
         format!(
-            "\"event\":\"given-up\",\"id\":{:?},\"route\":\"{}\",\"why\":\"{why}\",\"may_have_run\":{may_have_run},\"at_work\":\"{at_work}\",\"tried\":{tried},\"ms\":{},\"version\":{version},\"stopping\":{is_stopping}",
-            call.id, call.route.name, now.since(call.arrived).as_millis()
+            "\"event\":\"given-up\",\"id\":{},\"route\":{},\"why\":\"{why}\",\"may_have_run\":{may_have_run},\"at_work\":{},\"tried\":{tried},\"ms\":{},\"version\":{version},\"stopping\":{is_stopping}",
+            JsonText(&call.id), JsonText(&call.route.name), JsonText(at_work), now.since(call.arrived).as_millis()
         )
     };
     match may_have_run && node.is_stopping() {
@@ -69,7 +70,11 @@
     node.log_stop_failure(|| {
         let at_work = target.as_deref().unwrap_or_default();
         let ms = node.now().since(arrived).as_millis();
-        format!("\"event\":\"given-up\",\"id\":{id:?},\"why\":\"blocking\",\"at_work\":\"{at_work}\",\"ms\":{ms},\"stopping\":true")
+        format!(
+            "\"event\":\"given-up\",\"id\":{},\"why\":\"blocking\",\"at_work\":{},\"ms\":{ms},\"stopping\":true",
+            JsonText(id),
+            JsonText(at_work)
+        )
     });
     Counters::increment(&node.counters.given_up_at_work);
     local_response(node, id, StatusCode::GATEWAY_TIMEOUT, "blocking", arrived)
--- a/crates/sidecar/src/edge/run.rs
+++ b/crates/sidecar/src/edge/run.rs
@@ -22,6 +22,7 @@
 use crate::calls_in_progress::CallTicket;
 use crate::counters::Counters;
 use crate::liveness;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The minimum time until the deadline with which an attempt is started.
@@ -306,8 +307,8 @@
     let status = response.status().as_u16();
     let line = || {
         format!(
-            "\"event\":\"answered\",\"id\":{:?},\"route\":\"{}\",\"target\":\"{}\",\"status\":{status},\"ms\":{},\"tried\":{tried}",
-            call.id, call.route.name, target.id, took.as_millis()
+            "\"event\":\"answered\",\"id\":{},\"route\":{},\"target\":{},\"status\":{status},\"ms\":{},\"tried\":{tried}",
+            JsonText(&call.id), JsonText(&call.route.name), JsonText(&target.id), took.as_millis()
         )
     };
     if status < 400 {
@@ -320,7 +321,10 @@
 /// The log line of an attempt without a response from the target.
 fn failed_attempt_line(call: &Call, target: &Target, why: &str) -> String {
     format!(
-        "\"event\":\"attempt-failed\",\"id\":{:?},\"route\":\"{}\",\"target\":\"{}\",\"why\":{why:?}",
-        call.id, call.route.name, target.id
+        "\"event\":\"attempt-failed\",\"id\":{},\"route\":{},\"target\":{},\"why\":{}",
+        JsonText(&call.id),
+        JsonText(&call.route.name),
+        JsonText(&target.id),
+        JsonText(why)
     )
 }
--- a/crates/sidecar/src/edge/sender.rs
+++ b/crates/sidecar/src/edge/sender.rs
@@ -17,6 +17,7 @@
 
 use super::responses::{local_response, refuse, refuse_with_status};
 use crate::body::Body;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The `Retry-After` of a call whose API key can't be checked: about the interval at which the store is queried.
@@ -76,7 +77,8 @@
         let age = node.tenancy.freshness.borrow().age(now).map_or(-1, |age| age.as_millis() as i64);
         let version = node.configuration.borrow().version();
         format!(
-            "\"event\":\"denied\",\"id\":{id:?},\"route\":\"{name}\",\"why\":\"{why}\",\"version\":{version},\"configuration_age_ms\":{age}"
+            "\"event\":\"denied\",\"id\":{},\"route\":{},\"why\":\"{why}\",\"version\":{version},\"configuration_age_ms\":{age}",
+            JsonText(id), JsonText(name)
         )
     });
     // A call without a key on a route that targets call may be a nested call whose parent has just ended.
@@ -112,7 +114,9 @@
         let name = tenant.map_or("", |tenant| &tenant.name);
         let retry_after_ms = retry_after.as_millis();
         format!(
-            "\"event\":\"over-limit\",\"id\":{id:?},\"tenant\":\"{name}\",\"share\":{share:.3},\"come_back_ms\":{retry_after_ms}"
+            "\"event\":\"over-limit\",\"id\":{},\"tenant\":{},\"share\":{share:.3},\"come_back_ms\":{retry_after_ms}",
+            JsonText(id),
+            JsonText(name)
         )
     });
     refuse_with_status(node, StatusCode::TOO_MANY_REQUESTS, id, "over-limit", retry_after, now)
--- a/crates/sidecar/src/feed/mod.rs
+++ b/crates/sidecar/src/feed/mod.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::logging::JsonText;
 use crate::node::Node;
 use crate::store;
 use query::{query, Requested};
@@ -138,8 +139,8 @@
                 round.has_unverified |= verdict == SourceVerdict::Unverified;
             }
             Err(error) => {
-                let why = error.to_string();
-                node.log_failure(|| format!("\"event\":\"source-failed\",\"peer\":\"{peer}\",\"why\":{why:?}"));
+                let why = JsonText(error);
+                node.log_failure(|| format!("\"event\":\"source-failed\",\"peer\":\"{peer}\",\"why\":{why}"));
             }
         }
         choice.failed(node.now());
@@ -248,7 +249,10 @@
             let ReplicaState { position: reached, version } = node.replica.borrow().state();
             let revisions = format!("\"heard\":\"{era}.{revision}\",\"revision\":{}", reached.revision);
             let versions = format!("\"heard_version\":{heard},\"version\":{version}");
-            format!("\"event\":\"caught-up\",\"peer\":\"{peer}\",{revisions},{versions},\"outcome\":{outcome:?}")
+            format!(
+                "\"event\":\"caught-up\",\"peer\":\"{peer}\",{revisions},{versions},\"outcome\":{}",
+                JsonText(outcome)
+            )
         });
     }
 }
@@ -262,7 +266,9 @@
         let outcome = query(&node, peer, Requested::Unregistered)
             .await
             .map_or_else(|error| error.to_string(), |_| "taken".to_owned());
-        node.log_failure(|| format!("\"event\":\"unregistered-asked\",\"peer\":\"{peer}\",\"outcome\":{outcome:?}"));
+        node.log_failure(|| {
+            format!("\"event\":\"unregistered-asked\",\"peer\":\"{peer}\",\"outcome\":{}", JsonText(outcome))
+        });
         sleep(UNREGISTERED_QUERY_INTERVAL).await;
     }
 }
--- a/crates/sidecar/src/gate/mod.rs
+++ b/crates/sidecar/src/gate/mod.rs
@@ -32,6 +32,7 @@
 use crate::hop::{GateOutcome, HopContext, HopReport, HOP_HEADER};
 use crate::liveness::LIVENESS_PATH;
 use crate::local_target;
+use crate::logging::JsonText;
 use crate::node::Node;
 use crate::pool::{ExchangeError, SentFlag};
 use crate::relay::relay_response;
@@ -164,8 +165,8 @@
         let load = node.gate.borrow().load();
         let id = call.id_text();
         format!(
-            "\"event\":\"gate\",\"id\":{id:?},\"outcome\":\"{}\",\"why\":{why:?},\"expected\":\"{}\",\"running\":{},\"limit\":{},\"waiting\":{},\"ms\":{}",
-            outcome.name(), call.expected, load.running, load.limit, load.waiting, node.now().since(arrived).as_millis()
+            "\"event\":\"gate\",\"id\":{},\"outcome\":\"{}\",\"why\":{},\"expected\":{},\"running\":{},\"limit\":{},\"waiting\":{},\"ms\":{}",
+            JsonText(id), outcome.name(), JsonText(why), JsonText(&call.expected), load.running, load.limit, load.waiting, node.now().since(arrived).as_millis()
         )
     });
 }
--- a/crates/sidecar/src/gate/target_crash.rs
+++ b/crates/sidecar/src/gate/target_crash.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::local_target::{self, Identity};
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The delay after a lost connection before the other running calls are checked. All connections of a target that
@@ -82,7 +83,7 @@
     }
     let cleared = node.quarantine.borrow_mut().record_completion(signature, node.now());
     for key in &cleared {
-        node.log(&format!("\"event\":\"request-cleared\",\"signature\":\"{key}\""));
+        node.log(&format!("\"event\":\"request-cleared\",\"signature\":{}", JsonText(key)));
     }
     node.quarantine_outbox.queue_cleared(cleared);
 }
@@ -92,9 +93,10 @@
 
 fn log_crash(node: &Node, crash: &TargetCrash) {
     let named = crash.signatures.iter().take(MAX_LOGGED_SIGNATURES);
-    let named: Vec<String> = named.map(|signature| format!("\"{}\"", signature.narrow)).collect();
+    let named: Vec<String> = named.map(|signature| JsonText(signature.narrow).to_string()).collect();
     let (target, count, named) = (&crash.target.id, crash.signatures.len(), named.join(","));
     node.log(&format!(
-        "\"event\":\"target-ended\",\"target\":\"{target}\",\"running\":{count},\"signatures\":[{named}]"
+        "\"event\":\"target-ended\",\"target\":{},\"running\":{count},\"signatures\":[{named}]",
+        JsonText(target)
     ));
 }
--- a/crates/sidecar/src/gate/target_status.rs
+++ b/crates/sidecar/src/gate/target_status.rs
@@ -10,6 +10,7 @@
 use quillhatch_types::Timestamp;
 
 use crate::local_target;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The status that the local target last sent.
@@ -92,7 +93,8 @@
     if node.targets.borrow_mut().record_drain_notice(target, running_at, node.now()) {
         let RunningAt(running_at) = running_at;
         node.log(&format!(
-            "\"event\":\"target-leaving\",\"target\":{target:?},\"leaving\":true,\"running_at\":{running_at}"
+            "\"event\":\"target-leaving\",\"target\":{},\"leaving\":true,\"running_at\":{running_at}",
+            JsonText(target)
         ));
         local_target::update_gate(node);
     }
@@ -124,8 +126,8 @@
         }
         Err(error) => {
             if invalid.as_ref() != Some(&error.value) {
-                let why = error.to_string();
-                node.log(&format!("\"event\":\"target-rate-limit-unusable\",\"target\":{target:?},\"why\":{why:?}"));
+                let (target, why) = (JsonText(target), JsonText(&error));
+                node.log(&format!("\"event\":\"target-rate-limit-unusable\",\"target\":{target},\"why\":{why}"));
                 *invalid = Some(error.value);
             }
             None
@@ -136,7 +138,8 @@
 fn log_rate_limit(node: &Node, target: &str, current: Option<f64>, before: Option<f64>) {
     let (current, before) = (json_number(current), json_number(before));
     node.log(&format!(
-        "\"event\":\"target-rate-limit\",\"target\":{target:?},\"per_second\":{current},\"before\":{before}"
+        "\"event\":\"target-rate-limit\",\"target\":{},\"per_second\":{current},\"before\":{before}",
+        JsonText(target)
     ));
 }
 
--- a/crates/sidecar/src/liveness.rs
+++ b/crates/sidecar/src/liveness.rs
@@ -14,6 +14,7 @@
 use quillhatch_types::Timestamp;
 
 use crate::body::Body;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The path at which a node responds to liveness probes.
@@ -53,7 +54,7 @@
     if is_live {
         node.load_balancer.borrow_mut().record_contact(&target.id, result.finished_at);
     } else {
-        node.log(&format!("\"event\":\"node-silent\",\"peer\":\"{peer}\",\"target\":\"{}\"", target.id));
+        node.log(&format!("\"event\":\"node-silent\",\"peer\":\"{peer}\",\"target\":{}", JsonText(&target.id)));
         node.load_balancer.borrow_mut().record_unresponsive(&target.id, node.now());
     }
     is_live
--- a/crates/sidecar/src/local_target.rs
+++ b/crates/sidecar/src/local_target.rs
@@ -16,6 +16,7 @@
 use crate::gate;
 use crate::headers::header_text;
 use crate::hop::LocalTarget;
+use crate::logging::JsonText;
 use crate::node::Node;
 use crate::pool::ExchangeError;
 
@@ -95,8 +96,7 @@
     match parse_target_id(header_text(response_headers, headers::INSTANCE_ID)?) {
         Ok(id) => Some(id),
         Err(error) => {
-            let why = error.to_string();
-            node.log_failure(|| format!("\"event\":\"target-id-unusable\",\"why\":{why:?}"));
+            node.log_failure(|| format!("\"event\":\"target-id-unusable\",\"why\":{}", JsonText(&error)));
             None
         }
     }
@@ -148,7 +148,7 @@
         return;
     }
     let former = former.as_deref().unwrap_or_default();
-    node.log(&format!("\"event\":\"target-told\",\"target\":\"{id}\",\"before\":\"{former}\""));
+    node.log(&format!("\"event\":\"target-told\",\"target\":{},\"before\":{}", JsonText(&id), JsonText(former)));
     let now = node.now();
     node.targets.borrow_mut().replace_at_address(former, id.clone(), &node.settings.service, now);
     *node.local_target_id.borrow_mut() = Some(id);
--- a/crates/sidecar/src/logging.rs
+++ b/crates/sidecar/src/logging.rs
@@ -3,6 +3,7 @@
 //! Logging never blocks: a line is dropped if the queue is full, which is counted, or if the rate limit of its kind is
 //! exceeded.
 
+use std::fmt::{self, Display};
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver};
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use log::{LevelFilter, SetLoggerError};
+use serde_json::Value;
 
 /// The maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 2048;
@@ -91,6 +93,16 @@
     }
 }
 
+/// Displays a text as a JSON string, for a field of a log line: it may come from the store, a target or a caller.
+#[derive(Clone, Copy, Debug)]
+pub struct JsonText<T>(pub T);
+
+impl<T: Display> Display for JsonText<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        Value::String(self.0.to_string()).fmt(f)
+    }
+}
+
 /// A token bucket for log lines, which holds the lines of one second.
 #[derive(Debug)]
 pub struct LineRateLimit {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -40,7 +40,7 @@
 use crate::gate::{LocalTargetStatus, RetainedTargetState};
 use crate::keyed_lock::KeyedLock;
 use crate::liveness::ProbeResult;
-use crate::logging::{LineRateLimit, LogState};
+use crate::logging::{JsonText, LineRateLimit, LogState};
 use crate::pool::{Pool, PoolConfig};
 use crate::quarantine::Outbox;
 use crate::stream::ReadAheadBudget;
@@ -409,7 +409,9 @@
         self.log_failure(|| {
             let BudgetUsage { calls, retries, inherited } = usage;
             format!(
-                "\"event\":\"retry-denied\",\"service\":\"{service}\",\"route\":\"{route}\",\"level\":{:.3},\"calls\":{calls},\"retries\":{retries},\"inherited\":{inherited}",
+                "\"event\":\"retry-denied\",\"service\":{},\"route\":{},\"level\":{:.3},\"calls\":{calls},\"retries\":{retries},\"inherited\":{inherited}",
+                JsonText(service),
+                JsonText(route),
                 level.priority_share()
             )
         });
@@ -464,6 +466,6 @@
     /// Logs a line; `fields` are JSON fields without the braces.
     pub fn log(&self, fields: &str) {
         let uptime = self.clock.elapsed().as_secs_f64();
-        log::info!("{{\"up_s\":{uptime:.3},\"node\":\"{}\",{fields}}}", self.settings.node);
+        log::info!("{{\"up_s\":{uptime:.3},\"node\":{},{fields}}}", JsonText(&self.settings.node));
     }
 }
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -22,7 +22,7 @@
 use crate::body::Body;
 use crate::edge::EdgeHandler;
 use crate::listener::{bind, serve, ConnectionConfig, ConnectionPhase};
-use crate::logging;
+use crate::logging::{self, JsonText};
 use crate::node::Node;
 use crate::{datagrams, feed, gate, limits, metrics, quarantine, store};
 
@@ -197,11 +197,11 @@
     tasks.spawn_local(evict_expired_calls(Rc::clone(&node)));
     tasks.spawn_local(sweep(Rc::clone(&node)));
     node.log(&format!(
-        "\"event\":\"started\",\"zone\":\"{}\",\"service\":\"{}\",\"outbound\":\"{}\",\"switched_off\":\"{}\"",
-        settings.zone,
-        settings.service,
+        "\"event\":\"started\",\"zone\":{},\"service\":{},\"outbound\":\"{}\",\"switched_off\":{}",
+        JsonText(&settings.zone),
+        JsonText(&settings.service),
         settings.outbound,
-        settings.mechanisms.disabled_names()
+        JsonText(settings.mechanisms.disabled_names())
     ));
     let accepting = [accepting_callers, accepting_peers];
     Ok(Running { node, connection_phase, open_connections, dropped_connections, draining, accepting, tasks })
@@ -216,7 +216,7 @@
             let is_unchanged = settings == node.settings;
             node.log(&format!("\"event\":\"reloaded\",\"unchanged\":{is_unchanged}"));
         }
-        Err(error) => node.log(&format!("\"event\":\"reload-refused\",\"why\":{:?}", error.to_string())),
+        Err(error) => node.log(&format!("\"event\":\"reload-refused\",\"why\":{}", JsonText(&error))),
     }
 }
 
--- a/crates/sidecar/src/stop.rs
+++ b/crates/sidecar/src/stop.rs
@@ -9,6 +9,7 @@
 use crate::calls_in_progress::{CallInProgress, CallPart, CallsInProgress};
 use crate::gate;
 use crate::listener::ConnectionPhase;
+use crate::logging::JsonText;
 use crate::node::{Node, Stage};
 use crate::run::Running;
 
@@ -34,9 +35,9 @@
 fn log_cut_part(node: &Node, part: CallPart, calls: &CallsInProgress) {
     let now = node.now();
     for CallInProgress { id, began, target } in calls.oldest(MAX_CUT_CALL_LINES) {
-        let target = target.as_deref().unwrap_or_default();
+        let (id, target) = (JsonText(id), JsonText(target.as_deref().unwrap_or_default()));
         let ms = now.since(began).as_millis();
-        node.log(&format!("\"event\":\"cut\",\"id\":{id:?},\"part\":\"{part}\",\"target\":\"{target}\",\"ms\":{ms}"));
+        node.log(&format!("\"event\":\"cut\",\"id\":{id},\"part\":\"{part}\",\"target\":{target},\"ms\":{ms}"));
     }
 }
 
--- a/crates/sidecar/src/store/access.rs
+++ b/crates/sidecar/src/store/access.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// The timeout of a new connection.
@@ -78,7 +79,7 @@
 
 /// Makes this node read the store once, immediately.
 fn request_probe(node: &Node, why: &str) {
-    node.log(&format!("\"event\":\"store-probed\",\"why\":{why:?}"));
+    node.log(&format!("\"event\":\"store-probed\",\"why\":{}", JsonText(why)));
     node.must_probe_store.set(true);
     node.feed.role_changed.notify_waiters();
 }
--- a/crates/sidecar/src/store/apply.rs
+++ b/crates/sidecar/src/store/apply.rs
@@ -15,6 +15,7 @@
 
 use crate::feed;
 use crate::local_target;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// Applies an update from the store or from another node.
@@ -120,14 +121,14 @@
             }
             Change::UnusableConfiguration(findings) => {
                 node.tenancy.newer_is_unusable.set(true);
-                node.log(&format!("\"event\":\"configuration-unusable\",\"why\":{:?}", findings.join("; ")));
+                node.log(&format!("\"event\":\"configuration-unusable\",\"why\":{}", JsonText(findings.join("; "))));
             }
             Change::Target(id, registration) => {
                 // One response may contain the removal of a target and then its registration.
                 gone.retain(|removed| *removed != id);
                 node.log(&format!(
-                    "\"event\":\"target\",\"target\":\"{id}\",\"service\":\"{}\",\"address\":\"{}\",\"draining\":{},\"started\":{}",
-                    registration.service, registration.address, registration.draining, registration.started
+                    "\"event\":\"target\",\"target\":{},\"service\":{},\"address\":\"{}\",\"draining\":{},\"started\":{}",
+                    JsonText(&id), JsonText(&registration.service), registration.address, registration.draining, registration.started
                 ));
                 let before = node.targets.borrow().process(&id);
                 let has_restarted = node.targets.borrow_mut().update(id, registration, now);
@@ -136,7 +137,9 @@
                 }
             }
             Change::UnusableTarget(id, why) => {
-                node.log_failure(|| format!("\"event\":\"target-unusable\",\"target\":{id:?},\"why\":{why:?}"));
+                node.log_failure(|| {
+                    format!("\"event\":\"target-unusable\",\"target\":{},\"why\":{}", JsonText(&id), JsonText(&why))
+                });
                 gone.push(id);
             }
             Change::TargetRemoved(id) => gone.push(id),
@@ -156,7 +159,7 @@
     let grace = targets.grace_period(id).map_or_else(String::new, |GracePeriod { until, reason }| {
         format!(",\"why\":\"{reason}\",\"kept_ms\":{}", now.until(until).as_millis())
     });
-    node.log(&format!("\"event\":\"target-gone\",\"target\":{id:?},\"kept_for_now\":{is_retained}{grace}"));
+    node.log(&format!("\"event\":\"target-gone\",\"target\":{},\"kept_for_now\":{is_retained}{grace}", JsonText(id)));
 }
 
 /// Handles a restart of a target under the same identity: everything measured before is discarded.
@@ -165,7 +168,8 @@
     let started = node.targets.borrow().process(id).started;
     let is_draining = node.targets.borrow().is_draining(id);
     node.log(&format!(
-        "\"event\":\"target-restarted\",\"target\":\"{id}\",\"started\":{started},\"before\":{previous},\"draining\":{is_draining}"
+        "\"event\":\"target-restarted\",\"target\":{},\"started\":{started},\"before\":{previous},\"draining\":{is_draining}",
+        JsonText(id)
     ));
     node.load_balancer.borrow_mut().reset_target(id, started);
     if node.local_target_id.borrow().as_ref() == Some(id) {
@@ -234,7 +238,7 @@
         let now = node.now();
         let expired = node.targets.borrow().expired(now);
         for id in &expired {
-            node.log(&format!("\"event\":\"target-dropped\",\"target\":{id:?}"));
+            node.log(&format!("\"event\":\"target-dropped\",\"target\":{}", JsonText(id)));
         }
         if node.targets.borrow_mut().drop_expired(now) {
             on_targets_changed(&node);
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -14,6 +14,7 @@
 use crate::body::{read_whole, Body};
 use crate::counters::Counters;
 use crate::headers::header_text;
+use crate::logging::JsonText;
 use crate::node::Node;
 use crate::pool::ExchangeError;
 
@@ -88,7 +89,7 @@
         }
         let page = parse(&bytes).map_err(StoreError::Page)?;
         for item in &page.invalid_items {
-            node.log_failure(|| format!("\"event\":\"store-item-invalid\",\"why\":{:?}", item.to_string()));
+            node.log_failure(|| format!("\"event\":\"store-item-invalid\",\"why\":{}", JsonText(item)));
         }
         Ok(StoreResponse { era, page })
     };
--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::counters::Counters;
 use crate::feed;
+use crate::logging::JsonText;
 use crate::node::Node;
 pub use access::watch_access;
 use apply::apply_partial_list;
@@ -95,7 +96,7 @@
         }
         node.feed.store_loss.set(loss);
         if !node.store_access_lost.replace(true) {
-            node.log(&format!("\"event\":\"store-access\",\"lost\":true,\"why\":{:?}", error.to_string()));
+            node.log(&format!("\"event\":\"store-access\",\"lost\":true,\"why\":{}", JsonText(error)));
             // From now on the list retains the local target even if its registration has expired.
             let own = node.settings.local_target.ip();
             let now = node.now();
@@ -104,7 +105,7 @@
         }
         node.feed.view_changed.notify_waiters();
     }
-    node.log(&format!("\"event\":\"store-lost\",\"why\":{:?}", error.to_string()));
+    node.log(&format!("\"event\":\"store-lost\",\"why\":{}", JsonText(error)));
 }
 
 /// Records that the store has responded to a call that was sent at `sent`.
--- a/crates/sidecar/src/store/standby.rs
+++ b/crates/sidecar/src/store/standby.rs
@@ -16,6 +16,7 @@
 use super::client::{get, StoreError, StoreResponse};
 use super::{apply_update, read_all, WATCH_TIMEOUT_MARGIN};
 use crate::counters::Counters;
+use crate::logging::JsonText;
 use crate::node::Node;
 
 /// Watches the store whenever this node is a standby, until the process ends.
@@ -42,8 +43,7 @@
             Ok(()) => reader.read_succeeded(&node.settings.bounds),
             Err(error) => {
                 Counters::increment(&node.counters.store_failures);
-                let why = error.to_string();
-                node.log_failure(|| format!("\"event\":\"standby-failed\",\"why\":{why:?}"));
+                node.log_failure(|| format!("\"event\":\"standby-failed\",\"why\":{}", JsonText(&error)));
                 let max_pause = reader.read_failed(position, !error.is_outage(), &node.settings.bounds);
                 node.random.borrow_mut().gen_range(max_pause / 2..max_pause)
             }
--- a/crates/sidecar/src/stream.rs
+++ b/crates/sidecar/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::calls_in_progress::CallTicket;
 use crate::counters::Counters;
 use crate::gate::Slot;
+use crate::logging::JsonText;
 use crate::node::Node;
 use crate::peer_io::PeerBody;
 use crate::pool::ConnectionLease;
@@ -212,7 +213,7 @@
         Counters::increment(&node.counters.aborted_streams);
         node.log_failure(|| {
             let late = node.now().since(times.late_at).as_millis();
-            format!("\"event\":\"stream-aborted\",\"id\":{id:?},\"why\":\"{fault}\",\"late_ms\":{late}")
+            format!("\"event\":\"stream-aborted\",\"id\":{},\"why\":\"{fault}\",\"late_ms\":{late}", JsonText(id))
         });
     }
 
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -198,6 +198,22 @@
         );
         store.write("servers/odd", Some("{}"));
         eventually("the invalid entry is logged", || !lines_of("target-unusable", "odd").is_empty()).await;
+        // Texts of other writers, callers and targets that need escapes in JSON.
+        let service = "al\"pha\r\n\u{1}\\";
+        let written = serde_json::json!({
+            "service": service, "address": "127.0.0.1:9", "zone": "zone-a", "version": "v1", "slots": 1,
+            "state": "ready", "cold_remaining_s": 0, "seq": 1
+        });
+        store.write("servers/escaped", Some(&written.to_string()));
+        store.write("servers/a\r\n\u{1}\"b", Some("{}"));
+        store.write("servers/unescaped", Some(r#"{"state":"\u0001\u0000"}"#));
+        eventually("the entry is logged", || !lines_of("target", "escaped").is_empty()).await;
+        assert_eq!(first_line("target", "escaped")["service"], service);
+        eventually("the name is logged", || !lines_of("store-item-invalid", "").is_empty()).await;
+        eventually("the last entry is logged", || !lines_of("target-unusable", "unescaped").is_empty()).await;
+        call(beta.outbound(), &request("GET", "\"a\tb\"", "/none/", "id-\"\t\"", 5000, "")).await;
+        assert_eq!(first_line("no-route", "id-\\\"")["id"], "id-\"\t\"");
+        store.deregister("escaped");
         sleep(Duration::from_millis(50)).await;
         store.restore_backup(Duration::ZERO);
         eventually("the new era is logged", || !lines_of("store-era", "\"era\":2").is_empty()).await;
