Start tasks of a process again that panic or end

What callers saw: after a panic in its store reader a process lives on, answers its readiness check and its peers, and never reads the store again: what it knew at that moment holds for ever, and where it knew nothing it refuses all calls. The only trace was the panic's own text on standard error.

A panic in the task of a connection also left it counted as open, so that a stop waited for it until the end of the grace period.

Change: each task runs under supervision::supervise, which logs its name and why it failed (task-failed), counts it and starts it again, after 0.05 s at first and up to 2 s if it keeps failing. Weighed: ending the process, which the platform would start again. That cuts its calls, and since what makes a task panic may stand in the store, all processes could end again and again. All state that tasks share is in the node and their loops begin by reading it, so a new start continues; listeners and datagram sockets are kept. Every panic is logged with its place, also outside these tasks. A request to the store that can't be built is an error of that read.

Evidence: on the sources before, a_node_whose_store_reader_has_panicked_follows_the_store_again failed (timed out: version 6) and a_connection_whose_task_has_panicked_is_not_counted_as_open failed (timed out: no connection is open); the panic is brought about by borrowing a part of the node's state while the task needs it. Both pass now.

Not dealt with: a task that keeps panicking is a half dead process still, with a growing count and a line each 2 s.

--- a/crates/sidecar/src/counters.rs
+++ b/crates/sidecar/src/counters.rs
@@ -38,6 +38,8 @@
     pub store_requests: Cell<u64>,
     /// Requests to the platform's store without a usable response.
     pub store_failures: Cell<u64>,
+    /// Tasks of the process that ended or panicked.
+    pub task_failures: Cell<u64>,
 }
 
 impl Counters {
@@ -81,6 +83,7 @@
             ("aborted_streams", self.aborted_streams.get()),
             ("store_requests", self.store_requests.get()),
             ("store_failures", self.store_failures.get()),
+            ("task_failures", self.task_failures.get()),
             ("log_lines_dropped", dropped_lines),
         ];
         for (name, count) in counters {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod store;
 pub mod store_view;
 pub mod stream;
+pub mod supervision;
 pub mod tenancy;
--- a/crates/sidecar/src/limits.rs
+++ b/crates/sidecar/src/limits.rs
@@ -64,7 +64,7 @@
 }
 
 /// Sends reports to the coordinator and responds to the reports of other nodes until the process ends.
-pub async fn exchange(node: Rc<Node>, socket: UdpSocket) {
+pub async fn exchange(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let mut pending = PendingReports::default();
     let mut choice = CoordinatorChoice::default();
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
--- a/crates/sidecar/src/listener.rs
+++ b/crates/sidecar/src/listener.rs
@@ -131,7 +131,7 @@
 }
 
 /// Accepts connections and serves their requests with `handler`. Does not return.
-pub async fn serve(listener: TcpListener, config: ConnectionConfig, handler: impl RequestHandler) {
+pub async fn serve(listener: Rc<TcpListener>, config: ConnectionConfig, handler: impl RequestHandler) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -141,10 +141,8 @@
         let config = config.clone();
         let handler = handler.clone();
         tokio::task::spawn_local(async move {
-            let open = Rc::clone(&config.open_connections);
-            open.set(open.get() + 1);
+            let _open = CountGuard::new(&config.open_connections);
             serve_connection(stream, peer, config, handler).await;
-            open.set(open.get() - 1);
         });
     }
 }
@@ -163,9 +161,9 @@
         let (is_closing, is_unblocking) = (Rc::clone(&is_closing), Rc::clone(&is_unblocking));
         let io = io.clone();
         service_fn(move |request: Request<Incoming>| {
-            active.set(active.get() + 1);
             let is_ambiguous = io.is_ambiguous();
-            let active_request = ActiveRequest(Rc::clone(&active));
+            // Dropped after the last byte of the response was passed to hyper.
+            let active_request = CountGuard::new(&active);
             let (handler, pipelined, draining) = (handler.clone(), Rc::clone(&pipelined), Rc::clone(&draining));
             let (open, is_closing, io) = (Rc::clone(&open), Rc::clone(&is_closing), io.clone());
             let is_unblocking = Rc::clone(&is_unblocking);
@@ -318,11 +316,17 @@
     }
 }
 
-/// Decrements the number of active requests when it is dropped, after the last byte of the response was passed to
-/// hyper.
-struct ActiveRequest(Rc<Cell<usize>>);
+/// Counts one more until it is dropped, also by a panic.
+struct CountGuard(Rc<Cell<usize>>);
+
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        CountGuard(Rc::clone(count))
+    }
+}
 
-impl Drop for ActiveRequest {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
--- a/crates/sidecar/src/logging.rs
+++ b/crates/sidecar/src/logging.rs
@@ -5,14 +5,17 @@
 
 use std::fmt::{self, Display};
 use std::io::Write;
+use std::panic;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use log::{LevelFilter, SetLoggerError};
 use serde_json::Value;
 
+use crate::supervision::panic_message;
+
 /// The maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 2048;
 /// How long the writer thread collects lines before it writes them as one batch.
@@ -73,6 +76,20 @@
     Ok(state)
 }
 
+/// Logs each panic of the process with its place, besides what is written to standard error. `node` is the name of the
+/// node in the line.
+pub fn log_panics(node: String) {
+    let started = Instant::now();
+    let default_hook = panic::take_hook();
+    panic::set_hook(Box::new(move |info| {
+        default_hook(info);
+        let place = info.location().map_or_else(String::new, ToString::to_string);
+        let (node, place, why) = (JsonText(&node), JsonText(place), JsonText(panic_message(info.payload())));
+        let uptime = started.elapsed().as_secs_f64();
+        log::info!("{{\"up_s\":{uptime:.3},\"node\":{node},\"event\":\"panic\",\"at\":{place},\"why\":{why}}}");
+    }));
+}
+
 fn write_lines(receiver: &Receiver<String>, counts: &LogCounts) {
     while let Ok(first) = receiver.recv() {
         if !counts.flush_without_delay.load(Ordering::Relaxed) {
@@ -108,18 +125,18 @@
 pub struct LineRateLimit {
     per_second: f64,
     tokens: f64,
-    refilled_at: std::time::Instant,
+    refilled_at: Instant,
 }
 
 impl LineRateLimit {
     /// Creates a rate limit with a full bucket.
     pub fn new(per_second: f64) -> Self {
-        LineRateLimit { per_second, tokens: per_second, refilled_at: std::time::Instant::now() }
+        LineRateLimit { per_second, tokens: per_second, refilled_at: Instant::now() }
     }
 
     /// Whether one more line may be written now; takes a token if so.
     pub fn allows(&mut self) -> bool {
-        let now = std::time::Instant::now();
+        let now = Instant::now();
         let refill = now.duration_since(self.refilled_at).as_secs_f64() * self.per_second;
         self.refilled_at = now;
         self.tokens = (self.tokens + refill).min(self.per_second);
--- a/crates/sidecar/src/quarantine/mod.rs
+++ b/crates/sidecar/src/quarantine/mod.rs
@@ -42,7 +42,7 @@
 const MAX_BROADCAST_RECIPIENTS: usize = 128;
 
 /// Exchanges evidence with the other gates of the service until the process ends.
-pub async fn exchange(node: Rc<Node>, socket: UdpSocket) {
+pub async fn exchange(node: Rc<Node>, socket: Rc<UdpSocket>) {
     let Some(port) = node.settings.quarantine.map(|address| address.port()) else { return };
     let mut channel = Channel { node, socket, port, rebroadcasts: VecDeque::new(), next_round: Timestamp::ZERO };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -70,7 +70,7 @@
 /// The exchange of evidence over one socket.
 struct Channel {
     node: Rc<Node>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     port: u16,
     /// Messages that are broadcast a second time, and when.
     rebroadcasts: VecDeque<(Timestamp, wire::QuarantineMessage)>,
--- a/crates/sidecar/src/run.rs
+++ b/crates/sidecar/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts a sidecar and runs it until the process is asked to stop.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 use crate::listener::{bind, serve, ConnectionConfig, ConnectionPhase};
 use crate::logging::{self, JsonText};
 use crate::node::Node;
+use crate::supervision::supervise;
 use crate::{datagrams, feed, gate, limits, metrics, quarantine, store};
 
 /// The interval at which idle connections and unused locks are removed and suspensions are detected.
@@ -92,6 +94,7 @@
 pub fn run(path: &str, mechanisms: Mechanisms) -> Result<(), StartError> {
     let settings = SidecarSettings { mechanisms, ..load_settings(path)? };
     let log_state = logging::set_up().unwrap_or_default();
+    logging::log_panics(settings.node.clone());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build_local(LocalOptions::default())
@@ -127,6 +130,25 @@
     pub(crate) tasks: JoinSet<()>,
 }
 
+/// The tasks of a sidecar that is starting.
+struct Tasks {
+    node: Rc<Node>,
+    running: JoinSet<()>,
+}
+
+impl Tasks {
+    /// Starts a task that runs until the process ends.
+    fn spawn<Task: Future<Output = ()> + 'static>(
+        &mut self,
+        name: &'static str,
+        start: impl Fn(Rc<Node>) -> Task + 'static,
+    ) -> AbortHandle {
+        let node = Rc::clone(&self.node);
+        let supervised = supervise(Rc::clone(&node), name, move || start(Rc::clone(&node)));
+        self.running.spawn_local(supervised)
+    }
+}
+
 /// Opens the listeners and starts the tasks of a sidecar on the current thread's runtime.
 ///
 /// # Errors
@@ -156,46 +178,52 @@
     };
 
     let system_error = |what| move |source| StartError::System { what, source };
-    let outbound = bind(settings.outbound).map_err(system_error("outbound"))?;
-    let inbound = bind(settings.inbound).map_err(system_error("inbound"))?;
-    let ready = bind(settings.ready).map_err(system_error("ready"))?;
-    let mut tasks = JoinSet::new();
+    let outbound = Rc::new(bind(settings.outbound).map_err(system_error("outbound"))?);
+    let inbound = Rc::new(bind(settings.inbound).map_err(system_error("inbound"))?);
+    let ready = Rc::new(bind(settings.ready).map_err(system_error("ready"))?);
+    let mut tasks = Tasks { node: Rc::clone(&node), running: JoinSet::new() };
 
-    let edge = EdgeHandler { node: Rc::clone(&node) };
-    let accepting_callers = tasks.spawn_local(serve(outbound, callers, edge));
-    let for_gate = Rc::clone(&node);
-    let accepting_peers = tasks.spawn_local(serve(inbound, peers.clone(), move |parts, body, _| {
-        gate::serve(Rc::clone(&for_gate), parts, body)
-    }));
-    let for_ready = Rc::clone(&node);
-    tasks.spawn_local(serve(ready, peers.clone(), move |parts, _, _| serve_readiness(Rc::clone(&for_ready), parts)));
-    if let Some((address, metrics_path)) = settings.metrics.clone() {
-        let listener = bind(address).map_err(system_error("metrics"))?;
-        let for_metrics = Rc::clone(&node);
-        tasks.spawn_local(serve(listener, peers, move |parts, _, _| {
-            serve_metrics(Rc::clone(&for_metrics), parts, metrics_path.clone())
-        }));
+    let accepting_callers =
+        tasks.spawn("callers", move |node| serve(Rc::clone(&outbound), callers.clone(), EdgeHandler { node }));
+    let for_inbound = peers.clone();
+    let accepting_peers = tasks.spawn("peers", move |node| {
+        serve(Rc::clone(&inbound), for_inbound.clone(), move |parts, body, _| {
+            gate::serve(Rc::clone(&node), parts, body)
+        })
+    });
+    let for_ready = peers.clone();
+    tasks.spawn("readiness", move |node| {
+        serve(Rc::clone(&ready), for_ready.clone(), move |parts, _, _| serve_readiness(Rc::clone(&node), parts))
+    });
+    if let Some((address, path)) = settings.metrics.clone() {
+        let listener = Rc::new(bind(address).map_err(system_error("metrics"))?);
+        tasks.spawn("metrics", move |node| {
+            let path = path.clone();
+            serve(Rc::clone(&listener), peers.clone(), move |parts, _, _| {
+                serve_metrics(Rc::clone(&node), parts, path.clone())
+            })
+        });
     }
     if let Some(address) = settings.limits {
-        let socket = datagrams::bind(address).map_err(system_error("limits"))?;
-        tasks.spawn_local(limits::exchange(Rc::clone(&node), socket));
+        let socket = Rc::new(datagrams::bind(address).map_err(system_error("limits"))?);
+        tasks.spawn("limits", move |node| limits::exchange(node, Rc::clone(&socket)));
     }
     if let Some(address) = settings.quarantine {
-        let socket = datagrams::bind(address).map_err(system_error("quarantine"))?;
-        tasks.spawn_local(quarantine::exchange(Rc::clone(&node), socket));
+        let socket = Rc::new(datagrams::bind(address).map_err(system_error("quarantine"))?);
+        tasks.spawn("quarantine", move |node| quarantine::exchange(node, Rc::clone(&socket)));
     }
-    tasks.spawn_local(store::follow(Rc::clone(&node)));
-    tasks.spawn_local(store::watch_as_standby(Rc::clone(&node)));
-    tasks.spawn_local(feed::follow(Rc::clone(&node)));
-    tasks.spawn_local(feed::catch_up(Rc::clone(&node)));
-    tasks.spawn_local(feed::find_unregistered(Rc::clone(&node)));
-    tasks.spawn_local(gate::watch_retained_target(Rc::clone(&node)));
-    tasks.spawn_local(store::drop_expired_targets(Rc::clone(&node)));
+    tasks.spawn("store-reader", store::follow);
+    tasks.spawn("store-standby", store::watch_as_standby);
+    tasks.spawn("feed", feed::follow);
+    tasks.spawn("feed-catch-up", feed::catch_up);
+    tasks.spawn("feed-unregistered", feed::find_unregistered);
+    tasks.spawn("retained-target", gate::watch_retained_target);
+    tasks.spawn("grace-periods", store::drop_expired_targets);
     if node.is_enabled(Mechanism::SharedReads) {
-        tasks.spawn_local(store::watch_access(Rc::clone(&node)));
+        tasks.spawn("store-access", store::watch_access);
     }
-    tasks.spawn_local(evict_expired_calls(Rc::clone(&node)));
-    tasks.spawn_local(sweep(Rc::clone(&node)));
+    tasks.spawn("gate-queue", evict_expired_calls);
+    tasks.spawn("sweep", sweep);
     node.log(&format!(
         "\"event\":\"started\",\"zone\":{},\"service\":{},\"outbound\":\"{}\",\"switched_off\":{}",
         JsonText(&settings.zone),
@@ -204,6 +232,7 @@
         JsonText(settings.mechanisms.disabled_names())
     ));
     let accepting = [accepting_callers, accepting_peers];
+    let tasks = tasks.running;
     Ok(Running { node, connection_phase, open_connections, dropped_connections, draining, accepting, tasks })
 }
 
--- a/crates/sidecar/src/store/client.rs
+++ b/crates/sidecar/src/store/client.rs
@@ -24,6 +24,9 @@
 /// Why a call to the store has failed.
 #[derive(Debug, Display)]
 pub(super) enum StoreError {
+    /// The request can't be built.
+    #[display("{_0}")]
+    Request(hyper::http::Error),
     /// The request failed, or the response ended early.
     #[display("{_0}")]
     Exchange(ExchangeError),
@@ -51,7 +54,7 @@
         match self {
             StoreError::Exchange(_) | StoreError::TimedOut => true,
             StoreError::Status(status) => status.is_server_error() || *status == StatusCode::TOO_MANY_REQUESTS,
-            StoreError::Page(_) | StoreError::OtherEra | StoreError::Stalled(_) => false,
+            StoreError::Request(_) | StoreError::Page(_) | StoreError::OtherEra | StoreError::Stalled(_) => false,
         }
     }
 }
@@ -75,7 +78,7 @@
     Counters::increment(&node.counters.store_requests);
     let address = node.settings.store;
     let request = Request::get(path).header(HOST, address.to_string()).body(Body::empty());
-    let request = request.expect("the path and the host are valid in a request");
+    let request = request.map_err(StoreError::Request)?;
     let exchange = async {
         let (response, lease) = node.store.exchange(address, request).await.map_err(StoreError::Exchange)?;
         let status = response.status();
--- a/crates/sidecar/tests/log_lines.rs
+++ b/crates/sidecar/tests/log_lines.rs
@@ -280,6 +280,13 @@
         eventually("its removal is logged", || !lines_of("target-dropped", &id).is_empty()).await;
         drop(restarted);
 
+        quillhatch_sidecar::logging::log_panics("the node".to_owned());
+        std::thread::spawn(|| panic!("a \"panic\"")).join().expect_err("it panics");
+        let panicked = first_line("panic", "the node");
+        assert_eq!(panicked["why"], "a \"panic\"");
+        assert!(panicked["at"].as_str().is_some_and(|place| place.contains("log_lines.rs")), "{panicked}");
+        let _ = std::panic::take_hook();
+
         assert_eq!(stopping.await.expect("it stops"), 1);
         let cut_line = first_line("cut", "cut-call");
         assert_eq!((&cut_line["target"], &cut_line["part"]), (&"i-cut".into(), &"request".into()));
