Take no status outside 200 to 599 as a response

What callers saw: a target that answers with 101, which nobody asked for, or with 600 or 999 reaches the caller as an answer. By RFC 9110, what follows a 101 on its connection belongs to another protocol, so the caller waits for what never comes; 600 and 999 are no statuses. The store's 101 and 600 made its readers list everything again instead of counting as an outage, and a health check with such a status was believed.

Cause: hyper refuses statuses below 100 and above 999 and names that HTTP doesn't allow, but hands out 101 and 600 to 999, and nothing looked at the status after it.

Change: Pool::exchange, through which all responses of targets, nodes and the store come, reports such a response as none and drops its connection. So a safe call goes to another target, one that must run at most once gets 502, and the store's is an outage that its reader resumes from. RFC 9110 allows to treat 600 as a 5xx; "goes back unchanged" speaks for passing it on.

--- a/crates/sidecar/src/pool.rs
+++ b/crates/sidecar/src/pool.rs
@@ -11,7 +11,7 @@
 use hyper::body::Body as _;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::header::{HeaderMap, CONNECTION};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use quillhatch_types::Timestamp;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
@@ -189,6 +189,9 @@
             limit.reset();
             let sent_at = self.clock.now();
             match sender.try_send_request(request).await {
+                Ok(response) if !is_final(response.status()) => {
+                    return Err(ExchangeError::NoResponse(format!("invalid status {}", response.status().as_u16())));
+                }
                 Ok(response) => {
                     let idle_timeout = self.idle_timeout_for(response.headers());
                     let is_reusable = !closes_connection(response.headers());
@@ -269,6 +272,12 @@
     }
 }
 
+/// Whether a status ends an exchange. 101 hands the connection over to a protocol that was not asked for, other interim
+/// responses are not returned, and a status above 599 is invalid (RFC 9110, section 15).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// The timeout in seconds in the value of a `Keep-Alive` header.
 fn keep_alive_timeout(text: &str) -> Option<f64> {
     let timeout_s = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
