--- a/crates/sidecar/tests/foreign_entries.rs
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -95,6 +95,62 @@
     });
 }
 
+/// A registration with one of its fields replaced by another JSON text.
+fn registration_with(field: &str, value: &str) -> String {
+    let fields = [
+        ("service", r#""alpha""#),
+        ("address", r#""127.0.0.1:9""#),
+        ("zone", r#""zone-a""#),
+        ("version", r#""v1""#),
+        ("slots", "4"),
+        ("state", r#""ready""#),
+        ("cold_remaining_s", "0"),
+        ("seq", "1"),
+        ("born", "1700000000123"),
+    ];
+    let fields = fields.map(|(name, usual)| format!(r#""{name}":{}"#, if name == field { value } else { usual }));
+    format!("{{{}}}", fields.join(","))
+}
+
+fn nested(depth: usize) -> String {
+    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
+}
+
+#[test_case(&nested(5000); "a deeply nested value")]
+#[test_case(&registration_with("address", &nested(5000)); "a deeply nested address")]
+#[test_case(&registration_with("other", &nested(5000)); "a deeply nested unknown field")]
+#[test_case(&registration_with("address", r#""127.0.0.1:99999""#); "a port out of range")]
+#[test_case(&registration_with("address", r#""127.0.0.1:0""#); "port 0")]
+#[test_case(&registration_with("address", r#""0.0.0.0:80""#); "an unspecified address")]
+#[test_case(&registration_with("address", r#""[::1]:9""#); "an IPv6 address")]
+#[test_case(&registration_with("slots", "4294967295"); "the most slots")]
+#[test_case(&registration_with("slots", "1e999"); "slots beyond all ranges")]
+#[test_case(&registration_with("seq", "99999999999999999999999"); "a sequence number beyond its range")]
+#[test_case(&registration_with("born", "18446744073709551615"); "the latest start time")]
+#[test_case(&registration_with("cold_remaining_s", "1e300"); "a duration beyond its range")]
+#[test_case(&registration_with("cold_remaining_s", "18446744073709551615"); "the longest duration")]
+#[test_case(&registration_with("service", r#""a\r\nb\u0000""#); "control bytes in its service")]
+#[test_case(&format!("\"{}\"", "x".repeat(60_000)); "60 KB")]
+fn processes_serve_although_an_entry_has(value: &str) {
+    // Entries with such values are written before the processes start and while they run.
+    let value = value.to_owned();
+    run(async move {
+        let fleet = Fleet::start(|store| {
+            write_entries(store, &[]);
+            store.write("servers/b", Some(&value));
+        })
+        .await;
+        assert_eq!(fleet.serve_calls().await, CALLS);
+        fleet.store.write("servers/c", Some(&value));
+        fleet.store.write_configuration(&document(2, "alpha"));
+        let are_current = || fleet.sidecars.iter().all(|sidecar| sidecar.node.configuration.borrow().version() == 2);
+        eventually("version 2", are_current).await;
+        assert_eq!(fleet.serve_calls().await, CALLS);
+        let failures = fleet.sidecars.iter().map(|sidecar| sidecar.node.counters.task_failures.get());
+        assert_eq!(failures.sum::<u64>(), 0, "no task has panicked");
+    });
+}
+
 #[test_case("b c"; "a blank")]
 #[test_case("b\r\nc"; "a line break")]
 #[test_case("b\"c"; "a quote")]
--- a/crates/sidecar/tests/stops.rs
+++ b/crates/sidecar/tests/stops.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use support::caller::{call, request, Caller};
-use support::shop::{chain_document_with_timeout, read, two_machines, HOST};
+use support::shop::{chain_document_with_timeout, document, read, two_machines, HOST};
 use support::store::StandInStore;
-use support::target::{ChainedCall, ChainedRecord, TargetBehaviour};
+use support::target::{ChainedCall, ChainedRecord, TargetBehaviour, WORK_HEADER};
 use support::{eventually, run, Machine};
 use tokio::time::sleep;
 
@@ -96,6 +96,66 @@
     });
 }
 
+/// How long the target works on the calls, one after the other.
+const WORK_TIMES_MS: [u64; 5] = [20, 500, 1500, 3000, 5500];
+
+#[test]
+fn a_stop_loses_no_call_that_arrives_late_and_must_run_at_most_once() {
+    run(async {
+        let store = StandInStore::start().await;
+        let rule = r#""kind":"safe","#;
+        store.write_configuration(
+            &document(5, "alpha").replace(rule, r#""kind":"unsafe","#).replace(r#""timeout_s":1"#, r#""timeout_s":7"#),
+        );
+        let alpha = Machine::start(&store, "alpha", 64).await;
+        let beta = Machine::start(&store, "beta", 8).await;
+        eventually("both are listed at beta", || beta.node().targets.borrow().len() == 2).await;
+        let outbound = beta.outbound();
+        let mut open = Vec::new();
+        for _ in 0..40 {
+            open.push(Caller::connect(outbound).await);
+        }
+        let stopping = tokio::task::spawn_local(beta.sidecar.stop());
+        let mut callers = Vec::new();
+        for (number, work_ms) in (0..).zip(WORK_TIMES_MS.iter().cycle()) {
+            if stopping.is_finished() {
+                break;
+            }
+            let id = format!("call-{number}");
+            let work = format!("\r\n{WORK_HEADER}: {work_ms}\r\n\r\n");
+            let text = request("GET", HOST, "/read/x", &id, 7000, "").replacen("\r\n\r\n", &work, 1);
+            let caller = if number % 2 == 0 { open.pop() } else { None };
+            callers.push(tokio::task::spawn_local(async move {
+                let mut caller = match caller {
+                    Some(caller) => caller,
+                    None => Caller::try_connect(outbound).await?,
+                };
+                caller.send(&text).await;
+                Some((id, caller.next_response().await))
+            }));
+            sleep(Duration::from_millis(80)).await;
+        }
+        assert_eq!(stopping.await.expect("it stops"), 0, "calls unfinished at the end of the process");
+        let started = alpha.target.started_requests();
+        let ran: Vec<&str> = started.iter().map(|request| request.id()).collect();
+        let (mut answered, mut late) = (0, 0);
+        for caller in callers {
+            let Some((id, response)) = caller.await.expect("the caller ends") else { continue };
+            if !ran.contains(&id.as_str()) {
+                let status = response.map_or(503, |response| response.status);
+                assert_eq!(status, 503, "{id} has not run");
+                continue;
+            }
+            let response = response.unwrap_or_else(|| panic!("{id} ran and got no response"));
+            assert!(response.is_signed() && [200, 504].contains(&response.status), "{id}: {response:?}");
+            answered += 1;
+            late += usize::from(response.status == 504);
+        }
+        assert!(answered > 20, "{answered} answered");
+        assert_eq!(alpha.target.abandoned(), 0, "{answered} answered, {late} of them by 504");
+    });
+}
+
 #[test]
 fn a_stop_delivers_the_responses_behind_one_that_is_read_slowly() {
     run(async {
