Soak: short pages and foreign entries in the store

The soak never met a list of several pages or a name that needs an escape. Each soak's store has pages of four items now, and eight entries of another writer, with names that hold a blank, & + # %, a quote, a line break, a control byte and a byte beyond ASCII, from before the processes start until the end.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -67,6 +67,11 @@
 /// The interval at which conditions are polled.
 pub(crate) const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The number of items in one page of the store, so small that processes always start with several pages.
+const STORE_PAGE_SIZE: usize = 4;
+/// The names of entries of another writer among those of the targets.
+const FOREIGN_NAMES: [&str; 8] = [" blank", "a&b", "a&c", "a+b", "a#b", "a%7Eb", "a\"\r\n\u{1}b", "\u{fc}"];
+
 /// The options of a soak.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -194,6 +199,10 @@
         let drain_schedule = Pcg64::seed_from_u64(options.seed ^ DRAIN_SCHEDULE_SEED);
         let net = SoakNet::draw(&mut Pcg64::from_entropy());
         let store = StandInStore::start().await;
+        store.set_page_size(STORE_PAGE_SIZE);
+        for name in FOREIGN_NAMES {
+            store.write(&format!("servers/{name}"), Some("none"));
+        }
         let mut machines = Vec::new();
         let mut links = None;
         for number in 0..SERVICES.len() * options.targets_per_service {
