--- a/crates/sidecar/tests/foreign_entries.rs
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
+use quillhatch_mesh::replica::{Change, Position, RevisedChange, Update, UpdateScope};
 use quillhatch_sidecar::run::Running;
+use quillhatch_sidecar::store_view::{own_store_view, record_peer_view};
 use support::caller::call;
 use support::shop::{document, read, two_machines};
 use support::store::{StandInStore, StoreMode};
@@ -173,6 +175,25 @@
     });
 }
 
+#[test]
+fn an_update_of_another_node_names_no_target_whose_name_holds_a_blank() {
+    run(async {
+        let (_store, alpha, beta) = two_machines().await;
+        let from = alpha.node().position();
+        let position = Position { revision: from.revision + 1000, ..from };
+        let known = alpha.node().targets.borrow().get(&alpha.target.id()).expect("it is listed").registration.clone();
+        let named = |name: &str| RevisedChange {
+            revision: position.revision,
+            change: Change::Target(name.into(), known.clone()),
+        };
+        let update = Update { scope: UpdateScope::After(from), position, changes: vec![named("b c"), named("valid")] };
+        alpha.node().replica.borrow_mut().apply(update, alpha.node().now()).expect("it is later");
+        record_peer_view(beta.node(), alpha.address.into(), own_store_view(alpha.node()));
+        eventually("the update is taken", || beta.node().targets.borrow().get("valid").is_some()).await;
+        assert!(beta.node().targets.borrow().get("b c").is_none());
+    });
+}
+
 #[test_case("b c"; "a blank")]
 #[test_case("b;c"; "a semicolon")]
 fn a_health_check_names_no_target_if_its_id_holds(name: &'static str) {
