Count all items of a watch's response, not only those that can be used

What the store saw: each write of another writer is a call of each reader, 60 calls of two nodes for 30 writes in 3 s where 14 are allowed for changes of the configuration. With the fleet's limit on reads that leaves others refused.

Cause: the pause that batches changes, and the check whether a response can be complete and so proves that the configuration is recent, both counted the changes that were parsed from it. By reading, not shown: a response that is cut at its limit, and mostly holds such items, counts as complete and renews the lease on the configuration.

Change: a page has the number of its items, and both decisions use that.

--- a/crates/sidecar/src/store/mod.rs
+++ b/crates/sidecar/src/store/mod.rs
@@ -266,8 +266,8 @@
         if era != position.era {
             return Err(StoreError::OtherEra);
         }
-        let is_complete = page.changes.len() <= MAX_COMPLETE_PAGE_CHANGES;
-        let has_changes = !page.changes.is_empty();
+        let is_complete = page.item_count <= MAX_COMPLETE_PAGE_CHANGES;
+        let has_changes = page.item_count > 0;
         let page_position = Position { era, revision: page.revision };
         record_success(node, sent);
         let update = Update { scope: UpdateScope::After(position), position: page_position, changes: page.changes };
--- a/crates/sidecar/tests/foreign_entries.rs
+++ b/crates/sidecar/tests/foreign_entries.rs
@@ -253,6 +253,24 @@
     });
 }
 
+#[test_case("servers/b c"; "a name that can't be a target's")]
+#[test_case("other/key"; "a key that is none of the platform's")]
+fn frequent_writes_are_read_in_batches_also_under(key: &'static str) {
+    // Guards against this failure: each write of another writer was a call of each reader.
+    run(async move {
+        let (store, _alpha, _beta) = two_machines().await;
+        sleep(Duration::from_millis(1500)).await;
+        let before = store.calls();
+        for number in 0..30 {
+            store.write(key, Some(&number.to_string()));
+            sleep(Duration::from_millis(100)).await;
+        }
+        // As many as for changes of the configuration.
+        let calls = store.calls() - before;
+        assert!(calls <= 2 * 7, "{calls} calls by two nodes for 30 writes in 3 s");
+    });
+}
+
 #[test]
 fn a_node_with_a_view_keeps_it_while_the_list_does_not_continue() {
     run(async {
